--- /dev/null
+++ b/scripts/request.mjs
@@ -0,0 +1,18 @@
+/**
+ * One HTTP call for scripts: node scripts/request.mjs METHOD URL TOKEN [BODY] [KEY].
+ * Prints the request's identity on the first line and the body after it; a status of 400 or
+ * more ends it with exit code 1.
+ */
+const [method, url, token, body, key] = process.argv.slice(2)
+
+const response = await fetch(url, {
+  method,
+  headers: {
+    authorization: `Bearer ${token}`,
+    'content-type': 'application/json',
+    ...(key ? { 'idempotency-key': key } : {})
+  },
+  ...(body ? { body } : {})
+})
+process.stdout.write(`${response.headers.get('x-request-id') ?? ''}\n${await response.text()}`)
+process.exitCode = response.status >= 400 ? 1 : 0
--- /dev/null
+++ b/src/bin/coltsfootlead-control.ts
@@ -0,0 +1,32 @@
+#!/usr/bin/env node
+/**
+ * The control daemon.
+ */
+import { Cli, Command } from 'clipanion'
+import { DaemonCommand, type RunningDaemon } from '../cli/daemonCommand.js'
+import { startControl } from '../control/startControl/index.js'
+import type { Runtime } from '../runtime/types.js'
+import type { DaemonSettings } from '../settings/types.js'
+
+class ControlCommand extends DaemonCommand {
+  static override usage = Command.Usage({
+    description: 'Carry configuration into force: hold the lease, order engines.',
+    details: 'Exit code 0: stopped. 1: could not start. 2: shutdown cut short by a second signal or its deadline.'
+  })
+
+  protected async start (settings: DaemonSettings, options: { runtime: Runtime }): Promise<RunningDaemon> {
+    const control = await startControl(settings, options)
+    return {
+      addresses: { operator: control.daemon.operatorUrl },
+      async drain () {
+        control.daemon.drain()
+        control.daemon.log.emit('processDraining')
+      },
+      stopped: () => control.daemon.log.emit('processStopped'),
+      [Symbol.asyncDispose]: () => control[Symbol.asyncDispose]()
+    }
+  }
+}
+
+await Cli.from(ControlCommand, { binaryName: 'coltsfootlead-control', binaryLabel: 'coltsfootlead control daemon', binaryVersion: '0.1.0' })
+  .runExit(process.argv.slice(2))
--- /dev/null
+++ b/src/cli/_lib/operatorCommand.ts
@@ -0,0 +1,76 @@
+/**
+ * What the operator's commands share: where to ask, with which token, and how to print.
+ */
+import { Command, Option, UsageError } from 'clipanion'
+import { request } from 'undici'
+
+/** Exit codes, the same for every command. */
+export const EXIT = {
+  ok: 0,
+  /** The system refused, or a checked file does not hold. */
+  refused: 1,
+  /** The command line is wrong; clipanion's own code. */
+  usage: 1,
+  /** Nothing could be reached. */
+  unreachable: 3,
+  /** The outcome is not yet known; ask again. */
+  uncertain: 4
+} as const
+
+/** An answer of the operator port. */
+export interface OperatorAnswer {
+  status: number
+  body: unknown
+}
+
+/** Base of commands that talk to an operator port. */
+export abstract class OperatorCommand extends Command {
+  operator = Option.String('--operator', '', {
+    description: 'Base URL of any daemon\'s operator port; COLTSFOOTLEAD_OPERATOR otherwise', env: 'COLTSFOOTLEAD_OPERATOR'
+  })
+
+  token = Option.String('--token', '', {
+    description: 'Operator token as <name>.<secret>; COLTSFOOTLEAD_TOKEN otherwise', env: 'COLTSFOOTLEAD_TOKEN'
+  })
+
+  json = Option.Boolean('--json', false, { description: 'Print the answer as JSON' })
+
+  /** Asks a path of the operator port, at `--operator` unless another base URL is given. */
+  protected async ask (path: string, options: { method?: 'GET' | 'POST', body?: string, base?: string } = {}): Promise<OperatorAnswer> {
+    const { method = 'GET', body, base = this.operator } = options
+    const answer = await request(`${base}${path}`, {
+      method,
+      headers: { authorization: `Bearer ${this.token}`, 'content-type': 'application/json' },
+      ...(body === undefined ? {} : { body })
+    })
+    return { status: answer.statusCode, body: await answer.body.json() }
+  }
+
+  /** Runs a command's work and turns a failure to connect into its exit code. */
+  protected async attempt (work: () => Promise<number>): Promise<number> {
+    if (this.operator === '') throw new UsageError('give --operator or set COLTSFOOTLEAD_OPERATOR')
+    if (this.token === '') throw new UsageError('give --token or set COLTSFOOTLEAD_TOKEN')
+    try {
+      return await work()
+    } catch (error) {
+      this.context.stderr.write(`${this.operator}: ${(error as Error).message}\n`)
+      return EXIT.unreachable
+    }
+  }
+
+  protected print (line: string): void {
+    this.context.stdout.write(`${line}\n`)
+  }
+
+  /** Prints an answer as JSON where asked for, otherwise by `render`; refusals go to standard error. */
+  protected show (answer: OperatorAnswer, render: (body: never) => string): number {
+    if (this.json) this.print(JSON.stringify(answer.body))
+    if (answer.status >= 400) {
+      const { title, reason, facts } = answer.body as { title: string, reason: number, facts: unknown }
+      if (!this.json) this.context.stderr.write(`refused (reason ${reason}): ${title}\n${JSON.stringify(facts, null, 2)}\n`)
+      return answer.status === 503 ? EXIT.uncertain : EXIT.refused
+    }
+    if (!this.json) this.print(render(answer.body as never))
+    return EXIT.ok
+  }
+}
--- /dev/null
+++ b/src/cli/commands/read.ts
@@ -0,0 +1,43 @@
+/**
+ * `coltsfootlead in-force|explain|members`.
+ */
+import { Command, Option } from 'clipanion'
+import type { Member } from '../../member/types.js'
+import { OperatorCommand } from '../_lib/operatorCommand.js'
+
+export class InForceCommand extends OperatorCommand {
+  static override paths = [['in-force']]
+  static override usage = Command.Usage({ description: 'Show what is in force on a host, whole or for one scope.' })
+
+  scope = Option.String({ required: false })
+
+  async execute (): Promise<number> {
+    const path = this.scope === undefined ? '/v1/in-force' : `/v1/in-force/${this.scope}`
+    return await this.attempt(async () => this.show(await this.ask(path), (body: { host: string, revision: number, tickets: Record<string, number>, scopes: Record<string, unknown> }) => [
+      `${body.host}: revision ${body.revision}`,
+      ...Object.entries(body.scopes).map(([scope, value]) => `${scope} (ticket ${body.tickets[scope] ?? '-'}): ${JSON.stringify(value)}`)
+    ].join('\n')))
+  }
+}
+
+export class ExplainCommand extends OperatorCommand {
+  static override paths = [['explain']]
+  static override usage = Command.Usage({ description: 'Explain a refusal by its identity.' })
+
+  id = Option.String()
+
+  async execute (): Promise<number> {
+    const id = this.id.replace('urn:coltsfootlead:refusal:', '')
+    return await this.attempt(async () => this.show(await this.ask(`/v1/explain/${encodeURIComponent(id)}`), (body: object) => JSON.stringify(body, null, 2)))
+  }
+}
+
+export class MembersCommand extends OperatorCommand {
+  static override paths = [['members']]
+  static override usage = Command.Usage({ description: 'List the members as one host sees them.' })
+
+  async execute (): Promise<number> {
+    return await this.attempt(async () => this.show(await this.ask('/v1/members'), ({ members }: { members: Member[] }) =>
+      members.map(member => `${member.host}  ${member.role}  ${member.failureDomain}  ${member.status}  revision ${member.revisionInForce}`).join('\n')))
+  }
+}
--- /dev/null
+++ b/src/cli/commands/timeline.ts
@@ -0,0 +1,65 @@
+/**
+ * `coltsfootlead timeline`: the events of all processes in causal order.
+ */
+import { readFile } from 'node:fs/promises'
+import { Command, Option } from 'clipanion'
+import type { LoggedEvent } from '../../event/types.js'
+import { mergeTimeline } from '../../event/mergeTimeline/index.js'
+import type { Member } from '../../member/types.js'
+import { EXIT, OperatorCommand } from '../_lib/operatorCommand.js'
+
+export class TimelineCommand extends OperatorCommand {
+  static override paths = [['timeline']]
+  static override usage = Command.Usage({
+    description: 'Merge the events of all processes in causal order.',
+    details: 'Reads the log files given, or else asks every member that the operator port knows.'
+  })
+
+  request = Option.String('--request', { description: 'Only events of this request' })
+  ticket = Option.String('--ticket', { description: 'Only events of this ticket' })
+  target = Option.String('--target', { description: 'Only events of this target' })
+  host = Option.String('--host', { description: 'Only events of this host' })
+  files = Option.Rest()
+
+  async execute (): Promise<number> {
+    return await this.attempt(async () => {
+      const filter = this.filter()
+      const events = this.files.length > 0 ? await this.readFiles() : await this.askMembers(filter)
+      const merged = mergeTimeline(events, { filter })
+      if (this.json) this.print(JSON.stringify(merged))
+      else for (const event of merged) this.print(renderEvent(event))
+      return EXIT.ok
+    })
+  }
+
+  private filter (): Record<string, string> {
+    const { request, ticket, target, host } = this
+    return Object.fromEntries(Object.entries({ request, ticket, target, host }).filter((pair): pair is [string, string] => pair[1] !== undefined))
+  }
+
+  private async readFiles (): Promise<LoggedEvent[]> {
+    const texts = await Promise.all(this.files.map(file => readFile(file, 'utf8')))
+    return texts.flatMap(text => text.split('\n').filter(line => line.startsWith('{')).map(line => JSON.parse(line) as LoggedEvent))
+  }
+
+  private async askMembers (filter: Record<string, string>): Promise<LoggedEvent[]> {
+    const { body } = await this.ask('/v1/members')
+    const { members } = body as { members: Member[] }
+    const query = new URLSearchParams(filter).toString()
+    const answers = await Promise.allSettled(members.map(member => this.ask(`/v1/events?${query}`, { base: member.operatorUrl })))
+    return answers.flatMap((answer, index) => {
+      if (answer.status === 'fulfilled' && answer.value.status === 200) return (answer.value.body as { events: LoggedEvent[] }).events
+      this.context.stderr.write(`no events from ${members[index]!.host} (${members[index]!.role})\n`)
+      return []
+    })
+  }
+}
+
+/** Fields that every event has, or that its line shows already. */
+const SHOWN = new Set(['number', 'name', 'text', 'level', 'host', 'process', 'wallMs', 'counter', 'message'])
+
+function renderEvent (event: LoggedEvent): string {
+  const time = new Date(event.wallMs).toISOString()
+  const fields = Object.entries(event).filter(([field]) => !SHOWN.has(field)).map(([field, value]) => `${field}=${typeof value === 'string' ? value : JSON.stringify(value)}`)
+  return `${time}+${event.counter}  ${event.host}/${event.process}  ${event.number} ${event.text}  ${fields.join(' ')}`
+}
--- /dev/null
+++ b/src/control/holdLease/index.ts
@@ -0,0 +1,81 @@
+/**
+ * Taking and keeping the control lease. Deadlines are monotonic and counted from before the
+ * write was sent, so that a holder that was paused finds its lease expired before it acts.
+ */
+import { randomUUID } from 'node:crypto'
+import type { ObjectStore } from '../../objectApi/types.js'
+import type { Runtime } from '../../runtime/types.js'
+import { LEASE_KEY, leaseSchema, type HeldLease, type LeaseRecord } from '../types.js'
+
+/** What others last wrote, and when this daemon first saw it. */
+interface Observed {
+  version: number
+  seenMs: number
+  record: LeaseRecord
+}
+
+/** One daemon's claim on the lease. */
+export interface LeaseClaim {
+  /** Renews or takes the lease where possible. */
+  step: () => Promise<void>
+  /** The lease, while it is certain that no other daemon holds it. */
+  held: () => HeldLease | undefined
+}
+
+/**
+ * @name createLeaseClaim
+ * @summary A claim that holds nothing yet.
+ * @param options - Holder's name, duration in milliseconds, store and runtime.
+ * @returns The claim.
+ *
+ * @example
+ * const claim = createLeaseClaim({ holder: 'entry-1', durationMs: 6000, store, runtime })
+ * await claim.step()
+ */
+export function createLeaseClaim (options: { holder: string, durationMs: number, store: ObjectStore, runtime: Runtime }): LeaseClaim {
+  const { holder, durationMs, store, runtime } = options
+  const nonce = randomUUID()
+  let lease: HeldLease | undefined
+  let observed: Observed | undefined
+
+  const held = (): HeldLease | undefined =>
+    lease !== undefined && runtime.monotonicMs() < lease.expiresAtMs ? lease : undefined
+
+  async function write (record: LeaseRecord, condition: { ifAbsent: true } | { ifVersion: number }): Promise<void> {
+    const sentMs = runtime.monotonicMs()
+    const written = await store.write(LEASE_KEY, record, condition)
+    if (written.kind === 'written') {
+      lease = { fencing: record.fencing, version: written.version, renewal: record.renewal, expiresAtMs: sentMs + durationMs }
+    } else if (written.kind === 'conflict') {
+      lease = undefined
+    }
+  }
+
+  async function renew (current: HeldLease): Promise<void> {
+    const record: LeaseRecord = { holder, nonce, fencing: current.fencing, renewal: current.renewal + 1, durationMs }
+    await write(record, { ifVersion: current.version })
+  }
+
+  async function takeOver (): Promise<void> {
+    const read = await store.read(LEASE_KEY)
+    if (read.kind === 'unavailable') return
+    if (read.kind === 'absent') return await write({ holder, nonce, fencing: 1, renewal: 0, durationMs }, { ifAbsent: true })
+    const record = leaseSchema.parse(read.object.value)
+    const { version } = read.object
+    if (observed === undefined || observed.version !== version) {
+      observed = { version, seenMs: runtime.monotonicMs(), record }
+      return
+    }
+    if (runtime.monotonicMs() - observed.seenMs < observed.record.durationMs) return
+    await write({ holder, nonce, fencing: record.fencing + 1, renewal: 0, durationMs }, { ifVersion: version })
+  }
+
+  return {
+    held,
+    async step () {
+      const current = held()
+      if (current === undefined) await takeOver()
+      else await renew(current)
+    }
+  }
+}
--- /dev/null
+++ b/src/control/startControl/index.ts
@@ -0,0 +1,44 @@
+/**
+ * Wiring of the control daemon.
+ */
+import { startDaemon } from '../../daemon/startDaemon/index.js'
+import type { Daemon } from '../../daemon/types.js'
+import { createHttpEngine } from '../../engine/createHttpEngine/index.js'
+import { createResourceStack } from '../../runtime/createResourceStack/index.js'
+import type { Runtime } from '../../runtime/types.js'
+import type { DaemonSettings } from '../../settings/types.js'
+import { runControl } from '../runControl/index.js'
+
+/** A running control daemon. */
+export interface Control extends AsyncDisposable {
+  daemon: Daemon
+}
+
+/**
+ * @name startControl
+ * @summary Starts a control daemon.
+ * @param settings - Checked settings.
+ * @param options - The runtime.
+ * @returns The daemon once its operator port listens.
+ *
+ * @example
+ * await using control = await startControl(settings, { runtime: createSystemRuntime() })
+ */
+export async function startControl (settings: DaemonSettings, options: { runtime: Runtime }): Promise<Control> {
+  const { runtime } = options
+  const resources = createResourceStack()
+  const engines = resources.use(createHttpEngine({ runtime }))
+  const daemon = await startDaemon(settings, { role: 'control', runtime })
+  const task = runControl({ daemon, engines }).catch((error: Error) => {
+    daemon.log.emit('unexpectedError', { cause: error.message })
+  })
+  daemon.log.emit('processStarted', { operator: daemon.operatorUrl })
+  return {
+    daemon,
+    async [Symbol.asyncDispose] () {
+      await daemon[Symbol.asyncDispose]()
+      await resources[Symbol.asyncDispose]()
+      await task
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/createMetrics/index.ts
@@ -0,0 +1,40 @@
+/**
+ * Metrics of a daemon, for the operator port.
+ */
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** Upper bounds of the time histograms, in milliseconds. */
+const TIME_BUCKETS_MS = [5, 10, 20, 31, 50, 100, 200, 300, 530, 1_000, 2_000, 5_000]
+
+/** The metrics that modules write to. */
+export interface Metrics {
+  registry: Registry
+  requests: Counter<'outcome'>
+  tokens: Counter
+  firstTokenMs: Histogram
+  storeCalls: Counter<'operation'>
+  revisionInForce: Gauge
+}
+
+/**
+ * @name createMetrics
+ * @summary A registry of its own, so that several daemons can live in one process.
+ * @returns The metrics.
+ *
+ * @example
+ * const metrics = createMetrics()
+ * metrics.requests.inc({ outcome: 'complete' })
+ */
+export function createMetrics (): Metrics {
+  const registry = new Registry()
+  collectDefaultMetrics({ register: registry })
+  const registers = [registry]
+  return {
+    registry,
+    requests: new Counter({ name: 'coltsfootlead_requests_total', help: 'Requests by outcome', labelNames: ['outcome'], registers }),
+    tokens: new Counter({ name: 'coltsfootlead_tokens_total', help: 'Tokens written to callers', registers }),
+    firstTokenMs: new Histogram({ name: 'coltsfootlead_first_token_ms', help: 'Time to the first token in milliseconds', buckets: TIME_BUCKETS_MS, registers }),
+    storeCalls: new Counter({ name: 'coltsfootlead_store_calls_total', help: 'Calls to the object API', labelNames: ['operation'], registers }),
+    revisionInForce: new Gauge({ name: 'coltsfootlead_revision_in_force', help: 'Configuration revision in force', registers })
+  }
+}
--- /dev/null
+++ b/src/daemon/startDaemon/index.ts
@@ -0,0 +1,113 @@
+/**
+ * Wiring of what entry and control daemons share: store, configuration, members, gossip,
+ * targets and the operator port. Tasks end with the daemon's disposal.
+ */
+import { createHybridClock } from '../../clock/createHybridClock/index.js'
+import { createConfigurationHolder } from '../../configuration/createConfigurationHolder/index.js'
+import { watchConfiguration } from '../../configuration/watchConfiguration/index.js'
+import { createEventLog } from '../../event/createEventLog/index.js'
+import { createHttpHostList } from '../../hostList/createHttpHostList/index.js'
+import { listen } from '../../http/listen/index.js'
+import { createMemberTable } from '../../member/createMemberTable/index.js'
+import { listMembers, registerMember } from '../../member/registerMember/index.js'
+import type { Member, MemberRole } from '../../member/types.js'
+import { createHttpObjectStore } from '../../objectApi/createHttpObjectStore/index.js'
+import { connectPeer } from '../../peer/connectPeer/index.js'
+import { createPeerNode } from '../../peer/createPeerNode/index.js'
+import { servePeers } from '../../peer/servePeers/index.js'
+import type { PeerStream } from '../../peer/types.js'
+import { createResourceStack } from '../../runtime/createResourceStack/index.js'
+import { sleep } from '../../runtime/sleep/index.js'
+import type { Runtime } from '../../runtime/types.js'
+import type { DaemonSettings } from '../../settings/types.js'
+import { createTargetDirectory } from '../../target/createTargetDirectory/index.js'
+import { createMetrics } from '../createMetrics/index.js'
+import { createOperatorHandler } from '../createOperatorHandler/index.js'
+import { createRefusalBook } from '../createRefusalBook/index.js'
+import type { Daemon } from '../types.js'
+
+/** Wait between reads of the stored members once this daemon is registered, and before. */
+const MEMBERS_REFRESH_MS = 30_000
+const MEMBERS_RETRY_MS = 500
+
+/**
+ * @name startDaemon
+ * @summary Starts the common parts of a daemon.
+ * @param settings - Checked settings.
+ * @param options - Role and runtime.
+ * @returns The daemon; its disposal ends every task and closes every connection.
+ *
+ * @example
+ * await using daemon = await startDaemon(settings, { role: 'entry', runtime })
+ */
+export async function startDaemon (
+  settings: DaemonSettings,
+  options: { role: MemberRole, runtime: Runtime }
+): Promise<Daemon> {
+  const { role, runtime } = options
+  const { host, address, ports } = settings
+  const resources = createResourceStack()
+  const controller = new AbortController()
+  const { signal } = controller
+  const clock = createHybridClock({ nowMs: runtime.nowMs })
+  const log = createEventLog({ host, process: role, clock, level: settings.log.level, ...(settings.log.file ? { file: settings.log.file } : {}) })
+  const metrics = createMetrics()
+  const store = resources.use(createHttpObjectStore({
+    ...settings.objectApi, runtime, onCall: operation => metrics.storeCalls.inc({ operation })
+  }))
+  const hostList = resources.use(createHttpHostList({ url: settings.hostList.url, timeoutMs: settings.hostList.pollMs, runtime }))
+  const holder = createConfigurationHolder({ runtime, log })
+  const directory = createTargetDirectory({ holder, runtime, log })
+  const refusals = createRefusalBook({ runtime })
+
+  let draining = false
+  const daemon = { settings, runtime, clock, log, metrics, store, hostList, holder, directory, refusals, signal } as Daemon
+  let accept: (stream: PeerStream) => void = stream => stream[Symbol.dispose]()
+  const peerServer = resources.use(await servePeers(stream => accept(stream), { address, port: ports.peer }))
+  const operatorServer = resources.use(await listen(createOperatorHandler(daemon), { address, port: ports.operator }))
+  const self: Member = {
+    host,
+    role,
+    address: peerServer.address,
+    operatorUrl: `http://${operatorServer.address}`,
+    failureDomain: settings.failureDomain,
+    incarnation: Math.floor(runtime.nowMs()),
+    heartbeat: 0,
+    status: 'alive',
+    revisionInForce: 0
+  }
+  const table = createMemberTable(self, { runtime, log })
+  const node = createPeerNode({ table, holder, clock, connect: connectPeer, intervalMs: settings.gossip.intervalMs, runtime, log, signal })
+  accept = node.accept
+  const tasks = [
+    watchConfiguration({ store, holder, log, runtime, signal }),
+    directory.follow(hostList, { pollMs: settings.hostList.pollMs, signal }),
+    node.run(),
+    followMembers()
+  ]
+
+  async function followMembers (): Promise<void> {
+    let registered = false
+    while (!signal.aborted) {
+      registered ||= await registerMember(table.self(), store) !== undefined
+      const members = await listMembers(store)
+      if (members !== undefined) table.merge(members)
+      await sleep(registered ? MEMBERS_REFRESH_MS : MEMBERS_RETRY_MS, { runtime, signal })
+    }
+  }
+
+  return Object.assign(daemon, {
+    table,
+    operatorUrl: self.operatorUrl,
+    drain () {
+      draining = true
+      table.leave()
+    },
+    isDraining: () => draining,
+    async [Symbol.asyncDispose] () {
+      controller.abort()
+      await resources[Symbol.asyncDispose]()
+      await Promise.all(tasks)
+    }
+  })
+}
--- /dev/null
+++ b/src/daemon/types.ts
@@ -0,0 +1,42 @@
+/**
+ * What entry and control daemons have in common.
+ */
+import type { HybridClock } from '../clock/types.js'
+import type { ConfigurationHolder } from '../configuration/types.js'
+import type { EventLog } from '../event/types.js'
+import type { HostList } from '../hostList/types.js'
+import type { MemberTable } from '../member/createMemberTable/index.js'
+import type { ObjectStore } from '../objectApi/types.js'
+import type { Runtime } from '../runtime/types.js'
+import type { DaemonSettings } from '../settings/types.js'
+import type { FedTargetDirectory } from '../target/createTargetDirectory/index.js'
+import type { Refusal } from '../verdict/types.js'
+import type { Metrics } from './createMetrics/index.js'
+
+/** A started daemon: its parts, its tasks and its operator port. */
+export interface Daemon extends AsyncDisposable {
+  settings: DaemonSettings
+  runtime: Runtime
+  clock: HybridClock
+  log: EventLog
+  metrics: Metrics
+  store: ObjectStore
+  hostList: HostList
+  holder: ConfigurationHolder
+  table: MemberTable
+  directory: FedTargetDirectory
+  refusals: RefusalBook
+  /** Base URL of the operator port. */
+  operatorUrl: string
+  /** Aborts when the daemon stops. */
+  signal: AbortSignal
+  /** Withdraws readiness; requests are still served. */
+  drain: () => void
+  isDraining: () => boolean
+}
+
+/** Keeps refusals for `explain`. */
+export interface RefusalBook {
+  add: (refusal: Refusal, context: Record<string, unknown>) => void
+  find: (id: string) => Record<string, unknown> | undefined
+}
--- /dev/null
+++ b/src/entry/types.ts
@@ -0,0 +1,29 @@
+/**
+ * What the entry's handlers work with.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Daemon } from '../daemon/types.js'
+import type { EngineClient } from '../engine/types.js'
+import type { PickStage } from '../pipeline/types.js'
+import type { ServiceClient } from '../service/types.js'
+import type { Account } from '../ticket/types.js'
+
+/** Parts that every handler of the caller port needs. */
+export interface EntryContext {
+  daemon: Daemon
+  engines: EngineClient
+  services: ServiceClient
+  pick: PickStage
+}
+
+/** One call at the caller port, after its account is known. */
+export interface CallerCall {
+  /** Identity of the request. */
+  request: string
+  account: Account
+  incoming: IncomingMessage
+  response: ServerResponse
+  body: Buffer
+  /** Aborts when the caller goes away. */
+  signal: AbortSignal
+}
--- /dev/null
+++ b/src/event/catalogue.ts
@@ -0,0 +1,56 @@
+/**
+ * Every event that a process may log, by name. Numbers are never reused; docs/EVENTS.md lists
+ * them for operators and a test keeps the two in step.
+ */
+
+/** Severity of an event, as winston names it. */
+export type EventLevel = 'debug' | 'info' | 'warn' | 'error'
+
+/** One row of the catalogue. */
+export interface EventDefinition {
+  number: number
+  level: EventLevel
+  text: string
+}
+
+/** The catalogue. 1xxx process, 2xxx tickets and configuration, 3xxx requests, 4xxx bookings, 5xxx members and peers, 6xxx targets and orders, 7xxx store. */
+export const EVENTS = {
+  processStarted: { number: 1001, level: 'info', text: 'process started and listening' },
+  processReady: { number: 1002, level: 'info', text: 'process ready to serve' },
+  processDraining: { number: 1003, level: 'info', text: 'shutdown asked for; draining' },
+  processStopped: { number: 1004, level: 'info', text: 'process stopped' },
+  unexpectedError: { number: 1090, level: 'error', text: 'unexpected error' },
+  ticketAccepted: { number: 2001, level: 'info', text: 'change ticket accepted' },
+  ticketRefused: { number: 2002, level: 'warn', text: 'change ticket refused' },
+  ticketUncertain: { number: 2003, level: 'warn', text: 'outcome of a change ticket not yet known' },
+  revisionInForce: { number: 2010, level: 'info', text: 'configuration revision in force on this host' },
+  revisionIgnored: { number: 2011, level: 'warn', text: 'configuration with a lower revision ignored' },
+  configurationInvalid: { number: 2012, level: 'error', text: 'stored configuration could not be read' },
+  requestAdmitted: { number: 3001, level: 'info', text: 'request admitted' },
+  requestRefused: { number: 3002, level: 'warn', text: 'request refused' },
+  pipelineOpened: { number: 3010, level: 'info', text: 'pipeline opened' },
+  pipelineLost: { number: 3011, level: 'warn', text: 'pipeline lost a stage' },
+  firstToken: { number: 3012, level: 'info', text: 'first token written to the caller' },
+  requestAnswered: { number: 3020, level: 'info', text: 'request answered in full' },
+  requestFailed: { number: 3021, level: 'warn', text: 'request ended without a full answer' },
+  bookingIntended: { number: 4001, level: 'info', text: 'booking intent recorded' },
+  bookingSent: { number: 4002, level: 'info', text: 'booking sent to the service' },
+  bookingSettled: { number: 4003, level: 'info', text: 'booking outcome recorded' },
+  bookingReplayed: { number: 4004, level: 'info', text: 'recorded booking outcome returned' },
+  memberJoined: { number: 5001, level: 'info', text: 'member joined' },
+  memberLost: { number: 5002, level: 'warn', text: 'member lost' },
+  peerConnected: { number: 5010, level: 'debug', text: 'peer stream opened' },
+  peerDisconnected: { number: 5011, level: 'debug', text: 'peer stream closed' },
+  targetLeaving: { number: 6001, level: 'info', text: 'target is leaving and gets no new work' },
+  targetSuspected: { number: 6002, level: 'warn', text: 'target suspected' },
+  leaseAcquired: { number: 6010, level: 'info', text: 'control lease acquired' },
+  leaseLost: { number: 6011, level: 'warn', text: 'control lease lost' },
+  orderSent: { number: 6020, level: 'info', text: 'order sent to an engine' },
+  orderRefused: { number: 6021, level: 'warn', text: 'order refused by an engine' },
+  storeUnavailable: { number: 7001, level: 'warn', text: 'object API not available' },
+  storeRecovered: { number: 7002, level: 'info', text: 'object API available again' },
+  watchReplaced: { number: 7003, level: 'warn', text: 'silent watch replaced' }
+} as const satisfies Record<string, EventDefinition>
+
+/** Name of an event. */
+export type EventName = keyof typeof EVENTS
--- /dev/null
+++ b/src/event/createEventLog/index.ts
@@ -0,0 +1,65 @@
+/**
+ * Numbered events, written by winston as one JSON line each and kept in a bounded buffer for
+ * the operator port.
+ */
+import winston from 'winston'
+import type { HybridClock } from '../../clock/types.js'
+import { EVENTS, type EventName } from '../catalogue.js'
+import type { EventFields, EventLog, LoggedEvent } from '../types.js'
+
+/** How many events a process keeps in memory for the operator port. */
+const RECENT_EVENTS = 20_000
+
+/** Where and as whom a process logs. */
+export interface EventLogOptions {
+  host: string
+  process: string
+  clock: HybridClock
+  /** Lowest level that is written; lower ones are neither written nor kept. */
+  level?: string
+  /** File to append to; standard output when absent. `null` writes nowhere. */
+  file?: string | null
+}
+
+/**
+ * @name createEventLog
+ * @summary An event log for one process.
+ * @param options - Identity of the process, its clock, level and file.
+ * @returns The log.
+ *
+ * @example
+ * const log = createEventLog({ host: 'entry-1', process: 'entry', clock })
+ * log.emit('processStarted', { address })
+ */
+export function createEventLog (options: EventLogOptions): EventLog {
+  const { host, process, clock } = options
+  const logger = createLogger(options)
+  const kept: LoggedEvent[] = []
+  return {
+    emit (name: EventName, fields: EventFields = {}) {
+      const definition = EVENTS[name]
+      if (!logger.isLevelEnabled(definition.level)) return
+      const stamp = clock.tick()
+      const event: LoggedEvent = {
+        ...fields, ...definition, name, host, process, wallMs: stamp.wallMs, counter: stamp.counter
+      }
+      kept.push(event)
+      if (kept.length > RECENT_EVENTS) kept.splice(0, kept.length - RECENT_EVENTS / 2)
+      logger.log({ message: name, ...event })
+    },
+    recent: () => kept
+  }
+}
+
+function createLogger (options: EventLogOptions): winston.Logger {
+  const { file, level = 'info' } = options
+  const transport = file
+    ? new winston.transports.File({ filename: file })
+    : new winston.transports.Console()
+  return winston.createLogger({
+    level,
+    silent: file === null,
+    format: winston.format.json(),
+    transports: [transport]
+  })
+}
--- /dev/null
+++ b/src/hostList/createHttpHostList/index.ts
@@ -0,0 +1,35 @@
+/**
+ * Adapter to a host list that speaks HTTP.
+ */
+import { Agent, request } from 'undici'
+import type { Runtime } from '../../runtime/types.js'
+import { withDeadline } from '../../runtime/withDeadline/index.js'
+import type { HostList, ListedHost } from '../types.js'
+
+/**
+ * @name createHttpHostList
+ * @summary The platform's host list over HTTP.
+ * @param options - Address of the list, deadline of one read and the runtime.
+ * @returns The host list; its disposal closes every connection.
+ *
+ * @example
+ * await using hostList = createHttpHostList({ url, timeoutMs: 1000, runtime })
+ */
+export function createHttpHostList (options: { url: string, timeoutMs: number, runtime: Runtime }): HostList {
+  const { url, timeoutMs, runtime } = options
+  const agent = new Agent({ connect: { timeout: timeoutMs } })
+  return {
+    async read () {
+      using deadline = withDeadline(timeoutMs, { runtime })
+      try {
+        const response = await request(`${url}/hosts`, { dispatcher: agent, signal: deadline.signal })
+        const body = await response.body.json() as { hosts: ListedHost[] }
+        if (response.statusCode !== 200) return { kind: 'unavailable', cause: `status ${response.statusCode}` }
+        return { kind: 'listed', hosts: body.hosts }
+      } catch (error) {
+        return { kind: 'unavailable', cause: (error as Error).message }
+      }
+    },
+    [Symbol.asyncDispose]: () => agent.destroy()
+  }
+}
--- /dev/null
+++ b/src/http/readBody/index.ts
@@ -0,0 +1,49 @@
+/**
+ * Reading a request body within a size and a time.
+ */
+import type { IncomingMessage } from 'node:http'
+import type { Runtime } from '../../runtime/types.js'
+
+/** A body, or why there is none. */
+export type BodyResult =
+  | { kind: 'body', body: Buffer }
+  | { kind: 'tooLarge' }
+  | { kind: 'tooSlow' }
+  | { kind: 'aborted' }
+
+/**
+ * @name readBody
+ * @summary The whole body of a request.
+ * @param request - The request.
+ * @param options - Limit in bytes, deadline in milliseconds and the runtime.
+ * @returns The body, or which limit it passed; the rest of the body is then not read.
+ *
+ * @example
+ * const result = await readBody(request, { sizeBytes: 1024, deadlineMs: 1000, runtime })
+ */
+export function readBody (
+  request: IncomingMessage,
+  options: { sizeBytes: number, deadlineMs: number, runtime: Runtime }
+): Promise<BodyResult> {
+  const { sizeBytes, deadlineMs, runtime } = options
+  return new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let receivedBytes = 0
+    const finish = (result: BodyResult): void => {
+      timer[Symbol.dispose]()
+      request.removeListener('data', onData)
+      request.pause()
+      resolve(result)
+    }
+    const onData = (chunk: Buffer): void => {
+      receivedBytes += chunk.length
+      if (receivedBytes > sizeBytes) return finish({ kind: 'tooLarge' })
+      chunks.push(chunk)
+    }
+    const timer = runtime.setTimer(deadlineMs, () => finish({ kind: 'tooSlow' }))
+    if (Number(request.headers['content-length'] ?? 0) > sizeBytes) return finish({ kind: 'tooLarge' })
+    request.on('data', onData)
+    request.once('end', () => finish({ kind: 'body', body: Buffer.concat(chunks) }))
+    request.once('close', () => finish({ kind: 'aborted' }))
+  })
+}
--- /dev/null
+++ b/src/load/streamCompletion/index.ts
@@ -0,0 +1,114 @@
+/**
+ * One streamed completions request as a caller makes it, with the time of every token.
+ */
+import http from 'node:http'
+import type { Runtime } from '../../runtime/types.js'
+
+/** One request. */
+export interface CompletionCall {
+  /** `ip:port` of a caller port. */
+  address: string
+  token: string
+  model: string
+  prompt: string
+  maxTokens: number
+  /** Time for the whole answer that the caller grants, in milliseconds. */
+  deadlineMs?: number
+  /** `id` of the last event that the caller has, to go on at another entry. */
+  lastEventId?: string
+}
+
+/** What the caller saw. */
+export interface CompletionOutcome {
+  /** `complete` only when the end of the answer was seen. */
+  kind: 'complete' | 'refused' | 'broken'
+  status: number
+  tokens: string[]
+  /** Monotonic time of each token. */
+  tokenAtMs: number[]
+  /** `id` of the last event seen. */
+  lastEventId?: string
+  /** Body of a refusal, or of the error event that ended a stream. */
+  problem?: { reason: number, verdict: string, [field: string]: unknown }
+}
+
+/**
+ * @name streamCompletion
+ * @summary Sends one streamed request and reads it to its end.
+ * @param call - The request.
+ * @param options - Runtime and the agent that keeps connections.
+ * @returns What was seen; never rejects.
+ *
+ * @example
+ * const outcome = await streamCompletion({ address, token, model: 'draft', prompt, maxTokens: 16 }, { runtime, agent })
+ */
+export function streamCompletion (call: CompletionCall, options: { runtime: Runtime, agent: http.Agent }): Promise<CompletionOutcome> {
+  const { runtime, agent } = options
+  const [host, port] = call.address.split(':')
+  const outcome: CompletionOutcome = { kind: 'broken', status: 0, tokens: [], tokenAtMs: [] }
+  return new Promise(resolve => {
+    const outgoing = http.request({
+      host,
+      port: Number(port),
+      agent,
+      method: 'POST',
+      path: '/v1/completions',
+      headers: {
+        authorization: `Bearer ${call.token}`,
+        'content-type': 'application/json',
+        ...(call.lastEventId === undefined ? {} : { 'last-event-id': call.lastEventId })
+      }
+    })
+    outgoing.on('error', () => resolve(outcome))
+    outgoing.on('response', response => {
+      outcome.status = response.statusCode ?? 0
+      let rest = ''
+      response.setEncoding('utf8')
+      response.on('data', (chunk: string) => {
+        if (outcome.status !== 200) {
+          rest += chunk
+          return
+        }
+        const events = (rest + chunk).split('\n\n')
+        rest = events.pop() ?? ''
+        for (const event of events) takeEvent(event, outcome, runtime.monotonicMs())
+      })
+      response.on('error', () => resolve(outcome))
+      response.on('end', () => {
+        if (outcome.status !== 200) takeRefusal(rest, outcome)
+        resolve(outcome)
+      })
+    })
+    const { model, prompt, maxTokens, deadlineMs } = call
+    outgoing.end(JSON.stringify({
+      model, prompt, max_tokens: maxTokens, stream: true, ...(deadlineMs === undefined ? {} : { deadline_ms: deadlineMs })
+    }))
+  })
+}
+
+function takeEvent (event: string, outcome: CompletionOutcome, atMs: number): void {
+  const fields = new Map(event.split('\n').map(line => {
+    const at = line.indexOf(': ')
+    return [line.slice(0, at), line.slice(at + 2)] as const
+  }))
+  const data = fields.get('data') ?? ''
+  if (data === '[DONE]') {
+    outcome.kind = 'complete'
+    return
+  }
+  if (fields.get('event') === 'error') return takeRefusal(data, outcome)
+  const id = fields.get('id')
+  if (id !== undefined) outcome.lastEventId = id
+  const { choices } = JSON.parse(data) as { choices: Array<{ text: string }> }
+  outcome.tokens.push(choices[0]?.text ?? '')
+  outcome.tokenAtMs.push(atMs)
+}
+
+function takeRefusal (text: string, outcome: CompletionOutcome): void {
+  try {
+    outcome.problem = JSON.parse(text) as NonNullable<CompletionOutcome['problem']>
+    outcome.kind = 'refused'
+  } catch {
+    outcome.kind = 'broken'
+  }
+}
--- /dev/null
+++ b/src/peer/_lib/convertMember.ts
@@ -0,0 +1,46 @@
+/**
+ * Members to and from their message form.
+ */
+import { create } from '@bufbuild/protobuf'
+import type { Member, MemberRole, MemberStatus } from '../../member/types.js'
+import { MemberStateSchema, MemberStatus as WireStatus, type MemberState } from '../gen/peer_pb.js'
+
+const TO_WIRE: Record<MemberStatus, WireStatus> = {
+  alive: WireStatus.ALIVE,
+  suspect: WireStatus.SUSPECT,
+  leaving: WireStatus.LEAVING,
+  dead: WireStatus.DEAD
+}
+
+const FROM_WIRE = new Map<WireStatus, MemberStatus>(
+  Object.entries(TO_WIRE).map(([status, wire]) => [wire, status as MemberStatus])
+)
+
+/** The message form of a member. */
+export function toMemberState (member: Member): MemberState {
+  return create(MemberStateSchema, {
+    ...member,
+    incarnation: BigInt(member.incarnation),
+    heartbeat: BigInt(member.heartbeat),
+    status: TO_WIRE[member.status],
+    revisionInForce: BigInt(member.revisionInForce)
+  })
+}
+
+/** A member from its message form; nothing for a role or status that this version does not know. */
+export function fromMemberState (state: MemberState): Member | undefined {
+  const status = FROM_WIRE.get(state.status)
+  const isRole = state.role === 'entry' || state.role === 'control'
+  if (status === undefined || !isRole) return undefined
+  return {
+    host: state.host,
+    role: state.role as MemberRole,
+    address: state.address,
+    operatorUrl: state.operatorUrl,
+    failureDomain: state.failureDomain,
+    incarnation: Number(state.incarnation),
+    heartbeat: Number(state.heartbeat),
+    status,
+    revisionInForce: Number(state.revisionInForce)
+  }
+}
--- /dev/null
+++ b/src/peer/servePeers/index.ts
@@ -0,0 +1,58 @@
+/**
+ * The peer port: streams of other daemons over gRPC.
+ */
+import { Server, ServerCredentials, type ServerDuplexStream } from '@grpc/grpc-js'
+import { createSubject } from '../../stream/createSubject/index.js'
+import { PEER_SERVICE } from '../_lib/peerService.js'
+import { MAX_FRAME_BYTES } from '../connectPeer/index.js'
+import type { PeerFrame } from '../gen/peer_pb.js'
+import type { PeerServer, PeerStream } from '../types.js'
+
+/**
+ * @name servePeers
+ * @summary Listens for peers.
+ * @param onStream - Called with each stream that a peer opens.
+ * @param options - Address and port to listen on.
+ * @returns The server once it listens.
+ *
+ * @example
+ * await using server = await servePeers(stream => answer(stream), { address: '127.0.0.1', port: 0 })
+ */
+export async function servePeers (
+  onStream: (stream: PeerStream) => void,
+  options: { address: string, port: number }
+): Promise<PeerServer> {
+  const server = new Server({ 'grpc.max_receive_message_length': MAX_FRAME_BYTES })
+  server.addService(PEER_SERVICE, {
+    exchange: (call: ServerDuplexStream<PeerFrame, PeerFrame>) => onStream(wrapCall(call))
+  })
+  const port = await new Promise<number>((resolve, reject) => {
+    server.bindAsync(`${options.address}:${options.port}`, ServerCredentials.createInsecure(), (error, bound) => {
+      if (error) reject(error)
+      else resolve(bound)
+    })
+  })
+  return {
+    address: `${options.address}:${port}`,
+    async [Symbol.asyncDispose] () { server.forceShutdown() }
+  }
+}
+
+function wrapCall (call: ServerDuplexStream<PeerFrame, PeerFrame>): PeerStream {
+  const subject = createSubject<PeerFrame>()
+  call.on('data', (frame: PeerFrame) => subject.next(frame))
+  call.on('error', () => subject.complete())
+  call.on('cancelled', () => subject.complete())
+  call.on('end', () => {
+    call.end()
+    subject.complete()
+  })
+  return {
+    send: frame => { call.write(frame) },
+    frames: subject.stream,
+    [Symbol.dispose] () {
+      call.end()
+      subject.complete()
+    }
+  }
+}
--- /dev/null
+++ b/src/pipeline/types.ts
@@ -0,0 +1,47 @@
+/**
+ * Pipelines: chains of stages whose layer ranges cover a model once, in order.
+ */
+import type { OpenStage } from '../engine/types.js'
+import type { Placement } from '../ticket/types.js'
+import type { ReasonName } from '../verdict/reasons.js'
+import type { Verdict } from '../verdict/types.js'
+
+/** Stages in order of their layers. */
+export type Chain = readonly Placement[]
+
+/** Picks one of the stages that may come next; `candidates` is never empty. */
+export type PickStage = (candidates: readonly Placement[], chosen: Chain) => Placement
+
+/** One request for an answer. */
+export interface AnswerRequest {
+  request: string
+  account: string
+  model: string
+  prompt: string
+  maxTokens: number
+  priority: number
+  /** Time for the whole answer, in milliseconds. */
+  deadlineMs: number
+  /** Tokens that the caller already has, from an earlier attempt at another entry. */
+  given: string[]
+  /** Highest attempt that may have been made before; 0 for a new request. */
+  earlierAttempt: number
+}
+
+/** A chain whose stages are all open. */
+export interface OpenChain extends AsyncDisposable {
+  attempt: number
+  chain: Chain
+  stages: OpenStage[]
+}
+
+/** Result of opening a chain. */
+export type OpenChainResult =
+  | { kind: 'open', chain: OpenChain }
+  /** `verdict` tells whether this attempt may have run. */
+  | { kind: 'failed', target: string, cause: string, verdict: Verdict }
+
+/** How an answer ended. */
+export type AnswerResult =
+  | { kind: 'complete', tokens: number, attempts: number }
+  | { kind: 'failed', reason: ReasonName, verdict: Verdict, tokens: number, facts: Record<string, unknown>, retryAfterMs?: number }
--- /dev/null
+++ b/src/runtime/withDeadline/index.ts
@@ -0,0 +1,50 @@
+/**
+ * Deadlines as abort signals, on a runtime's clock.
+ */
+import type { Runtime } from '../types.js'
+
+/** An abort signal with an owner: disposal cancels its timer without aborting. */
+export interface DeadlineSignal extends Disposable {
+  signal: AbortSignal
+  /** Aborts at once, for instance because the caller went away. */
+  abort: (reason?: unknown) => void
+}
+
+/** Reason of a signal that aborted because its deadline passed. */
+export class DeadlineError extends Error {
+  constructor (readonly deadlineMs: number) {
+    super(`no answer within ${deadlineMs} ms`)
+    this.name = 'DeadlineError'
+  }
+}
+
+/**
+ * @name withDeadline
+ * @summary A signal that aborts after a delay, or with its parent signal.
+ * @param deadlineMs - Delay until the signal aborts, in milliseconds.
+ * @param options - The runtime and an optional parent signal.
+ * @returns The signal and its disposal.
+ *
+ * @example
+ * using deadline = withDeadline(1000, { runtime })
+ * await fetch(url, { signal: deadline.signal })
+ */
+export function withDeadline (
+  deadlineMs: number,
+  options: { runtime: Runtime, parent?: AbortSignal }
+): DeadlineSignal {
+  const { runtime, parent } = options
+  const controller = new AbortController()
+  const follow = (): void => controller.abort(parent?.reason)
+  const timer = runtime.setTimer(deadlineMs, () => controller.abort(new DeadlineError(deadlineMs)))
+  if (parent?.aborted) follow()
+  parent?.addEventListener('abort', follow, { once: true })
+  return {
+    signal: controller.signal,
+    abort: reason => controller.abort(reason),
+    [Symbol.dispose] () {
+      timer[Symbol.dispose]()
+      parent?.removeEventListener('abort', follow)
+    }
+  }
+}
--- /dev/null
+++ b/src/settings/parseJsonc/test.ts
@@ -0,0 +1,16 @@
+import test from 'ava'
+import { daemonSettingsSchema } from '../types.js'
+import { formatFault, parseJsonc } from './index.js'
+
+test('an unknown field names file, line and the nearest known field', t => {
+  const text = '// a comment\n{\n  "hots": "entry-1",\n  "host": "entry-1"\n}'
+  const result = parseJsonc(text, daemonSettingsSchema, { file: 'entry.jsonc' })
+  t.is(result.kind, 'invalid')
+  const lines = result.kind === 'invalid' ? result.faults.map(formatFault) : []
+  t.true(lines.includes('entry.jsonc:3: hots: unknown field; did you mean "host"?'))
+})
+
+test('text that is not JSON names its line', t => {
+  const result = parseJsonc('{\n  "host" 1\n}', daemonSettingsSchema, { file: 'entry.jsonc' })
+  t.is(result.kind === 'invalid' ? result.faults[0]?.line : 0, 2)
+})
--- /dev/null
+++ b/src/verdict/toProblem/index.ts
@@ -0,0 +1,45 @@
+/**
+ * Refusals as problem details (RFC 9457).
+ */
+import { REASONS } from '../reasons.js'
+import type { Refusal } from '../types.js'
+
+/** Media type of a problem details body. */
+export const PROBLEM_CONTENT_TYPE = 'application/problem+json'
+
+/** Body of a refusal. */
+export interface Problem {
+  type: string
+  title: string
+  status: number
+  /** Identity of the refusal. */
+  instance: string
+  reason: number
+  verdict: string
+  facts: Record<string, unknown>
+  retryAfterMs?: number
+}
+
+/**
+ * @name toProblem
+ * @summary The problem details of a refusal.
+ * @param refusal - The refusal.
+ * @returns A body to send as `application/problem+json`.
+ *
+ * @example
+ * const problem = toProblem(createRefusal('overloaded'))
+ * response.writeHead(problem.status)
+ */
+export function toProblem (refusal: Refusal): Problem {
+  const { number, status, title } = REASONS[refusal.reason]
+  return {
+    type: `urn:coltsfootlead:reason:${number}`,
+    title,
+    status,
+    instance: `urn:coltsfootlead:refusal:${refusal.id}`,
+    reason: number,
+    verdict: refusal.verdict.kind,
+    facts: refusal.facts,
+    ...(refusal.retryAfterMs === undefined ? {} : { retryAfterMs: refusal.retryAfterMs })
+  }
+}
--- /dev/null
+++ b/standin/engine/serveEngine/index.ts
@@ -0,0 +1,119 @@
+/**
+ * A stand-in engine over HTTP. Stages keep one streaming request open to each stage that they
+ * send activations to.
+ */
+import http, { type IncomingMessage, type ServerResponse } from 'node:http'
+import type { EngineOrder, OpenSequence } from '../../../src/engine/types.js'
+import { createLineSplitter } from '../../../src/engine/_lib/createLineSplitter.js'
+import { listen, type ListeningServer } from '../../../src/http/listen/index.js'
+import { readJson, sendJson } from '../../_lib/answer.js'
+import { createEngine, type Engine, type EngineOptions } from '../createEngine/index.js'
+import type { LinkFrame } from '../types.js'
+
+/** A served engine. */
+export interface ServedEngine extends ListeningServer {
+  engine: Engine
+}
+
+/** Where an engine listens, and what it is. */
+export type ServeEngineOptions = Pick<EngineOptions, 'target' | 'model' | 'version' | 'fromLayer' | 'toLayer' | 'tokensPerS' | 'stepMs'> & {
+  address: string
+  port: number
+}
+
+/**
+ * @name serveEngine
+ * @summary Serves one engine.
+ * @param options - Address, layers and pace.
+ * @returns The server once it listens.
+ *
+ * @example
+ * await using server = await serveEngine({ target: 'engine-1', address: '127.0.0.1', port: 0, ...rest })
+ */
+export async function serveEngine (options: ServeEngineOptions): Promise<ServedEngine> {
+  const links = new Map<string, http.ClientRequest>()
+  const streams = new Map<string, ServerResponse>()
+  let silenced = new WeakSet<object>()
+  const streamKey = (sequence: { request: string, attempt: number }): string => `${sequence.request}:${sequence.attempt}`
+
+  function linkTo (address: string): http.ClientRequest {
+    const open = links.get(address)
+    if (open !== undefined) return open
+    const [host, port] = address.split(':')
+    const link = http.request({ host, port: Number(port), method: 'POST', path: '/v1/link' })
+    link.on('error', () => links.delete(address))
+    link.on('close', () => links.delete(address))
+    link.flushHeaders()
+    links.set(address, link)
+    return link
+  }
+
+  function write (key: string, line: unknown, end: boolean): void {
+    const stream = streams.get(key)
+    if (stream === undefined) return
+    if (end) streams.delete(key)
+    if (silenced.has(stream)) return
+    if (line !== undefined) stream.write(`${JSON.stringify(line)}\n`)
+    if (end) stream.end()
+  }
+
+  const engine = createEngine({
+    ...options,
+    sendLink: (address, frame) => { linkTo(address).write(`${JSON.stringify(frame)}\n`) },
+    sendToken: (sequence, frame) => write(streamKey(sequence), frame, frame.last === true),
+    endStage: sequence => write(streamKey(sequence), undefined, true)
+  })
+
+  async function openSequence (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const sequence = await readJson(request) as OpenSequence
+    const answer = engine.open(sequence)
+    if (answer.kind === 'refused') return sendJson(response, answer.status, { cause: answer.cause })
+    const key = streamKey(sequence)
+    streams.set(key, response)
+    response.writeHead(200, { 'content-type': 'application/x-ndjson' })
+    response.flushHeaders()
+    response.once('close', () => {
+      streams.delete(key)
+      if (!response.writableFinished) engine.cancel(sequence.request, sequence.attempt)
+    })
+  }
+
+  function takeLink (request: IncomingMessage): void {
+    request.on('data', createLineSplitter(line => {
+      if (!engine.faults.frozen) engine.receive(JSON.parse(line) as LinkFrame)
+    }))
+    request.on('error', () => {})
+  }
+
+  async function setFaults (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const change = await readJson(request) as { silenceOpen?: boolean, die?: boolean }
+    if (change.die) process.exit(1)
+    if (change.silenceOpen) silenced = new WeakSet([...streams.values()])
+    Object.assign(engine.faults, change)
+    sendJson(response, 200, engine.faults)
+  }
+
+  const server = await listen(async (request, response) => {
+    const url = new URL(request.url ?? '/', 'http://engine')
+    const route = `${request.method} ${url.pathname}`
+    if (route === 'POST /faults') return await setFaults(request, response)
+    if (route === 'GET /ledger') return sendJson(response, 200, { rows: engine.ledger(url.searchParams.get('request') ?? undefined) })
+    if (engine.faults.frozen) return
+    if (route === 'POST /v1/sequences') return await openSequence(request, response)
+    if (route === 'POST /v1/link') return takeLink(request)
+    if (route === 'GET /v1/status') return sendJson(response, 200, engine.status())
+    if (route === 'PUT /v1/order') {
+      const answer = engine.order(await readJson(request) as EngineOrder)
+      return sendJson(response, answer.kind === 'accepted' ? 200 : answer.status, answer)
+    }
+    sendJson(response, 404, { cause: 'no such path' })
+  }, options)
+  return {
+    ...server,
+    engine,
+    async [Symbol.asyncDispose] () {
+      for (const link of links.values()) link.destroy()
+      await server[Symbol.asyncDispose]()
+    }
+  }
+}
--- /dev/null
+++ b/standin/objectApi/createMemoryObjectStore/index.ts
@@ -0,0 +1,152 @@
+/**
+ * An object API in memory, with the faults of the real one. Tests use it as the store itself;
+ * the stand-in process serves it over HTTP.
+ */
+import type { ObjectStore, StoredObject, WatchResult, WriteCondition, WriteResult } from '../../../src/objectApi/types.js'
+
+/** Faults that can be switched while the store is used. */
+export interface StoreFaults {
+  /** Every call fails without effect. */
+  down: boolean
+  /** The next writes are applied and their answers lost. */
+  loseAnswers: number
+  /** The next writes are answered as lost and held until `applyHeld`. */
+  holdWrites: number
+  /** Watches never answer, whatever changes. */
+  silentWatches: boolean
+}
+
+/** A store with its switches. */
+export interface MemoryObjectStore extends ObjectStore {
+  faults: StoreFaults
+  /** Writes that are held, oldest first. */
+  heldWrites: () => number
+  /** Applies the held writes as if they had just arrived. */
+  applyHeld: () => void
+  /** A copy of everything stored. */
+  snapshot: () => StoredObject[]
+  /** Puts an older copy back; versions and revision fall with it. */
+  restore: (objects: StoredObject[], revision: number) => void
+  revision: () => number
+}
+
+/** Changes of keys that a watch can still ask for. */
+const KEPT_CHANGES = 10_000
+
+/**
+ * @name createMemoryObjectStore
+ * @summary An empty store without faults.
+ * @returns The store.
+ *
+ * @example
+ * const store = createMemoryObjectStore()
+ * store.faults.loseAnswers = 1
+ */
+export function createMemoryObjectStore (): MemoryObjectStore {
+  const objects = new Map<string, StoredObject>()
+  const faults: StoreFaults = { down: false, loseAnswers: 0, holdWrites: 0, silentWatches: false }
+  const waiters = new Set<() => void>()
+  let changes: Array<{ revision: number, key: string }> = []
+  let held: Array<() => WriteResult> = []
+  let revision = 0
+
+  function commit (key: string, value: unknown): number {
+    revision += 1
+    const version = revision
+    if (value === undefined) objects.delete(key)
+    else objects.set(key, { key, version, value: structuredClone(value) })
+    changes.push({ revision, key })
+    if (changes.length > KEPT_CHANGES) changes = changes.slice(-KEPT_CHANGES / 2)
+    wake()
+    return version
+  }
+
+  function wake (): void {
+    for (const waiter of [...waiters]) waiter()
+  }
+
+  function tryWrite (key: string, value: unknown, condition: WriteCondition): WriteResult {
+    const stored = objects.get(key)
+    const holds = 'ifAbsent' in condition ? stored === undefined : stored?.version === condition.ifVersion
+    return holds ? { kind: 'written', version: commit(key, value) } : { kind: 'conflict' }
+  }
+
+  function faultyWrite (key: string, value: unknown, condition: WriteCondition): WriteResult {
+    if (faults.down) return { kind: 'notApplied', cause: 'down' }
+    if (faults.holdWrites > 0) {
+      faults.holdWrites -= 1
+      held.push(() => tryWrite(key, value, condition))
+      return { kind: 'mayBeApplied', cause: 'answer lost' }
+    }
+    const result = tryWrite(key, value, condition)
+    if (faults.loseAnswers === 0) return result
+    faults.loseAnswers -= 1
+    return { kind: 'mayBeApplied', cause: 'answer lost' }
+  }
+
+  function changedSince (prefix: string, afterRevision: number): StoredObject[] {
+    const keys = new Set(changes.filter(change => change.revision > afterRevision && change.key.startsWith(prefix)).map(change => change.key))
+    return [...keys].flatMap(key => objects.get(key) ?? [])
+  }
+
+  function isForgotten (afterRevision: number): boolean {
+    if (afterRevision > revision) return true
+    const oldest = changes[0]?.revision
+    return afterRevision < revision && (oldest === undefined || oldest > afterRevision + 1)
+  }
+
+  async function watch (prefix: string, afterRevision: number, { signal }: { signal: AbortSignal }): Promise<WatchResult> {
+    while (!signal.aborted) {
+      if (faults.down) return { kind: 'unavailable', cause: 'down' }
+      if (!faults.silentWatches) {
+        if (isForgotten(afterRevision)) return { kind: 'reset' }
+        const changed = changedSince(prefix, afterRevision)
+        if (changed.length > 0) return { kind: 'changes', revision, objects: changed }
+      }
+      await new Promise<void>(resolve => {
+        const finish = (): void => {
+          waiters.delete(finish)
+          signal.removeEventListener('abort', finish)
+          resolve()
+        }
+        waiters.add(finish)
+        signal.addEventListener('abort', finish, { once: true })
+      })
+    }
+    if (faults.silentWatches) return { kind: 'unavailable', cause: 'aborted' }
+    return { kind: 'changes', revision, objects: [] }
+  }
+
+  return {
+    faults,
+    async read (key) {
+      if (faults.down) return { kind: 'unavailable', cause: 'down' }
+      const object = objects.get(key)
+      return object === undefined ? { kind: 'absent' } : { kind: 'found', object: structuredClone(object) }
+    },
+    async list (prefix) {
+      if (faults.down) return { kind: 'unavailable', cause: 'down' }
+      const listed = [...objects.values()].filter(object => object.key.startsWith(prefix))
+      return { kind: 'listed', revision, objects: structuredClone(listed) }
+    },
+    write: async (key, value, condition) => faultyWrite(key, value, condition),
+    remove: async (key, condition) => faultyWrite(key, undefined, condition),
+    watch,
+    heldWrites: () => held.length,
+    applyHeld () {
+      const writes = held
+      held = []
+      for (const apply of writes) apply()
+    },
+    snapshot: () => structuredClone([...objects.values()]),
+    restore (older, olderRevision) {
+      objects.clear()
+      for (const object of structuredClone(older)) objects.set(object.key, object)
+      revision = olderRevision
+      changes = []
+      wake()
+    },
+    revision: () => revision,
+    async [Symbol.asyncDispose] () { wake() }
+  }
+}
--- /dev/null
+++ b/standin/service/serveService/index.ts
@@ -0,0 +1,54 @@
+/**
+ * An order service: `POST /orders` books, `GET /orders` tells how often each key was booked.
+ */
+import { listen, type ListeningServer } from '../../../src/http/listen/index.js'
+import { readJson, sendJson } from '../../_lib/answer.js'
+
+/** Faults that can be switched by `POST /faults`. */
+export interface ServiceFaults {
+  /** Answers to bookings come this much later. */
+  delayMs: number
+  /** Bookings take effect and their connection is closed without an answer. */
+  loseAnswers: number
+  /** Bookings are refused before they take effect. */
+  refuse: boolean
+}
+
+/**
+ * @name serveService
+ * @summary Serves an order service.
+ * @param options - Address and port.
+ * @returns The server once it listens.
+ *
+ * @example
+ * await using server = await serveService({ address: '127.0.0.1', port: 0 })
+ */
+export async function serveService (options: { address: string, port: number }): Promise<ListeningServer> {
+  const faults: ServiceFaults = { delayMs: 0, loseAnswers: 0, refuse: false }
+  const bookings = new Map<string, number>()
+  let booked = 0
+  return await listen(async (request, response) => {
+    const { pathname } = new URL(request.url ?? '/', 'http://service')
+    if (pathname === '/faults') {
+      Object.assign(faults, await readJson(request))
+      return sendJson(response, 200, faults)
+    }
+    if (request.method === 'GET' && pathname.startsWith('/orders/')) {
+      const count = bookings.get(decodeURIComponent(pathname.slice('/orders/'.length))) ?? 0
+      return sendJson(response, count === 0 ? 404 : 200, { booked: count })
+    }
+    if (request.method === 'GET') return sendJson(response, 200, { bookings: Object.fromEntries(bookings) })
+    const order = await readJson(request)
+    if (faults.refuse) return sendJson(response, 503, { refused: true })
+    booked += 1
+    const key = String(request.headers['idempotency-key'] ?? `unkeyed-${booked}`)
+    bookings.set(key, (bookings.get(key) ?? 0) + 1)
+    if (faults.loseAnswers > 0) {
+      faults.loseAnswers -= 1
+      response.destroy()
+      return
+    }
+    if (faults.delayMs > 0) await new Promise(resolve => { setTimeout(resolve, faults.delayMs) })
+    sendJson(response, 201, { confirmation: booked, order })
+  }, options)
+}
