--- a/src/settings/parseJsonc/index.ts
+++ b/src/settings/parseJsonc/index.ts
@@ -24,6 +24,9 @@
 
 type Path = Array<string | number>
 
+/** Schemas that only wrap another one. */
+const WRAPPERS = [z.ZodOptional, z.ZodNullable, z.ZodDefault, z.ZodPrefault]
+
 /**
  * @name parseJsonc
  * @summary Parses and checks JSON with comments.
@@ -118,8 +121,8 @@
 
 function unwrap (schema: unknown): unknown {
   let inner = schema
-  while (inner instanceof z.ZodOptional || inner instanceof z.ZodDefault || inner instanceof z.ZodPrefault) {
-    inner = inner.unwrap()
+  while (WRAPPERS.some(wrapper => inner instanceof wrapper)) {
+    inner = (inner as z.ZodOptional).unwrap()
   }
   return inner
 }
