Let daemons start over ports that are handed in

Cause: startDaemon, startEntry and startControl built their HTTP and gRPC adapters themselves, so that a whole daemon could not run over fakes. Ruled out: wiring daemons a second time for tests. Change: an optional `ports` argument; the network's adapters are the default. Conclusion: the same wiring serves processes, embedding programs and scenarios.

--- a/src/control/startControl/index.ts
+++ b/src/control/startControl/index.ts
@@ -2,13 +2,19 @@
  * Wiring of the control daemon.
  */
 import { startDaemon } from '../../daemon/startDaemon/index.js'
-import type { Daemon } from '../../daemon/types.js'
+import type { Daemon, DaemonPorts } from '../../daemon/types.js'
+import type { EngineClient } from '../../engine/types.js'
 import { createHttpEngine } from '../../engine/createHttpEngine/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import type { DaemonSettings } from '../../settings/types.js'
 import { runControl } from '../runControl/index.js'
 
+/** The outside of a control daemon. */
+export interface ControlPorts extends DaemonPorts {
+  engines: EngineClient
+}
+
 /** A running control daemon. */
 export interface Control extends AsyncDisposable {
   daemon: Daemon
@@ -18,17 +24,17 @@
  * @name startControl
  * @summary Starts a control daemon.
  * @param settings - Checked settings.
- * @param options - The runtime.
+ * @param options - The runtime, and ports to use in place of the network's.
  * @returns The daemon once its operator port listens.
  *
  * @example
  * await using control = await startControl(settings, { runtime: createSystemRuntime() })
  */
-export async function startControl (settings: DaemonSettings, options: { runtime: Runtime }): Promise<Control> {
-  const { runtime } = options
+export async function startControl (settings: DaemonSettings, options: { runtime: Runtime, ports?: Partial<ControlPorts> }): Promise<Control> {
+  const { runtime, ports = {} } = options
   const resources = createResourceStack()
-  const engines = resources.use(createHttpEngine({ runtime }))
-  const daemon = await startDaemon(settings, { role: 'control', runtime })
+  const engines = resources.use(ports.engines ?? createHttpEngine({ runtime }))
+  const daemon = await startDaemon(settings, { role: 'control', runtime, ports })
   const task = runControl({ daemon, engines }).catch((error: Error) => {
     daemon.log.emit('unexpectedError', { cause: error.message })
   })
--- a/src/daemon/startDaemon/index.ts
+++ b/src/daemon/startDaemon/index.ts
@@ -21,10 +21,10 @@
 import type { Runtime } from '../../runtime/types.js'
 import type { DaemonSettings } from '../../settings/types.js'
 import { createTargetDirectory } from '../../target/createTargetDirectory/index.js'
-import { createMetrics } from '../createMetrics/index.js'
+import { createMetrics, type Metrics } from '../createMetrics/index.js'
 import { createOperatorHandler } from '../createOperatorHandler/index.js'
 import { createRefusalBook } from '../createRefusalBook/index.js'
-import type { Daemon } from '../types.js'
+import type { Daemon, DaemonPorts } from '../types.js'
 
 /** Wait between reads of the stored members once this daemon is registered, and before. */
 const MEMBERS_REFRESH_MS = 30_000
@@ -34,7 +34,7 @@
  * @name startDaemon
  * @summary Starts the common parts of a daemon.
  * @param settings - Checked settings.
- * @param options - Role and runtime.
+ * @param options - Role, runtime, and ports to use in place of the network's.
  * @returns The daemon; its disposal ends every task and closes every connection.
  *
  * @example
@@ -42,20 +42,19 @@
  */
 export async function startDaemon (
   settings: DaemonSettings,
-  options: { role: MemberRole, runtime: Runtime }
+  options: { role: MemberRole, runtime: Runtime, ports?: Partial<DaemonPorts> }
 ): Promise<Daemon> {
   const { role, runtime } = options
-  const { host, address, ports } = settings
+  const { host, address } = settings
   const resources = createResourceStack()
   const controller = new AbortController()
   const { signal } = controller
   const clock = createHybridClock({ nowMs: runtime.nowMs })
   const log = createEventLog({ host, process: role, clock, level: settings.log.level, ...(settings.log.file ? { file: settings.log.file } : {}) })
   const metrics = createMetrics()
-  const store = resources.use(createHttpObjectStore({
-    ...settings.objectApi, runtime, onCall: operation => metrics.storeCalls.inc({ operation })
-  }))
-  const hostList = resources.use(createHttpHostList({ url: settings.hostList.url, timeoutMs: settings.hostList.pollMs, runtime }))
+  const ports: DaemonPorts = { ...createNetworkPorts(settings, { runtime, metrics }), ...options.ports }
+  const store = resources.use(ports.store)
+  const hostList = resources.use(ports.hostList)
   const holder = createConfigurationHolder({ runtime, log })
   const directory = createTargetDirectory({ holder, runtime, log })
   const refusals = createRefusalBook({ runtime })
@@ -63,8 +62,8 @@
   let draining = false
   const daemon = { settings, runtime, clock, log, metrics, store, hostList, holder, directory, refusals, signal } as Daemon
   let accept: (stream: PeerStream) => void = stream => stream[Symbol.dispose]()
-  const peerServer = resources.use(await servePeers(stream => accept(stream), { address, port: ports.peer }))
-  const operatorServer = resources.use(await listen(createOperatorHandler(daemon), { address, port: ports.operator }))
+  const peerServer = resources.use(await ports.servePeers(stream => accept(stream), { address, port: settings.ports.peer }))
+  const operatorServer = resources.use(await ports.listen(createOperatorHandler(daemon), { address, port: settings.ports.operator }))
   const self: Member = {
     host,
     role,
@@ -77,7 +76,7 @@
     revisionInForce: 0
   }
   const table = createMemberTable(self, { runtime, log })
-  const node = createPeerNode({ table, holder, clock, connect: connectPeer, intervalMs: settings.gossip.intervalMs, runtime, log, signal })
+  const node = createPeerNode({ table, holder, clock, connect: ports.connectPeer, intervalMs: settings.gossip.intervalMs, runtime, log, signal })
   accept = node.accept
   const tasks = [
     watchConfiguration({ store, holder, log, runtime, signal }),
@@ -111,3 +110,15 @@
     }
   })
 }
+
+function createNetworkPorts (settings: DaemonSettings, options: { runtime: Runtime, metrics: Metrics }): DaemonPorts {
+  const { runtime, metrics } = options
+  const { objectApi, hostList } = settings
+  return {
+    store: createHttpObjectStore({ ...objectApi, runtime, onCall: operation => metrics.storeCalls.inc({ operation }) }),
+    hostList: createHttpHostList({ url: hostList.url, timeoutMs: hostList.pollMs, runtime }),
+    connectPeer,
+    servePeers,
+    listen
+  }
+}
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -1,6 +1,8 @@
 /**
  * What entry and control daemons have in common.
  */
+import type { Listen } from '../http/listen/index.js'
+import type { ConnectPeer, PeerServer, PeerStream } from '../peer/types.js'
 import type { HybridClock } from '../clock/types.js'
 import type { ConfigurationHolder } from '../configuration/types.js'
 import type { EventLog } from '../event/types.js'
@@ -35,6 +37,15 @@
   isDraining: () => boolean
 }
 
+/** The outside of a daemon. Tests and embedding programs put their own in place of the network's. */
+export interface DaemonPorts {
+  store: ObjectStore
+  hostList: HostList
+  connectPeer: ConnectPeer
+  servePeers: (onStream: (stream: PeerStream) => void, options: { address: string, port: number }) => Promise<PeerServer>
+  listen: Listen
+}
+
 /** Keeps refusals for `explain`. */
 export interface RefusalBook {
   add: (refusal: Refusal, context: Record<string, unknown>) => void
--- a/src/entry/startEntry/index.ts
+++ b/src/entry/startEntry/index.ts
@@ -3,13 +3,15 @@
  */
 import type { ServerResponse } from 'node:http'
 import { startDaemon } from '../../daemon/startDaemon/index.js'
-import type { Daemon } from '../../daemon/types.js'
+import type { Daemon, DaemonPorts } from '../../daemon/types.js'
+import type { EngineClient } from '../../engine/types.js'
 import { createHttpEngine } from '../../engine/createHttpEngine/index.js'
 import { listen } from '../../http/listen/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import { createHttpService } from '../../service/createHttpService/index.js'
+import type { ServiceClient } from '../../service/types.js'
 import type { DaemonSettings } from '../../settings/types.js'
 import { createCallerHandler } from '../createCallerHandler/index.js'
 import type { EntryContext } from '../types.js'
@@ -20,6 +22,12 @@
 /** Wait between looks at the requests in flight while draining. */
 const DRAIN_POLL_MS = 20
 
+/** The outside of an entry daemon. */
+export interface EntryPorts extends DaemonPorts {
+  engines: EngineClient
+  services: ServiceClient
+}
+
 /** A running entry daemon. */
 export interface Entry extends AsyncDisposable {
   daemon: Daemon
@@ -35,18 +43,18 @@
  * @name startEntry
  * @summary Starts an entry daemon.
  * @param settings - Checked settings.
- * @param options - The runtime.
+ * @param options - The runtime, and ports to use in place of the network's.
  * @returns The entry once it listens; it may not be ready yet.
  *
  * @example
  * await using entry = await startEntry(settings, { runtime: createSystemRuntime() })
  */
-export async function startEntry (settings: DaemonSettings, options: { runtime: Runtime }): Promise<Entry> {
-  const { runtime } = options
+export async function startEntry (settings: DaemonSettings, options: { runtime: Runtime, ports?: Partial<EntryPorts> }): Promise<Entry> {
+  const { runtime, ports = {} } = options
   const resources = createResourceStack()
-  const daemon = resources.use(await startDaemon(settings, { role: 'entry', runtime }))
-  const engines = resources.use(createHttpEngine({ runtime }))
-  const services = resources.use(createHttpService({ connectTimeoutMs: SERVICE_CONNECT_MS, runtime }))
+  const daemon = resources.use(await startDaemon(settings, { role: 'entry', runtime, ports }))
+  const engines = resources.use(ports.engines ?? createHttpEngine({ runtime }))
+  const services = resources.use(ports.services ?? createHttpService({ connectTimeoutMs: SERVICE_CONNECT_MS, runtime }))
   const context: EntryContext = {
     daemon,
     engines,
@@ -55,7 +63,7 @@
   }
   const handler = createCallerHandler(context)
   const open = new Set<ServerResponse>()
-  const server = resources.use(await listen(async (request, response) => {
+  const server = resources.use(await (ports.listen ?? listen)(async (request, response) => {
     open.add(response)
     response.once('close', () => open.delete(response))
     if (daemon.isDraining()) response.setHeader('connection', 'close')
--- a/src/http/listen/index.ts
+++ b/src/http/listen/index.ts
@@ -11,6 +11,12 @@
   server: http.Server
 }
 
+/** Starts an HTTP server, or what stands for one. */
+export type Listen = (
+  handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
+  options: ListenOptions
+) => Promise<AsyncDisposable & { address: string }>
+
 /** Where and with which limits to listen. */
 export interface ListenOptions {
   address: string
