--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -28,8 +28,12 @@
   next?: string
   /** Address of the first stage, to which the last one feeds each token back. */
   first: string
-  /** Whether this stage must rebuild its KV cache for the positions before `firstPosition`. */
-  rebuild: boolean
+  /** Positions whose KV cache this stage must still hold; it refuses when it does not. */
+  keptPositions: number
+  /** First position whose activation reaches this stage. */
+  runFrom: number
+  /** First position whose output this stage passes on; later stages hold the ones before. */
+  passFrom: number
 }
 
 /** One token of an answer. */
@@ -50,13 +54,45 @@
   /** Stops reading from the engine until `resume`. */
   pause: () => void
   resume: () => void
+  isPaused: () => boolean
+  /** Closes the connection; the engine holds the sequence and its KV cache for a while. */
+  detach: () => void
+  /** Lets the stream of a complete answer end by itself, so that its connection can be used again. */
+  finish: () => void
 }
 
+/** Why an engine refuses to open a sequence. */
+export type RefusalReason = 'leaving' | 'layersNotHeld' | 'superseded' | 'cacheNotHeld'
+
+/** What an engine knows of a sequence. */
+export interface HeldSequence {
+  /** `held` while no caller is connected; `ended` once the KV cache is freed. */
+  state: 'running' | 'held' | 'ended'
+  attempt: number
+  firstPosition: number
+  /** Next position that this stage accepts. */
+  nextPosition: number
+  /** Positions whose KV cache is held. */
+  keptPositions: number
+  /** Whether work of this sequence waits or runs here. */
+  busy: boolean
+  /** Tokens of the answer so far; empty but on the first and the last stage. */
+  tokens: string[]
+  /** Address of the next stage. */
+  next?: string
+}
+
+/** Result of asking an engine for a sequence. */
+export type HeldResult =
+  | { kind: 'known', held: HeldSequence }
+  | { kind: 'unknown' }
+  | { kind: 'unreachable', cause: string }
+
 /** Result of opening a stage. */
 export type OpenResult =
   | { kind: 'open', stage: OpenStage }
   /** The engine refused by its protocol: nothing ran. */
-  | { kind: 'refused', status: number, cause: string }
+  | { kind: 'refused', status: number, cause: string, reason?: RefusalReason, attempt?: number }
   /** No connection: nothing was sent. */
   | { kind: 'unreachable', cause: string }
   /** Sent, and no answer came. */
@@ -92,7 +128,11 @@
 
 /** All that the product asks of engines. */
 export interface EngineClient extends AsyncDisposable {
-  open: (endpoint: EngineEndpoint, sequence: OpenSequence, options: { signal: AbortSignal, connectTimeoutMs: number }) => Promise<OpenResult>
+  open: (endpoint: EngineEndpoint, sequence: OpenSequence, options: { signal: AbortSignal, connectTimeoutMs: number, fresh?: boolean }) => Promise<OpenResult>
+  /** What the engine knows of a sequence. */
+  held: (endpoint: EngineEndpoint, request: string, options: { timeoutMs: number, fresh?: boolean }) => Promise<HeldResult>
+  /** Frees a sequence up to an attempt; best effort, never rejects. */
+  cancel: (endpoint: EngineEndpoint, request: string, attempt: number, options: { timeoutMs: number }) => Promise<void>
   status: (endpoint: EngineEndpoint, options: { timeoutMs: number, fresh?: boolean }) => Promise<{ kind: 'status', status: EngineStatus } | { kind: 'unreachable', cause: string }>
   order: (endpoint: EngineEndpoint, order: EngineOrder, options: { timeoutMs: number }) => Promise<{ kind: 'accepted' } | { kind: 'refused', cause: string } | { kind: 'unreachable', cause: string }>
 }
--- a/src/entry/answerCompletion/index.ts
+++ b/src/entry/answerCompletion/index.ts
@@ -61,7 +61,7 @@
   const writer = body.stream ? createStreamWriter(call, body, context) : createWholeWriter(call, body)
   let first = true
   const result = await runPipeline(request, {
-    configuration,
+    configuration: daemon.holder.current,
     engines: context.engines,
     directory: daemon.directory,
     pick: context.pick,
--- a/src/pipeline/_lib/readTokens.ts
+++ b/src/pipeline/_lib/readTokens.ts
@@ -3,15 +3,16 @@
  */
 import type { TokenFrame } from '../../engine/types.js'
 import type { Runtime } from '../../runtime/types.js'
+import type { Examination } from '../examineChain/index.js'
 import type { OpenChain } from '../types.js'
 
 /** How the reading of one attempt ended. */
 export type ReadEnd =
   | { kind: 'complete' }
-  /** A stage ended or failed. */
+  /** A stage's stream ended or failed. */
   | { kind: 'lost', target: string, cause: string }
-  /** No token came in time, and nothing else failed. */
-  | { kind: 'silent', silentMs: number }
+  /** No token came in time, and the examination found a fault. */
+  | { kind: 'silent', examination: Examination }
   | { kind: 'aborted' }
 
 /** What reading needs to know. */
@@ -24,20 +25,38 @@
   signal: AbortSignal
   /** Called once for each position, in order. */
   onToken: (frame: TokenFrame) => void
+  /** Finds out why no token came. */
+  examine: () => Promise<Examination>
 }
 
 /**
  * Reads until the answer is complete or the attempt is lost. Frames of another attempt and
- * positions other than the next are dropped.
+ * positions other than the next are dropped. When a deadline passes the chain is examined, and
+ * while one of its stages works the wait goes on.
  */
 export function readTokens (open: OpenChain, options: ReadTokensOptions): Promise<ReadEnd> {
-  const { firstTokenMs, betweenTokensMs, runtime, signal, onToken } = options
+  const { firstTokenMs, betweenTokensMs, runtime, signal, onToken, examine } = options
   return new Promise(resolve => {
     let position = options.firstPosition
     let settled = false
-    let timer = runtime.setTimer(firstTokenMs, () => finish({ kind: 'silent', silentMs: firstTokenMs }))
+    let timer = watch(firstTokenMs)
     const onAbort = (): void => finish({ kind: 'aborted' })
 
+    function watch (deadlineMs: number): Disposable {
+      return runtime.setTimer(deadlineMs, () => { question(deadlineMs).catch(fail) })
+    }
+
+    const fail = (error: Error): void => finish({ kind: 'lost', target: open.stages.at(-1)!.target, cause: error.message })
+
+    async function question (deadlineMs: number): Promise<void> {
+      const before = position
+      const isPaused = open.stages.at(-1)!.isPaused()
+      const examination = isPaused ? undefined : await examine()
+      if (settled || position !== before) return
+      if (examination === undefined || examination.finding.kind === 'working') timer = watch(deadlineMs)
+      else finish({ kind: 'silent', examination })
+    }
+
     function finish (end: ReadEnd): void {
       if (settled) return
       settled = true
@@ -52,7 +71,7 @@
       timer[Symbol.dispose]()
       onToken(frame)
       if (frame.last) return finish({ kind: 'complete' })
-      timer = runtime.setTimer(betweenTokensMs, () => finish({ kind: 'silent', silentMs: betweenTokensMs }))
+      timer = watch(betweenTokensMs)
     }
 
     if (signal.aborted) onAbort()
--- a/src/pipeline/openChain/index.ts
+++ b/src/pipeline/openChain/index.ts
@@ -5,7 +5,7 @@
 import type { EngineClient, OpenResult, OpenStage } from '../../engine/types.js'
 import { NEVER_SENT } from '../../verdict/createRefusal/index.js'
 import type { Verdict } from '../../verdict/types.js'
-import type { AnswerRequest, Chain, OpenChainResult } from '../types.js'
+import { sequenceName, type AnswerRequest, type Chain, type OpenChainResult } from '../types.js'
 
 /** One attempt. */
 export interface Attempt {
@@ -14,6 +14,8 @@
   given: string[]
   /** Targets that still hold the KV cache of the positions before. */
   keptTargets: ReadonlySet<string>
+  /** Targets to reach by a new connection. */
+  freshTargets?: ReadonlySet<string>
 }
 
 /** What opening works with. */
@@ -22,6 +24,8 @@
   address: (target: string) => string | undefined
   connectTimeoutMs: number
   signal: AbortSignal
+  /** Called before anything is sent to a target. */
+  onSent?: (target: string, address: string) => void
 }
 
 /**
@@ -46,35 +50,42 @@
   const missing = addresses.indexOf(undefined)
   if (missing >= 0) return failed(chain[missing]!.target, 'the host is not listed', NEVER_SENT)
 
+  const firstPosition = attempt.given.length
+  const kept = chain.map(part => attempt.keptTargets.has(part.target) ? firstPosition : 0)
+  const runFrom = kept.map((_, index) => Math.min(...kept.slice(index)))
   const open = (index: number): Promise<OpenResult> => {
     const part = chain[index]!
     const next = addresses[index + 1]
+    const isEnd = index === 0 || next === undefined
+    options.onSent?.(part.target, addresses[index]!)
     return options.engines.open({ target: part.target, address: addresses[index]! }, {
-      request: request.request,
+      request: sequenceName(request),
       attempt: attempt.attempt,
       model: request.model,
       fromLayer: part.fromLayer,
       toLayer: part.toLayer,
-      firstPosition: attempt.given.length,
+      firstPosition,
       prompt: index === 0 ? request.prompt : '',
-      given: index === 0 ? attempt.given : [],
+      given: isEnd ? attempt.given : [],
       maxTokens: request.maxTokens,
       priority: request.priority,
       first: addresses[0]!,
-      rebuild: !attempt.keptTargets.has(part.target),
+      keptPositions: kept[index]!,
+      runFrom: runFrom[index]!,
+      passFrom: runFrom[index + 1] ?? firstPosition,
       ...(next === undefined ? {} : { next })
-    }, { signal: options.signal, connectTimeoutMs: options.connectTimeoutMs })
+    }, { signal: options.signal, connectTimeoutMs: options.connectTimeoutMs, fresh: attempt.freshTargets?.has(part.target) ?? false })
   }
 
   const later = await Promise.all(chain.slice(1).map((_, index) => open(index + 1)))
   const bad = later.findIndex(result => result.kind !== 'open')
   if (bad >= 0) {
-    await disposeAll(later)
+    detachAll(later)
     return describeFailure(chain[bad + 1]!.target, later[bad]!, NEVER_SENT)
   }
   const first = await open(0)
   if (first.kind !== 'open') {
-    await disposeAll(later)
+    detachAll(later)
     const verdict: Verdict = first.kind === 'lost' ? { kind: 'mayHaveRun' } : NEVER_SENT
     return describeFailure(chain[0]!.target, first, verdict)
   }
@@ -90,11 +101,16 @@
 }
 
 function describeFailure (target: string, result: OpenResult, verdict: Verdict): OpenChainResult {
-  return failed(target, result.kind === 'open' ? '' : `${result.kind}: ${result.cause}`, verdict)
+  if (result.kind === 'open') return failed(target, '', verdict)
+  const failure = { kind: 'failed' as const, target, cause: `${result.kind}: ${result.cause}`, verdict }
+  if (result.kind !== 'refused') return { ...failure, isConnectionSuspect: result.kind === 'lost' }
+  const { reason, attempt } = result
+  return { ...failure, ...(reason && { reason }), ...(attempt && { attempt }) }
 }
 
-async function disposeAll (results: OpenResult[]): Promise<void> {
-  await disposeStages(results.flatMap(result => result.kind === 'open' ? [result.stage] : []))
+/** Detaches the stages of a chain that did not open whole; they keep their KV cache for the next attempt. */
+function detachAll (results: OpenResult[]): void {
+  for (const result of results) if (result.kind === 'open') result.stage.detach()
 }
 
 async function disposeStages (stages: OpenStage[]): Promise<void> {
--- a/src/pipeline/runPipeline/index.ts
+++ b/src/pipeline/runPipeline/index.ts
@@ -5,25 +5,30 @@
 import type { Configuration } from '../../configuration/types.js'
 import type { EngineClient, TokenFrame } from '../../engine/types.js'
 import type { EventLog } from '../../event/types.js'
+import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
+import { withDeadline } from '../../runtime/withDeadline/index.js'
 import type { TargetDirectory } from '../../target/types.js'
-import { NEVER_SENT } from '../../verdict/createRefusal/index.js'
+import type { ModelScope } from '../../ticket/types.js'
 import type { ReasonName } from '../../verdict/reasons.js'
-import type { Verdict } from '../../verdict/types.js'
 import { chooseChain } from '../chooseChain/index.js'
+import { examineChain, type Examination, type Finding } from '../examineChain/index.js'
 import { openChain } from '../openChain/index.js'
-import type { AnswerRequest, AnswerResult, Chain, OpenChain, PickStage } from '../types.js'
+import { sequenceName, type AnswerRequest, type AnswerResult, type Chain, type OpenChain, type OpenChainResult, type PickStage } from '../types.js'
+import { createProgress, type Progress } from '../_lib/progress.js'
 import { readTokens, type ReadEnd } from '../_lib/readTokens.js'
+import { takeFinding } from '../_lib/takeFinding.js'
 
-/** Attempts at one answer before it is given up. */
-const MAX_ATTEMPTS = 6
+/** When a caller whose request met no pipeline, or ran out of time, should come back. */
+const RETRY_AFTER_MS = 1_000
 
-/** When a caller whose request met no pipeline should come back. */
-const NO_PIPELINE_RETRY_MS = 1_000
+/** Wait between looks for a chain while an answer that has begun has none, in milliseconds. */
+const RECHOOSE_MS = 50
 
 /** What an answer works with. */
 export interface RunPipelineOptions {
-  configuration: Configuration
+  /** The configuration in force; read anew for each attempt. */
+  configuration: () => Configuration
   engines: EngineClient
   directory: TargetDirectory
   pick: PickStage
@@ -37,6 +42,15 @@
   onChain?: (chain: OpenChain) => void
 }
 
+/** What the steps of one answer share. */
+interface Answering {
+  request: AnswerRequest
+  options: RunPipelineOptions
+  progress: Progress
+  /** Aborts when the caller goes away or the deadline passes. */
+  signal: AbortSignal
+}
+
 /**
  * @name runPipeline
  * @summary Answers one request through a pipeline.
@@ -48,84 +62,165 @@
  * const result = await runPipeline(request, { configuration, engines, directory, pick, runtime, log, signal, onToken })
  */
 export async function runPipeline (request: AnswerRequest, options: RunPipelineOptions): Promise<AnswerResult> {
-  const { configuration, directory, pick, runtime, log, signal } = options
-  const model = configuration.models.get(request.model)
-  if (model === undefined) return giveUp('unknownModel', NEVER_SENT, request.given.length, { model: request.model })
-  const given = [...request.given]
-  const excluded = new Set<string>()
-  const deadlineAtMs = runtime.monotonicMs() + request.deadlineMs
-  let kept: ReadonlySet<string> = new Set()
-  let verdict: Verdict = NEVER_SENT
-  let facts: Record<string, unknown> = {}
-
-  for (let number = 1; number <= MAX_ATTEMPTS; number++) {
-    const attempt = request.earlierAttempt + number
-    if (runtime.monotonicMs() >= deadlineAtMs) return giveUp('deadlinePassed', verdict, given.length, facts)
-    const isUsable = (target: string): boolean => !excluded.has(target) && directory.condition(target) === 'usable'
-    const chain = chooseChain(model, { isUsable, pick })
-    if (chain === undefined) return giveUp('noPipeline', verdict, given.length, { ...facts, excluded: [...excluded] }, NO_PIPELINE_RETRY_MS)
-    const opened = await openChain(chain, request, { attempt, given, keptTargets: kept }, {
-      engines: options.engines,
-      address: directory.address,
-      connectTimeoutMs: configuration.timeouts.connectMs,
-      signal
-    })
-    if (signal.aborted) return giveUp('callerGone', verdict, given.length, facts)
-    if (opened.kind === 'failed') {
-      if (opened.verdict.kind === 'mayHaveRun') verdict = opened.verdict
-      facts = { target: opened.target, cause: opened.cause }
-      exclude(opened.target)
-      continue
+  const { runtime, directory, onToken } = options
+  using deadline = withDeadline(request.deadlineMs, { runtime, parent: options.signal })
+  const progress = createProgress(request, { directory, runtime, onToken })
+  const answering: Answering = { request, options, progress, signal: deadline.signal }
+  let inUse: Chain = []
+  try {
+    for (;;) {
+      const result = await attemptOnce(answering)
+      if (result === undefined) continue
+      if (result.kind === 'complete') inUse = result.chain
+      return result.kind === 'complete' ? { kind: 'complete', tokens: progress.given.length, attempts: progress.attempts } : result
     }
-    verdict = { kind: 'mayHaveRun' }
-    await using open = opened.chain
-    options.onChain?.(open)
-    log.emit('pipelineOpened', { request: request.request, attempt, chain: describeChain(chain), firstPosition: given.length })
-    const end = await readTokens(open, {
-      firstPosition: given.length,
-      firstTokenMs: model.deadlines.firstTokenMs,
-      betweenTokensMs: model.deadlines.betweenTokensMs,
-      runtime,
-      signal,
-      onToken (frame) {
-        given.push(frame.token)
-        options.onToken(frame)
-      }
-    })
-    if (end.kind === 'complete') return { kind: 'complete', tokens: given.length, attempts: number }
-    if (end.kind === 'aborted') return giveUp('callerGone', verdict, given.length, facts)
-    facts = { ...end }
-    const blamed = await findLostTargets(chain, end, options)
-    log.emit('pipelineLost', { request: request.request, attempt, position: given.length, ...facts, blamed })
-    blamed.forEach(exclude)
-    kept = new Set(chain.map(part => part.target).filter(target => !blamed.includes(target)))
+  } finally {
+    cancelOthers(inUse, answering)
+  }
+}
+
+/** End of an answer; nothing when another attempt is due. */
+type AttemptResult = Extract<AnswerResult, { kind: 'failed' }> | { kind: 'complete', chain: Chain } | undefined
+
+async function attemptOnce (answering: Answering): Promise<AttemptResult> {
+  const { request, options, progress, signal } = answering
+  const { directory, log, runtime } = options
+  if (signal.aborted) return giveUpAborted(answering)
+  const configuration = options.configuration()
+  const model = configuration.models.get(request.model)
+  if (model === undefined) return giveUp('unknownModel', progress, { model: request.model })
+  const chain = chooseChain(model, { isUsable: progress.isUsable, pick: progress.preferKept(options.pick) })
+  if (chain === undefined) {
+    if (progress.verdict.kind === 'notRun') return giveUp('noPipeline', progress, progress.facts, RETRY_AFTER_MS)
+    await sleep(RECHOOSE_MS, { runtime, signal })
+    return undefined
   }
-  return giveUp('targetFailed', verdict, given.length, facts)
+  progress.attempt += 1
+  progress.attempts += 1
+  const { attempt, given, kept, fresh, touched } = progress
+  const opened = await openChain(chain, request, { attempt, given, keptTargets: kept, freshTargets: fresh }, {
+    engines: options.engines,
+    address: directory.address,
+    connectTimeoutMs: configuration.timeouts.connectMs,
+    signal,
+    onSent: (target, address) => { touched.set(target, address) }
+  })
+  if (opened.kind === 'failed') return signal.aborted ? giveUpAborted(answering) : takeFailedOpen(opened, answering)
+  progress.verdict = { kind: 'mayHaveRun' }
+  log.emit('pipelineOpened', { request: request.request, attempt, chain: describeChain(chain), firstPosition: given.length })
+  await using open = opened.chain
+  options.onChain?.(open)
+  return await readAttempt(open, model, answering)
+}
+
+async function readAttempt (open: OpenChain, model: ModelScope, answering: Answering): Promise<AttemptResult> {
+  const { request, options, progress, signal } = answering
+  const { runtime } = options
+  const firstPosition = progress.given.length
+  const examine = (): Promise<Examination> => examineChain(open.chain, {
+    sequence: sequenceName(request),
+    attempt: open.attempt,
+    position: () => progress.given.length,
+    engines: options.engines,
+    directory: options.directory,
+    timeoutMs: options.configuration().timeouts.connectMs
+  })
+  const { firstTokenMs, betweenTokensMs } = model.deadlines
+  const end = await readTokens(open, { firstPosition, firstTokenMs, betweenTokensMs, runtime, signal, onToken: progress.give, examine })
+  if (end.kind === 'complete') return complete(open)
+  if (end.kind !== 'aborted') {
+    const examination = end.kind === 'silent' ? end.examination : await examine()
+    giveComputed(examination, open.attempt, progress)
+    if (examination.ended) return complete(open)
+    leaveAttempt(open, end, { finding: examination.finding, model, firstPosition, answering })
+  }
+  for (const stage of open.stages) stage.detach()
+  return signal.aborted ? giveUpAborted(answering) : undefined
+}
+
+/** What is known of a lost attempt. */
+interface LostAttempt {
+  finding: Finding
+  model: ModelScope
+  firstPosition: number
+  answering: Answering
+}
+
+function leaveAttempt (open: OpenChain, end: ReadEnd, { finding, model, firstPosition, answering }: LostAttempt): void {
+  const { request, options: { log }, progress } = answering
+  progress.facts = describeLoss(end, finding)
+  log.emit('pipelineLost', { request: request.request, attempt: open.attempt, position: progress.given.length, ...progress.facts })
+  takeFinding(progress, finding, {
+    chain: open.chain,
+    model,
+    endedTarget: end.kind === 'lost' ? end.target : undefined,
+    hasProgressed: progress.given.length > firstPosition
+  })
+}
+
+function complete (open: OpenChain): AttemptResult {
+  for (const stage of open.stages) stage.finish()
+  return { kind: 'complete', chain: open.chain }
+}
+
+/** Hands on tokens that an engine computed and that did not arrive. */
+function giveComputed ({ computed, ended }: Examination, attempt: number, progress: Progress): void {
+  const first = progress.given.length
+  computed.forEach((token, index) => {
+    const last = ended && index === computed.length - 1
+    progress.give({ attempt, position: first + index, token, ...(last ? { last } : {}) })
+  })
+}
 
-  function exclude (target: string): void {
-    excluded.add(target)
-    directory.noteSuspected(target)
+function takeFailedOpen (failed: Extract<OpenChainResult, { kind: 'failed' }>, { options, progress }: Answering): AttemptResult {
+  const { target, cause, verdict, reason } = failed
+  progress.facts = { target, cause }
+  if (verdict.kind === 'mayHaveRun') progress.verdict = verdict
+  if (reason === 'superseded' && failed.attempt !== undefined) {
+    if (progress.attempts > 1) return giveUp('targetFailed', progress, { ...progress.facts, supersededBy: failed.attempt })
+    progress.attempt = failed.attempt
+    return undefined
   }
+  if (reason === 'cacheNotHeld') {
+    progress.kept.delete(target)
+    return undefined
+  }
+  if (reason === 'leaving') options.directory.noteLeaving(target, 'engine')
+  // A first loss without an answer may be the fault of a kept connection; a fresh one decides.
+  if (failed.isConnectionSuspect && !progress.fresh.has(target)) {
+    progress.fresh.add(target)
+    return undefined
+  }
+  if (reason === undefined) progress.blame(target)
+  else progress.avoid(target)
+  return undefined
+}
+
+function giveUpAborted ({ options, progress }: Answering): Extract<AnswerResult, { kind: 'failed' }> {
+  if (options.signal.aborted) return giveUp('callerGone', progress, progress.facts)
+  return giveUp('deadlinePassed', progress, progress.facts, RETRY_AFTER_MS)
 }
 
-function giveUp (reason: ReasonName, verdict: Verdict, tokens: number, facts: Record<string, unknown>, retryAfterMs?: number): AnswerResult {
-  return { kind: 'failed', reason, verdict, tokens, facts, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }
+function giveUp (reason: ReasonName, progress: Progress, facts: Record<string, unknown>, retryAfterMs?: number): Extract<AnswerResult, { kind: 'failed' }> {
+  const { verdict, given } = progress
+  return { kind: 'failed', reason, verdict, tokens: given.length, facts, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }
+}
+
+/** Frees the sequence on all targets but those of the completed chain, without holding up the answer. */
+function cancelOthers (inUse: Chain, { request, options, progress }: Answering): void {
+  const timeoutMs = options.configuration().timeouts.connectMs
+  const completed = new Set(inUse.map(part => part.target))
+  for (const [target, address] of progress.touched) {
+    if (completed.has(target)) continue
+    options.engines.cancel({ target, address }, sequenceName(request), progress.attempt, { timeoutMs }).catch(() => {})
+  }
 }
 
 function describeChain (chain: Chain): string[] {
   return chain.map(part => `${part.target}[${part.fromLayer},${part.toLayer})`)
 }
 
-/** Which targets of a lost chain do not answer on a fresh connection. */
-async function findLostTargets (chain: Chain, end: ReadEnd, options: RunPipelineOptions): Promise<string[]> {
-  const timeoutMs = options.configuration.timeouts.connectMs
-  const answers = await Promise.all(chain.map(async ({ target }) => {
-    const address = options.directory.address(target)
-    if (address === undefined) return { target, lost: true }
-    const probe = await options.engines.status({ target, address }, { timeoutMs, fresh: true })
-    return { target, lost: probe.kind === 'unreachable' }
-  }))
-  const lost = answers.filter(answer => answer.lost).map(answer => answer.target)
-  if (lost.length > 0) return lost
-  return end.kind === 'lost' ? [end.target] : []
+function describeLoss (end: ReadEnd, finding: Finding): Record<string, unknown> {
+  const { kind, ...details } = finding
+  return { loss: end.kind, finding: kind, ...details, ...(end.kind === 'lost' ? { stage: end.target, cause: end.cause } : {}) }
 }
--- /dev/null
+++ b/src/pipeline/runPipeline/test.ts
@@ -0,0 +1,244 @@
+import test, { type ExecutionContext } from 'ava'
+import { buildTestConfiguration } from '../../../test/fakes/buildTestConfiguration.js'
+import { BOUNDARIES, createAnswerRig, type AnswerRig, type RunningAnswer } from '../../../test/fakes/createAnswerRig.js'
+
+/** Ends an answer and checks every token, the ledger, and that nothing is left behind. */
+async function endWhole (t: ExecutionContext, rig: AnswerRig, answer: RunningAnswer): Promise<void> {
+  const result = await rig.end(answer)
+  t.like(result, { kind: 'complete', tokens: answer.request.maxTokens })
+  t.deepEqual(rig.faultsOf(answer), [])
+}
+
+/** Checks that no sequence and no timer is left, after orders to end work have arrived. */
+async function checkNothingLeft (t: ExecutionContext, rig: AnswerRig): Promise<void> {
+  await rig.runtime.advance(20)
+  t.is(rig.engines.sequences(), 0)
+  t.is(rig.runtime.pendingTimers(), 0)
+}
+
+const opensOf = (rig: AnswerRig, target: string) => rig.engines.get(target).opens.map(open => open.attempt)
+
+test('an answer runs each layer once and leaves nothing behind', async t => {
+  const rig = createAnswerRig()
+  await endWhole(t, rig, rig.start())
+  await checkNothingLeft(t, rig)
+})
+
+for (const target of ['a', 'b', 'c', 'd']) {
+  test(`the death of stage ${target} keeps the KV cache of the others`, async t => {
+    const rig = createAnswerRig()
+    const answer = rig.start()
+    await rig.until(answer, 5)
+    rig.engines.get(target).die()
+    await endWhole(t, rig, answer)
+    const survivors = ['a', 'b', 'c', 'd'].filter(name => name !== target)
+    t.deepEqual(survivors.map(name => rig.engines.get(name).opens.at(-1)!.keptPositions > 0), [true, true, true])
+    const later = survivors.filter(name => name > target)
+    const reran = later.flatMap(name => rig.engines.get(name).ledger().filter(row => row.mode === 'rebuild'))
+    t.deepEqual(reran, [])
+    await checkNothingLeft(t, rig)
+  })
+
+  test(`a freeze of stage ${target} is found within the detection deadline`, async t => {
+    const rig = createAnswerRig()
+    const answer = rig.start()
+    await rig.until(answer, 5)
+    const frozenAtMs = rig.runtime.monotonicMs()
+    rig.engines.get(target).faults.frozen = true
+    await rig.until(answer, 7)
+    t.true(rig.runtime.monotonicMs() - frozenAtMs <= 200 + 100 + 50)
+    await endWhole(t, rig, answer)
+    t.is(rig.conditions.get(target), 'suspected')
+    rig.engines.get(target).faults.frozen = false
+    await rig.runtime.advance(10_100)
+    await checkNothingLeft(t, rig)
+  })
+
+  test(`a cut link after stage ${target} is replaced without suspecting a target`, async t => {
+    const rig = createAnswerRig()
+    const answer = rig.start()
+    await rig.until(answer, 5)
+    rig.engines.get(target).faults.linkCut = true
+    await endWhole(t, rig, answer)
+    t.is(rig.conditions.size, 0)
+    t.is(answer.frames.at(-1)?.attempt, 2)
+    await checkNothingLeft(t, rig)
+  })
+}
+
+test('a degraded link is replaced and its late frames are dropped', async t => {
+  const rig = createAnswerRig()
+  const answer = rig.start()
+  await rig.until(answer, 5)
+  rig.engines.get('b').faults.linkDelayMs = 5_000
+  await endWhole(t, rig, answer)
+  await rig.runtime.advance(6_000)
+  t.deepEqual(rig.faultsOf(answer), [])
+  await checkNothingLeft(t, rig)
+})
+
+test('a silent connection is replaced on the same targets and nobody is blamed', async t => {
+  const rig = createAnswerRig({ spares: [], stepMs: 20 })
+  const answer = rig.start()
+  await rig.until(answer, 3)
+  rig.engines.get('d').silence()
+  await endWhole(t, rig, answer)
+  t.is(rig.conditions.size, 0)
+  t.deepEqual(rig.engines.get('a').ledger().filter(row => row.mode === 'rebuild'), [])
+  await checkNothingLeft(t, rig)
+})
+
+test('the end of an answer that fell into a silent connection is read from the engine', async t => {
+  const rig = createAnswerRig()
+  const answer = rig.start()
+  await rig.until(answer, 11)
+  rig.engines.get('d').silence()
+  await endWhole(t, rig, answer)
+  t.deepEqual(opensOf(rig, 'd'), [1])
+})
+
+test('an open that meets a silent kept connection is tried on a new one first', async t => {
+  const rig = createAnswerRig({ spares: [] })
+  rig.engines.get('b').silenceKept()
+  const answer = rig.start()
+  await endWhole(t, rig, answer)
+  t.is(rig.conditions.size, 0)
+})
+
+test('a slow but live first token is waited for', async t => {
+  const rig = createAnswerRig({ stepMs: 900 })
+  const answer = rig.start({ maxTokens: 2 })
+  await endWhole(t, rig, answer)
+  t.deepEqual(opensOf(rig, 'a'), [1])
+})
+
+test('a slow reader is not taken for a silent pipeline', async t => {
+  const rig = createAnswerRig()
+  const answer = rig.start()
+  await rig.until(answer, 2)
+  rig.engines.get('d').silence()
+  answer.chain()!.stages.at(-1)!.pause()
+  await rig.runtime.advance(5_000)
+  t.deepEqual(opensOf(rig, 'd'), [1])
+  answer.chain()!.stages.at(-1)!.resume()
+  await endWhole(t, rig, answer)
+})
+
+test('late, doubled and out-of-order frames are dropped', async t => {
+  const rig = createAnswerRig()
+  const answer = rig.start()
+  await rig.until(answer, 4)
+  const [first] = answer.frames
+  for (const frame of [first!, { attempt: 1, position: 9, token: 'x' }, { attempt: 0, position: 4, token: 'x' }, { attempt: 2, position: 4, token: 'x' }]) {
+    rig.engines.get('d').inject(frame)
+  }
+  await endWhole(t, rig, answer)
+})
+
+test('answers at the same time never mix', async t => {
+  const rig = createAnswerRig()
+  const answers = [rig.start(), rig.start(), rig.start({ account: 'shop' })]
+  await rig.until(answers[0]!, 3)
+  rig.engines.get('c').die()
+  for (const answer of answers) await endWhole(t, rig, answer)
+  await checkNothingLeft(t, rig)
+})
+
+test('two stages may die one after the other', async t => {
+  const rig = createAnswerRig()
+  const answer = rig.start()
+  await rig.until(answer, 3)
+  rig.engines.get('b').die()
+  await rig.until(answer, 6)
+  rig.engines.get('d').die()
+  await endWhole(t, rig, answer)
+  await checkNothingLeft(t, rig)
+})
+
+test('a second death during a rebuild is recovered from', async t => {
+  const rig = createAnswerRig({ stepMs: 30 })
+  const answer = rig.start()
+  await rig.until(answer, 4)
+  rig.engines.get('c').die()
+  await rig.runtime.advance(40)
+  rig.engines.get('a').die()
+  await endWhole(t, rig, answer)
+  await checkNothingLeft(t, rig)
+})
+
+test('a stage that restarted without its KV cache is rebuilt', async t => {
+  const rig = createAnswerRig({ spares: [] })
+  const answer = rig.start()
+  await rig.until(answer, 4)
+  rig.engines.get('b').cancel('studio/request-1', 1)
+  await endWhole(t, rig, answer)
+  t.is(rig.conditions.size, 0)
+  t.is(rig.engines.get('b').opens.at(-1)?.keptPositions, 0)
+})
+
+test('a caller that goes away frees the sequence on every stage', async t => {
+  const rig = createAnswerRig()
+  const answer = rig.start()
+  await rig.until(answer, 3)
+  answer.leave()
+  t.like(await rig.end(answer), { kind: 'failed', reason: 'callerGone' })
+  await checkNothingLeft(t, rig)
+})
+
+test('a leaving stage that refuses is passed over and was not run', async t => {
+  const rig = createAnswerRig()
+  rig.engines.get('c').faults.leaving = true
+  const answer = rig.start()
+  await endWhole(t, rig, answer)
+  t.is(rig.conditions.get('c'), 'leaving')
+  t.deepEqual(rig.engines.get('c').ledger(), [])
+})
+
+test('a leaving stage ends the answer that it works on', async t => {
+  const rig = createAnswerRig()
+  const answer = rig.start()
+  await rig.until(answer, 3)
+  rig.conditions.set('b', 'leaving')
+  rig.engines.get('b').faults.leaving = true
+  rig.engines.get('d').die()
+  await endWhole(t, rig, answer)
+  t.deepEqual(opensOf(rig, 'b2'), [])
+})
+
+test('an answer without a pipeline goes on with an engine that joins', async t => {
+  const rig = createAnswerRig({ spares: [] })
+  const answer = rig.start()
+  await rig.until(answer, 4)
+  rig.engines.get('b').die()
+  await rig.runtime.advance(3_000)
+  t.is(answer.settled(), undefined)
+  rig.engines.add({ target: 'new', fromLayer: 2, toLayer: 4 })
+  const placement = ['a', 'new', 'c', 'd'].map((target, stage) => ({ target, fromLayer: BOUNDARIES[stage]!, toLayer: BOUNDARIES[stage + 1]! }))
+  rig.configure(buildTestConfiguration({ layers: 8, placement }))
+  await endWhole(t, rig, answer)
+  await checkNothingLeft(t, rig)
+})
+
+test('an answer without a pipeline is given up at its deadline with a time to come back', async t => {
+  const rig = createAnswerRig({ spares: [] })
+  const answer = rig.start({ deadlineMs: 2_000 })
+  await rig.until(answer, 4)
+  rig.engines.get('b').die()
+  t.like(await rig.end(answer), { kind: 'failed', reason: 'deadlinePassed', tokens: answer.frames.length, verdict: { kind: 'mayHaveRun' }, retryAfterMs: 1_000 })
+  t.is(Math.ceil(rig.runtime.monotonicMs()), 2_000)
+})
+
+test('the deadline ends a wait for a slow stage at once', async t => {
+  const rig = createAnswerRig({ stepMs: 5_000 })
+  const answer = rig.start({ deadlineMs: 700 })
+  t.like(await rig.end(answer), { kind: 'failed', reason: 'deadlinePassed' })
+  t.is(Math.ceil(rig.runtime.monotonicMs()), 700)
+})
+
+test('a new request that meets no pipeline is refused at once as not run', async t => {
+  const rig = createAnswerRig({ spares: [] })
+  rig.engines.get('c').die()
+  const answer = rig.start()
+  t.like(await rig.end(answer), { kind: 'failed', reason: 'noPipeline', verdict: { kind: 'notRun' }, retryAfterMs: 1_000 })
+  t.is(rig.engines.rows().length, 0)
+})
--- a/src/pipeline/types.ts
+++ b/src/pipeline/types.ts
@@ -1,7 +1,7 @@
 /**
  * Pipelines: chains of stages whose layer ranges cover a model once, in order.
  */
-import type { OpenStage } from '../engine/types.js'
+import type { OpenStage, RefusalReason } from '../engine/types.js'
 import type { Placement } from '../ticket/types.js'
 import type { ReasonName } from '../verdict/reasons.js'
 import type { Verdict } from '../verdict/types.js'
@@ -26,6 +26,16 @@
   given: string[]
   /** Highest attempt that may have been made before; 0 for a new request. */
   earlierAttempt: number
+  /** Targets that hold the KV cache of every token given. */
+  keptTargets?: string[]
+}
+
+/**
+ * Identity of a request's sequence on engines. It contains the account, so that no account can
+ * reach the sequence of another by naming its request.
+ */
+export function sequenceName ({ account, request }: Pick<AnswerRequest, 'account' | 'request'>): string {
+  return `${account}/${request}`
 }
 
 /** A chain whose stages are all open. */
@@ -39,7 +49,17 @@
 export type OpenChainResult =
   | { kind: 'open', chain: OpenChain }
   /** `verdict` tells whether this attempt may have run. */
-  | { kind: 'failed', target: string, cause: string, verdict: Verdict }
+  | {
+    kind: 'failed'
+    target: string
+    cause: string
+    verdict: Verdict
+    /** Why the engine refused, and the attempt that it has seen. */
+    reason?: RefusalReason
+    attempt?: number
+    /** Whether the connection may be at fault and not the target. */
+    isConnectionSuspect?: boolean
+  }
 
 /** How an answer ended. */
 export type AnswerResult =
--- a/standin/engine/createEngine/index.ts
+++ b/standin/engine/createEngine/index.ts
@@ -1,7 +1,10 @@
 /**
  * A stand-in engine without its network: sequences, KV state, fences, ledger and pace.
  */
-import type { EngineOrder, EngineStatus, OpenSequence } from '../../../src/engine/types.js'
+import type { EngineOrder, EngineStatus, HeldSequence, OpenSequence, RefusalReason } from '../../../src/engine/types.js'
+import type { Runtime } from '../../../src/runtime/types.js'
+import { createPace } from '../_lib/createPace.js'
+import { createSequenceTable } from '../_lib/createSequenceTable.js'
 import { embed, extendKv, readToken, runLayers } from '../model.js'
 import type { EngineFaults, LedgerRow, LinkFrame, Sequence } from '../types.js'
 
@@ -19,136 +22,132 @@
   tokensPerS: number
   /** Least time of one step, in milliseconds. */
   stepMs: number
+  runtime: Runtime
   /** Sends a frame to another stage. */
   sendLink: (address: string, frame: LinkFrame) => void
   /** Streams a token to the caller of the last stage; ends the stream after the last one. */
   sendToken: (sequence: Sequence, frame: { attempt: number, position: number, token: string, last?: boolean }) => void
   /** Ends the stream of a stage whose sequence is finished. */
   endStage: (sequence: Sequence) => void
+  /** Called with each row of the ledger as it is written. */
+  onRow?: (row: LedgerRow) => void
 }
 
 /** Result of an open or an order. */
-export type EngineAnswer = { kind: 'accepted' } | { kind: 'refused', status: number, cause: string }
+export type EngineAnswer =
+  | { kind: 'accepted' }
+  | { kind: 'refused', status: number, cause: string, reason?: RefusalReason, attempt?: number }
 
 /** One engine. */
-export interface Engine {
+export interface Engine extends Disposable {
   faults: EngineFaults
   status: () => EngineStatus
   order: (order: EngineOrder) => EngineAnswer
   open: (sequence: OpenSequence) => EngineAnswer
   /** Takes a frame of another stage. */
   receive: (frame: LinkFrame) => void
+  /** Frees a sequence for good. */
   cancel: (request: string, attempt: number) => void
+  /** Holds a sequence whose caller's connection closed, until it is opened anew or the hold ends. */
+  park: (request: string, attempt: number) => void
+  /** What is known of a sequence. */
+  held: (request: string) => HeldSequence | undefined
   ledger: (request?: string) => LedgerRow[]
 }
 
 /**
  * @name createEngine
  * @summary An engine that serves one range of layers.
- * @param options - Range, pace and ways out.
+ * @param options - Range, pace, clock and ways out.
  * @returns The engine.
  *
  * @example
- * const engine = createEngine({ target: 'engine-1', model: 'draft', fromLayer: 0, toLayer: 8, ...rest })
+ * const engine = createEngine({ target: 'engine-1', model: 'draft', fromLayer: 0, toLayer: 8, runtime, ...rest })
  */
 export function createEngine (options: EngineOptions): Engine {
-  const { target, tokensPerS, stepMs, sendLink, sendToken, endStage } = options
+  const { target, runtime, sendLink, sendToken, endStage } = options
   const faults: EngineFaults = { frozen: false, silenceOpen: false, linkDelayMs: 0, linkCut: false, leaving: false, checksFencing: true }
-  const sequences = new Map<string, Sequence>()
-  const early = new Map<string, LinkFrame[]>()
+  const table = createSequenceTable({ runtime })
+  const pace = createPace({ ...options, isFrozen: () => faults.frozen })
   const ledger: LedgerRow[] = []
-  const msPerToken = 1_000 / tokensPerS
   let held = { model: options.model, version: options.version, fromLayer: options.fromLayer, toLayer: options.toLayer }
   let fencing = 0
-  let busyUntilMs = 0
-  let frozenWork: Array<() => void> = []
-
-  /** Runs work when the engine has had the time for it. */
-  function schedule (positions: number, work: () => void): void {
-    const nowMs = performance.now()
-    busyUntilMs = Math.max(busyUntilMs, nowMs) + positions * msPerToken
-    const delayMs = Math.max(busyUntilMs - nowMs, stepMs)
-    setTimeout(() => faults.frozen ? frozenWork.push(work) : work(), delayMs)
-  }
-
-  function thaw (): void {
-    const work = frozenWork
-    frozenWork = []
-    for (const item of work) item()
-  }
 
   function open (sequence: OpenSequence): EngineAnswer {
-    if (faults.leaving && !sequences.has(sequence.request)) return { kind: 'refused', status: 503, cause: 'leaving' }
+    const before = table.get(sequence.request)
+    if (faults.leaving && before === undefined) return { kind: 'refused', status: 503, cause: 'leaving', reason: 'leaving' }
     const holds = held.model === sequence.model && held.fromLayer === sequence.fromLayer && held.toLayer === sequence.toLayer
-    if (!holds) return { kind: 'refused', status: 409, cause: 'these layers are not held here' }
-    const before = sequences.get(sequence.request)
-    if (before !== undefined && before.attempt >= sequence.attempt) return { kind: 'refused', status: 409, cause: `attempt ${before.attempt} was seen` }
-    const kept = before !== undefined && !sequence.rebuild ? before.kv.slice(0, sequence.firstPosition) : []
-    if (!sequence.rebuild && sequence.firstPosition > 0 && kept.length < sequence.firstPosition) {
-      return { kind: 'refused', status: 409, cause: 'the KV cache is not held here' }
-    }
-    const opened: Sequence = { ...sequence, nextPosition: sequence.firstPosition, kv: kept }
-    sequences.set(sequence.request, opened)
+    if (!holds) return { kind: 'refused', status: 409, cause: 'these layers are not held here', reason: 'layersNotHeld' }
+    const seen = table.fence(sequence.request)
+    if (seen >= sequence.attempt) return { kind: 'refused', status: 409, cause: `attempt ${seen} was seen`, reason: 'superseded', attempt: seen }
+    const kv = before?.kv.slice(0, sequence.keptPositions) ?? []
+    if (kv.length < sequence.keptPositions) return { kind: 'refused', status: 409, cause: 'the KV cache is not held here', reason: 'cacheNotHeld' }
+    const opened: Sequence = { ...sequence, nextPosition: sequence.firstPosition, kv, tokens: [...sequence.given], queued: 0 }
+    if (before !== undefined) endStage(before)
+    table.put(opened)
     if (sequence.fromLayer === 0) start(opened)
-    for (const frame of early.get(sequence.request) ?? []) receive(frame)
-    early.delete(sequence.request)
     return { kind: 'accepted' }
   }
 
   /** Position 0 takes the prompt; each later one takes the token before it. */
   function start (sequence: Sequence): void {
-    const activations = [sequence.prompt, ...sequence.given].map(embed)
+    const activations = [sequence.prompt, ...sequence.given].slice(sequence.runFrom).map(embed)
     compute(sequence, { kind: 'prefill', request: sequence.request, attempt: sequence.attempt, position: sequence.firstPosition, activations })
   }
 
   function receive (frame: LinkFrame): void {
-    const sequence = sequences.get(frame.request)
-    if (sequence === undefined || sequence.attempt < frame.attempt) {
-      early.set(frame.request, [...early.get(frame.request) ?? [], frame])
-      return
-    }
-    if (sequence.attempt !== frame.attempt) return
+    const sequence = table.get(frame.request)
+    if (sequence === undefined || sequence.attempt !== frame.attempt) return
     if (frame.kind === 'finish') return finish(sequence)
-    if (frame.kind === 'feedback') {
-      return compute(sequence, { ...frame, kind: 'step', activations: [embed(frame.token ?? '')] })
-    }
-    compute(sequence, frame)
+    if (frame.kind !== 'feedback') return compute(sequence, frame)
+    if (frame.position === sequence.tokens.length + 1) sequence.tokens.push(frame.token ?? '')
+    compute(sequence, { ...frame, kind: 'step', activations: [embed(frame.token ?? '')] })
   }
 
   function compute (sequence: Sequence, frame: LinkFrame): void {
-    schedule(frame.activations.length, () => {
-      if (sequences.get(frame.request) !== sequence || frame.position !== sequence.nextPosition) return
-      const first = frame.position - frame.activations.length + 1
-      const outputs = frame.activations.map((activation, index) => runPosition(sequence, first + index, activation))
+    sequence.queued += 1
+    pace.schedule(frame.activations.length, () => {
+      sequence.queued -= 1
+      if (table.get(frame.request) !== sequence || sequence.hold !== undefined) return
+      if (frame.position !== sequence.nextPosition) return
+      const from = frame.position - frame.activations.length + 1
+      const outputs = frame.activations.map((activation, index) => runPosition(sequence, from + index, activation))
       sequence.nextPosition = frame.position + 1
-      passOn(sequence, { ...frame, activations: outputs })
+      passOn(sequence, { ...frame, activations: outputs.slice(Math.max(0, sequence.passFrom - from)) })
     })
   }
 
-  /** Runs one position; positions before the attempt's first are rebuilt and give no token. */
+  /** Runs one position; positions before the attempt's first give no token. */
   function runPosition (sequence: Sequence, position: number, activation: number): number {
     const { request, attempt, fromLayer, toLayer } = sequence
     const mode = position < sequence.firstPosition ? 'rebuild' : 'run'
-    ledger.push({ request, attempt, position, fromLayer, toLayer, mode })
-    if (ledger.length > LEDGER_ROWS) ledger.splice(0, LEDGER_ROWS / 2)
+    record({ request, attempt, position, fromLayer, toLayer, mode })
     const kv = position === 0 ? 0 : sequence.kv[position - 1] ?? 0
-    sequence.kv[position] = extendKv(kv, activation)
+    sequence.kv[position] ??= extendKv(kv, activation)
     return runLayers(activation, kv, fromLayer, toLayer)
   }
 
+  function record (row: LedgerRow): void {
+    ledger.push(row)
+    if (ledger.length > LEDGER_ROWS) ledger.splice(0, LEDGER_ROWS / 2)
+    options.onRow?.(row)
+  }
+
   function passOn (sequence: Sequence, frame: LinkFrame): void {
     const { request, attempt, position } = frame
     if (sequence.next !== undefined) return send(sequence.next, frame)
     const token = readToken(frame.activations.at(-1)!)
     const last = position + 1 >= sequence.maxTokens
+    if (sequence.fromLayer > 0) sequence.tokens.push(token)
     sendToken(sequence, { attempt, position, token, ...(last ? { last } : {}) })
     if (!last) return send(sequence.first, { kind: 'feedback', request, attempt, position: position + 1, activations: [], token })
+    if (sequence.fromLayer === 0) sequence.tokens.push(token)
+    else table.end(sequence)
     send(sequence.first, { kind: 'finish', request, attempt, position, activations: [] })
-    if (sequence.fromLayer > 0) sequences.delete(request)
   }
 
   function finish (sequence: Sequence): void {
-    sequences.delete(sequence.request)
+    table.end(sequence)
     endStage(sequence)
     const { request, attempt, nextPosition, next } = sequence
     if (next !== undefined) send(next, { kind: 'finish', request, attempt, position: nextPosition, activations: [] })
@@ -157,18 +156,18 @@
   function send (address: string, frame: LinkFrame): void {
     if (faults.linkCut) return
     if (faults.linkDelayMs === 0) sendLink(address, frame)
-    else setTimeout(() => sendLink(address, frame), faults.linkDelayMs)
+    else runtime.setTimer(faults.linkDelayMs, () => sendLink(address, frame))
   }
 
   return {
     faults: new Proxy(faults, {
       set (on, field, value) {
         Reflect.set(on, field, value)
-        if (field === 'frozen' && value === false) thaw()
+        if (field === 'frozen' && value === false) pace.thaw()
         return true
       }
     }),
-    status: () => ({ target, ...held, fencing, sequences: sequences.size, leaving: faults.leaving }),
+    status: () => ({ target, ...held, fencing, sequences: table.count(), leaving: faults.leaving }),
     order (order) {
       if (faults.checksFencing && order.fencing < fencing) return { kind: 'refused', status: 409, cause: `fencing number ${fencing} was seen` }
       fencing = Math.max(fencing, order.fencing)
@@ -177,10 +176,10 @@
     },
     open,
     receive,
-    cancel (request, attempt) {
-      if (sequences.get(request)?.attempt === attempt) sequences.delete(request)
-      early.delete(request)
-    },
-    ledger: request => request === undefined ? ledger : ledger.filter(row => row.request === request)
+    cancel: table.cancel,
+    park: table.park,
+    held: table.held,
+    ledger: request => request === undefined ? ledger : ledger.filter(row => row.request === request),
+    [Symbol.dispose]: () => table[Symbol.dispose]()
   }
 }
--- a/standin/engine/serveEngine/index.ts
+++ b/standin/engine/serveEngine/index.ts
@@ -2,13 +2,16 @@
  * A stand-in engine over HTTP. Stages keep one streaming request open to each stage that they
  * send activations to.
  */
+import { openSync, writeSync } from 'node:fs'
 import http, { type IncomingMessage, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { EngineOrder, OpenSequence } from '../../../src/engine/types.js'
 import { createLineSplitter } from '../../../src/engine/_lib/createLineSplitter.js'
 import { listen, type ListeningServer } from '../../../src/http/listen/index.js'
+import { createSystemRuntime } from '../../../src/runtime/createSystemRuntime/index.js'
 import { readJson, sendJson } from '../../_lib/answer.js'
 import { createEngine, type Engine, type EngineOptions } from '../createEngine/index.js'
-import type { LinkFrame } from '../types.js'
+import type { LedgerRow, LinkFrame } from '../types.js'
 
 /** A served engine. */
 export interface ServedEngine extends ListeningServer {
@@ -19,6 +22,8 @@
 export type ServeEngineOptions = Pick<EngineOptions, 'target' | 'model' | 'version' | 'fromLayer' | 'toLayer' | 'tokensPerS' | 'stepMs'> & {
   address: string
   port: number
+  /** File to which each row of the ledger is appended, so that it outlives the process. */
+  ledgerFile?: string | undefined
 }
 
 /**
@@ -33,7 +38,9 @@
 export async function serveEngine (options: ServeEngineOptions): Promise<ServedEngine> {
   const links = new Map<string, http.ClientRequest>()
   const streams = new Map<string, ServerResponse>()
-  let silenced = new WeakSet<object>()
+  const sockets = new Set<Socket>()
+  const linkSockets = new WeakSet<Socket>()
+  const silenced = new WeakSet<Socket>()
   const streamKey = (sequence: { request: string, attempt: number }): string => `${sequence.request}:${sequence.attempt}`
 
   function linkTo (address: string): http.ClientRequest {
@@ -52,13 +59,15 @@
     const stream = streams.get(key)
     if (stream === undefined) return
     if (end) streams.delete(key)
-    if (silenced.has(stream)) return
+    if (stream.socket !== null && silenced.has(stream.socket)) return
     if (line !== undefined) stream.write(`${JSON.stringify(line)}\n`)
     if (end) stream.end()
   }
 
   const engine = createEngine({
     ...options,
+    runtime: createSystemRuntime(),
+    onRow: createRowWriter(options.ledgerFile),
     sendLink: (address, frame) => { linkTo(address).write(`${JSON.stringify(frame)}\n`) },
     sendToken: (sequence, frame) => write(streamKey(sequence), frame, frame.last === true),
     endStage: sequence => write(streamKey(sequence), undefined, true)
@@ -67,18 +76,35 @@
   async function openSequence (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const sequence = await readJson(request) as OpenSequence
     const answer = engine.open(sequence)
-    if (answer.kind === 'refused') return sendJson(response, answer.status, { cause: answer.cause })
+    if (answer.kind === 'refused') return sendJson(response, answer.status, answer)
     const key = streamKey(sequence)
     streams.set(key, response)
     response.writeHead(200, { 'content-type': 'application/x-ndjson' })
     response.flushHeaders()
     response.once('close', () => {
       streams.delete(key)
-      if (!response.writableFinished) engine.cancel(sequence.request, sequence.attempt)
+      if (!response.writableFinished) engine.park(sequence.request, sequence.attempt)
     })
   }
 
+  function askSequence (url: URL, response: ServerResponse): void {
+    const held = engine.held(url.searchParams.get('request') ?? '')
+    if (held === undefined) sendJson(response, 404, { cause: 'no such sequence' })
+    else sendJson(response, 200, held)
+  }
+
+  function cancelSequence (url: URL, response: ServerResponse): void {
+    engine.cancel(url.searchParams.get('request') ?? '', Number(url.searchParams.get('attempt')))
+    sendJson(response, 200, {})
+  }
+
+  /** Silences the connections of callers; those between engines are the engines' own matter. */
+  function silenceOpen (): void {
+    for (const socket of sockets) if (!linkSockets.has(socket)) silenced.add(socket)
+  }
+
   function takeLink (request: IncomingMessage): void {
+    linkSockets.add(request.socket)
     request.on('data', createLineSplitter(line => {
       if (!engine.faults.frozen) engine.receive(JSON.parse(line) as LinkFrame)
     }))
@@ -88,7 +114,7 @@
   async function setFaults (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const change = await readJson(request) as { silenceOpen?: boolean, die?: boolean }
     if (change.die) process.exit(1)
-    if (change.silenceOpen) silenced = new WeakSet([...streams.values()])
+    if (change.silenceOpen) silenceOpen()
     Object.assign(engine.faults, change)
     sendJson(response, 200, engine.faults)
   }
@@ -98,8 +124,10 @@
     const route = `${request.method} ${url.pathname}`
     if (route === 'POST /faults') return await setFaults(request, response)
     if (route === 'GET /ledger') return sendJson(response, 200, { rows: engine.ledger(url.searchParams.get('request') ?? undefined) })
-    if (engine.faults.frozen) return
+    if (engine.faults.frozen || silenced.has(request.socket)) return
     if (route === 'POST /v1/sequences') return await openSequence(request, response)
+    if (route === 'GET /v1/sequences') return askSequence(url, response)
+    if (route === 'DELETE /v1/sequences') return cancelSequence(url, response)
     if (route === 'POST /v1/link') return takeLink(request)
     if (route === 'GET /v1/status') return sendJson(response, 200, engine.status())
     if (route === 'PUT /v1/order') {
@@ -108,12 +136,24 @@
     }
     sendJson(response, 404, { cause: 'no such path' })
   }, options)
+  server.server.on('connection', socket => {
+    sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
+  })
   return {
     ...server,
     engine,
     async [Symbol.asyncDispose] () {
       for (const link of links.values()) link.destroy()
+      engine[Symbol.dispose]()
       await server[Symbol.asyncDispose]()
     }
   }
 }
+
+/** Appends each row as one JSON line, before the row has any effect. */
+function createRowWriter (file: string | undefined): (row: LedgerRow) => void {
+  if (file === undefined) return () => {}
+  const descriptor = openSync(file, 'a')
+  return row => { writeSync(descriptor, `${JSON.stringify(row)}\n`) }
+}
--- a/standin/engine/types.ts
+++ b/standin/engine/types.ts
@@ -10,7 +10,7 @@
   attempt: number
   /** Position in the answer of the (last) activation. */
   position: number
-  /** Activations: one for a step; for a prefill, the prompt's and those of the given tokens. */
+  /** Activations of consecutive positions, the last of which is `position`. */
   activations: number[]
   token?: string
 }
@@ -22,7 +22,7 @@
   position: number
   fromLayer: number
   toLayer: number
-  /** `rebuild` runs give no token: they restore KV cache. */
+  /** `rebuild` runs give no token: they restore KV cache, or recompute activations for it. */
   mode: 'run' | 'rebuild'
 }
 
@@ -44,6 +44,20 @@
 export interface Sequence extends OpenSequence {
   /** Next position that this stage accepts. */
   nextPosition: number
-  /** KV state after the prompt and each position: `kv[0]` after the prompt. */
+  /** KV state after each position. */
   kv: number[]
+  /** Tokens of the answer so far; kept by the first and the last stage. */
+  tokens: string[]
+  /** Frames taken and not yet computed. */
+  queued: number
+  /** Set while no caller is connected; frees the sequence when it runs out. */
+  hold?: Disposable
+}
+
+/** What is remembered of a sequence that has ended: its fence and its tokens, without KV cache. */
+export interface EndedSequence {
+  attempt: number
+  firstPosition: number
+  nextPosition: number
+  tokens: string[]
 }
--- a/standin/plan/index.ts
+++ b/standin/plan/index.ts
@@ -13,7 +13,9 @@
   fromLayer: z.int().min(0).default(0),
   toLayer: z.int().min(0).default(0),
   tokensPerS: z.number().positive().default(2_000),
-  stepMs: z.number().min(0).default(1)
+  stepMs: z.number().min(0).default(1),
+  /** File to which each row of the ledger is appended. */
+  ledgerFile: z.string().optional()
 })
 
 /** Checked form of a plan file. */
