--- /dev/null
+++ b/scenario/grammar.ts
@@ -0,0 +1,76 @@
+/**
+ * Grammar of the scenario language: one statement a line, `#` starts a comment.
+ */
+import * as ohm from 'ohm-js'
+
+export const grammar = ohm.grammar(String.raw`
+Scenario {
+  Statement
+    = Start | Submit | Race | Send | Continue | Book | Kill | Freeze | Resume | Cut | Heal | Degrade | Silence
+    | Leave | Store | Service | Drain | Restart | Leaves | Await | Wait | Expect
+
+  Start
+    = "start" "entry" "on" name "in" name                                   -- entry
+    | "start" "control" "on" name "in" name                                 -- control
+    | "start" "engine" name "for" name "layers" number "to" number          -- engine
+    | "start" "service" name                                                -- service
+  Restart = "restart" Role "on" name
+  Submit = "submit" "ticket" number Content "by" name "at" name
+  Race = "race" "ticket" number Content "by" name "at" name "against" "ticket" number Content "by" name "at" name
+  Content
+    = "setting" name "=" number                                             -- timeout
+    | "placing" name "on" NonemptyListOf<Part, ",">                         -- model
+    | "adding" "everything"                                                 -- all
+  Part = name
+  Send = "send" name "to" name "at" name "for" number "tokens"
+  Continue = "continue" name "at" name
+  Book = "book" name "with" "key" name "of" quoted "at" name
+  Kill = "kill" Thing
+  Freeze = "freeze" Thing
+  Resume = "resume" Thing
+  Cut = "cut" name "from" name
+  Heal = "heal" name "and" name
+  Degrade = "degrade" "engine" name "by" number "ms"
+  Silence = "silence" "engine" name                                         -- engine
+    | "silence" "watches"                                                   -- watches
+  Leave = "caller" "of" name "leaves"
+  Leaves = "engine" name "leaves" "by" ("host list" | "own word")
+  Store
+    = "store" "goes" "down"                                                 -- down
+    | "store" "comes" "back"                                                -- up
+    | "store" "loses" "the" "next" number "answers"                         -- lose
+    | "store" "holds" "the" "next" number "writes"                          -- hold
+    | "store" "applies" "held" "writes"                                     -- apply
+    | "store" "is" "copied"                                                 -- copy
+    | "store" "is" "restored"                                               -- restore
+  Service
+    = "service" name "loses" "the" "next" number "answers"                  -- lose
+    | "service" name "refuses" "connections"                                -- refuse
+  Drain = "drain" "entry" "on" name
+  Wait = "wait" number "ms"
+  Await
+    = "wait" "for" name                                                     -- outcome
+    | "wait" "for" number "tokens" "of" name                                -- tokens
+    | "wait" "for" "revision" number "at" Where                             -- revision
+  Expect
+    = "expect" name "answered" "in" "full"                                  -- answered
+    | "expect" name "refused" "with" name "and" "verdict" name              -- refused
+    | "expect" "ticket" number "by" name "accepted"                         -- accepted
+    | "expect" "ticket" number "by" name "refused" "with" name              -- ticketRefused
+    | "expect" "ticket" number "by" name "uncertain"                        -- uncertain
+    | "expect" "revision" number "at" Where                                 -- revision
+    | "expect" "no" "revision" "fell"                                       -- monotonic
+    | "expect" "each" "layer" "once"                                        -- layers
+    | "expect" "key" name "booked" number "times"                           -- booked
+    | "expect" "no" "new" "work" "on" name                                  -- idle
+    | "expect" "nothing" "left" "open"                                      -- clean
+    | "expect" "entry" "on" name "stopped" "cutting" "off" number           -- stopped
+
+  Role = "entry" | "control"
+  Thing = ("host" | "engine" | "control" | "entry") "on"? name
+  Where = "every host" | name
+  name = letter (alnum | "-" | "_")*
+  number = digit+
+  quoted = "\"" (~"\"" any)* "\""
+}
+`)
--- /dev/null
+++ b/scenario/parseScenario/index.ts
@@ -0,0 +1,65 @@
+/**
+ * From the text of a scenario to its statements.
+ */
+import type { Node } from 'ohm-js'
+import { grammar } from '../grammar.js'
+
+/** One statement: the grammar's alternative, and the names and numbers in its order. */
+export interface Statement {
+  /** Counted from 1. */
+  line: number
+  source: string
+  kind: string
+  args: Array<string | number>
+}
+
+/** A scenario, or the lines that are not part of the language. */
+export type ScenarioResult =
+  | { kind: 'valid', statements: Statement[] }
+  | { kind: 'invalid', faults: string[] }
+
+const semantics = grammar.createSemantics().addOperation<Array<string | number>>('args', {
+  _nonterminal: (...children) => children.flatMap(child => child.args() as Array<string | number>),
+  _iter: (...children) => children.flatMap(child => child.args() as Array<string | number>),
+  _terminal: () => [],
+  name (_first, _rest) { return [this.sourceString] },
+  number (_digits) { return [Number(this.sourceString)] },
+  quoted (_open, content, _close) { return [content.sourceString] },
+  Thing (kind, _on, name) { return [kind.sourceString, name.sourceString] },
+  Where (where) { return [where.sourceString] },
+  Role (role) { return [role.sourceString] }
+}).addOperation<string>('kind', {
+  Statement: alternative => alternative.kind() as string,
+  _nonterminal (...children: Node[]) {
+    const [only] = children
+    return children.length === 1 && only!.ctorName.startsWith(`${this.ctorName}_`) ? only!.ctorName : this.ctorName
+  }
+})
+
+/**
+ * @name parseScenario
+ * @summary Reads a scenario.
+ * @param text - One statement a line; `#` starts a comment.
+ * @param options - `file`, the name used in faults.
+ * @returns The statements, or every line that could not be read with its number.
+ *
+ * @example
+ * parseScenario('start entry on host-1 in domain-a', { file: 'a.scenario' })
+ */
+export function parseScenario (text: string, options: { file: string }): ScenarioResult {
+  const statements: Statement[] = []
+  const faults: string[] = []
+  for (const [index, raw] of text.split('\n').entries()) {
+    const source = raw.replace(/#.*$/, '').trim()
+    if (source === '') continue
+    const match = grammar.match(source, 'Statement')
+    const line = index + 1
+    if (match.failed()) {
+      faults.push(`${options.file}:${line}: ${(match.shortMessage ?? '').replace(/^Line 1, col /, 'column ')}`)
+      continue
+    }
+    const node = semantics(match)
+    statements.push({ line, source, kind: node.kind() as string, args: node.args() as Array<string | number> })
+  }
+  return faults.length > 0 ? { kind: 'invalid', faults } : { kind: 'valid', statements }
+}
