Settle ticket outcomes by moving the version of the head

Cause: a submission decided from the scope numbers of the head whether it had been accepted. A ticket whose write landed with its answer lost, and which another ticket then followed on the same scope, was reported superseded; a ticket that removed a scope was never found; a removed scope could be brought back by a lower number.

Change: the head lists accepted tickets with revision and digest, moved to the tickets' records before they leave the list; removed scopes keep their number; claims, values and the head are written again under the same condition until the outcome is known. Targets are checked against the host list. A store that is behind the configuration in force is not followed by a submission.

Conclusion: no wrong report is known; reused versions after a restore remain.

--- /dev/null
+++ b/src/configuration/restoreConfiguration/index.ts
@@ -0,0 +1,58 @@
+/**
+ * Mending a store that was restored to an older state than what is in force.
+ */
+import { randomUUID } from 'node:crypto'
+import { ensureObject } from '../../objectApi/ensureObject/index.js'
+import type { ObjectStore } from '../../objectApi/types.js'
+import { HEAD_KEY, scopeKey } from '../../ticket/constants.js'
+import type { Configuration } from '../types.js'
+
+/** What the mending works with. */
+export interface RestoreOptions {
+  store: ObjectStore
+  pause: (attempt: number) => Promise<void>
+}
+
+type Restored = { kind: 'restored' } | { kind: 'unavailable', cause: string }
+
+/**
+ * @name restoreConfiguration
+ * @summary Writes the configuration in force back to a store whose head is behind it.
+ * @description The head is written under the version that was read, so that of several hosts
+ * one succeeds and the others read again.
+ * @param inForce - What is in force on this host.
+ * @param options - The store, the wait between tries, and the version of the stored head.
+ * @returns Whether the store now has it; `unavailable` where the next read must tell.
+ *
+ * @example
+ * await restoreConfiguration(holder.current(), { store, pause, headVersion })
+ */
+export async function restoreConfiguration (
+  inForce: Configuration,
+  options: RestoreOptions & { headVersion: number | 'absent' }
+): Promise<Restored> {
+  const values = await restoreValues(inForce, options)
+  if (values.kind === 'unavailable') return values
+  const condition = options.headVersion === 'absent' ? { ifAbsent: true as const } : { ifVersion: options.headVersion }
+  const written = await options.store.write(HEAD_KEY, { ...inForce.head, nonce: randomUUID() }, condition)
+  if (written.kind === 'written') return { kind: 'restored' }
+  return { kind: 'unavailable', cause: written.kind === 'conflict' ? 'the head moved' : written.cause }
+}
+
+/**
+ * @name restoreValues
+ * @summary Writes back the values that a configuration's head names, where they are missing.
+ * @param inForce - The configuration.
+ * @param options - The store and the wait between tries.
+ * @returns Whether all of them are stored.
+ *
+ * @example
+ * await restoreValues(holder.current(), { store, pause })
+ */
+export async function restoreValues (inForce: Configuration, options: RestoreOptions): Promise<Restored> {
+  for (const [scope, ticket] of Object.entries(inForce.head.scopes)) {
+    const result = await ensureObject(scopeKey(scope, ticket), inForce.values.get(scope), options)
+    if (result.kind === 'notApplied' || result.kind === 'unsettled') return { kind: 'unavailable', cause: result.cause }
+  }
+  return { kind: 'restored' }
+}
--- a/src/daemon/createOperatorHandler/index.ts
+++ b/src/daemon/createOperatorHandler/index.ts
@@ -84,7 +84,18 @@
   if (read.kind !== 'body') return sendRefusal(call.response, createRefusal(read.kind === 'tooLarge' ? 'bodyTooLarge' : 'senderTooSlow'))
   const parsed = parseJsonc(read.body.toString('utf8'), ticketSchema, { file: 'ticket' })
   if (parsed.kind === 'invalid') return sendRefusal(call.response, createRefusal('ticketInvalid', { facts: { faults: parsed.faults } }))
-  const outcome = await submitTicket(parsed.value, { store, runtime, log, operator: call.operator })
+  const outcome = await submitTicket(parsed.value, {
+    store,
+    runtime,
+    log,
+    operator: call.operator,
+    known: daemon.holder.current,
+    highestRevision: () => Math.max(...daemon.table.live().map(member => member.revisionInForce)),
+    hosts: async () => {
+      const listed = await daemon.hostList.read()
+      return listed.kind === 'listed' ? listed.hosts : undefined
+    }
+  })
   sendOutcome(outcome, call.response, daemon)
 }
 
--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -26,6 +26,8 @@
   revisionInForce: { number: 2010, level: 'info', text: 'configuration revision in force on this host' },
   revisionIgnored: { number: 2011, level: 'warn', text: 'configuration with a lower revision ignored' },
   configurationInvalid: { number: 2012, level: 'error', text: 'stored configuration could not be read' },
+  storeBehind: { number: 2020, level: 'warn', text: 'stored head is behind the configuration in force' },
+  storeRepaired: { number: 2021, level: 'warn', text: 'configuration in force written back to the object API' },
   requestAdmitted: { number: 3001, level: 'info', text: 'request admitted' },
   requestRefused: { number: 3002, level: 'warn', text: 'request refused' },
   pipelineOpened: { number: 3010, level: 'info', text: 'pipeline opened' },
--- a/src/ticket/checkTicket/index.ts
+++ b/src/ticket/checkTicket/index.ts
@@ -35,16 +35,19 @@
 export function applyTicket (base: Configuration, ticket: Ticket): Configuration {
   const values = new Map(base.values)
   const scopes = { ...base.head.scopes }
+  const removed = { ...base.head.removed }
   for (const [scope, value] of Object.entries(ticket.scopes)) {
     if (value === null) {
       values.delete(scope)
       delete scopes[scope]
+      removed[scope] = ticket.number
     } else {
+      delete removed[scope]
       values.set(scope, value)
       scopes[scope] = ticket.number
     }
   }
-  const head = { ...base.head, revision: base.head.revision + 1, scopes, ticket: ticket.number }
+  const head = { ...base.head, revision: base.head.revision + 1, scopes, removed, ticket: ticket.number }
   return buildConfiguration(head, values)
 }
 
--- a/src/ticket/constants.ts
+++ b/src/ticket/constants.ts
@@ -11,6 +11,9 @@
 /** Prefix of the records of tickets. */
 export const TICKET_PREFIX = 'tickets/'
 
+/** Acceptances that the head lists before they move to the tickets' records. */
+export const MAX_ACCEPTED_IN_HEAD = 32
+
 /** Key of a ticket's record. */
 export function ticketKey (number: number): string {
   return `${TICKET_PREFIX}${number}`
--- a/src/ticket/submitTicket/test.ts
+++ b/src/ticket/submitTicket/test.ts
@@ -1,15 +1,18 @@
 import test from 'ava'
 import { createMemoryObjectStore } from '../../../standin/objectApi/createMemoryObjectStore/index.js'
-import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
+import { createImmediateRuntime } from '../../../test/fakes/createImmediateRuntime.js'
 import { createTestLog } from '../../../test/fakes/createTestLog.js'
+import { buildConfiguration, EMPTY_HEAD } from '../../configuration/buildConfiguration/index.js'
+import { loadConfiguration } from '../../configuration/loadConfiguration/index.js'
+import { HEAD_KEY, MAX_ACCEPTED_IN_HEAD } from '../constants.js'
 import type { Ticket } from '../types.js'
-import { submitTicket } from './index.js'
+import { submitTicket, type SubmitTicketOptions } from './index.js'
 
 const timeouts = (number: number, connectMs: number): Ticket => ({ number, scopes: { timeouts: { connectMs } } })
 
-function setUp () {
+function setUp (extra: Partial<SubmitTicketOptions> = {}) {
   const store = createMemoryObjectStore()
-  const options = { store, runtime: createManualRuntime(), log: createTestLog(), operator: 'ana' }
+  const options = { store, runtime: createImmediateRuntime(), log: createTestLog(), operator: 'ana', ...extra }
   return { store, submit: (ticket: Ticket) => submitTicket(ticket, options) }
 }
 
@@ -33,3 +36,66 @@
   const second = await submit(timeouts(4, 200))
   t.is(second.kind === 'refused' ? second.reason : second.kind, 'ticketSuperseded')
 })
+
+test('a ticket is found accepted long after others have followed it', async t => {
+  const { submit } = setUp()
+  for (let number = 1; number <= MAX_ACCEPTED_IN_HEAD + 8; number++) await submit(timeouts(number, number))
+  t.deepEqual(await submit(timeouts(1, 1)), { kind: 'accepted', number: 1, revision: 1 })
+})
+
+test('a ticket applied late is reported accepted although another has superseded it', async t => {
+  const { store, submit } = setUp()
+  await submit(timeouts(1, 100))
+  const settle = store.write
+  store.write = async (key, value, condition) => {
+    store.write = settle
+    const result = await settle(key, value, condition)
+    return key === HEAD_KEY ? { kind: 'mayBeApplied', cause: String(result.kind) } : result
+  }
+  t.like(await submit(timeouts(2, 200)), { kind: 'accepted', revision: 2 })
+  t.like(await submit(timeouts(3, 300)), { kind: 'accepted', revision: 3 })
+  t.like(await submit(timeouts(2, 200)), { kind: 'accepted', revision: 2 })
+})
+
+test('a lower number does not bring back a scope that a higher one removed', async t => {
+  const { submit } = setUp()
+  await submit(timeouts(1, 100))
+  await submit({ number: 3, scopes: { timeouts: null } })
+  t.like(await submit(timeouts(2, 200)), { reason: 'ticketSuperseded', facts: { scope: 'timeouts', inForce: 3 } })
+})
+
+test('targets that a model is placed on cannot be removed alone', async t => {
+  const { submit } = setUp()
+  const targets = { targets: [{ name: 'engine-1', host: 'engine-1', kind: 'engine' }] }
+  const model = { layers: 4, version: 'v1', placement: [{ target: 'engine-1', fromLayer: 0, toLayer: 4 }] }
+  await submit({ number: 1, scopes: { 'targets/a': targets, 'models/m': model } })
+  t.like(await submit({ number: 2, scopes: { 'targets/a': null } }), { reason: 'ticketInconsistent' })
+  t.like(await submit({ number: 3, scopes: { 'targets/a': null, 'models/m': null } }), { kind: 'accepted', revision: 2 })
+})
+
+test('a target on a host that the host list does not name is refused', async t => {
+  const { submit } = setUp({ hosts: async () => [{ name: 'engine-1', address: '127.0.0.1:1', failureDomain: 'a', state: 'live' }] })
+  const on = (host: string) => ({ 'targets/a': { targets: [{ name: 'engine-1', host, kind: 'engine' }] } })
+  t.like(await submit({ number: 1, scopes: on('engine-2') }), { reason: 'ticketUnknownHost' })
+  t.like(await submit({ number: 2, scopes: on('engine-1') }), { kind: 'accepted' })
+})
+
+test('a ticket against a restored store passes the revision in force and keeps what was lost', async t => {
+  const known = { current: buildConfiguration(EMPTY_HEAD, new Map()) }
+  const { store, submit } = setUp({ known: () => known.current })
+  await submit(timeouts(1, 100))
+  const older = store.snapshot()
+  await submit(timeouts(2, 200))
+  const loaded = await loadConfiguration(store)
+  if (loaded.kind === 'loaded') known.current = loaded.configuration
+  store.restore(older, older.length)
+  t.like(await submit({ number: 3, scopes: { 'targets/a': { targets: [] } } }), { kind: 'accepted', revision: 3 })
+  const after = await loadConfiguration(store)
+  t.is(after.kind === 'loaded' && after.configuration.timeouts.connectMs, 200)
+  t.like(await submit(timeouts(2, 200)), { kind: 'accepted', revision: 2 })
+})
+
+test('a host behind other members accepts nothing', async t => {
+  const { submit } = setUp({ highestRevision: () => 5 })
+  t.is((await submit(timeouts(1, 100))).kind, 'uncertain')
+})
--- a/src/ticket/types.ts
+++ b/src/ticket/types.ts
@@ -126,14 +126,28 @@
 export type TimeoutsScope = z.infer<typeof timeoutsScopeSchema>
 export type Ticket = z.infer<typeof ticketSchema>
 
+/** One acceptance, as the head lists it until the ticket's record says so. */
+export const acceptedTicketSchema = z.strictObject({
+  ticket: z.int().positive(),
+  revision: z.int().positive(),
+  digest: z.string()
+})
+
+/** One acceptance. */
+export type AcceptedTicket = z.infer<typeof acceptedTicketSchema>
+
 /** The stored head: the one object whose version decides what is in force. */
 export const headSchema = z.strictObject({
   revision: z.int().min(0),
   /** Scope to the number of the ticket whose value is in force. */
   scopes: z.record(z.string(), z.int().positive()),
+  /** Removed scopes, each with the number of the ticket that removed it. */
+  removed: z.record(z.string(), z.int().positive()).optional(),
+  /** Tickets accepted of late, oldest first; earlier ones are noted in their records. */
+  accepted: z.array(acceptedTicketSchema).optional(),
   /** Of the writer of this head, so that it knows its own write. */
   nonce: z.string(),
-  /** Ticket that made this head; absent in a fencing write. */
+  /** Ticket that made this revision. */
   ticket: z.int().positive().optional()
 })
 
@@ -148,7 +162,9 @@
   scopes: z.array(z.string()),
   note: z.string().optional(),
   submittedMs: z.number(),
-  submittedBy: z.string()
+  submittedBy: z.string(),
+  /** Revision at which it was accepted, once it has left the head's list. */
+  acceptedRevision: z.int().positive().optional()
 })
 
 /** The stored record of a ticket. */
@@ -164,6 +180,6 @@
 /** What became of a submission. */
 export type TicketOutcome =
   | { kind: 'accepted', number: number, revision: number }
-  | { kind: 'refused', number: number, reason: 'ticketInvalid' | 'ticketNumberTaken' | 'ticketSuperseded' | 'ticketStaleBase' | 'ticketInconsistent' | 'storeUnavailable', facts: Record<string, unknown> }
+  | { kind: 'refused', number: number, reason: 'ticketInvalid' | 'ticketNumberTaken' | 'ticketSuperseded' | 'ticketStaleBase' | 'ticketInconsistent' | 'ticketUnknownHost' | 'storeUnavailable', facts: Record<string, unknown> }
   /** The head may yet be moved by this ticket; ask again with the same ticket. */
   | { kind: 'uncertain', number: number, cause: string }
--- a/src/verdict/reasons.ts
+++ b/src/verdict/reasons.ts
@@ -38,9 +38,11 @@
   ticketInDoubt: { number: 506, status: 503, title: 'Whether the ticket was accepted is not yet known.' },
   unknownTicket: { number: 507, status: 404, title: 'No such ticket is recorded.' },
   unknownRefusal: { number: 508, status: 404, title: 'No record of this identity is kept.' },
+  ticketUnknownHost: { number: 509, status: 422, title: 'The host list does not name a host of the ticket.' },
   notReady: { number: 601, status: 503, title: 'This host has no configuration in force yet.' },
   draining: { number: 602, status: 503, title: 'This host is shutting down.' },
   storeUnavailable: { number: 603, status: 503, title: 'The object API is not available.' },
+  staleConfiguration: { number: 604, status: 503, title: 'This host is cut off and may not have the newest configuration.' },
   internalError: { number: 690, status: 500, title: 'The system failed in an unexpected way.' }
 } as const satisfies Record<string, ReasonDefinition>
 
--- a/standin/objectApi/createMemoryObjectStore/index.ts
+++ b/standin/objectApi/createMemoryObjectStore/index.ts
@@ -21,8 +21,8 @@
   faults: StoreFaults
   /** Writes that are held, oldest first. */
   heldWrites: () => number
-  /** Applies the held writes as if they had just arrived. */
-  applyHeld: () => void
+  /** Applies held writes as if they had just arrived: the oldest ones, all without a count. */
+  applyHeld: (count?: number) => void
   /** A copy of everything stored. */
   snapshot: () => StoredObject[]
   /** Puts an older copy back; versions and revision fall with it. */
@@ -133,9 +133,9 @@
     remove: async (key, condition) => faultyWrite(key, undefined, condition),
     watch,
     heldWrites: () => held.length,
-    applyHeld () {
-      const writes = held
-      held = []
+    applyHeld (count = held.length) {
+      const writes = held.slice(0, count)
+      held = held.slice(count)
       for (const apply of writes) apply()
     },
     snapshot: () => structuredClone([...objects.values()]),
