Settle lost intents, doubts and takeovers of keyed bookings

Cause: an intent write answered as lost was refused with no regard to its landing later; a record in doubt stayed so for ever; a key that certainly did not run could not be used again; a store outage was answered `notRun` also for keys that an earlier host had sent.

Ruled out: calling every outage `notRun`. The test "a booking that ran is not called not run when the store goes down after its host" and the random interleavings (fast-check) contradict it.

Change: a create is repeated with its nonce until its outcome is known; the right to send is checked on the monotonic clock before the first byte; other arrivals wait out the holder's time and then settle by the service's status read; `notRun` records are taken over by version; outcomes that could not be recorded are tried again after the answer.

--- a/src/booking/bookOnce/index.ts
+++ b/src/booking/bookOnce/index.ts
@@ -1,94 +1,128 @@
 /**
  * A keyed call that takes effect at most once: its intent is recorded before the one send, its
- * outcome after it, and whoever meets the record again sends nothing.
+ * outcome after it, and whoever meets the record again sends nothing unless the record says that
+ * the call certainly did not run.
  */
 import { createHash, randomUUID } from 'node:crypto'
-import type { EventLog } from '../../event/types.js'
-import type { ObjectStore } from '../../objectApi/types.js'
+import type { WriteCondition } from '../../objectApi/types.js'
 import type { ServiceCall, ServiceResult } from '../../service/types.js'
+import { classifyServiceResult } from '../../verdict/classifyServiceResult/index.js'
 import { createRefusal, NEVER_SENT } from '../../verdict/createRefusal/index.js'
-import type { Refusal } from '../../verdict/types.js'
-import { BOOKING_PREFIX, bookingRecordSchema, type BookingRecord } from '../types.js'
+import { awaitOutcome } from '../_lib/awaitOutcome.js'
+import { recordOutcome, recordOutcomeLater } from '../_lib/recordOutcome.js'
+import { writeUntilKnown } from '../_lib/writeUntilKnown.js'
+import {
+  BOOKING_PREFIX, SEND_WITHIN_MS, STORE_RETRY_MS,
+  type Booking, type BookingRecord, type BookingResult, type BookOnceOptions, type SendPermit
+} from '../types.js'
 
-/** When a caller whose booking could not be recorded should come back. */
-const STORE_RETRY_MS = 2_000
+/** How often one arrival competes for a key that is free again. */
+const MAX_CLAIMS = 3
 
-/** One keyed call. */
-export interface Booking {
-  request: string
-  account: string
-  service: string
-  key: string
-  call: ServiceCall
-}
-
-/** What a booking works with. */
-export interface BookOnceOptions {
-  store: ObjectStore
-  log: EventLog
-  /** Sends the call once. */
-  send: () => Promise<ServiceResult>
-}
-
-/** A service's answer, or why there is none. */
-export type BookingResult =
-  | { kind: 'answered', status: number, contentType: string, body: string, replayed: boolean }
-  | { kind: 'refused', refusal: Refusal }
+/** Longest recorded body; an answer over it is given once and not repeated. */
+const MAX_RECORDED_BODY_BYTES = 524_288
 
 /**
  * @name bookOnce
  * @summary Sends a keyed call at most once over all entry hosts.
  * @param booking - The call and its key.
- * @param options - Store, log and the one send.
+ * @param options - Store, log, runtime, the one send and the service's status read.
  * @returns The answer, given again on every repetition, or a refusal with its verdict.
  *
  * @example
- * const result = await bookOnce(booking, { store, log, send })
+ * const result = await bookOnce(booking, { store, log, runtime, send, timeoutMs: 5_000 })
  */
 export async function bookOnce (booking: Booking, options: BookOnceOptions): Promise<BookingResult> {
-  const { store, log, send } = options
-  const key = BOOKING_PREFIX + createHash('sha256').update(`${booking.account}\n${booking.service}\n${booking.key}`).digest('hex')
-  const intent: BookingRecord = { service: booking.service, digest: digestCall(booking.call), nonce: randomUUID(), state: 'intended' }
-  const written = await store.write(key, intent, { ifAbsent: true })
-  if (written.kind === 'conflict') return await replay(key, intent, booking, options)
-  if (written.kind !== 'written') {
-    const refusal = createRefusal('bookingStoreUnavailable', { verdict: NEVER_SENT, facts: { cause: written.cause }, retryAfterMs: STORE_RETRY_MS })
-    return { kind: 'refused', refusal }
+  const { runtime, log } = options
+  const key = bookingKey(booking)
+  let condition: WriteCondition = { ifAbsent: true }
+  for (let claim = 0; claim < MAX_CLAIMS; claim++) {
+    const intent = createIntent(booking, options)
+    const untilMs = runtime.monotonicMs() + SEND_WITHIN_MS
+    const permit: SendPermit = { isOpen: () => runtime.monotonicMs() < untilMs }
+    const claimed = await writeUntilKnown(key, intent, condition, { ...options, untilMs })
+    if (claimed.kind === 'applied') return await sendHeld(key, { intent, version: claimed.version, permit }, booking, options)
+    if (claimed.kind !== 'other') {
+      if (claimed.kind === 'uncertain') options.keep?.(recordOutcomeLater(key, { ...intent, state: 'notRun' }, { ...options, version: 0 }))
+      const isNew = booking.isFirstAttempt === true || 'ifVersion' in condition
+      return refuseUnrecorded(claimed.cause, isNew)
+    }
+    if (claimed.stored.record.digest !== intent.digest) {
+      return { kind: 'refused', refusal: createRefusal('bookingMismatch', { verdict: NEVER_SENT }) }
+    }
+    const { record, version } = await awaitOutcome(key, claimed.stored, options)
+    if (record.state !== 'notRun' || record.closed) {
+      log.emit('bookingReplayed', { request: booking.request, state: record.state })
+      return toResult(record, true)
+    }
+    condition = { ifVersion: version }
   }
-  const { request } = booking
-  log.emit('bookingIntended', { request, service: booking.service })
-  const result = await send()
-  log.emit('bookingSent', { request, service: booking.service, result: result.kind })
-  const record = settle(intent, result)
-  const settled = await store.write(key, record, { ifVersion: written.version })
-  log.emit('bookingSettled', { request, state: record.state, recorded: settled.kind })
-  return toResult(record, false)
+  return { kind: 'refused', refusal: createRefusal('bookingInDoubt', { verdict: { kind: 'mayHaveRun' }, retryAfterMs: STORE_RETRY_MS }) }
 }
 
-async function replay (key: string, mine: BookingRecord, booking: Booking, options: BookOnceOptions): Promise<BookingResult> {
-  const read = await options.store.read(key)
-  if (read.kind !== 'found') {
-    const refusal = createRefusal('bookingStoreUnavailable', { verdict: { kind: 'mayHaveRun' }, facts: { read: read.kind }, retryAfterMs: STORE_RETRY_MS })
-    return { kind: 'refused', refusal }
-  }
-  const record = bookingRecordSchema.parse(read.object.value)
-  if (record.digest !== mine.digest) return { kind: 'refused', refusal: createRefusal('bookingMismatch', { verdict: NEVER_SENT }) }
-  options.log.emit('bookingReplayed', { request: booking.request, state: record.state })
-  return toResult(record, true)
+/** An intent that is known to be in the store, with the right to send. */
+interface HeldIntent {
+  intent: BookingRecord
+  version: number
+  permit: SendPermit
+}
+
+async function sendHeld (key: string, held: HeldIntent, booking: Booking, options: BookOnceOptions): Promise<BookingResult> {
+  const { intent, version, permit } = held
+  const { log, store, runtime, keep, signal } = options
+  const { request, service } = booking
+  log.emit('bookingIntended', { request, service })
+  const isCallerGone = signal?.aborted ?? false
+  const result: ServiceResult = permit.isOpen() && !isCallerGone
+    ? await options.send(permit)
+    : { kind: 'unreachable', cause: isCallerGone ? 'the caller went away before the send' : 'the time to send had passed' }
+  log.emit('bookingSent', { request, service, result: result.kind })
+  const outcome = toOutcome(intent, result, options)
+  const place = { store, runtime, version }
+  const isRecorded = await recordOutcome(key, outcome, place)
+  log.emit('bookingSettled', { request, state: outcome.state, recorded: isRecorded })
+  if (!isRecorded) keep?.(recordOutcomeLater(key, outcome, place))
+  if (result.kind === 'answered' && outcome.state === 'answered') return { ...result, replayed: false }
+  return toResult(outcome, false, result.kind === 'answered' ? undefined : result.cause)
 }
 
-function settle (intent: BookingRecord, result: ServiceResult): BookingRecord {
-  if (result.kind === 'answered') {
-    const { status, contentType, body } = result
-    return { ...intent, state: 'answered', answer: { status, contentType, body } }
+function createIntent (booking: Booking, { timeoutMs }: BookOnceOptions): BookingRecord {
+  const { service, call } = booking
+  return { service, digest: digestCall(call), nonce: randomUUID(), state: 'intended', sendWithinMs: SEND_WITHIN_MS, timeoutMs }
+}
+
+function toOutcome (intent: BookingRecord, result: ServiceResult, { notRunStatuses = [] }: BookOnceOptions): BookingRecord {
+  const verdict = classifyServiceResult(result, { notRunStatuses })
+  if (verdict.kind === 'notRun') return { ...intent, state: 'notRun' }
+  if (result.kind !== 'answered') return { ...intent, state: 'mayHaveRun' }
+  const { status, contentType, body } = result
+  if (body.length > MAX_RECORDED_BODY_BYTES) return { ...intent, state: 'answered' }
+  return { ...intent, state: 'answered', answer: { status, contentType, body: body.toString('base64') } }
+}
+
+function toResult (record: BookingRecord, replayed: boolean, cause?: string): BookingResult {
+  if (record.answer !== undefined) {
+    const { status, contentType, body } = record.answer
+    return { kind: 'answered', status, contentType, body: Buffer.from(body, 'base64'), replayed }
   }
-  return { ...intent, state: result.kind === 'unreachable' ? 'notRun' : 'mayHaveRun' }
+  const facts = { state: record.state, ...(cause === undefined ? {} : { cause }) }
+  if (record.state === 'answered') return { kind: 'refused', refusal: createRefusal('bookingAnswerNotKept', { verdict: { kind: 'ran' }, facts }) }
+  if (record.closed) return { kind: 'refused', refusal: createRefusal('bookingClosed', { verdict: NEVER_SENT, facts }) }
+  if (record.state === 'notRun') {
+    return { kind: 'refused', refusal: createRefusal('targetUnreachable', { verdict: NEVER_SENT, facts, retryAfterMs: STORE_RETRY_MS }) }
+  }
+  return { kind: 'refused', refusal: createRefusal('bookingInDoubt', { verdict: { kind: 'mayHaveRun' }, facts, retryAfterMs: STORE_RETRY_MS }) }
+}
+
+/** This arrival sent nothing; whether an earlier one with the key did is known only where `isNew`. */
+function refuseUnrecorded (cause: string, isNew: boolean): BookingResult {
+  const verdict = isNew ? NEVER_SENT : { kind: 'mayHaveRun' as const }
+  const facts = { cause, sentByThisCall: false, earlierCalls: isNew ? 'none' : 'unknown' }
+  return { kind: 'refused', refusal: createRefusal('bookingStoreUnavailable', { verdict, facts, retryAfterMs: STORE_RETRY_MS }) }
 }
 
-function toResult (record: BookingRecord, replayed: boolean): BookingResult {
-  if (record.answer !== undefined) return { kind: 'answered', ...record.answer, replayed }
-  if (record.state === 'notRun') return { kind: 'refused', refusal: createRefusal('targetUnreachable', { verdict: NEVER_SENT }) }
-  return { kind: 'refused', refusal: createRefusal('bookingInDoubt', { verdict: { kind: 'mayHaveRun' }, facts: { state: record.state } }) }
+function bookingKey ({ account, service, key }: Booking): string {
+  return BOOKING_PREFIX + createHash('sha256').update(JSON.stringify([account, service, key])).digest('hex')
 }
 
 function digestCall (call: ServiceCall): string {
--- /dev/null
+++ b/src/entry/_lib/readServiceStatus.ts
@@ -0,0 +1,21 @@
+/**
+ * The state of a key as a service tells it.
+ */
+import type { StatusResult } from '../../booking/types.js'
+import type { ServiceScope } from '../../ticket/types.js'
+import type { EntryContext } from '../types.js'
+import { sendToService } from './sendToService.js'
+
+/** A success says that the call ran, 404 that the key is not known; all else decides nothing. */
+export async function readServiceStatus (
+  service: ServiceScope & { statusPath: string },
+  key: string,
+  context: EntryContext
+): Promise<StatusResult> {
+  const path = service.statusPath.replace('{key}', encodeURIComponent(key))
+  const call = { method: 'GET', path, headers: { accept: 'application/json' }, body: Buffer.alloc(0) }
+  const result = await sendToService(service, call, context, { isRepeatable: true })
+  if (result.kind !== 'answered') return { kind: 'undecided' }
+  if (result.status === 404) return { kind: 'unknownKey' }
+  return result.status >= 200 && result.status < 300 ? { ...result, kind: 'ran' } : { kind: 'undecided' }
+}
--- a/src/entry/createCallerHandler/index.ts
+++ b/src/entry/createCallerHandler/index.ts
@@ -8,40 +8,63 @@
 import { createRefusal } from '../../verdict/createRefusal/index.js'
 import type { ReasonName } from '../../verdict/reasons.js'
 import { answerCompletion, refuse } from '../answerCompletion/index.js'
+import type { OpenCall, OpenCalls } from '../createOpenCalls/index.js'
 import { passThrough } from '../passThrough/index.js'
 import type { CallerCall, EntryContext } from '../types.js'
 
 /** When a caller that met a host without configuration should come back. */
 const NOT_READY_RETRY_MS = 1_000
 
+/** Refusals of a body by what reading it came to. */
+const BODY_REASONS = { tooLarge: 'bodyTooLarge', tooSlow: 'senderTooSlow' } as const satisfies Record<string, ReasonName>
+
 /**
  * @name createCallerHandler
  * @summary Handler of the caller port.
  * @param context - The entry's parts.
+ * @param options - `calls`, where each call is held open.
  * @returns A handler for `listen`.
  *
  * @example
- * await using server = await listen(createCallerHandler(context), { address, port })
+ * await using server = await listen(createCallerHandler(context, { calls }), { address, port })
  */
-export function createCallerHandler (context: EntryContext): (incoming: IncomingMessage, response: ServerResponse) => Promise<void> {
+export function createCallerHandler (
+  context: EntryContext,
+  options: { calls: OpenCalls }
+): (incoming: IncomingMessage, response: ServerResponse) => Promise<void> {
   return async (incoming, response) => {
-    const request = randomUUID()
-    try {
-      await handle(request, incoming, response, context)
-    } catch (error) {
-      const cause = error instanceof Error ? error.message : String(error)
-      context.daemon.log.emit('unexpectedError', { request, cause })
-      refuse(createRefusal('internalError', { verdict: { kind: 'mayHaveRun' } }), { request, response }, context)
-    }
+    const call: OpenCall = { request: randomUUID(), response, isAdmitted: false }
+    response.on('error', () => response.destroy())
+    if (context.daemon.isDraining()) response.setHeader('connection', 'close')
+    const task = serve(call, incoming, context)
+    options.calls.track(call, task)
+    await task
+  }
+}
+
+async function serve (call: OpenCall, incoming: IncomingMessage, context: EntryContext): Promise<void> {
+  const { request, response } = call
+  try {
+    await handle(call, incoming, context)
+  } catch (error) {
+    const cause = error instanceof Error ? error.message : String(error)
+    context.daemon.log.emit('unexpectedError', { request, cause })
+    const refusal = createRefusal('internalError', call.isAdmitted ? { verdict: { kind: 'mayHaveRun' } } : {})
+    refuse(refusal, call, context)
+    if (!response.writableEnded) response.destroy()
   }
 }
 
-async function handle (request: string, incoming: IncomingMessage, response: ServerResponse, context: EntryContext): Promise<void> {
+async function handle (open: OpenCall, incoming: IncomingMessage, context: EntryContext): Promise<void> {
+  const { request, response } = open
   const { daemon } = context
   const { bodySizeBytes, bodyDeadlineMs } = daemon.settings.limits
   const refuseWith = (reason: ReasonName, retryAfterMs?: number): void => {
-    refuse(createRefusal(reason, retryAfterMs === undefined ? {} : { retryAfterMs }), { request, response }, context)
+    const revision = daemon.holder.current().head.revision
+    refuse(createRefusal(reason, { facts: { revision }, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }), open, context)
   }
+  const pathname = readPath(incoming.url)
+  if (pathname === undefined) return refuseWith('malformedRequest')
   if (!daemon.holder.isReady()) return refuseWith('notReady', NOT_READY_RETRY_MS)
   const { accounts } = daemon.holder.current()
   const account = authenticate(incoming.headers.authorization, { find: name => accounts.get(name) })
@@ -50,13 +73,20 @@
   if (read.kind === 'aborted') return
   if (read.kind !== 'body') {
     response.setHeader('connection', 'close')
-    return refuseWith(read.kind === 'tooLarge' ? 'bodyTooLarge' : 'senderTooSlow')
+    return refuseWith(BODY_REASONS[read.kind])
   }
   const controller = new AbortController()
   response.once('close', () => controller.abort())
+  if (response.writableEnded || response.destroyed) return
   const call: CallerCall = { request, account, incoming, response, body: read.body, signal: controller.signal }
-  const { pathname } = new URL(incoming.url ?? '/', 'http://caller')
-  if (pathname === '/v1/completions' && incoming.method === 'POST') return await answerCompletion(call, context)
-  if (pathname.startsWith('/services/')) return await passThrough(call, context)
-  refuseWith('unknownPath')
+  const isCompletion = pathname === '/v1/completions' && incoming.method === 'POST'
+  if (!isCompletion && !pathname.startsWith('/services/')) return refuseWith('unknownPath')
+  open.isAdmitted = true
+  await (isCompletion ? answerCompletion(call, context) : passThrough(call, context))
+}
+
+/** The path of a request target in origin form; nothing for any other. */
+function readPath (target: string | undefined): string | undefined {
+  if (target === undefined || !target.startsWith('/') || target.startsWith('//')) return undefined
+  return URL.canParse(target, 'http://caller') ? new URL(target, 'http://caller').pathname : undefined
 }
--- a/src/entry/startEntry/index.ts
+++ b/src/entry/startEntry/index.ts
@@ -1,7 +1,6 @@
 /**
  * Wiring of the entry daemon.
  */
-import type { ServerResponse } from 'node:http'
 import { startDaemon } from '../../daemon/startDaemon/index.js'
 import type { Daemon, DaemonPorts } from '../../daemon/types.js'
 import type { EngineClient } from '../../engine/types.js'
@@ -13,14 +12,17 @@
 import { createHttpService } from '../../service/createHttpService/index.js'
 import type { ServiceClient } from '../../service/types.js'
 import type { DaemonSettings } from '../../settings/types.js'
+import { createRefusal } from '../../verdict/createRefusal/index.js'
+import type { Refusal } from '../../verdict/types.js'
 import { createCallerHandler } from '../createCallerHandler/index.js'
+import { createOpenCalls, type OpenCall } from '../createOpenCalls/index.js'
 import type { EntryContext } from '../types.js'
 
 /** Connect timeout of service calls, in milliseconds. */
 const SERVICE_CONNECT_MS = 500
 
-/** Wait between looks at the requests in flight while draining. */
-const DRAIN_POLL_MS = 20
+/** When a caller whose request was ended by a shutdown should come back; another host serves it. */
+const CUT_RETRY_MS = 1_000
 
 /** The outside of an entry daemon. */
 export interface EntryPorts extends DaemonPorts {
@@ -55,31 +57,46 @@
   const daemon = resources.use(await startDaemon(settings, { role: 'entry', runtime, ports }))
   const engines = resources.use(ports.engines ?? createHttpEngine({ runtime }))
   const services = resources.use(ports.services ?? createHttpService({ connectTimeoutMs: SERVICE_CONNECT_MS, runtime }))
+  const calls = createOpenCalls()
   const context: EntryContext = {
     daemon,
     engines,
     services,
-    pick: candidates => candidates[Math.floor(runtime.random() * candidates.length)]!
+    pick: candidates => candidates[Math.floor(runtime.random() * candidates.length)]!,
+    keep: calls.keep
   }
-  const handler = createCallerHandler(context)
-  const open = new Set<ServerResponse>()
-  const server = resources.use(await (ports.listen ?? listen)(async (request, response) => {
-    open.add(response)
-    response.once('close', () => open.delete(response))
-    if (daemon.isDraining()) response.setHeader('connection', 'close')
-    await handler(request, response)
-  }, { address: settings.address, port: settings.ports.caller, headerSizeBytes: settings.limits.headerSizeBytes }))
+  const server = resources.use(await (ports.listen ?? listen)(createCallerHandler(context, { calls }), {
+    address: settings.address, port: settings.ports.caller, headerSizeBytes: settings.limits.headerSizeBytes
+  }))
   daemon.log.emit('processStarted', { caller: server.address, operator: daemon.operatorUrl })
   return {
     daemon,
     callerAddress: server.address,
-    inFlight: () => open.size,
+    inFlight: calls.size,
     async drain ({ signal }) {
       daemon.drain()
-      daemon.log.emit('processDraining', { inFlight: open.size })
+      daemon.log.emit('processDraining', { inFlight: calls.size() })
       await sleep(settings.shutdown.balancerLagMs, { runtime, signal })
-      while (open.size > 0 && !signal.aborted) await sleep(DRAIN_POLL_MS, { runtime, signal })
+      await calls.whenIdle(signal)
+      server.stopAccepting()
+      await calls.whenIdle(signal)
+      if (!signal.aborted) return
+      daemon.log.emit('drainCut', { inFlight: calls.size() })
+      await calls.endAll(call => cutRefusal(call, daemon))
     },
     [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose]()
   }
 }
+
+/** A request that reached no target certainly did not run; any other may have. */
+function cutRefusal ({ request, isAdmitted }: OpenCall, daemon: Daemon): Refusal {
+  const refusal = createRefusal('draining', {
+    ...(isAdmitted ? { verdict: { kind: 'mayHaveRun' } } : {}),
+    facts: { revision: daemon.holder.current().head.revision, host: daemon.settings.host },
+    retryAfterMs: CUT_RETRY_MS
+  })
+  daemon.refusals.add(refusal, { request })
+  daemon.metrics.requests.inc({ outcome: 'draining' })
+  daemon.log.emit('requestCut', { request, refusal: refusal.id, verdict: refusal.verdict.kind })
+  return refusal
+}
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -14,6 +14,8 @@
   engines: EngineClient
   services: ServiceClient
   pick: PickStage
+  /** Takes over a task that outlives its answer; shutdown waits for it. */
+  keep: (task: Promise<void>) => void
 }
 
 /** One call at the caller port, after its account is known. */
--- a/src/http/listen/index.ts
+++ b/src/http/listen/index.ts
@@ -8,14 +8,15 @@
 export interface ListeningServer extends AsyncDisposable {
   /** `ip:port`. */
   address: string
-  server: http.Server
+  /** Takes no new connections and closes the idle ones; requests in progress go on. */
+  stopAccepting: () => void
 }
 
 /** Starts an HTTP server, or what stands for one. */
 export type Listen = (
   handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
   options: ListenOptions
-) => Promise<AsyncDisposable & { address: string }>
+) => Promise<ListeningServer>
 
 /** Where and with which limits to listen. */
 export interface ListenOptions {
@@ -54,7 +55,7 @@
   const bound = server.address() as AddressInfo
   return {
     address: `${address}:${bound.port}`,
-    server,
+    stopAccepting: () => { server.close() },
     [Symbol.asyncDispose]: () => new Promise(resolve => {
       server.close(() => resolve())
       server.closeAllConnections()
--- a/src/service/types.ts
+++ b/src/service/types.ts
@@ -13,13 +13,21 @@
 
 /** What came of one send. */
 export type ServiceResult =
-  | { kind: 'answered', status: number, contentType: string, body: string }
-  /** No connection: nothing was sent. */
+  | { kind: 'answered', status: number, contentType: string, body: Buffer }
+  /** Not one byte of the call left this process. */
   | { kind: 'unreachable', cause: string }
-  /** Sent, and no whole answer came. */
+  /** At least one byte may have left, and no whole answer came. */
   | { kind: 'lost', cause: string }
 
 /** Sends calls to services. */
 export interface ServiceClient extends AsyncDisposable {
-  send: (address: string, call: ServiceCall, options: { timeoutMs: number, signal?: AbortSignal }) => Promise<ServiceResult>
+  send: (address: string, call: ServiceCall, options: SendOptions) => Promise<ServiceResult>
+}
+
+/** Limits of one send. */
+export interface SendOptions {
+  timeoutMs: number
+  signal?: AbortSignal
+  /** Checked after the connection stands and before the first byte; `false` ends the send as `unreachable`. */
+  mayStart?: () => boolean
 }
--- a/src/ticket/types.ts
+++ b/src/ticket/types.ts
@@ -81,7 +81,11 @@
   calls: z.array(callRuleSchema),
   timeoutMs: positiveMs.default(5_000),
   /** Path that tells the state of a keyed call; `{key}` stands for the key. */
-  statusPath: z.string().startsWith('/').optional()
+  statusPath: z.string().startsWith('/').optional(),
+  /** Time after a send's end from which `statusPath` answering 404 proves that it did not run; never unless given. */
+  statusSettlesAfterMs: positiveMs.optional(),
+  /** Statuses by which the service proves that it did not run a call; none unless given. */
+  notRunStatuses: z.array(z.int().min(400).max(599)).default([])
 })
 
 /** Scope `timeouts`. */
