--- a/standin/engine/serveEngine/index.ts
+++ b/standin/engine/serveEngine/index.ts
@@ -119,7 +119,14 @@
     sendJson(response, 200, engine.faults)
   }
 
+  function remember (socket: Socket): void {
+    if (sockets.has(socket)) return
+    sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
+  }
+
   const server = await listen(async (request, response) => {
+    remember(request.socket)
     const url = new URL(request.url ?? '/', 'http://engine')
     const route = `${request.method} ${url.pathname}`
     if (route === 'POST /faults') return await setFaults(request, response)
@@ -136,10 +143,6 @@
     }
     sendJson(response, 404, { cause: 'no such path' })
   }, options)
-  server.server.on('connection', socket => {
-    sockets.add(socket)
-    socket.once('close', () => sockets.delete(socket))
-  })
   return {
     ...server,
     engine,
