Repair a restored store, replace silent watches, refuse when cut off

Cause: a store restored to an older state was ignored for good, so a new daemon started from it; a silent watch was taken for an outage; a host cut off from store and peers served its last configuration without bound.

Ruled out: following the store (accepted tickets revert), repair by the lease holder alone (the lease is restored too), and confirmation by any peer (hosts parted together confirm each other).

--- a/src/configuration/createConfigurationHolder/index.ts
+++ b/src/configuration/createConfigurationHolder/index.ts
@@ -5,7 +5,7 @@
 import type { Runtime } from '../../runtime/types.js'
 import { createSubject } from '../../stream/createSubject/index.js'
 import { buildConfiguration, EMPTY_HEAD } from '../buildConfiguration/index.js'
-import type { Configuration, ConfigurationHolder } from '../types.js'
+import type { Configuration, ConfigurationHolder, ConfigurationSource } from '../types.js'
 
 /**
  * @name createConfigurationHolder
@@ -22,6 +22,14 @@
   const changes = createSubject<Configuration>()
   let current = buildConfiguration(EMPTY_HEAD, new Map())
   let confirmedMs: number | undefined
+  let storeConfirmedMs: number | undefined
+  const ageOf = (sinceMs: number | undefined): number => sinceMs === undefined ? Infinity : runtime.monotonicMs() - sinceMs
+
+  function confirm (source: ConfigurationSource): void {
+    confirmedMs = runtime.monotonicMs()
+    if (source === 'store') storeConfirmedMs = confirmedMs
+  }
+
   return {
     current: () => current,
     isReady: () => confirmedMs !== undefined,
@@ -31,15 +39,16 @@
         log.emit('revisionIgnored', { revision, inForce: current.head.revision, source })
         return false
       }
-      confirmedMs = runtime.monotonicMs()
+      confirm(source)
       if (revision === current.head.revision) return false
       current = configuration
       log.emit('revisionInForce', { revision, source, ...(configuration.head.ticket ? { ticket: configuration.head.ticket } : {}) })
       changes.next(configuration)
       return true
     },
-    confirm () { confirmedMs = runtime.monotonicMs() },
-    ageMs: () => confirmedMs === undefined ? Infinity : runtime.monotonicMs() - confirmedMs,
+    confirm: () => confirm('store'),
+    ageMs: () => ageOf(confirmedMs),
+    storeAgeMs: () => ageOf(storeConfirmedMs),
     changes: changes.stream
   }
 }
--- a/src/configuration/restoreConfiguration/index.ts
+++ b/src/configuration/restoreConfiguration/index.ts
@@ -10,6 +10,8 @@
 /** What the mending works with. */
 export interface RestoreOptions {
   store: ObjectStore
+  /** The configuration that the store has now; values that both name are not written. */
+  stored: Configuration
   pause: (attempt: number) => Promise<void>
 }
 
@@ -25,7 +27,7 @@
  * @returns Whether the store now has it; `unavailable` where the next read must tell.
  *
  * @example
- * await restoreConfiguration(holder.current(), { store, pause, headVersion })
+ * await restoreConfiguration(holder.current(), { store, stored, pause, headVersion })
  */
 export async function restoreConfiguration (
   inForce: Configuration,
@@ -47,10 +49,11 @@
  * @returns Whether all of them are stored.
  *
  * @example
- * await restoreValues(holder.current(), { store, pause })
+ * await restoreValues(holder.current(), { store, stored, pause })
  */
 export async function restoreValues (inForce: Configuration, options: RestoreOptions): Promise<Restored> {
   for (const [scope, ticket] of Object.entries(inForce.head.scopes)) {
+    if (options.stored.head.scopes[scope] === ticket) continue
     const result = await ensureObject(scopeKey(scope, ticket), inForce.values.get(scope), options)
     if (result.kind === 'notApplied' || result.kind === 'unsettled') return { kind: 'unavailable', cause: result.cause }
   }
--- a/src/configuration/types.ts
+++ b/src/configuration/types.ts
@@ -28,10 +28,12 @@
   isReady: () => boolean
   /** Puts a configuration into force if its revision is higher. */
   offer: (configuration: Configuration, source: ConfigurationSource) => boolean
-  /** Marks that the present configuration was confirmed as current by store or peer. */
+  /** Marks that the present configuration was confirmed as current by the store. */
   confirm: () => void
   /** Milliseconds since the last confirmation. */
   ageMs: () => number
+  /** Milliseconds since the store last confirmed it; infinite before that. */
+  storeAgeMs: () => number
   /** Each configuration as it comes into force. */
   changes: Stream<Configuration>
 }
--- a/src/configuration/watchConfiguration/index.ts
+++ b/src/configuration/watchConfiguration/index.ts
@@ -7,12 +7,16 @@
 import type { Runtime } from '../../runtime/types.js'
 import { HEAD_KEY } from '../../ticket/constants.js'
 import { loadConfiguration } from '../loadConfiguration/index.js'
+import { restoreConfiguration } from '../restoreConfiguration/index.js'
 import type { ConfigurationHolder } from '../types.js'
 
 /** Waits between tries while the store is not available; doubled up to the maximum, with jitter. */
 const FIRST_RETRY_MS = 100
 const MAX_RETRY_MS = 2_000
 
+/** Hosts that find the store behind write to it at different times within this span. */
+const REPAIR_SPREAD_MS = 2_000
+
 /** What the task works with. */
 export interface WatchConfigurationOptions {
   store: ObjectStore
@@ -66,10 +70,12 @@
   return step.kind === 'unavailable' ? step : { kind: 'at', revision: listed.revision }
 }
 
-async function load ({ store, holder, log }: WatchConfigurationOptions): Promise<Step> {
+async function load (options: WatchConfigurationOptions): Promise<Step> {
+  const { store, holder, log } = options
   try {
     const result = await loadConfiguration(store, { known: holder.current() })
     if (result.kind === 'unavailable') return result
+    if (result.configuration.head.revision < holder.current().head.revision) return await repair(options)
     holder.offer(result.configuration, 'store')
     return { kind: 'at', revision: undefined }
   } catch (error) {
@@ -79,11 +85,34 @@
   }
 }
 
+/** Writes what is in force back to a store that was restored to an older state. */
+async function repair (options: WatchConfigurationOptions): Promise<Step> {
+  const { store, holder, log, runtime, signal } = options
+  await sleep(REPAIR_SPREAD_MS * runtime.random(), { runtime, signal })
+  const result = await loadConfiguration(store, { known: holder.current() })
+  if (result.kind === 'unavailable') return result
+  const inForce = holder.current()
+  const { configuration: stored, headVersion } = result
+  const { revision } = stored.head
+  if (revision >= inForce.head.revision) {
+    holder.offer(stored, 'store')
+    return { kind: 'at', revision: undefined }
+  }
+  log.emit('storeBehind', { revision, inForce: inForce.head.revision })
+  const pause = async (attempt: number): Promise<void> => await sleep(FIRST_RETRY_MS * attempt, { runtime, signal })
+  const restored = await restoreConfiguration(inForce, { store, stored, headVersion, pause })
+  if (restored.kind === 'unavailable') return restored
+  log.emit('storeRepaired', { from: revision, revision: inForce.head.revision })
+  holder.confirm()
+  return { kind: 'at', revision: undefined }
+}
+
 async function follow (options: WatchConfigurationOptions, afterRevision: number): Promise<Step> {
-  const { store, holder, signal } = options
+  const { store, holder, log, signal } = options
   const result = await store.watch(HEAD_KEY, afterRevision, { signal })
   if (result.kind === 'unavailable') return result
-  if (result.kind === 'reset') return { kind: 'at', revision: undefined }
+  if (result.kind === 'silent') log.emit('watchReplaced', { afterMs: result.afterMs })
+  if (result.kind === 'reset' || result.kind === 'silent') return { kind: 'at', revision: undefined }
   if (result.objects.length === 0) {
     holder.confirm()
     return { kind: 'at', revision: result.revision }
--- a/src/entry/createCallerHandler/index.ts
+++ b/src/entry/createCallerHandler/index.ts
@@ -4,6 +4,8 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { authenticate } from '../../account/authenticate/index.js'
+import { judgeCurrency } from '../../configuration/judgeCurrency/index.js'
+import type { Daemon } from '../../daemon/types.js'
 import { readBody } from '../../http/readBody/index.js'
 import { createRefusal } from '../../verdict/createRefusal/index.js'
 import type { ReasonName } from '../../verdict/reasons.js'
@@ -55,6 +57,12 @@
   }
 }
 
+/** Whether this host is cut off from the store and from its peers for too long. */
+function isStale ({ holder, table }: Daemon): boolean {
+  const facts = { storeAgeMs: holder.storeAgeMs(), revision: holder.current().head.revision, self: table.self(), members: table.all }
+  return judgeCurrency(facts, { staleAfterMs: holder.current().timeouts.staleAfterMs }).kind === 'stale'
+}
+
 async function handle (open: OpenCall, incoming: IncomingMessage, context: EntryContext): Promise<void> {
   const { request, response } = open
   const { daemon } = context
@@ -66,6 +74,7 @@
   const pathname = readPath(incoming.url)
   if (pathname === undefined) return refuseWith('malformedRequest')
   if (!daemon.holder.isReady()) return refuseWith('notReady', NOT_READY_RETRY_MS)
+  if (isStale(daemon)) return refuseWith('staleConfiguration', NOT_READY_RETRY_MS)
   const { accounts } = daemon.holder.current()
   const account = authenticate(incoming.headers.authorization, { find: name => accounts.get(name) })
   if (account === undefined) return refuseWith('unauthorized')
--- a/src/objectApi/createHttpObjectStore/index.ts
+++ b/src/objectApi/createHttpObjectStore/index.ts
@@ -2,7 +2,7 @@
  * Adapter to an object API that speaks HTTP with `If-Match` and `If-None-Match`.
  */
 import { Agent, request, type Dispatcher } from 'undici'
-import { withDeadline } from '../../runtime/withDeadline/index.js'
+import { DeadlineError, withDeadline } from '../../runtime/withDeadline/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import type { ListResult, ObjectStore, ReadResult, StoredObject, WatchResult, WriteCondition, WriteResult } from '../types.js'
 
@@ -99,6 +99,7 @@
         if (status !== 200) return { kind: 'unavailable', cause: `status ${status}` }
         return { kind: 'changes', ...(body as { revision: number, objects: StoredObject[] }) }
       } catch (error) {
+        if (error instanceof DeadlineError) return { kind: 'silent', afterMs: error.deadlineMs }
         return { kind: 'unavailable', cause: describe(error) }
       }
     },
--- a/src/objectApi/types.ts
+++ b/src/objectApi/types.ts
@@ -39,6 +39,8 @@
   | { kind: 'changes', revision: number, objects: StoredObject[] }
   /** The store no longer knows the revision, as after a restore: list again. */
   | { kind: 'reset' }
+  /** No answer although the wait and its grace have passed; the connection is closed. */
+  | { kind: 'silent', afterMs: number }
   | { kind: 'unavailable', cause: string }
 
 /** The object API as the product uses it. */
--- a/src/ticket/submitTicket/_lib/loadBase.ts
+++ b/src/ticket/submitTicket/_lib/loadBase.ts
@@ -29,6 +29,6 @@
   if ((options.highestRevision?.() ?? 0) > base.head.revision) return { kind: 'behind' }
   if (!restored) return { kind: 'base', configuration, headVersion, restored }
   log.emit('storeBehind', { revision, inForce: known.head.revision })
-  const values = await restoreValues(known, { store, pause })
+  const values = await restoreValues(known, { store, stored: configuration, pause })
   return values.kind === 'unavailable' ? values : { kind: 'base', configuration: known, headVersion, restored }
 }
