Take over an answer whose entry died, by its last event identity

Cause: each request got a new identity and no entry read Last-Event-ID, so the death of an entry lost every answer that it served.

Ways weighed: the caller resends its tokens (no usual client does); every entry shares them (state for each token between daemons); the tokens are generated again and skipped (another answer wherever decoding draws). Chosen: the first and the last stage keep the tokens of a sequence that they hold anyway; the next entry asks them, raises the attempt and opens the stages that hold the KV cache. A caller may still send its tokens in `given` for when no engine holds the sequence; otherwise it is refused as sequenceUnknown. The sequence's name on the engines contains the account, so no account can reach another's.

Also: the clean end of an earlier stage's stream counted as a loss when a slow reader had not yet taken the last tokens, and pushed the rest at it.

--- a/examples/embed/index.ts
+++ b/examples/embed/index.ts
@@ -21,6 +21,8 @@
       kind: 'status',
       status: { target, model: 'draft', version: '1', fromLayer: 0, toLayer: 2, fencing: 0, sequences: 0, leaving: false }
     }),
+    held: async () => ({ kind: 'unknown' }),
+    async cancel () {},
     order: async () => ({ kind: 'accepted' }),
     async [Symbol.asyncDispose] () {}
   }
@@ -34,6 +36,9 @@
     frames: subject.stream,
     pause () {},
     resume () {},
+    isPaused: () => false,
+    detach: subject.complete,
+    finish: subject.complete,
     async [Symbol.asyncDispose] () { subject.complete() }
   }
 }
@@ -79,7 +84,7 @@
   const result = await runPipeline({
     request: 'example-1', account: 'example', model: 'draft', prompt, maxTokens: 16, priority: 5, deadlineMs: 5_000, given: [], earlierAttempt: 0
   }, {
-    configuration: holder.current(),
+    configuration: holder.current,
     engines: createLocalEngines(),
     directory,
     pick: candidates => candidates[0]!,
--- a/src/entry/answerCompletion/index.ts
+++ b/src/entry/answerCompletion/index.ts
@@ -1,38 +1,28 @@
 /**
  * Answers in the completions form, streamed as server-sent events or whole.
  */
-import { parseCompletion, countPromptTokens, type CompletionBody } from '../parseCompletion/index.js'
-import { sendJson, sendRefusal } from '../../http/sendJson/index.js'
+import { sendRefusal } from '../../http/sendJson/index.js'
 import { runPipeline } from '../../pipeline/runPipeline/index.js'
-import type { AnswerRequest, AnswerResult, OpenChain } from '../../pipeline/types.js'
+import type { AnswerRequest, AnswerResult } from '../../pipeline/types.js'
 import { createRefusal } from '../../verdict/createRefusal/index.js'
-import { toProblem } from '../../verdict/toProblem/index.js'
 import type { Refusal } from '../../verdict/types.js'
-import type { TokenFrame } from '../../engine/types.js'
+import { createStreamWriter, createWholeWriter, type AnswerWriter } from '../_lib/answerWriter.js'
+import { takeOver } from '../_lib/takeOver.js'
+import { parseCompletion, countPromptTokens } from '../parseCompletion/index.js'
 import type { CallerCall, EntryContext } from '../types.js'
 
-/** Media type of a stream of server-sent events. */
-const EVENT_STREAM = 'text/event-stream'
-
-/** Where the tokens of one answer go. */
-interface AnswerWriter {
-  onToken: (frame: TokenFrame) => void
-  onChain: (chain: OpenChain) => void
-  complete: (tokens: number) => void
-  fail: (refusal: Refusal) => void
-}
-
 /**
  * @name answerCompletion
  * @summary Serves one completions request.
- * @param call - The call with its body.
+ * @param received - The call with its body.
  * @param context - The entry's parts.
  *
  * @example
  * await answerCompletion(call, context)
  */
-export async function answerCompletion (call: CallerCall, context: EntryContext): Promise<void> {
+export async function answerCompletion (received: CallerCall, context: EntryContext): Promise<void> {
   const { daemon } = context
+  let call = received
   const { limits } = daemon.settings
   const parsed = parseCompletion(call.body)
   if (parsed.kind === 'invalid') return refuse(createRefusal('malformedRequest', { facts: { faults: parsed.faults } }), call, context)
@@ -45,7 +35,7 @@
   const model = configuration.models.get(body.model)
   if (model === undefined) return refuse(createRefusal('unknownModel', { facts: { model: body.model } }), call, context)
 
-  const request: AnswerRequest = {
+  let request: AnswerRequest = {
     request: call.request,
     account: call.account.name,
     model: body.model,
@@ -56,6 +46,13 @@
     given: [],
     earlierAttempt: 0
   }
+  const lastEventId = call.incoming.headers['last-event-id']
+  if (lastEventId !== undefined) {
+    const taken = await takeOver(String(lastEventId), { body, model, request, context })
+    if (taken.kind === 'refused') return refuse(taken.refusal, call, context)
+    request = taken.request
+    call = { ...call, request: request.request }
+  }
   const startedMs = daemon.runtime.monotonicMs()
   daemon.log.emit('requestAdmitted', { request: call.request, account: call.account.name, model: body.model })
   const writer = body.stream ? createStreamWriter(call, body, context) : createWholeWriter(call, body)
@@ -108,67 +105,3 @@
   daemon.log.emit('requestRefused', { request: call.request, refusal: refusal.id, reason: refusal.reason, verdict: refusal.verdict.kind })
   sendRefusal(call.response, refusal)
 }
-
-function createWholeWriter (call: CallerCall, body: CompletionBody): AnswerWriter {
-  const tokens: string[] = []
-  return {
-    onToken: frame => { tokens.push(frame.token) },
-    onChain: () => {},
-    complete: count => sendJson(call.response, 200, {
-      id: call.request,
-      object: 'text_completion',
-      model: body.model,
-      choices: [{ index: 0, text: tokens.join(''), finish_reason: count >= body.max_tokens ? 'length' : 'stop' }],
-      usage: { completion_tokens: count }
-    }),
-    fail: refusal => sendRefusal(call.response, refusal)
-  }
-}
-
-/** Writes each token as one event whose `id` names request, attempt and position. */
-function createStreamWriter (call: CallerCall, body: CompletionBody, { daemon }: EntryContext): AnswerWriter {
-  const { response, request } = call
-  let chain: OpenChain | undefined
-  let paused = false
-  const last = (): OpenChain['stages'][number] | undefined => chain?.stages.at(-1)
-  response.on('drain', () => {
-    paused = false
-    last()?.resume()
-  })
-
-  function begin (): void {
-    if (response.headersSent) return
-    response.writeHead(200, { 'content-type': EVENT_STREAM, 'cache-control': 'no-store', 'x-request-id': request })
-  }
-
-  function send (id: string, data: unknown): void {
-    response.write(`id: ${id}\ndata: ${JSON.stringify(data)}\n\n`)
-    if (paused || response.writableLength < daemon.settings.limits.readerBufferBytes) return
-    paused = true
-    last()?.pause()
-  }
-
-  return {
-    onChain (open) {
-      chain = open
-      if (paused) last()?.pause()
-    },
-    onToken (frame) {
-      begin()
-      send(`${request}:${frame.attempt}:${frame.position}`, {
-        id: request,
-        object: 'text_completion',
-        model: body.model,
-        choices: [{ index: 0, text: frame.token, finish_reason: frame.last ? 'stop' : null }]
-      })
-    },
-    complete () {
-      begin()
-      response.end('data: [DONE]\n\n')
-    },
-    fail (refusal) {
-      if (!response.headersSent) return sendRefusal(response, refusal)
-      response.end(`event: error\ndata: ${JSON.stringify(toProblem(refusal))}\n\n`)
-    }
-  }
-}
--- a/src/entry/parseCompletion/index.ts
+++ b/src/entry/parseCompletion/index.ts
@@ -10,7 +10,9 @@
   max_tokens: z.int().positive().default(16),
   stream: z.boolean().default(false),
   /** Time for the whole answer. */
-  deadline_ms: z.int().positive().optional()
+  deadline_ms: z.int().positive().optional(),
+  /** Tokens that the caller has, for a request with `Last-Event-ID` whose sequence no engine holds any more. */
+  given: z.array(z.string()).optional()
 })
 
 /** A checked body. */
--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -33,6 +33,7 @@
   firstToken: { number: 3012, level: 'info', text: 'first token written to the caller' },
   requestAnswered: { number: 3020, level: 'info', text: 'request answered in full' },
   requestFailed: { number: 3021, level: 'warn', text: 'request ended without a full answer' },
+  answerTakenOver: { number: 3030, level: 'info', text: 'answer of another entry taken over' },
   bookingIntended: { number: 4001, level: 'info', text: 'booking intent recorded' },
   bookingSent: { number: 4002, level: 'info', text: 'booking sent to the service' },
   bookingSettled: { number: 4003, level: 'info', text: 'booking outcome recorded' },
--- a/src/pipeline/_lib/progress.ts
+++ b/src/pipeline/_lib/progress.ts
@@ -34,8 +34,8 @@
   fresh: Set<string>
   /** Addresses of all targets that were sent an open. */
   touched: Map<string, string>
-  /** Hands a token on if its position is the next one. */
-  give: (frame: TokenFrame) => void
+  /** Hands a token on if its position is the next one, and tells whether it was. */
+  give: (frame: TokenFrame) => boolean
   /** Keeps a target out of the next chains, because a fresh connection to it failed. */
   blame: (target: string) => void
   /** Keeps a target out of the next chains of this answer alone. */
@@ -59,9 +59,10 @@
     fresh: new Set(),
     touched: new Map(),
     give (frame) {
-      if (frame.position !== progress.given.length) return
+      if (frame.position !== progress.given.length) return false
       progress.given.push(frame.token)
       onToken(frame)
+      return true
     },
     blame (target) {
       progress.avoid(target)
--- a/src/pipeline/_lib/readTokens.ts
+++ b/src/pipeline/_lib/readTokens.ts
@@ -17,14 +17,12 @@
 
 /** What reading needs to know. */
 export interface ReadTokensOptions {
-  /** Next position of the answer. */
-  firstPosition: number
   firstTokenMs: number
   betweenTokensMs: number
   runtime: Runtime
   signal: AbortSignal
-  /** Called once for each position, in order. */
-  onToken: (frame: TokenFrame) => void
+  /** Hands a token on; false where its position is not the next one. */
+  give: (frame: TokenFrame) => boolean
   /** Finds out why no token came. */
   examine: () => Promise<Examination>
 }
@@ -35,9 +33,9 @@
  * while one of its stages works the wait goes on.
  */
 export function readTokens (open: OpenChain, options: ReadTokensOptions): Promise<ReadEnd> {
-  const { firstTokenMs, betweenTokensMs, runtime, signal, onToken, examine } = options
+  const { firstTokenMs, betweenTokensMs, runtime, signal, give, examine } = options
   return new Promise(resolve => {
-    let position = options.firstPosition
+    let given = 0
     let settled = false
     let timer = watch(firstTokenMs)
     const onAbort = (): void => finish({ kind: 'aborted' })
@@ -49,10 +47,10 @@
     const fail = (error: Error): void => finish({ kind: 'lost', target: open.stages.at(-1)!.target, cause: error.message })
 
     async function question (deadlineMs: number): Promise<void> {
-      const before = position
+      const before = given
       const isPaused = open.stages.at(-1)!.isPaused()
       const examination = isPaused ? undefined : await examine()
-      if (settled || position !== before) return
+      if (settled || given !== before) return
       if (examination === undefined || examination.finding.kind === 'working') timer = watch(deadlineMs)
       else finish({ kind: 'silent', examination })
     }
@@ -66,19 +64,20 @@
     }
 
     function take (frame: TokenFrame): void {
-      if (settled || frame.attempt !== open.attempt || frame.position !== position) return
-      position += 1
+      if (settled || frame.attempt !== open.attempt || !give(frame)) return
+      given += 1
       timer[Symbol.dispose]()
-      onToken(frame)
       if (frame.last) return finish({ kind: 'complete' })
       timer = watch(betweenTokensMs)
     }
 
     if (signal.aborted) onAbort()
     signal.addEventListener('abort', onAbort, { once: true })
+    // The streams of other stages may end before the last tokens have come through a slow reader.
+    const last = open.stages.at(-1)
     for (const stage of open.stages) {
       stage.frames.observe(take).then(
-        () => finish({ kind: 'lost', target: stage.target, cause: 'the stage ended before the answer' }),
+        () => stage === last && finish({ kind: 'lost', target: stage.target, cause: 'the stage ended before the answer' }),
         (error: Error) => finish({ kind: 'lost', target: stage.target, cause: error.message })
       )
     }
--- /dev/null
+++ b/src/pipeline/findSequence/test.ts
@@ -0,0 +1,86 @@
+import test from 'ava'
+import { createAnswerRig } from '../../../test/fakes/createAnswerRig.js'
+
+test('another entry goes on with an answer whose entry died, on the KV cache that is held', async t => {
+  const rig = createAnswerRig()
+  const before = rig.start()
+  await rig.until(before, 5)
+  before.kill()
+  const after = (await rig.takeOver(before, { givenTokens: 5 }))!
+  t.like(await rig.end(after), { kind: 'complete', tokens: 12 })
+  t.deepEqual(rig.faultsOf(after), [])
+  t.deepEqual(rig.engines.rows().filter(row => row.mode === 'rebuild'), [])
+})
+
+test('tokens that the dead entry wrote and the caller never got are given again in place', async t => {
+  const rig = createAnswerRig()
+  const before = rig.start()
+  await rig.until(before, 7)
+  before.kill()
+  const after = (await rig.takeOver(before, { givenTokens: 3 }))!
+  await rig.end(after)
+  t.is(after.frames[0]?.position, 3)
+  t.deepEqual(rig.faultsOf(after), [])
+})
+
+test('an answer is taken over although its first stage died with its entry', async t => {
+  const rig = createAnswerRig()
+  const before = rig.start()
+  await rig.until(before, 5)
+  before.kill()
+  rig.engines.get('a').die()
+  const after = (await rig.takeOver(before, { givenTokens: 5 }))!
+  t.like(await rig.end(after), { kind: 'complete', tokens: 12 })
+  t.deepEqual(rig.faultsOf(after), [])
+})
+
+test('an answer that was lost again is taken over at the positions of its earlier attempt', async t => {
+  const rig = createAnswerRig()
+  const before = rig.start()
+  await rig.until(before, 4)
+  rig.engines.get('b').die()
+  await rig.until(before, 7)
+  before.kill()
+  const after = (await rig.takeOver(before, { givenTokens: 2 }))!
+  t.like(await rig.end(after), { kind: 'complete', tokens: 12 })
+  t.deepEqual(rig.faultsOf(after), [])
+})
+
+test('the end of an answer is given by another entry without running anything', async t => {
+  const rig = createAnswerRig()
+  const before = rig.start()
+  await rig.until(before, 9)
+  rig.engines.get('d').silence()
+  await rig.runtime.advance(50)
+  before.kill()
+  const after = (await rig.takeOver(before, { givenTokens: 9 }))!
+  t.like(await rig.end(after), { kind: 'complete', tokens: 12, attempts: 0 })
+  t.deepEqual(rig.faultsOf(after), [])
+})
+
+test('an entry that is cut off from its caller gives way to the one that took over', async t => {
+  const rig = createAnswerRig({ stepMs: 10 })
+  const before = rig.start()
+  await rig.until(before, 4)
+  const after = (await rig.takeOver(before, { givenTokens: 4 }))!
+  t.like(await rig.end(after), { kind: 'complete', tokens: 12 })
+  t.like(await rig.end(before), { kind: 'failed', reason: 'targetFailed' })
+  t.deepEqual(rig.faultsOf(after), [])
+})
+
+test('no account finds the answer of another', async t => {
+  const rig = createAnswerRig()
+  const before = rig.start()
+  await rig.until(before, 5)
+  before.kill()
+  t.is(await rig.takeOver(before, { givenTokens: 5, account: 'shop' }), undefined)
+})
+
+test('an answer that is held no longer is not found', async t => {
+  const rig = createAnswerRig()
+  const before = rig.start()
+  await rig.until(before, 5)
+  before.kill()
+  await rig.runtime.advance(10_100)
+  t.is(await rig.takeOver(before, { givenTokens: 5 }), undefined)
+})
--- a/src/pipeline/runPipeline/index.ts
+++ b/src/pipeline/runPipeline/index.ts
@@ -66,6 +66,9 @@
   using deadline = withDeadline(request.deadlineMs, { runtime, parent: options.signal })
   const progress = createProgress(request, { directory, runtime, onToken })
   const answering: Answering = { request, options, progress, signal: deadline.signal }
+  const { computed = [], ended = false, earlierAttempt } = request
+  giveComputed({ computed, ended }, earlierAttempt, progress)
+  if (ended) return { kind: 'complete', tokens: progress.given.length, attempts: 0 }
   let inUse: Chain = []
   try {
     for (;;) {
@@ -126,7 +129,7 @@
     timeoutMs: options.configuration().timeouts.connectMs
   })
   const { firstTokenMs, betweenTokensMs } = model.deadlines
-  const end = await readTokens(open, { firstPosition, firstTokenMs, betweenTokensMs, runtime, signal, onToken: progress.give, examine })
+  const end = await readTokens(open, { firstTokenMs, betweenTokensMs, runtime, signal, give: progress.give, examine })
   if (end.kind === 'complete') return complete(open)
   if (end.kind !== 'aborted') {
     const examination = end.kind === 'silent' ? end.examination : await examine()
@@ -164,7 +167,7 @@
 }
 
 /** Hands on tokens that an engine computed and that did not arrive. */
-function giveComputed ({ computed, ended }: Examination, attempt: number, progress: Progress): void {
+function giveComputed ({ computed, ended }: Pick<Examination, 'computed' | 'ended'>, attempt: number, progress: Progress): void {
   const first = progress.given.length
   computed.forEach((token, index) => {
     const last = ended && index === computed.length - 1
--- a/src/pipeline/types.ts
+++ b/src/pipeline/types.ts
@@ -28,6 +28,10 @@
   earlierAttempt: number
   /** Targets that hold the KV cache of every token given. */
   keptTargets?: string[]
+  /** Tokens after those given that `earlierAttempt` computed. */
+  computed?: string[]
+  /** Whether those end the answer. */
+  ended?: boolean
 }
 
 /**
--- a/test/fakes/createAnswerRig.ts
+++ b/test/fakes/createAnswerRig.ts
@@ -6,8 +6,9 @@
 import { createMemoryEngines, type MemoryEngines } from './createMemoryEngines.js'
 import { createTestLog } from './createTestLog.js'
 import type { Configuration } from '../../src/configuration/types.js'
-import type { TokenFrame } from '../../src/engine/types.js'
+import type { EngineClient, TokenFrame } from '../../src/engine/types.js'
 import type { EventLog } from '../../src/event/types.js'
+import { findSequence } from '../../src/pipeline/findSequence/index.js'
 import { runPipeline } from '../../src/pipeline/runPipeline/index.js'
 import { sequenceName, type AnswerRequest, type AnswerResult, type OpenChain } from '../../src/pipeline/types.js'
 import { createSubject } from '../../src/stream/createSubject/index.js'
@@ -29,6 +30,8 @@
   /** Result once settled. */
   settled: () => AnswerResult | undefined
   leave: () => void
+  /** Ends the entry that serves the answer, without a word to the engines. */
+  kill: () => void
   /** Latest chain that opened. */
   chain: () => OpenChain | undefined
 }
@@ -45,6 +48,8 @@
   until: (answer: RunningAnswer, tokens: number) => Promise<void>
   /** Moves time on until the answer has ended. */
   end: (answer: RunningAnswer) => Promise<AnswerResult>
+  /** Goes on with an answer at another entry, as its caller has it. */
+  takeOver: (answer: RunningAnswer, options: { givenTokens: number, account?: string }) => Promise<RunningAnswer | undefined>
   /** Faults of an answer's tokens and ledger; none when every token is right and ran once. */
   faultsOf: (answer: RunningAnswer) => string[]
 }
@@ -83,11 +88,12 @@
     const frames: TokenFrame[] = []
     let settled: AnswerResult | undefined
     let chain: OpenChain | undefined
+    const { client, kill } = createMortalClient(engines)
     const result = runPipeline(whole, {
-      configuration: () => configuration, engines: engines.client, directory, pick: candidates => candidates[0]!, runtime, log, signal: controller.signal, onToken: frame => { frames.push(frame) }, onChain: open => { chain = open }
+      configuration: () => configuration, engines: client, directory, pick: candidates => candidates[0]!, runtime, log, signal: controller.signal, onToken: frame => { frames.push(frame) }, onChain: open => { chain = open }
     })
     result.then(value => { settled = value }, () => {})
-    return { request: whole, frames, result, settled: () => settled, chain: () => chain, leave: () => controller.abort() }
+    return { request: whole, frames, result, settled: () => settled, chain: () => chain, leave: () => controller.abort(), kill }
   }
 
   async function until (answer: RunningAnswer, tokens: number): Promise<void> {
@@ -107,6 +113,14 @@
       await runtime.settle()
       return await answer.result
     },
+    async takeOver ({ request }, { givenTokens, account = request.account }) {
+      const found = await findSequence(configuration.models.get('draft')!, {
+        sequence: sequenceName({ ...request, account }), givenTokens, engines: engines.client, directory, timeoutMs: 100
+      })
+      if (found.kind === 'unknown') return undefined
+      const { attempt, ...rest } = found
+      return start({ ...request, ...rest, earlierAttempt: attempt })
+    },
     faultsOf ({ request, frames }) {
       const { prompt, maxTokens, given } = request
       const tokens = [...given, ...frames.map(frame => frame.token)]
@@ -117,3 +131,17 @@
     }
   }
 }
+
+/** A client of an entry that can die: afterwards its calls never end. */
+function createMortalClient ({ client, killCaller }: MemoryEngines): { client: EngineClient, kill: () => void } {
+  let isDead = false
+  const never = new Promise<never>(() => {})
+  const unlessDead = <A extends unknown[], B>(call: (...args: A) => Promise<B>) => (...args: A): Promise<B> => isDead ? never : call(...args)
+  return {
+    client: { ...client, open: unlessDead(client.open), held: unlessDead(client.held), cancel: unlessDead(client.cancel) },
+    kill () {
+      isDead = true
+      killCaller()
+    }
+  }
+}
--- a/test/fakes/createMemoryEngines.ts
+++ b/test/fakes/createMemoryEngines.ts
@@ -25,6 +25,8 @@
 /** All engines, and the client that reaches them by name. */
 export interface MemoryEngines {
   client: EngineClient
+  /** Ends the caller of every open sequence: its connections close and nothing is cancelled. */
+  killCaller: () => void
   get: (target: string) => MemoryEngine
   add: (options: { target: string, fromLayer: number, toLayer: number, stepMs?: number }) => MemoryEngine
   rows: () => LedgerRow[]
@@ -153,6 +155,12 @@
   const live = (): Array<MemoryEngine & { isDead: boolean }> => [...engines.values()].filter(engine => !engine.isDead)
   return {
     client,
+    killCaller () {
+      for (const { streams, park } of engines.values()) {
+        for (const key of streams.keys()) park(key.slice(0, key.lastIndexOf(':')), Number(key.slice(key.lastIndexOf(':') + 1)))
+        streams.clear()
+      }
+    },
     get: target => engines.get(target)!,
     add,
     rows: () => [...engines.values()].flatMap(engine => engine.ledger()),
