--- a/src/entry/answerCompletion/index.ts
+++ b/src/entry/answerCompletion/index.ts
@@ -53,6 +53,7 @@
     request = taken.request
     call = { ...call, request: request.request }
   }
+  nameRequest(call)
   const startedMs = daemon.runtime.monotonicMs()
   daemon.log.emit('requestAdmitted', { request: call.request, account: call.account.name, model: body.model })
   const writer = body.stream ? createStreamWriter(call, body, context) : createWholeWriter(call, body)
@@ -76,6 +77,11 @@
   finish(result, writer, call, context)
 }
 
+/** Lets the caller quote the identity of its request. */
+function nameRequest ({ response, request }: Pick<CallerCall, 'request' | 'response'>): void {
+  if (!response.headersSent) response.setHeader('x-request-id', request)
+}
+
 function noteFirstToken (call: CallerCall, { daemon }: EntryContext, afterMs: number): void {
   daemon.metrics.firstTokenMs.observe(afterMs)
   daemon.log.emit('firstToken', { request: call.request, afterMs: Math.round(afterMs) })
@@ -100,6 +106,7 @@
 /** Refuses before anything was sent to a target. */
 export function refuse (refusal: Refusal, call: Pick<CallerCall, 'request' | 'response'> & { account?: { name: string } }, { daemon }: EntryContext): void {
   const account = call.account?.name
+  nameRequest(call)
   daemon.refusals.add(refusal, { request: call.request, ...(account === undefined ? {} : { account }) })
   daemon.metrics.requests.inc({ outcome: refusal.reason })
   daemon.log.emit('requestRefused', { request: call.request, refusal: refusal.id, reason: refusal.reason, verdict: refusal.verdict.kind })
--- a/src/load/streamCompletion/index.ts
+++ b/src/load/streamCompletion/index.ts
@@ -26,6 +26,10 @@
   tokens: string[]
   /** Monotonic time of each token. */
   tokenAtMs: number[]
+  /** `id` of each token's event. */
+  ids: string[]
+  /** Identity that the entry gave the request. */
+  requestId?: string
   /** `id` of the last event seen. */
   lastEventId?: string
   /** Body of a refusal, or of the error event that ended a stream. */
@@ -45,7 +49,7 @@
 export function streamCompletion (call: CompletionCall, options: { runtime: Runtime, agent: http.Agent }): Promise<CompletionOutcome> {
   const { runtime, agent } = options
   const [host, port] = call.address.split(':')
-  const outcome: CompletionOutcome = { kind: 'broken', status: 0, tokens: [], tokenAtMs: [] }
+  const outcome: CompletionOutcome = { kind: 'broken', status: 0, tokens: [], tokenAtMs: [], ids: [] }
   return new Promise(resolve => {
     const outgoing = http.request({
       host,
@@ -62,6 +66,8 @@
     outgoing.on('error', () => resolve(outcome))
     outgoing.on('response', response => {
       outcome.status = response.statusCode ?? 0
+      const requestId = response.headers['x-request-id']
+      if (typeof requestId === 'string') outcome.requestId = requestId
       let rest = ''
       response.setEncoding('utf8')
       response.on('data', (chunk: string) => {
@@ -98,7 +104,10 @@
   }
   if (fields.get('event') === 'error') return takeRefusal(data, outcome)
   const id = fields.get('id')
-  if (id !== undefined) outcome.lastEventId = id
+  if (id !== undefined) {
+    outcome.lastEventId = id
+    outcome.ids.push(id)
+  }
   const { choices } = JSON.parse(data) as { choices: Array<{ text: string }> }
   outcome.tokens.push(choices[0]?.text ?? '')
   outcome.tokenAtMs.push(atMs)
--- a/src/pipeline/openChain/index.ts
+++ b/src/pipeline/openChain/index.ts
@@ -5,7 +5,7 @@
 import type { EngineClient, OpenResult, OpenStage } from '../../engine/types.js'
 import { NEVER_SENT } from '../../verdict/createRefusal/index.js'
 import type { Verdict } from '../../verdict/types.js'
-import { sequenceName, type AnswerRequest, type Chain, type OpenChainResult } from '../types.js'
+import { sequenceName, type AnswerRequest, type Chain, type OpenChainResult, type OpenFailure } from '../types.js'
 
 /** One attempt. */
 export interface Attempt {
@@ -22,6 +22,7 @@
 export interface OpenChainOptions {
   engines: EngineClient
   address: (target: string) => string | undefined
+  /** Limit for an answer on a new connection; one that may be a kept one gets half of it. */
   connectTimeoutMs: number
   signal: AbortSignal
   /** Called before anything is sent to a target. */
@@ -35,7 +36,7 @@
  * @param request - The request.
  * @param attempt - Number of the attempt and what precedes it.
  * @param options - Engine client, addresses and limits.
- * @returns The open chain, whose disposal cancels the sequence on every stage, or the first failure.
+ * @returns The open chain, whose disposal cancels the sequence on every stage, or every failure.
  *
  * @example
  * const opened = await openChain(chain, request, { attempt: 1, given: [], keptTargets: new Set() }, options)
@@ -47,8 +48,11 @@
   options: OpenChainOptions
 ): Promise<OpenChainResult> {
   const addresses = chain.map(part => options.address(part.target))
-  const missing = addresses.indexOf(undefined)
-  if (missing >= 0) return failed(chain[missing]!.target, 'the host is not listed', NEVER_SENT)
+  const unlisted = chain.filter((_, index) => addresses[index] === undefined)
+  if (unlisted.length > 0) {
+    const failures = unlisted.map(({ target }) => ({ target, cause: 'the host is not listed' }))
+    return { kind: 'failed', failures, verdict: NEVER_SENT }
+  }
 
   const firstPosition = attempt.given.length
   const kept = chain.map(part => attempt.keptTargets.has(part.target) ? firstPosition : 0)
@@ -56,6 +60,8 @@
   const open = (index: number): Promise<OpenResult> => {
     const part = chain[index]!
     const next = addresses[index + 1]
+    const fresh = attempt.freshTargets?.has(part.target) ?? false
+    const connectTimeoutMs = fresh ? options.connectTimeoutMs : options.connectTimeoutMs / 2
     const isEnd = index === 0 || next === undefined
     options.onSent?.(part.target, addresses[index]!)
     return options.engines.open({ target: part.target, address: addresses[index]! }, {
@@ -74,20 +80,20 @@
       runFrom: runFrom[index]!,
       passFrom: runFrom[index + 1] ?? firstPosition,
       ...(next === undefined ? {} : { next })
-    }, { signal: options.signal, connectTimeoutMs: options.connectTimeoutMs, fresh: attempt.freshTargets?.has(part.target) ?? false })
+    }, { signal: options.signal, connectTimeoutMs, fresh })
   }
 
   const later = await Promise.all(chain.slice(1).map((_, index) => open(index + 1)))
-  const bad = later.findIndex(result => result.kind !== 'open')
-  if (bad >= 0) {
+  const failures = later.flatMap((result, index) => describeFailure(chain[index + 1]!.target, result))
+  if (failures.length > 0) {
     detachAll(later)
-    return describeFailure(chain[bad + 1]!.target, later[bad]!, NEVER_SENT)
+    return { kind: 'failed', failures, verdict: NEVER_SENT }
   }
   const first = await open(0)
   if (first.kind !== 'open') {
     detachAll(later)
     const verdict: Verdict = first.kind === 'lost' ? { kind: 'mayHaveRun' } : NEVER_SENT
-    return describeFailure(chain[0]!.target, first, verdict)
+    return { kind: 'failed', failures: describeFailure(chain[0]!.target, first), verdict }
   }
   const stages = [first, ...later].flatMap(result => result.kind === 'open' ? [result.stage] : [])
   return {
@@ -96,16 +102,12 @@
   }
 }
 
-function failed (target: string, cause: string, verdict: Verdict): OpenChainResult {
-  return { kind: 'failed', target, cause, verdict }
-}
-
-function describeFailure (target: string, result: OpenResult, verdict: Verdict): OpenChainResult {
-  if (result.kind === 'open') return failed(target, '', verdict)
-  const failure = { kind: 'failed' as const, target, cause: `${result.kind}: ${result.cause}`, verdict }
-  if (result.kind !== 'refused') return { ...failure, isConnectionSuspect: result.kind === 'lost' }
+function describeFailure (target: string, result: OpenResult): OpenFailure[] {
+  if (result.kind === 'open') return []
+  const failure = { target, cause: `${result.kind}: ${result.cause}` }
+  if (result.kind !== 'refused') return [{ ...failure, isConnectionSuspect: result.kind === 'lost' }]
   const { reason, attempt } = result
-  return { ...failure, ...(reason && { reason }), ...(attempt && { attempt }) }
+  return [{ ...failure, ...(reason && { reason }), ...(attempt && { attempt }) }]
 }
 
 /** Detaches the stages of a chain that did not open whole; they keep their KV cache for the next attempt. */
--- a/src/pipeline/runPipeline/index.ts
+++ b/src/pipeline/runPipeline/index.ts
@@ -14,7 +14,7 @@
 import { chooseChain } from '../chooseChain/index.js'
 import { examineChain, type Examination, type Finding } from '../examineChain/index.js'
 import { openChain } from '../openChain/index.js'
-import { sequenceName, type AnswerRequest, type AnswerResult, type Chain, type OpenChain, type OpenChainResult, type PickStage } from '../types.js'
+import { sequenceName, type AnswerRequest, type AnswerResult, type Chain, type OpenChain, type OpenChainResult, type OpenFailure, type PickStage } from '../types.js'
 import { createProgress, type Progress } from '../_lib/progress.js'
 import { readTokens, type ReadEnd } from '../_lib/readTokens.js'
 import { takeFinding } from '../_lib/takeFinding.js'
@@ -175,28 +175,28 @@
   })
 }
 
-function takeFailedOpen (failed: Extract<OpenChainResult, { kind: 'failed' }>, { options, progress }: Answering): AttemptResult {
-  const { target, cause, verdict, reason } = failed
-  progress.facts = { target, cause }
+function takeFailedOpen ({ failures, verdict }: Extract<OpenChainResult, { kind: 'failed' }>, answering: Answering): AttemptResult {
+  const { progress } = answering
+  progress.facts = { failures: failures.map(({ target, cause }) => ({ target, cause })) }
   if (verdict.kind === 'mayHaveRun') progress.verdict = verdict
-  if (reason === 'superseded' && failed.attempt !== undefined) {
-    if (progress.attempts > 1) return giveUp('targetFailed', progress, { ...progress.facts, supersededBy: failed.attempt })
-    progress.attempt = failed.attempt
-    return undefined
-  }
+  const seen = Math.max(...failures.map(({ reason, attempt = 0 }) => reason === 'superseded' ? attempt : 0))
+  if (seen > 0 && progress.attempts > 1) return giveUp('targetFailed', progress, { ...progress.facts, supersededBy: seen })
+  progress.attempt = Math.max(progress.attempt, seen)
+  for (const failure of failures) takeFailure(failure, answering)
+  return undefined
+}
+
+function takeFailure ({ target, reason, isConnectionSuspect = false }: OpenFailure, { options, progress }: Answering): void {
+  if (reason === 'superseded') return
   if (reason === 'cacheNotHeld') {
     progress.kept.delete(target)
-    return undefined
+    return
   }
   if (reason === 'leaving') options.directory.noteLeaving(target, 'engine')
   // A first loss without an answer may be the fault of a kept connection; a fresh one decides.
-  if (failed.isConnectionSuspect && !progress.fresh.has(target)) {
-    progress.fresh.add(target)
-    return undefined
-  }
-  if (reason === undefined) progress.blame(target)
+  if (isConnectionSuspect && !progress.fresh.has(target)) progress.fresh.add(target)
+  else if (reason === undefined) progress.blame(target)
   else progress.avoid(target)
-  return undefined
 }
 
 function giveUpAborted ({ options, progress }: Answering): Extract<AnswerResult, { kind: 'failed' }> {
--- a/src/pipeline/runPipeline/test.ts
+++ b/src/pipeline/runPipeline/test.ts
@@ -105,6 +105,16 @@
   t.is(rig.conditions.size, 0)
 })
 
+test('two frozen stages that a new answer meets are found at the same time', async t => {
+  const rig = createAnswerRig()
+  rig.engines.get('b').faults.frozen = true
+  rig.engines.get('c').faults.frozen = true
+  const answer = rig.start()
+  await rig.until(answer, 1)
+  t.true(rig.runtime.monotonicMs() <= 50 + 100 + 50)
+  await endWhole(t, rig, answer)
+})
+
 test('a slow but live first token is waited for', async t => {
   const rig = createAnswerRig({ stepMs: 900 })
   const answer = rig.start({ maxTokens: 2 })
--- a/src/pipeline/types.ts
+++ b/src/pipeline/types.ts
@@ -49,21 +49,22 @@
   stages: OpenStage[]
 }
 
+/** A stage that did not open. */
+export interface OpenFailure {
+  target: string
+  cause: string
+  /** Why the engine refused, and the attempt that it has seen. */
+  reason?: RefusalReason
+  attempt?: number
+  /** Whether the connection may be at fault and not the target. */
+  isConnectionSuspect?: boolean
+}
+
 /** Result of opening a chain. */
 export type OpenChainResult =
   | { kind: 'open', chain: OpenChain }
-  /** `verdict` tells whether this attempt may have run. */
-  | {
-    kind: 'failed'
-    target: string
-    cause: string
-    verdict: Verdict
-    /** Why the engine refused, and the attempt that it has seen. */
-    reason?: RefusalReason
-    attempt?: number
-    /** Whether the connection may be at fault and not the target. */
-    isConnectionSuspect?: boolean
-  }
+  /** `verdict` tells whether this attempt may have run; `failures` is never empty. */
+  | { kind: 'failed', failures: OpenFailure[], verdict: Verdict }
 
 /** How an answer ended. */
 export type AnswerResult =
