--- a/src/service/createHttpService/index.ts
+++ b/src/service/createHttpService/index.ts
@@ -91,7 +91,7 @@
       })
     }
   })
-  return { client, mayHaveSent: () => (socket?.bytesWritten ?? 0) > 0 }
+  return { client, mayHaveSent: () => socket !== undefined && socket.bytesWritten !== 0 }
 }
 
 async function readAnswer (response: Dispatcher.ResponseData): Promise<Buffer> {
