Gossip only what changed, and watch members by neighbours instead of heartbeats

Cause: each round sent up to 33 whole members on each stream, and every member's heartbeat had to reach every other within the suspicion time, so bytes grew with the number of members. Ruled out: longer intervals (suspicion grows with them), heartbeat digests (still one entry a member and round). Change: each stream carries a change once, whole the first time and by a handle after that; streams form three rings of different hash order; a neighbour that hears nothing suspects, the member refutes under a higher incarnation; death is final for an incarnation; dead members are probed so that a healed parting rejoins; silent streams are closed. Configurations over gossip carry only the values that differ, one request at a time. Target notices travel the same way. Counters for bytes and frames of control; the event loop's delay is sampled once a second.

--- /dev/null
+++ b/bench/fitLine/index.ts
@@ -0,0 +1,20 @@
+/**
+ * Least-squares lines through measured points.
+ */
+
+/** A fitted line. */
+export interface Line {
+  slope: number
+  at: (x: number) => number
+}
+
+/** The line through points `[x, y]` with the least squared error. */
+export function fitLine (points: Array<readonly [number, number]>): Line {
+  const mean = (values: number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
+  const meanX = mean(points.map(([x]) => x))
+  const meanY = mean(points.map(([, y]) => y))
+  const covariance = mean(points.map(([x, y]) => (x - meanX) * (y - meanY)))
+  const variance = mean(points.map(([x]) => (x - meanX) ** 2))
+  const slope = covariance / variance
+  return { slope, at: x => meanY + slope * (x - meanX) }
+}
--- a/src/daemon/createMetrics/index.ts
+++ b/src/daemon/createMetrics/index.ts
@@ -6,6 +6,9 @@
 /** Upper bounds of the time histograms, in milliseconds. */
 const TIME_BUCKETS_MS = [5, 10, 20, 31, 50, 100, 200, 300, 530, 1_000, 2_000, 5_000]
 
+/** Interval of the event loop's delay samples, each of which wakes the process. */
+const LOOP_SAMPLE_MS = 1_000
+
 /** The metrics that modules write to. */
 export interface Metrics {
   registry: Registry
@@ -14,6 +17,9 @@
   firstTokenMs: Histogram
   storeCalls: Counter<'operation'>
   revisionInForce: Gauge
+  peerBytes: Counter<'direction'>
+  peerFrames: Counter<'direction'>
+  platformBytes: Counter<'source'>
 }
 
 /**
@@ -27,7 +33,7 @@
  */
 export function createMetrics (): Metrics {
   const registry = new Registry()
-  collectDefaultMetrics({ register: registry })
+  collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: LOOP_SAMPLE_MS })
   const registers = [registry]
   return {
     registry,
@@ -35,6 +41,9 @@
     tokens: new Counter({ name: 'coltsfootlead_tokens_total', help: 'Tokens written to callers', registers }),
     firstTokenMs: new Histogram({ name: 'coltsfootlead_first_token_ms', help: 'Time to the first token in milliseconds', buckets: TIME_BUCKETS_MS, registers }),
     storeCalls: new Counter({ name: 'coltsfootlead_store_calls_total', help: 'Calls to the object API', labelNames: ['operation'], registers }),
-    revisionInForce: new Gauge({ name: 'coltsfootlead_revision_in_force', help: 'Configuration revision in force', registers })
+    revisionInForce: new Gauge({ name: 'coltsfootlead_revision_in_force', help: 'Configuration revision in force', registers }),
+    peerBytes: new Counter({ name: 'coltsfootlead_peer_bytes_total', help: 'Bytes of frames to and from peers', labelNames: ['direction'], registers }),
+    peerFrames: new Counter({ name: 'coltsfootlead_peer_frames_total', help: 'Frames to and from peers', labelNames: ['direction'], registers }),
+    platformBytes: new Counter({ name: 'coltsfootlead_platform_bytes_total', help: 'Bytes of bodies to and from the object API and the host list', labelNames: ['source'], registers })
   }
 }
--- a/src/daemon/startDaemon/index.ts
+++ b/src/daemon/startDaemon/index.ts
@@ -15,7 +15,7 @@
 import { connectPeer } from '../../peer/connectPeer/index.js'
 import { createPeerNode } from '../../peer/createPeerNode/index.js'
 import { servePeers } from '../../peer/servePeers/index.js'
-import type { PeerStream } from '../../peer/types.js'
+import type { PeerStream, TrafficMeter } from '../../peer/types.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
@@ -27,7 +27,7 @@
 import type { Daemon, DaemonPorts } from '../types.js'
 
 /** Wait between reads of the stored members once this daemon is registered, and before. */
-const MEMBERS_REFRESH_MS = 30_000
+const MEMBERS_REFRESH_MS = 300_000
 const MEMBERS_RETRY_MS = 500
 
 /**
@@ -76,7 +76,7 @@
     revisionInForce: 0
   }
   const table = createMemberTable(self, { runtime, log })
-  const node = createPeerNode({ table, holder, clock, connect: ports.connectPeer, intervalMs: settings.gossip.intervalMs, runtime, log, signal })
+  const node = createPeerNode({ table, holder, directory, clock, connect: ports.connectPeer, intervalMs: settings.gossip.intervalMs, runtime, log, signal })
   accept = node.accept
   const tasks = [
     watchConfiguration({ store, holder, log, runtime, signal }),
@@ -91,7 +91,7 @@
       registered ||= await registerMember(table.self(), store) !== undefined
       const members = await listMembers(store)
       if (members !== undefined) table.merge(members)
-      await sleep(registered ? MEMBERS_REFRESH_MS : MEMBERS_RETRY_MS, { runtime, signal })
+      await sleep((registered && members !== undefined ? MEMBERS_REFRESH_MS : MEMBERS_RETRY_MS) * (0.5 + runtime.random()), { runtime, signal })
     }
   }
 
@@ -114,11 +114,18 @@
 function createNetworkPorts (settings: DaemonSettings, options: { runtime: Runtime, metrics: Metrics }): DaemonPorts {
   const { runtime, metrics } = options
   const { objectApi, hostList } = settings
+  const meter: TrafficMeter = (direction, sizeBytes) => {
+    metrics.peerFrames.inc({ direction })
+    metrics.peerBytes.inc({ direction }, sizeBytes)
+  }
+  const countBytes = (source: string) => (sizeBytes: number) => metrics.platformBytes.inc({ source }, sizeBytes)
   return {
-    store: createHttpObjectStore({ ...objectApi, runtime, onCall: operation => metrics.storeCalls.inc({ operation }) }),
-    hostList: createHttpHostList({ url: hostList.url, timeoutMs: hostList.pollMs, runtime }),
-    connectPeer,
-    servePeers,
+    store: createHttpObjectStore({
+      ...objectApi, runtime, onCall: operation => metrics.storeCalls.inc({ operation }), onBytes: countBytes('objectApi')
+    }),
+    hostList: createHttpHostList({ url: hostList.url, timeoutMs: hostList.pollMs, runtime, onBytes: countBytes('hostList') }),
+    connectPeer: address => connectPeer(address, { meter }),
+    servePeers: (onStream, at) => servePeers(onStream, { ...at, meter }),
     listen
   }
 }
--- a/src/hostList/createHttpHostList/index.ts
+++ b/src/hostList/createHttpHostList/index.ts
@@ -6,6 +6,15 @@
 import { withDeadline } from '../../runtime/withDeadline/index.js'
 import type { HostList, ListedHost } from '../types.js'
 
+/** How the adapter reaches the host list. */
+export interface HttpHostListOptions {
+  url: string
+  timeoutMs: number
+  runtime: Runtime
+  /** Called with the size of each body read. */
+  onBytes?: (sizeBytes: number) => void
+}
+
 /**
  * @name createHttpHostList
  * @summary The platform's host list over HTTP.
@@ -15,17 +24,18 @@
  * @example
  * await using hostList = createHttpHostList({ url, timeoutMs: 1000, runtime })
  */
-export function createHttpHostList (options: { url: string, timeoutMs: number, runtime: Runtime }): HostList {
-  const { url, timeoutMs, runtime } = options
+export function createHttpHostList (options: HttpHostListOptions): HostList {
+  const { url, timeoutMs, runtime, onBytes = () => {} } = options
   const agent = new Agent({ connect: { timeout: timeoutMs } })
   return {
     async read () {
       using deadline = withDeadline(timeoutMs, { runtime })
       try {
         const response = await request(`${url}/hosts`, { dispatcher: agent, signal: deadline.signal })
-        const body = await response.body.json() as { hosts: ListedHost[] }
+        const text = await response.body.text()
+        onBytes(text.length)
         if (response.statusCode !== 200) return { kind: 'unavailable', cause: `status ${response.statusCode}` }
-        return { kind: 'listed', hosts: body.hosts }
+        return { kind: 'listed', hosts: (JSON.parse(text) as { hosts: ListedHost[] }).hosts }
       } catch (error) {
         return { kind: 'unavailable', cause: (error as Error).message }
       }
--- a/src/member/types.ts
+++ b/src/member/types.ts
@@ -19,7 +19,7 @@
   failureDomain: string
   /** Raised at each start and to refute a suspicion; a higher one replaces all that was known. */
   incarnation: number
-  /** Raised on each gossip round. */
+  /** Raised by the member with each change of what it says of itself. */
   heartbeat: number
   status: MemberStatus
   /** Configuration revision that it has in force. */
--- a/src/objectApi/createHttpObjectStore/index.ts
+++ b/src/objectApi/createHttpObjectStore/index.ts
@@ -20,6 +20,8 @@
   runtime: Runtime
   /** Called once for each call made, for the budget's metric. */
   onCall?: (operation: 'read' | 'list' | 'write' | 'watch') => void
+  /** Called with the size of the bodies of each answered call. */
+  onBytes?: (sizeBytes: number) => void
 }
 
 /**
@@ -32,7 +34,7 @@
  * await using store = createHttpObjectStore({ url, callTimeoutMs: 2000, watchWaitMs: 5000, runtime })
  */
 export function createHttpObjectStore (options: HttpObjectStoreOptions): ObjectStore {
-  const { url, callTimeoutMs, watchWaitMs, runtime, onCall = () => {} } = options
+  const { url, callTimeoutMs, watchWaitMs, runtime, onCall = () => {}, onBytes = () => {} } = options
   const agent = new Agent({ connect: { timeout: callTimeoutMs }, pipelining: 1 })
   const objectUrl = (key: string): string => `${url}/objects/${encodeURIComponent(key)}`
 
@@ -44,6 +46,7 @@
     using deadline = withDeadline(limits.timeoutMs, { runtime, ...(limits.parent ? { parent: limits.parent } : {}) })
     const response = await request(target, { ...init, dispatcher: agent, signal: deadline.signal, reset: limits.fresh ?? false })
     const text = await response.body.text()
+    onBytes(text.length + (init.body?.length ?? 0))
     return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) }
   }
 
--- a/src/peer/_lib/convertMember.ts
+++ b/src/peer/_lib/convertMember.ts
@@ -16,6 +16,16 @@
   Object.entries(TO_WIRE).map(([status, wire]) => [wire, status as MemberStatus])
 )
 
+/** The message form of a status. */
+export function toWireStatus (status: MemberStatus): WireStatus {
+  return TO_WIRE[status]
+}
+
+/** A status from its message form; nothing for one that this version does not know. */
+export function fromWireStatus (status: WireStatus): MemberStatus | undefined {
+  return FROM_WIRE.get(status)
+}
+
 /** The message form of a member. */
 export function toMemberState (member: Member): MemberState {
   return create(MemberStateSchema, {
--- a/src/peer/connectPeer/index.ts
+++ b/src/peer/connectPeer/index.ts
@@ -3,9 +3,9 @@
  */
 import { Client, credentials } from '@grpc/grpc-js'
 import { createSubject } from '../../stream/createSubject/index.js'
-import { PEER_SERVICE } from '../_lib/peerService.js'
+import { createPeerService } from '../_lib/peerService.js'
 import type { PeerFrame } from '../gen/peer_pb.js'
-import type { PeerStream } from '../types.js'
+import type { PeerStream, TrafficMeter } from '../types.js'
 
 /** Limit of one frame; a whole configuration must fit. */
 export const MAX_FRAME_BYTES = 16 * 1_048_576
@@ -14,14 +14,15 @@
  * @name connectPeer
  * @summary Opens a stream to a peer.
  * @param address - `ip:port` of its peer port.
+ * @param options - Told of each frame.
  * @returns The stream; it connects in the background and ends when that fails.
  *
  * @example
  * using stream = connectPeer('10.0.0.7:7000')
  * stream.send(frame)
  */
-export function connectPeer (address: string): PeerStream {
-  const { path, requestSerialize, responseDeserialize } = PEER_SERVICE.exchange
+export function connectPeer (address: string, options: { meter?: TrafficMeter } = {}): PeerStream {
+  const { path, requestSerialize, responseDeserialize } = createPeerService(options.meter ?? (() => {})).exchange
   const client = new Client(address, credentials.createInsecure(), { 'grpc.max_receive_message_length': MAX_FRAME_BYTES })
   const call = client.makeBidiStreamRequest(path, requestSerialize, responseDeserialize)
   const subject = createSubject<PeerFrame>()
--- a/src/peer/servePeers/index.ts
+++ b/src/peer/servePeers/index.ts
@@ -3,16 +3,16 @@
  */
 import { Server, ServerCredentials, type ServerDuplexStream } from '@grpc/grpc-js'
 import { createSubject } from '../../stream/createSubject/index.js'
-import { PEER_SERVICE } from '../_lib/peerService.js'
+import { createPeerService } from '../_lib/peerService.js'
 import { MAX_FRAME_BYTES } from '../connectPeer/index.js'
 import type { PeerFrame } from '../gen/peer_pb.js'
-import type { PeerServer, PeerStream } from '../types.js'
+import type { PeerServer, PeerStream, TrafficMeter } from '../types.js'
 
 /**
  * @name servePeers
  * @summary Listens for peers.
  * @param onStream - Called with each stream that a peer opens.
- * @param options - Address and port to listen on.
+ * @param options - Address and port to listen on, and what is told of each frame.
  * @returns The server once it listens.
  *
  * @example
@@ -20,10 +20,10 @@
  */
 export async function servePeers (
   onStream: (stream: PeerStream) => void,
-  options: { address: string, port: number }
+  options: { address: string, port: number, meter?: TrafficMeter }
 ): Promise<PeerServer> {
   const server = new Server({ 'grpc.max_receive_message_length': MAX_FRAME_BYTES })
-  server.addService(PEER_SERVICE, {
+  server.addService(createPeerService(options.meter ?? (() => {})), {
     exchange: (call: ServerDuplexStream<PeerFrame, PeerFrame>) => onStream(wrapCall(call))
   })
   const port = await new Promise<number>((resolve, reject) => {
--- a/src/peer/types.ts
+++ b/src/peer/types.ts
@@ -11,6 +11,9 @@
   frames: Stream<PeerFrame>
 }
 
+/** Told of each frame that passes, with its size on the wire. */
+export type TrafficMeter = (direction: 'sent' | 'received', sizeBytes: number) => void
+
 /** Opens a stream to the peer at `ip:port`. */
 export type ConnectPeer = (address: string) => PeerStream
 
--- a/src/target/createTargetDirectory/index.ts
+++ b/src/target/createTargetDirectory/index.ts
@@ -7,10 +7,8 @@
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import { createSubject } from '../../stream/createSubject/index.js'
-import type { TargetDirectory } from '../types.js'
-
-/** How long a suspected target gets no new work before it is tried again. */
-const SUSPICION_MS = 2_000
+import { createNoticeBook, type TargetLife } from '../_lib/createNoticeBook.js'
+import type { TargetDirectory, TargetNotice } from '../types.js'
 
 /** What the directory works with. */
 export interface TargetDirectoryOptions {
@@ -38,56 +36,77 @@
 export function createTargetDirectory (options: TargetDirectoryOptions): FedTargetDirectory {
   const { holder, runtime, log } = options
   const changes = createSubject<string>()
-  const suspectedUntilMs = new Map<string, number>()
-  const leaving = new Set<string>()
+  const notices = createNoticeBook({ runtime })
   let hosts = new Map<string, ListedHost>()
 
-  const hostOf = (target: string): ListedHost | undefined => {
+  const addressOf = (target: string): string | undefined => {
     const host = holder.current().targets.get(target)?.host
-    return host === undefined ? undefined : hosts.get(host)
+    return host === undefined ? undefined : hosts.get(host)?.address
+  }
+
+  /** The target as it is now; one that is not listed has no life to speak of. */
+  function lifeOf (target: string): TargetLife | undefined {
+    const address = addressOf(target)
+    return address === undefined ? undefined : { target, address }
   }
 
-  function noteLeaving (target: string, source: string): void {
-    if (leaving.has(target)) return
-    leaving.add(target)
-    log.emit('targetLeaving', { target, source })
+  function addLeaving (life: TargetLife, source: string): void {
+    if (!notices.addLeaving(life, { told: source === 'peer' })) return
+    log.emit('targetLeaving', { ...life, source })
+    changes.next(life.target)
+  }
+
+  function takeNotice ({ target, address, state, remainingMs }: TargetNotice): void {
+    const life = { target, address }
+    if (state === 'leaving') return addLeaving(life, 'peer')
+    if (!notices.addSuspected(life, { remainingMs, told: true })) return
+    log.emit('targetSuspected', { ...life, source: 'peer' })
     changes.next(target)
   }
 
   /** Takes in a host list. A host that returns under another address is a new one. */
   function take (listed: ListedHost[]): void {
     const next = new Map(listed.map(host => [host.name, host]))
-    for (const target of holder.current().targets.values()) {
-      const before = hosts.get(target.host)
-      const now = next.get(target.host)
-      if (now === undefined || (before !== undefined && before.address !== now.address)) leaving.delete(target.name)
-      if (now?.state === 'leaving') noteLeaving(target.name, 'hostList')
+    for (const { name, host } of holder.current().targets.values()) {
+      const before = hosts.get(host)
+      const now = next.get(host)
+      if (before !== undefined && before.address !== now?.address) notices.forget({ target: name, address: before.address })
+      if (now?.state === 'leaving') addLeaving({ target: name, address: now.address }, 'hostList')
     }
     hosts = next
   }
 
   return {
-    address: target => hostOf(target)?.address,
+    address: addressOf,
     condition (target) {
-      if (leaving.has(target)) return 'leaving'
-      if (hostOf(target) === undefined) return 'unlisted'
-      return (suspectedUntilMs.get(target) ?? 0) > runtime.monotonicMs() ? 'suspected' : 'usable'
+      const life = lifeOf(target)
+      if (life === undefined) return 'unlisted'
+      if (notices.isLeaving(life)) return 'leaving'
+      return notices.isSuspected(life, holder.current().targets.size) ? 'suspected' : 'usable'
+    },
+    noteLeaving (target, source) {
+      const life = lifeOf(target)
+      if (life !== undefined) addLeaving(life, source)
     },
-    noteLeaving,
     noteSuspected (target) {
-      suspectedUntilMs.set(target, runtime.monotonicMs() + SUSPICION_MS)
-      log.emit('targetSuspected', { target })
+      const life = lifeOf(target)
+      if (life === undefined) return
+      notices.addSuspected(life)
+      log.emit('targetSuspected', { ...life, source: 'self' })
       changes.next(target)
     },
     noteAnswered (target) {
-      if (suspectedUntilMs.delete(target)) changes.next(target)
+      const life = lifeOf(target)
+      if (life !== undefined && notices.clearSuspected(life)) changes.next(target)
     },
+    takeNotices: received => received.forEach(takeNotice),
+    noticesAfter: notices.after,
     changes: changes.stream,
     async follow (hostList, { pollMs, signal }) {
       while (!signal.aborted) {
         const read = await hostList.read()
         if (read.kind === 'listed') take(read.hosts)
-        await sleep(pollMs, { runtime, signal })
+        await sleep(pollMs * (0.75 + runtime.random() / 2), { runtime, signal })
       }
     }
   }
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -6,17 +6,30 @@
 /** Why a target gets no new work. */
 export type TargetCondition = 'usable' | 'leaving' | 'suspected' | 'unlisted'
 
+/** A target's condition as daemons tell each other, about the target at one address. */
+export interface TargetNotice {
+  target: string
+  address: string
+  state: 'leaving' | 'suspected'
+  /** How much longer a suspicion lasts. */
+  remainingMs: number
+}
+
 /** Look-up of targets, fed by the host list, by engines and by peers. */
 export interface TargetDirectory {
   /** Address as `ip:port`, or nothing while its host is not listed. */
   address: (target: string) => string | undefined
   condition: (target: string) => TargetCondition
-  /** Notes that a target is leaving; never undone while the host keeps its entry. */
+  /** Notes that a target is leaving; never undone while the host keeps its address. */
   noteLeaving: (target: string, source: 'hostList' | 'engine' | 'peer') => void
   /** Notes that a fresh connection to a target failed. */
   noteSuspected: (target: string) => void
   /** Notes that a target answered on a fresh connection. */
   noteAnswered: (target: string) => void
+  /** Takes in notices of a peer. */
+  takeNotices: (notices: TargetNotice[]) => void
+  /** Notices learnt after a place in the order, oldest first, that are worth telling. */
+  noticesAfter: (sequence: number) => Array<{ notice: TargetNotice, sequence: number }>
   /** Names of targets whose condition changed. */
   changes: Stream<string>
 }
--- /dev/null
+++ b/test/fakes/createPeerNetwork.ts
@@ -0,0 +1,73 @@
+/**
+ * Peer streams in memory: frames arrive after a delay on the test's clock, and links can be cut
+ * or silenced.
+ */
+import type { PeerFrame } from '../../src/peer/gen/peer_pb.js'
+import type { ConnectPeer, PeerStream } from '../../src/peer/types.js'
+import type { Runtime } from '../../src/runtime/types.js'
+import { createSubject, type Subject } from '../../src/stream/createSubject/index.js'
+
+/** Time that a frame travels. */
+const DELAY_MS = 1
+
+/** A network with its switches. */
+export interface PeerNetwork {
+  /** What the daemon at an address dials with. */
+  connectFrom: (from: string) => ConnectPeer
+  listen: (address: string, accept: (stream: PeerStream) => void) => void
+  /** Nothing passes between addresses of different groups: open streams stay open and silent. */
+  part: (groupOf: (address: string) => unknown) => void
+  /** The process at an address is gone: its streams end and new ones are refused. */
+  stop: (address: string) => void
+  /** Frames that passed, with their sizes left to the reader. */
+  passed: Array<{ from: string, frame: PeerFrame }>
+}
+
+/** A network where everything passes. */
+export function createPeerNetwork (runtime: Runtime): PeerNetwork {
+  const listeners = new Map<string, (stream: PeerStream) => void>()
+  const open = new Set<{ from: string, to: string, close: () => void }>()
+  const passed: PeerNetwork['passed'] = []
+  let groupOf: (address: string) => unknown = () => 0
+
+  const passes = (from: string, to: string): boolean => groupOf(from) === groupOf(to)
+
+  function makeEnd (from: string, to: string, other: Subject<PeerFrame>, own: Subject<PeerFrame>, close: () => void): PeerStream {
+    return {
+      send (frame) {
+        runtime.setTimer(DELAY_MS, () => {
+          if (!passes(from, to)) return
+          passed.push({ from, frame })
+          other.next(frame)
+        })
+      },
+      frames: own.stream,
+      [Symbol.dispose]: close
+    }
+  }
+
+  return {
+    passed,
+    connectFrom: from => to => {
+      const [near, far] = [createSubject<PeerFrame>(), createSubject<PeerFrame>()]
+      const close = (): void => {
+        near.complete()
+        far.complete()
+      }
+      const accept = listeners.get(to)
+      const stream = makeEnd(from, to, far, near, close)
+      if (accept === undefined) runtime.setTimer(DELAY_MS, close)
+      else if (passes(from, to)) {
+        open.add({ from, to, close })
+        accept(makeEnd(to, from, near, far, close))
+      }
+      return stream
+    },
+    listen: (address, accept) => { listeners.set(address, accept) },
+    part: next => { groupOf = next },
+    stop (address) {
+      listeners.delete(address)
+      for (const link of open) if (link.from === address || link.to === address) link.close()
+    }
+  }
+}
