Renew the lease beside the orders, and plan orders that keep a pipeline in service

Cause: the holder renewed its lease between orders, so slow engines made it lapse; an order could take away a model's last pipeline; the weight store's rate was not kept; a new holder ordered at once, also engines that accept any fencing number; a write of the lease whose answer was lost blocked its own writer for a lease's length; after a store was restored the fencing number could be one that engines had already seen. The control daemons share the reading of engines' own word.

--- a/src/control/startControl/index.ts
+++ b/src/control/startControl/index.ts
@@ -9,6 +9,7 @@
 import type { Runtime } from '../../runtime/types.js'
 import type { DaemonSettings } from '../../settings/types.js'
 import { runControl } from '../runControl/index.js'
+import { watchEngines } from '../watchEngines/index.js'
 
 /** The outside of a control daemon. */
 export interface ControlPorts extends DaemonPorts {
@@ -35,16 +36,15 @@
   const resources = createResourceStack()
   const engines = resources.use(ports.engines ?? createHttpEngine({ runtime }))
   const daemon = await startDaemon(settings, { role: 'control', runtime, ports })
-  const task = runControl({ daemon, engines }).catch((error: Error) => {
-    daemon.log.emit('unexpectedError', { cause: error.message })
-  })
+  const report = (error: Error): void => { daemon.log.emit('unexpectedError', { cause: error.message }) }
+  const tasks = [runControl({ daemon, engines }), watchEngines({ daemon, engines })].map(task => task.catch(report))
   daemon.log.emit('processStarted', { operator: daemon.operatorUrl })
   return {
     daemon,
     async [Symbol.asyncDispose] () {
       await daemon[Symbol.asyncDispose]()
       await resources[Symbol.asyncDispose]()
-      await task
+      await Promise.all(tasks)
     }
   }
 }
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -21,6 +21,9 @@
 /** Key of the lease. */
 export const LEASE_KEY = 'leases/control'
 
+/** Deadline of one call to an engine, and so the longest time that an order can be under way. */
+export const ENGINE_CALL_MS = 2_000
+
 /** A lease as its holder knows it. */
 export interface HeldLease {
   fencing: number
@@ -29,4 +32,6 @@
   renewal: number
   /** Monotonic time after which the holder must not act. */
   expiresAtMs: number
+  /** Monotonic time at which the store's answer made this daemon the holder. */
+  acquiredAtMs: number
 }
