--- a/src/hostList/createHttpHostList/index.ts
+++ b/src/hostList/createHttpHostList/index.ts
@@ -1,5 +1,6 @@
 /**
- * Adapter to a host list that speaks HTTP.
+ * Adapter to a host list that speaks HTTP. A list that gives entity tags is read again only when
+ * it changed.
  */
 import { Agent, request } from 'undici'
 import type { Runtime } from '../../runtime/types.js'
@@ -26,16 +27,22 @@
  */
 export function createHttpHostList (options: HttpHostListOptions): HostList {
   const { url, timeoutMs, runtime, onBytes = () => {} } = options
+  let known: { tag: string, hosts: ListedHost[] } | undefined
   const agent = new Agent({ connect: { timeout: timeoutMs } })
   return {
     async read () {
       using deadline = withDeadline(timeoutMs, { runtime })
       try {
-        const response = await request(`${url}/hosts`, { dispatcher: agent, signal: deadline.signal })
+        const headers = known === undefined ? {} : { 'if-none-match': known.tag }
+        const response = await request(`${url}/hosts`, { dispatcher: agent, signal: deadline.signal, headers })
         const text = await response.body.text()
         onBytes(text.length)
+        if (response.statusCode === 304 && known !== undefined) return { kind: 'listed', hosts: known.hosts }
         if (response.statusCode !== 200) return { kind: 'unavailable', cause: `status ${response.statusCode}` }
-        return { kind: 'listed', hosts: (JSON.parse(text) as { hosts: ListedHost[] }).hosts }
+        const { hosts } = JSON.parse(text) as { hosts: ListedHost[] }
+        const { etag } = response.headers
+        known = typeof etag === 'string' ? { tag: etag, hosts } : undefined
+        return { kind: 'listed', hosts }
       } catch (error) {
         return { kind: 'unavailable', cause: (error as Error).message }
       }
--- a/src/settings/types.ts
+++ b/src/settings/types.ts
@@ -38,7 +38,7 @@
   }),
   operators: z.array(operatorSchema).min(1),
   gossip: z.strictObject({
-    intervalMs: positiveMs.default(500)
+    intervalMs: positiveMs.default(1_000)
   }).prefault({}),
   log: z.strictObject({
     level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
--- a/standin/hostList/serveHostList/index.ts
+++ b/standin/hostList/serveHostList/index.ts
@@ -22,10 +22,16 @@
 ): Promise<ListeningServer> {
   const hosts = new Map(initial.map(host => [host.name, host]))
   let { lagMs } = options
+  const startedMs = Date.now()
+  let revision = 0
 
   function change (apply: () => void): void {
-    if (lagMs === 0) apply()
-    else setTimeout(apply, lagMs).unref()
+    const applyAndCount = (): void => {
+      apply()
+      revision += 1
+    }
+    if (lagMs === 0) applyAndCount()
+    else setTimeout(applyAndCount, lagMs).unref()
   }
 
   return await listen(async (request, response) => {
@@ -36,6 +42,13 @@
       change(() => hosts.set(name, { ...host, name }))
     }
     if (request.method === 'DELETE' && name !== '') change(() => hosts.delete(name))
+    const tag = `"${startedMs}-${revision}"`
+    response.setHeader('etag', tag)
+    if (request.headers['if-none-match'] === tag) {
+      response.writeHead(304)
+      response.end()
+      return
+    }
     sendJson(response, 200, { hosts: [...hosts.values()] })
   }, options)
 }
