Choose stages by their share of the maximum flow

Chains were drawn at random, so the slowest engine of a range took as much work as the fastest. Stages are chosen by stride scheduling over the flow shares, corrected by outstanding tokens; round robin, random, two choices and least outstanding stay selectable by `routing.policy`. A newcomer without a pass of its own was starved by an idle faster one: it now takes the highest pass when it is first seen.

--- a/src/daemon/createMetrics/index.ts
+++ b/src/daemon/createMetrics/index.ts
@@ -14,6 +14,7 @@
   firstTokenMs: Histogram
   storeCalls: Counter<'operation'>
   revisionInForce: Gauge
+  boundTokensPerS: Gauge<'model'>
 }
 
 /**
@@ -35,6 +36,7 @@
     tokens: new Counter({ name: 'coltsfootlead_tokens_total', help: 'Tokens written to callers', registers }),
     firstTokenMs: new Histogram({ name: 'coltsfootlead_first_token_ms', help: 'Time to the first token in milliseconds', buckets: TIME_BUCKETS_MS, registers }),
     storeCalls: new Counter({ name: 'coltsfootlead_store_calls_total', help: 'Calls to the object API', labelNames: ['operation'], registers }),
-    revisionInForce: new Gauge({ name: 'coltsfootlead_revision_in_force', help: 'Configuration revision in force', registers })
+    revisionInForce: new Gauge({ name: 'coltsfootlead_revision_in_force', help: 'Configuration revision in force', registers }),
+    boundTokensPerS: new Gauge({ name: 'coltsfootlead_bound_tokens_per_s', help: 'Throughput bound of a model', labelNames: ['model'], registers })
   }
 }
--- a/src/entry/answerCompletion/index.ts
+++ b/src/entry/answerCompletion/index.ts
@@ -59,12 +59,13 @@
   const startedMs = daemon.runtime.monotonicMs()
   daemon.log.emit('requestAdmitted', { request: call.request, account: call.account.name, model: body.model })
   const writer = body.stream ? createStreamWriter(call, body, context) : createWholeWriter(call, body)
+  using route = context.router.begin(request.model, request.maxTokens)
   let first = true
   const result = await runPipeline(request, {
     configuration: daemon.holder.current,
     engines: context.engines,
     directory: daemon.directory,
-    pick: context.pick,
+    pick: route.pick,
     runtime: daemon.runtime,
     log: daemon.log,
     signal: call.signal,
@@ -73,6 +74,7 @@
       if (first) noteFirstToken(call, context, daemon.runtime.monotonicMs() - startedMs)
       first = false
       daemon.metrics.tokens.inc()
+      route.noteToken()
       writer.onToken(frame)
     }
   })
--- a/src/entry/startEntry/index.ts
+++ b/src/entry/startEntry/index.ts
@@ -6,6 +6,7 @@
 import type { EngineClient } from '../../engine/types.js'
 import { createHttpEngine } from '../../engine/createHttpEngine/index.js'
 import { listen } from '../../http/listen/index.js'
+import { createRouter } from '../../route/createRouter/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
@@ -58,11 +59,20 @@
   const engines = resources.use(ports.engines ?? createHttpEngine({ runtime }))
   const services = resources.use(ports.services ?? createHttpService({ connectTimeoutMs: SERVICE_CONNECT_MS, runtime }))
   const calls = createOpenCalls()
+  const router = createRouter({
+    ...settings.routing,
+    holder: daemon.holder,
+    directory: daemon.directory,
+    runtime,
+    log: daemon.log,
+    onBound: (model, boundTokensPerS) => daemon.metrics.boundTokensPerS.set({ model }, boundTokensPerS)
+  })
+  const following = router.follow(daemon.signal)
   const context: EntryContext = {
     daemon,
     engines,
     services,
-    pick: candidates => candidates[Math.floor(runtime.random() * candidates.length)]!,
+    router,
     keep: calls.keep
   }
   const server = resources.use(await (ports.listen ?? listen)(createCallerHandler(context, { calls }), {
@@ -84,7 +94,10 @@
       daemon.log.emit('drainCut', { inFlight: calls.size() })
       await calls.endAll(call => cutRefusal(call, daemon))
     },
-    [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose]()
+    async [Symbol.asyncDispose] () {
+      await resources[Symbol.asyncDispose]()
+      await following
+    }
   }
 }
 
--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -38,6 +38,7 @@
   requestCut: { number: 3070, level: 'warn', text: 'request ended by a shutdown that was cut short' },
   connectionMalformed: { number: 3071, level: 'debug', text: 'connection refused before a request could be read' },
   requestFailed: { number: 3021, level: 'warn', text: 'request ended without a full answer' },
+  boundChanged: { number: 3100, level: 'info', text: 'throughput bound of a model changed' },
   bookingIntended: { number: 4001, level: 'info', text: 'booking intent recorded' },
   bookingSent: { number: 4002, level: 'info', text: 'booking sent to the service' },
   bookingSettled: { number: 4003, level: 'info', text: 'booking outcome recorded' },
--- /dev/null
+++ b/src/route/computeMaxFlow/test.ts
@@ -0,0 +1,39 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { computeMaxFlow } from './index.js'
+
+const NODES = 6
+const networks = fc.array(fc.record({
+  from: fc.nat(NODES - 1), to: fc.nat(NODES - 1), capacity: fc.nat(20)
+}), { maxLength: 16 })
+
+/** Least capacity of all cuts between node 0 and the last one. */
+function findMinCut (edges: Array<{ from: number, to: number, capacity: number }>): number {
+  let least = Infinity
+  for (let set = 1; set < 1 << NODES; set += 2) {
+    if (set & (1 << (NODES - 1))) continue
+    const crossing = edges.filter(edge => (set >> edge.from) & 1 && !((set >> edge.to) & 1))
+    least = Math.min(least, crossing.reduce((sum, edge) => sum + edge.capacity, 0))
+  }
+  return least
+}
+
+test('the flow equals the least cut', t => {
+  fc.assert(fc.property(networks, edges => {
+    return computeMaxFlow(edges, { nodes: NODES, source: 0, sink: NODES - 1 }).value === findMinCut(edges)
+  }), { seed: 6, numRuns: 2_000 })
+  t.pass()
+})
+
+test('no edge passes its capacity and every inner node hands on what it takes', t => {
+  fc.assert(fc.property(networks, edges => {
+    const { flows } = computeMaxFlow(edges, { nodes: NODES, source: 0, sink: NODES - 1 })
+    const balance = new Array<number>(NODES).fill(0)
+    edges.forEach((edge, index) => {
+      balance[edge.from]! -= flows[index]!
+      balance[edge.to]! += flows[index]!
+    })
+    return edges.every((edge, index) => flows[index]! >= 0 && flows[index]! <= edge.capacity) && balance.slice(1, -1).every(sum => sum === 0)
+  }), { seed: 6, numRuns: 500 })
+  t.pass()
+})
--- a/src/settings/types.ts
+++ b/src/settings/types.ts
@@ -3,6 +3,7 @@
  * field is an error. What operators change while the system runs is in change tickets, not here.
  */
 import { z } from 'zod'
+import { POLICY_NAMES } from '../route/types.js'
 
 const port = z.int().min(0).max(65_535)
 const positiveMs = z.int().positive()
@@ -52,6 +53,10 @@
     bodyDeadlineMs: positiveMs.default(10_000),
     readerBufferBytes: z.int().positive().default(262_144)
   }).prefault({}),
+  routing: z.strictObject({
+    /** How the next stage of a pipeline is chosen. */
+    policy: z.enum(POLICY_NAMES).default('flowShare')
+  }).prefault({}),
   shutdown: z.strictObject({
     /** How long the balancer may still send requests after readiness is withdrawn. */
     balancerLagMs: z.int().min(0).default(3_000),
--- a/src/ticket/types.ts
+++ b/src/ticket/types.ts
@@ -43,6 +43,12 @@
   accelerator: z.string().optional(),
   /** Tokens a second through all layers that it holds, when it serves nothing else. */
   tokensPerS: z.number().positive().optional(),
+  /** Its link to the next stage, where that is slower than the engine or far away. */
+  link: z.strictObject({
+    /** Activations that it carries, in tokens a second. */
+    tokensPerS: z.number().positive().optional(),
+    delayMs: z.number().min(0).default(0)
+  }).optional(),
   /** Whether it refuses orders with an old fencing number. */
   checksFencing: z.boolean().default(true)
 })
