Give the load tool an open loop, mixes and reports

The tool sent all its requests at once and counted from the send, so that a stalled entry slowed the load down and looked quick. Arrivals are now planned from a seed before the first is sent, each is sent at its intended start, and latency counts from there.

--- a/src/bin/coltsfootlead-load.ts
+++ b/src/bin/coltsfootlead-load.ts
@@ -2,29 +2,91 @@
 /**
  * The load tool.
  */
+import { writeFile } from 'node:fs/promises'
 import http from 'node:http'
+import path from 'node:path'
 import { Cli, Command, Option } from 'clipanion'
+import { planArrivals } from '../load/planArrivals/index.js'
+import { renderReport, renderText } from '../load/renderReport/index.js'
+import { runLoad, type LoadProgress } from '../load/runLoad/index.js'
 import { streamCompletion } from '../load/streamCompletion/index.js'
+import { summarizeLoad } from '../load/summarizeLoad/index.js'
+import { loadMixSchema, type LoadMix } from '../load/types.js'
 import { createSystemRuntime } from '../runtime/createSystemRuntime/index.js'
+import { readSettings, SettingsError } from '../settings/readSettings/index.js'
+
+/** Exit codes of the load tool. */
+const EXIT = {
+  ok: 0,
+  /** The load file or an option does not hold. */
+  cannotStart: 1,
+  /** An answer broke off or came after its deadline; refusals do not count. */
+  brokenAnswers: 2
+} as const
 
 class LoadCommand extends Command {
-  static override usage = Command.Usage({ description: 'Send streamed requests and report what came back.' })
+  static override usage = Command.Usage({
+    description: 'Send streamed requests at planned times, whatever comes back, and report.',
+    details: 'Latency counts from the intended start. Exit code 0: every answer was whole and in time, or refused. ' +
+      '1: the load file does not hold. 2: an answer broke off or was late.',
+    examples: [
+      ['The studio mix against two entries', '$0 --address 127.0.0.1:8080 --address 127.0.0.1:8081 --load examples/loads/vehicle-wrap-studio.jsonc'],
+      ['Twice the rate for ten seconds, as JSON', '$0 --address 127.0.0.1:8080 --load mix.jsonc --set requestsPerS=20 --set durationS=10 --json']
+    ]
+  })
 
-  address = Option.String('--address', { required: true, description: 'ip:port of a caller port' })
-  token = Option.String('--token', { required: true, description: 'Token of a client account' })
-  model = Option.String('--model', { required: true })
-  requests = Option.String('--requests', '10')
+  address = Option.Array('--address', { required: true, description: 'ip:port of a caller port; several are used in turn' })
+  load = Option.String('--load', { required: true, description: 'Load file in JSON with comments' })
+  set = Option.Array('--set', [], { description: 'Override of one field, as path.to.field=value' })
+  seed = Option.String('--seed', '1', { description: 'Seed of the arrivals' })
+  json = Option.Boolean('--json', false, { description: 'Print the figures as one JSON line' })
+  html = Option.String('--html', { description: 'File to write an HTML report with plots to' })
+  quiet = Option.Boolean('--quiet', false, { description: 'No progress on standard error' })
 
   async execute (): Promise<number> {
-    const { address, token, model } = this
-    const options = { runtime: createSystemRuntime(), agent: new http.Agent({ keepAlive: true }) }
-    const calls = Array.from({ length: Number(this.requests) }, (_, index) =>
-      streamCompletion({ address, token, model, prompt: `prompt ${index}`, maxTokens: 16 }, options))
-    const outcomes = await Promise.all(calls)
-    const complete = outcomes.filter(outcome => outcome.kind === 'complete').length
-    this.context.stdout.write(`${JSON.stringify({ requests: outcomes.length, complete })}\n`)
-    options.agent.destroy()
-    return complete === outcomes.length ? 0 : 1
+    const seed = Number(this.seed)
+    if (!Number.isInteger(seed)) return this.fail(`--seed ${this.seed}: expected a whole number`)
+    let mix: LoadMix
+    try {
+      mix = await readSettings(this.load, loadMixSchema, { overrides: this.set })
+    } catch (error) {
+      if (error instanceof SettingsError) return this.fail(error.message)
+      throw error
+    }
+    const records = await this.send(mix, seed)
+    const summary = summarizeLoad(records, { seed, durationS: mix.durationS })
+    this.context.stdout.write(this.json ? `${JSON.stringify(summary)}\n` : renderText(summary))
+    if (this.html !== undefined) await writeFile(this.html, renderReport(summary, { title: path.basename(this.load) }))
+    return summary.broken + summary.late === 0 ? EXIT.ok : EXIT.brokenAnswers
+  }
+
+  /** Sends the load; the first SIGINT ends the sending, and open requests are waited for. */
+  private async send (mix: LoadMix, seed: number): Promise<ReturnType<typeof runLoad>> {
+    const runtime = createSystemRuntime()
+    const agent = new http.Agent({ keepAlive: true })
+    const stop = new AbortController()
+    const keepAlive = setInterval(() => {}, 1 << 30)
+    process.once('SIGINT', () => stop.abort())
+    const records = await runLoad(planArrivals(mix, { seed }), {
+      addresses: this.address,
+      send: call => streamCompletion(call, { runtime, agent }),
+      runtime,
+      signal: stop.signal,
+      ...(this.quiet ? {} : { onProgress: progress => this.report(progress) })
+    })
+    clearInterval(keepAlive)
+    agent.destroy()
+    return records
+  }
+
+  private report ({ elapsedMs, started, ended, refused, tokens }: LoadProgress): void {
+    const open = started - ended
+    this.context.stderr.write(`${(elapsedMs / 1_000).toFixed(0)} s: ${started} started, ${open} open, ${refused} refused, ${tokens} tokens\n`)
+  }
+
+  private fail (message: string): number {
+    this.context.stderr.write(`${message}\n`)
+    return EXIT.cannotStart
   }
 }
 
