Keep tokens that arrive before a chain is read

An engine may send its first token in the same packet as its answer to the open. The entry observed the stream only after the open had been awaited, so that such a token was lost, every later one was dropped as out of place, and the engine was suspected. Seen as 2 of 120 streams broken through single-stage pipelines on a busy machine. A stage's subject now holds what comes before its first observer.

--- a/src/engine/_lib/openStage.ts
+++ b/src/engine/_lib/openStage.ts
@@ -67,7 +67,7 @@
 }
 
 function wrapStage (target: string, { outgoing, response, options }: StageConnection): OpenStage {
-  const subject = createSubject<TokenFrame>()
+  const subject = createSubject<TokenFrame>({ holdUntilObserved: true })
   const split = createLineSplitter(line => subject.next(JSON.parse(line) as TokenFrame))
   let settled = false
   response.on('data', (chunk: Buffer) => {
