--- a/src/daemon/createMetrics/index.ts
+++ b/src/daemon/createMetrics/index.ts
@@ -20,6 +20,7 @@
   peerBytes: Counter<'direction'>
   peerFrames: Counter<'direction'>
   platformBytes: Counter<'source'>
+  boundTokensPerS: Gauge<'model'>
 }
 
 /**
@@ -44,6 +45,7 @@
     revisionInForce: new Gauge({ name: 'coltsfootlead_revision_in_force', help: 'Configuration revision in force', registers }),
     peerBytes: new Counter({ name: 'coltsfootlead_peer_bytes_total', help: 'Bytes of frames to and from peers', labelNames: ['direction'], registers }),
     peerFrames: new Counter({ name: 'coltsfootlead_peer_frames_total', help: 'Frames to and from peers', labelNames: ['direction'], registers }),
-    platformBytes: new Counter({ name: 'coltsfootlead_platform_bytes_total', help: 'Bytes of bodies to and from the object API and the host list', labelNames: ['source'], registers })
+    platformBytes: new Counter({ name: 'coltsfootlead_platform_bytes_total', help: 'Bytes of bodies to and from the object API and the host list', labelNames: ['source'], registers }),
+    boundTokensPerS: new Gauge({ name: 'coltsfootlead_bound_tokens_per_s', help: 'Throughput bound of a model', labelNames: ['model'], registers })
   }
 }
--- a/test/fakes/createAnswerRig.ts
+++ b/test/fakes/createAnswerRig.ts
@@ -75,6 +75,8 @@
     noteLeaving: target => { conditions.set(target, 'leaving') },
     noteSuspected: target => { conditions.set(target, 'suspected') },
     noteAnswered: target => { conditions.delete(target) },
+    takeNotices: () => {},
+    noticesAfter: () => [],
     changes: createSubject<string>().stream
   }
   let started = 0
