Scenarios over whole daemons, and a ticket value told by its digest

Cause: failures could be brought about only part by part. A first scenario ("ticket-answer-lost") showed that a ticket whose write was answered late was refused as taken by another: values parsed from JSON with comments have no prototype, and isDeepStrictEqual holds them for different from stored ones.

Ruled out: scenarios over separate processes (their verdict would depend on how busy the machine is); a second wiring of daemons (startEntry and startControl take their ports).

Ticket values are compared by the digest that tells tickets apart.

--- a/scenario/grammar.ts
+++ b/scenario/grammar.ts
@@ -19,22 +19,24 @@
   Race = "race" "ticket" number Content "by" name "at" name "against" "ticket" number Content "by" name "at" name
   Content
     = "setting" name "=" number                                             -- timeout
-    | "placing" name "on" NonemptyListOf<Part, ",">                         -- model
-    | "adding" "everything"                                                 -- all
-  Part = name
+    | "naming" "every" "target"                                              -- all
   Send = "send" name "to" name "at" name "for" number "tokens"
   Continue = "continue" name "at" name
   Book = "book" name "with" "key" name "of" quoted "at" name
-  Kill = "kill" Thing
-  Freeze = "freeze" Thing
-  Resume = "resume" Thing
-  Cut = "cut" name "from" name
+  Kill = "kill" Engine                                                      -- engine
+    | "kill" Thing                                                          -- daemon
+  Freeze = "freeze" Engine                                                  -- engine
+    | "freeze" Thing                                                        -- daemon
+  Resume = "resume" Engine                                                  -- engine
+    | "resume" Thing                                                        -- daemon
+  Cut = "cut" Engine "off"                                                  -- link
+    | "cut" name "from" name                                                -- hosts
   Heal = "heal" name "and" name
-  Degrade = "degrade" "engine" name "by" number "ms"
-  Silence = "silence" "engine" name                                         -- engine
+  Degrade = "degrade" Engine "by" number "ms"
+  Silence = "silence" Engine                                                -- engine
     | "silence" "watches"                                                   -- watches
   Leave = "caller" "of" name "leaves"
-  Leaves = "engine" name "leaves" "by" ("host list" | "own word")
+  Leaves = Engine "leaves" "by" ("host list" | "own word")
   Store
     = "store" "goes" "down"                                                 -- down
     | "store" "comes" "back"                                                -- up
@@ -62,12 +64,17 @@
     | "expect" "no" "revision" "fell"                                       -- monotonic
     | "expect" "each" "layer" "once"                                        -- layers
     | "expect" "key" name "booked" number "times"                           -- booked
-    | "expect" "no" "new" "work" "on" name                                  -- idle
+    | "expect" "no" "new" "work" "on" "leaving" "engines"                   -- idle
+    | "expect" name "took" number "attempts"                                -- attempts
     | "expect" "nothing" "left" "open"                                      -- clean
     | "expect" "entry" "on" name "stopped" "cutting" "off" number           -- stopped
 
   Role = "entry" | "control"
-  Thing = ("host" | "engine" | "control" | "entry") "on"? name
+  Thing = ("host" | "control" | "entry") name
+  Engine
+    = "engine" name                                                         -- named
+    | "stage" number "of" name                                              -- stage
+    | "every engine"                                                        -- every
   Where = "every host" | name
   name = letter (alnum | "-" | "_")*
   number = digit+
--- a/scenario/invokeHandler/index.ts
+++ b/scenario/invokeHandler/index.ts
@@ -22,6 +22,8 @@
   state: () => 'open' | 'ended' | 'closed'
   /** Closes the connection from the caller's side. */
   close: () => void
+  /** Breaks the connection without a word to the handler, as the death of its process does. */
+  lose: () => void
   /** Called with each part of the body. */
   onChunk: (listener: (chunk: string) => void) => void
 }
@@ -92,6 +94,7 @@
     body: () => response.chunks,
     state: () => response.state,
     close: () => response.closeEarly(),
+    lose: () => { if (response.state === 'open') response.state = 'closed' },
     onChunk: listener => { response.listener = listener }
   }
 }
--- a/scenario/parseScenario/index.ts
+++ b/scenario/parseScenario/index.ts
@@ -25,7 +25,8 @@
   name (_first, _rest) { return [this.sourceString] },
   number (_digits) { return [Number(this.sourceString)] },
   quoted (_open, content, _close) { return [content.sourceString] },
-  Thing (kind, _on, name) { return [kind.sourceString, name.sourceString] },
+  Thing (kind, name) { return [kind.sourceString, name.sourceString] },
+  Engine (engine) { return [engine.sourceString] },
   Where (where) { return [where.sourceString] },
   Role (role) { return [role.sourceString] }
 }).addOperation<string>('kind', {
--- a/src/daemon/startDaemon/index.ts
+++ b/src/daemon/startDaemon/index.ts
@@ -50,7 +50,8 @@
   const controller = new AbortController()
   const { signal } = controller
   const clock = createHybridClock({ nowMs: runtime.nowMs })
-  const log = createEventLog({ host, process: role, clock, level: settings.log.level, ...(settings.log.file ? { file: settings.log.file } : {}) })
+  const createLog = options.ports?.createLog ?? createEventLog
+  const log = createLog({ host, process: role, clock, level: settings.log.level, ...(settings.log.file ? { file: settings.log.file } : {}) })
   const metrics = createMetrics()
   const ports: DaemonPorts = { ...createNetworkPorts(settings, { runtime, metrics }), ...options.ports }
   const store = resources.use(ports.store)
@@ -120,6 +121,7 @@
   }
   const countBytes = (source: string) => (sizeBytes: number) => metrics.platformBytes.inc({ source }, sizeBytes)
   return {
+    createLog: createEventLog,
     store: createHttpObjectStore({
       ...objectApi, runtime, onCall: operation => metrics.storeCalls.inc({ operation }), onBytes: countBytes('objectApi')
     }),
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -5,6 +5,7 @@
 import type { ConnectPeer, PeerServer, PeerStream } from '../peer/types.js'
 import type { HybridClock } from '../clock/types.js'
 import type { ConfigurationHolder } from '../configuration/types.js'
+import type { createEventLog } from '../event/createEventLog/index.js'
 import type { EventLog } from '../event/types.js'
 import type { HostList } from '../hostList/types.js'
 import type { MemberTable } from '../member/createMemberTable/index.js'
@@ -39,6 +40,7 @@
 
 /** The outside of a daemon. Tests and embedding programs put their own in place of the network's. */
 export interface DaemonPorts {
+  createLog: typeof createEventLog
   store: ObjectStore
   hostList: HostList
   connectPeer: ConnectPeer
--- a/src/ticket/digestTicket/index.ts
+++ b/src/ticket/digestTicket/index.ts
@@ -14,7 +14,20 @@
  * digestTicket(ticket) === digestTicket(structuredClone(ticket)) // true
  */
 export function digestTicket (ticket: Ticket): string {
-  return createHash('sha256').update(canonicalJson(ticket)).digest('hex')
+  return digestJson(ticket)
+}
+
+/**
+ * @name digestJson
+ * @summary Digest of a JSON value, the same for any order of fields and any prototype of its objects.
+ * @param value - The value.
+ * @returns SHA-256 in hexadecimal.
+ *
+ * @example
+ * digestJson({ a: 1, b: 2 }) === digestJson({ b: 2, a: 1 }) // true
+ */
+export function digestJson (value: unknown): string {
+  return createHash('sha256').update(canonicalJson(value)).digest('hex')
 }
 
 /** JSON with the fields of every object in order of their names. */
--- a/src/ticket/submitTicket/_lib/recordTicket.ts
+++ b/src/ticket/submitTicket/_lib/recordTicket.ts
@@ -3,9 +3,9 @@
  * of the scopes, which nobody reads before the head names them.
  */
 import { randomUUID } from 'node:crypto'
-import { isDeepStrictEqual } from 'node:util'
 import { ensureObject } from '../../../objectApi/ensureObject/index.js'
 import { scopeKey, ticketKey } from '../../constants.js'
+import { digestJson } from '../../digestTicket/index.js'
 import { ticketRecordSchema, type Ticket, type TicketOutcome, type TicketRecord } from '../../types.js'
 import { undecided, type Submission } from './submission.js'
 
@@ -50,7 +50,7 @@
     const result = await ensureObject(scopeKey(scope, ticket.number), value, { store: options.store, pause })
     if (result.kind === 'created') continue
     if (result.kind !== 'exists') return undecided(ticket.number, result.cause)
-    if (!isDeepStrictEqual(result.value, value)) return refuseForeignValue(ticket, scope)
+    if (digestJson(result.value) !== digestJson(value)) return refuseForeignValue(ticket, scope)
   }
   return undefined
 }
--- /dev/null
+++ b/test/scenarios.test.ts
@@ -0,0 +1,39 @@
+import { readdir, readFile } from 'node:fs/promises'
+import test from 'ava'
+import { grammar } from '../scenario/grammar.js'
+import { parseScenario, type Statement } from '../scenario/parseScenario/index.js'
+import { runScenario, STATEMENT_KINDS } from '../scenario/runScenario/index.js'
+
+const FOLDER = 'test/scenarios'
+const GOLDEN = 'test/golden'
+
+const files = (await readdir(FOLDER)).filter(file => file.endsWith('.scenario')).sort()
+const golden = new Set(await readdir(GOLDEN))
+
+async function load (file: string): Promise<Statement[]> {
+  const parsed = parseScenario(await readFile(`${FOLDER}/${file}`, 'utf8'), { file })
+  if (parsed.kind === 'invalid') throw new Error(parsed.faults.join('\n'))
+  return parsed.statements
+}
+
+for (const file of files) {
+  const name = file.replace('.scenario', '')
+  test.serial(`scenario ${name}`, async t => {
+    const outcome = await runScenario(await load(file), { seed: 1 })
+    t.is(outcome.failure, undefined, `seed 1\n${outcome.session}`)
+    if (golden.has(`${name}.txt`)) t.is(outcome.session, await readFile(`${GOLDEN}/${name}.txt`, 'utf8'), 'golden session')
+  })
+}
+
+test('every statement of the grammar can be run', t => {
+  const alternatives = Object.keys((grammar as unknown as { rules: Record<string, unknown> }).rules)
+  const kinds = alternatives.filter(rule => /^[A-Z]/.test(rule))
+    .filter(rule => !['Statement', 'Content', 'Role', 'Thing', 'Engine', 'Where'].includes(rule.split('_')[0]!))
+    .filter(rule => !alternatives.some(other => other.startsWith(`${rule}_`)))
+  t.deepEqual(kinds.sort(), [...STATEMENT_KINDS].sort())
+})
+
+test('a wrong line is reported with its number', t => {
+  const parsed = parseScenario('store goes down\n\nstore goes sideways', { file: 'a.scenario' })
+  t.deepEqual(parsed.kind === 'invalid' ? parsed.faults.map(fault => fault.split(':').slice(0, 2).join(':')) : [], ['a.scenario:3'])
+})
