--- a/src/cli/commands/read.ts
+++ b/src/cli/commands/read.ts
@@ -13,8 +13,8 @@
 
   async execute (): Promise<number> {
     const path = this.scope === undefined ? '/v1/in-force' : `/v1/in-force/${this.scope}`
-    return await this.attempt(async () => this.show(await this.ask(path), (body: { host: string, revision: number, tickets: Record<string, number>, scopes: Record<string, unknown> }) => [
-      `${body.host}: revision ${body.revision}`,
+    return await this.attempt(async () => this.show(await this.ask(path), (body: { host: string, revision: number, store: string, storeAgeMs: number | null, tickets: Record<string, number>, scopes: Record<string, unknown> }) => [
+      `${body.host}: revision ${body.revision}${body.store === 'reached' ? '' : `, object API not reached (last confirmed ${body.storeAgeMs ?? '-'} ms ago)`}`,
       ...Object.entries(body.scopes).map(([scope, value]) => `${scope} (ticket ${body.tickets[scope] ?? '-'}): ${JSON.stringify(value)}`)
     ].join('\n')))
   }
--- a/src/daemon/createOperatorHandler/index.ts
+++ b/src/daemon/createOperatorHandler/index.ts
@@ -68,7 +68,7 @@
   const argument = rest.join('/')
   const route = `${request.method} ${version}/${kind}`
   if (route === 'POST v1/tickets') return await acceptTicket(call, daemon)
-  if (route === 'GET v1/tickets' && argument === '') return sendJson(response, 200, await listTickets(daemon.store))
+  if (route === 'GET v1/tickets' && argument === '') return sendJson(response, 200, await listTickets({ store: daemon.store, inForce: daemon.holder.current().head }))
   if (route === 'GET v1/tickets') return await answerTicket(Number(argument), call, daemon)
   if (route === 'GET v1/in-force') return answerInForce(argument, response, daemon)
   if (route === 'GET v1/members') return sendJson(response, 200, { members: daemon.table.all() })
@@ -109,15 +109,16 @@
 }
 
 async function answerTicket (number: number, call: Call, daemon: Daemon): Promise<void> {
-  const shown = await showTicket(number, { store: daemon.store, members: daemon.table.live(), inForce: daemon.holder.current().head })
+  const shown = await showTicket(number, { store: daemon.store, members: daemon.table.all(), inForce: daemon.holder.current().head })
   if (shown.kind === 'shown') return sendJson(call.response, 200, shown.ticket)
   sendRefusal(call.response, createRefusal(shown.kind === 'unknown' ? 'unknownTicket' : 'storeUnavailable', { facts: { ticket: number } }))
 }
 
 function answerInForce (scope: string, response: ServerResponse, daemon: Daemon): void {
-  const { head, values } = daemon.holder.current()
+  const { head, values, timeouts } = daemon.holder.current()
+  const storeAgeMs = daemon.holder.storeAgeMs()
   const shown = scope === '' ? Object.fromEntries(values) : { [scope]: values.get(scope) ?? null }
-  sendJson(response, 200, { host: daemon.settings.host, revision: head.revision, tickets: head.scopes, scopes: shown })
+  sendJson(response, 200, { host: daemon.settings.host, revision: head.revision, store: storeAgeMs < timeouts.staleAfterMs ? 'reached' : 'unavailable', storeAgeMs, tickets: head.scopes, scopes: shown })
 }
 
 function answerEvents (url: URL, response: ServerResponse, daemon: Daemon): void {
--- a/src/ticket/showTicket/index.ts
+++ b/src/ticket/showTicket/index.ts
@@ -1,20 +1,36 @@
 /**
- * What operators read back of tickets.
+ * What operators read back of tickets. The head in force on the host that is asked answers while
+ * the store is down, as far as it reaches.
  */
 import { memberKey, type Member } from '../../member/types.js'
 import type { ObjectStore } from '../../objectApi/types.js'
 import { TICKET_PREFIX, ticketKey } from '../constants.js'
 import { ticketRecordSchema, type Head, type TicketRecord } from '../types.js'
 
-/** How far a ticket has come into force. */
-export interface ShownTicket extends TicketRecord {
+/** Whether the store took part in an answer. */
+export type StoreState = 'reached' | 'unavailable'
+
+/** A member that does not have a ticket in force yet. */
+export interface LaggingMember {
+  member: string
+  failureDomain: string
+  revisionInForce: number
+  status: string
+  why: string
+}
+
+/** How far a ticket has come into force. The record's fields are missing while the store is down. */
+export interface ShownTicket extends Partial<TicketRecord> {
+  number: number
+  store: StoreState
   state: 'recorded' | 'accepted' | 'inForce'
+  /** Scopes whose value another ticket has replaced since. */
+  replacedBy: Record<string, number>
   /** Members that have it in force, of those that are live. */
   inForceOn: number
   members: number
   byFailureDomain: Record<string, { inForceOn: number, members: number }>
-  /** Members that do not have it in force yet, with the revision that they report. */
-  lagging: Array<{ member: string, failureDomain: string, revisionInForce: number, status: string }>
+  lagging: LaggingMember[]
 }
 
 /** Result of a look-up. */
@@ -23,42 +39,41 @@
   | { kind: 'unknown' }
   | { kind: 'unavailable', cause: string }
 
+/** What this host knows. */
+export interface ShowTicketOptions {
+  store: ObjectStore
+  /** Every member, dead ones too. */
+  members: Member[]
+  inForce: Head
+}
+
 /**
  * @name showTicket
  * @summary State of one ticket.
  * @param number - Number of the ticket.
- * @param options - Store, live members and the head in force on this host.
+ * @param options - Store, members and the head in force on this host.
  * @returns The ticket with its progress by failure domain.
  *
  * @example
- * const shown = await showTicket(7, { store, members: table.live(), inForce: holder.current().head })
+ * const shown = await showTicket(7, { store, members: table.all(), inForce: holder.current().head })
  */
-export async function showTicket (
-  number: number,
-  options: { store: ObjectStore, members: Member[], inForce: Head }
-): Promise<ShowResult> {
+export async function showTicket (number: number, options: ShowTicketOptions): Promise<ShowResult> {
   const { store, members, inForce } = options
   const read = await store.read(ticketKey(number))
-  if (read.kind === 'unavailable') return read
-  if (read.kind === 'absent') return { kind: 'unknown' }
-  const record = ticketRecordSchema.parse(read.object.value)
-  const accepted = record.scopes.some(scope => inForce.scopes[scope] === number)
-  const isInForce = (member: Member): boolean => accepted && member.revisionInForce >= inForce.revision
-  const inForceOn = members.filter(isInForce).length
+  const record = read.kind === 'found' ? ticketRecordSchema.parse(read.object.value) : undefined
+  const listed = inForce.accepted?.find(entry => entry.ticket === number)
+  if (listed === undefined && read.kind === 'unavailable') return read
+  if (listed === undefined && read.kind === 'absent') return { kind: 'unknown' }
+  const revision = listed?.revision ?? record?.acceptedRevision
   return {
     kind: 'shown',
     ticket: {
       ...record,
-      state: !accepted ? 'recorded' : inForceOn === members.length ? 'inForce' : 'accepted',
-      inForceOn,
-      members: members.length,
-      byFailureDomain: countByFailureDomain(members, isInForce),
-      lagging: members.filter(member => !isInForce(member)).map(member => ({
-        member: memberKey(member),
-        failureDomain: member.failureDomain,
-        revisionInForce: member.revisionInForce,
-        status: member.status
-      }))
+      number,
+      ...(revision === undefined ? {} : { acceptedRevision: revision }),
+      store: read.kind === 'unavailable' ? 'unavailable' : 'reached',
+      replacedBy: findReplaced(number, record?.scopes ?? [], inForce),
+      ...countProgress(members, revision)
     }
   }
 }
@@ -66,19 +81,63 @@
 /**
  * @name listTickets
  * @summary The recorded tickets in the order of their numbers.
- * @param store - The object API.
- * @returns The records, or that the store is not available.
+ * @param options - The store, and the head in force on this host.
+ * @returns The tickets; while the store is down those that the head lists as accepted.
  *
  * @example
- * const { tickets } = await listTickets(store)
+ * const { tickets, store } = await listTickets({ store, inForce: holder.current().head })
  */
-export async function listTickets (store: ObjectStore): Promise<{ tickets: TicketRecord[], unavailable?: string }> {
-  const listed = await store.list(TICKET_PREFIX)
-  if (listed.kind === 'unavailable') return { tickets: [], unavailable: listed.cause }
+export async function listTickets (
+  options: { store: ObjectStore, inForce: Head }
+): Promise<{ tickets: Array<Partial<TicketRecord> & { number: number }>, store: StoreState }> {
+  const accepted = new Map((options.inForce.accepted ?? []).map(entry => [entry.ticket, entry.revision]))
+  const listed = await options.store.list(TICKET_PREFIX)
+  if (listed.kind === 'unavailable') {
+    const tickets = [...accepted].map(([number, acceptedRevision]) => ({ number, acceptedRevision }))
+    return { tickets: tickets.sort((a, b) => a.number - b.number), store: 'unavailable' }
+  }
   const tickets = listed.objects
     .map(object => ticketRecordSchema.parse(object.value))
+    .map(record => accepted.has(record.number) ? { ...record, acceptedRevision: accepted.get(record.number)! } : record)
     .sort((a, b) => a.number - b.number)
-  return { tickets }
+  return { tickets, store: 'reached' }
+}
+
+function findReplaced (number: number, scopes: string[], head: Head): Record<string, number> {
+  const entries = scopes
+    .map(scope => [scope, head.scopes[scope] ?? head.removed?.[scope] ?? 0] as const)
+    .filter(([, ticket]) => ticket > number)
+  return Object.fromEntries(entries)
+}
+
+function countProgress (
+  members: Member[],
+  revision: number | undefined
+): Pick<ShownTicket, 'state' | 'inForceOn' | 'members' | 'byFailureDomain' | 'lagging'> {
+  const isInForce = (member: Member): boolean => revision !== undefined && member.revisionInForce >= revision
+  const live = members.filter(member => member.status !== 'dead')
+  const inForceOn = live.filter(isInForce).length
+  return {
+    state: revision === undefined ? 'recorded' : inForceOn === live.length ? 'inForce' : 'accepted',
+    inForceOn,
+    members: live.length,
+    byFailureDomain: countByFailureDomain(live, isInForce),
+    lagging: members.filter(member => !isInForce(member)).map(member => ({
+      member: memberKey(member),
+      failureDomain: member.failureDomain,
+      revisionInForce: member.revisionInForce,
+      status: member.status,
+      why: explainLag(member, revision)
+    }))
+  }
+}
+
+function explainLag (member: Member, revision: number | undefined): string {
+  if (revision === undefined) return 'the ticket is not accepted'
+  if (member.status === 'dead') return 'no heartbeat; not counted, and it refuses requests while it is cut off'
+  if (member.status === 'suspect') return 'no heartbeat of late'
+  if (member.revisionInForce === 0) return 'has no configuration yet'
+  return `behind by ${revision - member.revisionInForce}`
 }
 
 function countByFailureDomain (members: Member[], isInForce: (member: Member) => boolean): ShownTicket['byFailureDomain'] {
