--- a/src/configuration/restoreConfiguration/index.ts
+++ b/src/configuration/restoreConfiguration/index.ts
@@ -5,6 +5,7 @@
 import { ensureObject } from '../../objectApi/ensureObject/index.js'
 import type { ObjectStore } from '../../objectApi/types.js'
 import { HEAD_KEY, scopeKey } from '../../ticket/constants.js'
+import type { Head } from '../../ticket/types.js'
 import type { Configuration } from '../types.js'
 
 /** What the mending works with. */
@@ -36,7 +37,7 @@
   const values = await restoreValues(inForce, options)
   if (values.kind === 'unavailable') return values
   const condition = options.headVersion === 'absent' ? { ifAbsent: true as const } : { ifVersion: options.headVersion }
-  const written = await options.store.write(HEAD_KEY, { ...inForce.head, nonce: randomUUID() }, condition)
+  const written = await options.store.write(HEAD_KEY, { ...forgetNotes(inForce.head), nonce: randomUUID() }, condition)
   if (written.kind === 'written') return { kind: 'restored' }
   return { kind: 'unavailable', cause: written.kind === 'conflict' ? 'the head moved' : written.cause }
 }
@@ -59,3 +60,18 @@
   }
   return { kind: 'restored' }
 }
+
+/**
+ * @name forgetNotes
+ * @summary A head whose accepted tickets count as not noted in their records.
+ * @description After a restore the records may have lost their notes; later submissions write them again.
+ * @param head - The head in force.
+ * @returns The head to write.
+ *
+ * @example
+ * const next = forgetNotes(holder.current().head)
+ */
+export function forgetNotes (head: Head): Head {
+  if (head.accepted === undefined) return head
+  return { ...head, accepted: head.accepted.map(({ ticket, revision, digest }) => ({ ticket, revision, digest })) }
+}
--- a/src/ticket/constants.ts
+++ b/src/ticket/constants.ts
@@ -11,8 +11,11 @@
 /** Prefix of the records of tickets. */
 export const TICKET_PREFIX = 'tickets/'
 
-/** Acceptances that the head lists before they move to the tickets' records. */
-export const MAX_ACCEPTED_IN_HEAD = 32
+/** Acceptances that only the head lists; earlier ones are noted in the tickets' records too. */
+export const UNNOTED_IN_HEAD = 32
+
+/** Acceptances that the head lists in all: the surplus outlives a store that is restored to an older state. */
+export const MAX_ACCEPTED_IN_HEAD = 128
 
 /** Key of a ticket's record. */
 export function ticketKey (number: number): string {
--- a/src/ticket/showTicket/index.ts
+++ b/src/ticket/showTicket/index.ts
@@ -96,11 +96,13 @@
     const tickets = [...accepted].map(([number, acceptedRevision]) => ({ number, acceptedRevision }))
     return { tickets: tickets.sort((a, b) => a.number - b.number), store: 'unavailable' }
   }
-  const tickets = listed.objects
-    .map(object => ticketRecordSchema.parse(object.value))
-    .map(record => accepted.has(record.number) ? { ...record, acceptedRevision: accepted.get(record.number)! } : record)
-    .sort((a, b) => a.number - b.number)
-  return { tickets, store: 'reached' }
+  const tickets = new Map<number, Partial<TicketRecord> & { number: number }>()
+  for (const object of listed.objects) {
+    const record = ticketRecordSchema.parse(object.value)
+    tickets.set(record.number, record)
+  }
+  for (const [number, acceptedRevision] of accepted) tickets.set(number, { ...tickets.get(number), number, acceptedRevision })
+  return { tickets: [...tickets.values()].sort((a, b) => a.number - b.number), store: 'reached' }
 }
 
 function findReplaced (number: number, scopes: string[], head: Head): Record<string, number> {
--- a/src/ticket/submitTicket/_lib/loadBase.ts
+++ b/src/ticket/submitTicket/_lib/loadBase.ts
@@ -3,7 +3,7 @@
  * host where the store was restored to an older state.
  */
 import { loadConfiguration } from '../../../configuration/loadConfiguration/index.js'
-import { restoreValues } from '../../../configuration/restoreConfiguration/index.js'
+import { forgetNotes, restoreValues } from '../../../configuration/restoreConfiguration/index.js'
 import type { Configuration } from '../../../configuration/types.js'
 import type { Submission } from './submission.js'
 
@@ -30,5 +30,5 @@
   if (!restored) return { kind: 'base', configuration, headVersion, restored }
   log.emit('storeBehind', { revision, inForce: known.head.revision })
   const values = await restoreValues(known, { store, stored: configuration, pause })
-  return values.kind === 'unavailable' ? values : { kind: 'base', configuration: known, headVersion, restored }
+  return values.kind === 'unavailable' ? values : { kind: 'base', configuration: { ...known, head: forgetNotes(known.head) }, headVersion, restored }
 }
--- a/src/ticket/submitTicket/test.ts
+++ b/src/ticket/submitTicket/test.ts
@@ -4,7 +4,7 @@
 import { createTestLog } from '../../../test/fakes/createTestLog.js'
 import { buildConfiguration, EMPTY_HEAD } from '../../configuration/buildConfiguration/index.js'
 import { loadConfiguration } from '../../configuration/loadConfiguration/index.js'
-import { HEAD_KEY, MAX_ACCEPTED_IN_HEAD } from '../constants.js'
+import { HEAD_KEY, MAX_ACCEPTED_IN_HEAD, UNNOTED_IN_HEAD } from '../constants.js'
 import type { Ticket } from '../types.js'
 import { submitTicket, type SubmitTicketOptions } from './index.js'
 
@@ -39,7 +39,7 @@
 
 test('a ticket is found accepted long after others have followed it', async t => {
   const { submit } = setUp()
-  for (let number = 1; number <= MAX_ACCEPTED_IN_HEAD + 8; number++) await submit(timeouts(number, number))
+  for (let number = 1; number <= MAX_ACCEPTED_IN_HEAD + 40; number++) await submit(timeouts(number, number))
   t.deepEqual(await submit(timeouts(1, 1)), { kind: 'accepted', number: 1, revision: 1 })
 })
 
@@ -95,6 +95,25 @@
   t.like(await submit(timeouts(2, 200)), { kind: 'accepted', revision: 2 })
 })
 
+test('an acceptance noted in its record is found after the store has lost the note', async t => {
+  const known = { current: buildConfiguration(EMPTY_HEAD, new Map()) }
+  const { store, submit } = setUp({ known: () => known.current })
+  const submitUpTo = async (from: number, last: number): Promise<void> => {
+    for (let number = from; number <= last; number++) await submit(timeouts(number, number))
+    const loaded = await loadConfiguration(store)
+    if (loaded.kind === 'loaded') known.current = loaded.configuration
+  }
+  await submitUpTo(1, UNNOTED_IN_HEAD)
+  const [older, revision] = [store.snapshot(), store.revision()]
+  await submitUpTo(UNNOTED_IN_HEAD + 1, UNNOTED_IN_HEAD + 8)
+  store.restore(older, revision)
+  const last = UNNOTED_IN_HEAD + MAX_ACCEPTED_IN_HEAD + 60
+  await submitUpTo(UNNOTED_IN_HEAD + 9, last)
+  t.deepEqual(await submit(timeouts(3, 3)), { kind: 'accepted', number: 3, revision: 3 })
+  t.deepEqual(await submit(timeouts(UNNOTED_IN_HEAD + 4, UNNOTED_IN_HEAD + 4)), { kind: 'accepted', number: UNNOTED_IN_HEAD + 4, revision: UNNOTED_IN_HEAD + 4 })
+  t.true((known.current.head.accepted?.length ?? 0) <= MAX_ACCEPTED_IN_HEAD + 1)
+})
+
 test('a host behind other members accepts nothing', async t => {
   const { submit } = setUp({ highestRevision: () => 5 })
   t.is((await submit(timeouts(1, 100))).kind, 'uncertain')
--- a/src/ticket/types.ts
+++ b/src/ticket/types.ts
@@ -134,7 +134,9 @@
 export const acceptedTicketSchema = z.strictObject({
   ticket: z.int().positive(),
   revision: z.int().positive(),
-  digest: z.string()
+  digest: z.string(),
+  /** Whether the ticket's record is known to say so too. */
+  noted: z.boolean().optional()
 })
 
 /** One acceptance. */
