--- a/src/peer/_lib/createNoticeExchange.ts
+++ b/src/peer/_lib/createNoticeExchange.ts
@@ -2,7 +2,7 @@
  * What is told about targets on one stream: each notice once, in bounded portions.
  */
 import { create } from '@bufbuild/protobuf'
-import type { TargetDirectory } from '../../target/types.js'
+import type { TargetNotices } from '../../target/types.js'
 import { TargetNoticeSchema, type Gossip, type TargetNotice } from '../gen/peer_pb.js'
 
 /** Most notices in one frame. */
@@ -15,7 +15,7 @@
 }
 
 /** The exchange of a stream that was just opened. */
-export function createNoticeExchange (directory: Pick<TargetDirectory, 'takeNotices' | 'noticesAfter'>): NoticeExchange {
+export function createNoticeExchange (directory: Pick<TargetNotices, 'takeNotices' | 'noticesAfter'>): NoticeExchange {
   let toldUpTo = 0
   return {
     next () {
--- a/src/peer/createPeerNode/index.ts
+++ b/src/peer/createPeerNode/index.ts
@@ -13,7 +13,7 @@
 import { memberKey } from '../../member/types.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
-import type { TargetDirectory } from '../../target/types.js'
+import type { TargetNotices } from '../../target/types.js'
 import { chooseNeighbours } from '../_lib/chooseNeighbours.js'
 import { createConfigurationExchange } from '../_lib/createConfigurationExchange.js'
 import { createMemberExchange } from '../_lib/createMemberExchange.js'
@@ -36,7 +36,7 @@
 export interface PeerNodeOptions {
   table: MemberTable
   holder: ConfigurationHolder
-  directory: Pick<TargetDirectory, 'takeNotices' | 'noticesAfter' | 'changes'>
+  directory: TargetNotices
   clock: HybridClock
   connect: ConnectPeer
   intervalMs: number
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -26,6 +26,12 @@
   noteSuspected: (target: string) => void
   /** Notes that a target answered on a fresh connection. */
   noteAnswered: (target: string) => void
+  /** Names of targets whose condition changed. */
+  changes: Stream<string>
+}
+
+/** The part of a directory that gossip works with. */
+export interface TargetNotices {
   /** Takes in notices of a peer. */
   takeNotices: (notices: TargetNotice[]) => void
   /** Notices learnt after a place in the order, oldest first, that are worth telling. */
