--- a/src/control/carryOrders/index.ts
+++ b/src/control/carryOrders/index.ts
@@ -122,7 +122,9 @@
       basis = now
       const placed = [...new Set([...models.values()].flatMap(model => model.placement.map(part => part.target)))]
       const known = [...new Set([...placed, ...statuses.keys()])]
-      await forEachBounded(known.filter(isDue), readBack, { limit: CALLS_AT_ONCE })
+      const due = known.filter(isDue)
+      if (due.length === 0) return
+      await forEachBounded(due, readBack, { limit: CALLS_AT_ONCE })
       const plan = planOrders({ models, statuses })
       noteHeld(plan.held)
       await forEachBounded(plan.orders, send, { limit: CALLS_AT_ONCE })
--- a/src/peer/createPeerNode/test.ts
+++ b/src/peer/createPeerNode/test.ts
@@ -124,3 +124,47 @@
   const told = network.passed.flatMap(({ frame }) => frame.body.case === 'gossip' ? [...frame.body.value.members, ...frame.body.value.updates] : [])
   t.is(told.length, 0)
 })
+
+test('frames stay within their bound when a daemon learns a large table', async t => {
+  const { runtime, network, startNode } = setUp(t)
+  const knows = Array.from({ length: 300 }, (_, index) => index + 10)
+  startNode(1, { knows })
+  startNode(2, { knows: [1] })
+  await runtime.advance(2_000)
+  const counts = network.passed.map(({ frame }) => frame.body.case === 'gossip' ? frame.body.value.members.length + frame.body.value.updates.length : 0)
+  t.is(Math.max(...counts), 64)
+})
+
+test('a stream that falls silent is replaced and its member not lost', async t => {
+  const { runtime, network, startAll } = setUp(t)
+  const nodes = startAll(4)
+  await runtime.advance(5_000)
+  network.silenceOpen()
+  await runtime.advance(20_000)
+  t.deepEqual(nodes.map(node => node.table.live().length), nodes.map(() => 4))
+  t.true(nodes.some(node => node.log.recent().some(event => event.name === 'peerSilent')))
+})
+
+test('a leaving member that stops is dead without being suspected first', async t => {
+  const { runtime, startAll } = setUp(t)
+  const nodes = startAll(5)
+  await runtime.advance(5_000)
+  nodes[2]!.table.leave()
+  await runtime.advance(2_000)
+  t.is(nodes[0]!.statusOf(nodes[2]!.key), 'leaving')
+  nodes[2]!.stop()
+  await runtime.advance(6_000)
+  t.is(nodes[0]!.statusOf(nodes[2]!.key), 'dead')
+  t.false(nodes.some(node => node.log.recent().some(event => event.name === 'memberSuspected')))
+})
+
+test('a dead member is forgotten after a while', async t => {
+  const { runtime, startAll } = setUp(t)
+  const nodes = startAll(2)
+  await runtime.advance(5_000)
+  nodes[1]!.stop()
+  await runtime.advance(15_000)
+  t.is(nodes[0]!.statusOf(nodes[1]!.key), 'dead')
+  await runtime.advance(600_000)
+  t.is(nodes[0]!.statusOf(nodes[1]!.key), undefined)
+})
--- a/test/fakes/createManualRuntime.ts
+++ b/test/fakes/createManualRuntime.ts
@@ -35,9 +35,9 @@
   }
 
   function nextDue (untilMs: number): number | undefined {
-    const due = [...timers].filter(([, timer]) => timer.atMs <= untilMs)
-    due.sort(([idA, a], [idB, b]) => a.atMs - b.atMs || idA - idB)
-    return due[0]?.[0]
+    let next: { id: number, atMs: number } | undefined
+    for (const [id, { atMs }] of timers) if (atMs <= untilMs && (next === undefined || atMs < next.atMs)) next = { id, atMs }
+    return next?.id
   }
 
   return {
--- a/test/fakes/createPeerNetwork.ts
+++ b/test/fakes/createPeerNetwork.ts
@@ -17,32 +17,41 @@
   listen: (address: string, accept: (stream: PeerStream) => void) => void
   /** Nothing passes between addresses of different groups: open streams stay open and silent. */
   part: (groupOf: (address: string) => unknown) => void
+  /** Streams that are open now stay open and carry nothing more; new ones work. */
+  silenceOpen: () => void
   /** The process at an address is gone: its streams end and new ones are refused. */
   stop: (address: string) => void
   /** Frames that passed, with their sizes left to the reader. */
   passed: Array<{ from: string, frame: PeerFrame }>
 }
 
+interface Link {
+  from: string
+  to: string
+  silent: boolean
+  close: () => void
+}
+
 /** A network where everything passes. */
 export function createPeerNetwork (runtime: Runtime): PeerNetwork {
   const listeners = new Map<string, (stream: PeerStream) => void>()
-  const open = new Set<{ from: string, to: string, close: () => void }>()
+  const open = new Set<Link>()
   const passed: PeerNetwork['passed'] = []
   let groupOf: (address: string) => unknown = () => 0
 
   const passes = (from: string, to: string): boolean => groupOf(from) === groupOf(to)
 
-  function makeEnd (from: string, to: string, other: Subject<PeerFrame>, own: Subject<PeerFrame>, close: () => void): PeerStream {
+  function makeEnd ({ from, to, link, other, own }: { from: string, to: string, link: Link, other: Subject<PeerFrame>, own: Subject<PeerFrame> }): PeerStream {
     return {
       send (frame) {
         runtime.setTimer(DELAY_MS, () => {
-          if (!passes(from, to)) return
+          if (link.silent || !passes(from, to)) return
           passed.push({ from, frame })
           other.next(frame)
         })
       },
       frames: own.stream,
-      [Symbol.dispose]: close
+      [Symbol.dispose]: link.close
     }
   }
 
@@ -53,17 +62,21 @@
       const close = (): void => {
         near.complete()
         far.complete()
+        open.delete(link)
       }
       const accept = listeners.get(to)
-      const stream = makeEnd(from, to, far, near, close)
+      const link: Link = { from, to, silent: false, close }
       if (accept === undefined) runtime.setTimer(DELAY_MS, close)
       else if (passes(from, to)) {
-        open.add({ from, to, close })
-        accept(makeEnd(to, from, near, far, close))
+        open.add(link)
+        accept(makeEnd({ from: to, to: from, link, other: near, own: far }))
       }
-      return stream
+      return makeEnd({ from, to, link, other: far, own: near })
     },
     listen: (address, accept) => { listeners.set(address, accept) },
+    silenceOpen () {
+      for (const link of open) link.silent = true
+    },
     part: next => { groupOf = next },
     stop (address) {
       listeners.delete(address)
