--- a/src/control/planOrders/index.ts
+++ b/src/control/planOrders/index.ts
@@ -44,12 +44,13 @@
  */
 export function planOrders ({ models, statuses }: PlanInput): OrderPlan {
   const plan: OrderPlan = { orders: [], held: [] }
-  const serving = new Map([...statuses].filter(([, status]) => status.model !== null && !status.leaving))
+  const serving = groupByModel(statuses)
   for (const order of listDifferences(models, statuses)) {
-    const lost = findLastPipeline(order.target, serving, models)
+    const status = statuses.get(order.target)!
+    const lost = findLastPipeline(status, serving, models)
     if (lost === undefined) {
       plan.orders.push(order)
-      serving.delete(order.target)
+      serving.get(status.model ?? '')?.delete(status)
     } else {
       plan.held.push({ ...order, lastPipelineOf: lost })
     }
@@ -73,14 +74,25 @@
     status.version === order.version
 }
 
-/** The model that is served now and would not be without this target. */
-function findLastPipeline (target: string, serving: ReadonlyMap<string, EngineStatus>, models: PlanInput['models']): string | undefined {
-  const status = serving.get(target)
-  const layers = status === undefined ? undefined : models.get(status.model!)?.layers
-  if (status === undefined || layers === undefined) return undefined
-  const peers = [...serving.values()].filter(other => other.model === status.model)
+/** Engines that take new work, by the model that they serve. */
+function groupByModel (statuses: PlanInput['statuses']): Map<string, Set<EngineStatus>> {
+  const groups = new Map<string, Set<EngineStatus>>()
+  for (const status of statuses.values()) {
+    if (status.model === null || status.leaving) continue
+    const group = groups.get(status.model) ?? new Set()
+    groups.set(status.model, group.add(status))
+  }
+  return groups
+}
+
+/** The model that is served now and would not be without this engine. */
+function findLastPipeline (status: EngineStatus, serving: ReadonlyMap<string, ReadonlySet<EngineStatus>>, models: PlanInput['models']): string | undefined {
+  const model = status.model ?? ''
+  const layers = models.get(model)?.layers
+  const peers = [...serving.get(model) ?? []]
+  if (layers === undefined || !peers.includes(status)) return undefined
   const rest = peers.filter(other => other !== status)
-  return coversModel(peers, layers) && !coversModel(rest, layers) ? status.model! : undefined
+  return coversModel(peers, layers) && !coversModel(rest, layers) ? model : undefined
 }
 
 /** Whether engines of one version form a chain over all layers. */
