Accept a resubmitted ticket that was read from text

Cause: values read from text have no prototype, stored ones do, and the strict comparison of the two refused the same ticket's second submission as another ticket's. Ruled out: a lost record or a foreign value; it failed on a fresh store with one entry. Change: the value is compared in the form that the store keeps. Shown: test "a ticket read from text and submitted twice has one outcome" failed before, and passes after.

--- a/src/ticket/submitTicket/_lib/recordTicket.ts
+++ b/src/ticket/submitTicket/_lib/recordTicket.ts
@@ -50,7 +50,8 @@
     const result = await ensureObject(scopeKey(scope, ticket.number), value, { store: options.store, pause })
     if (result.kind === 'created') continue
     if (result.kind !== 'exists') return undecided(ticket.number, result.cause)
-    if (!isDeepStrictEqual(result.value, value)) return refuseForeignValue(ticket, scope)
+    const asStored = JSON.parse(JSON.stringify(value)) as unknown
+    if (!isDeepStrictEqual(result.value, asStored)) return refuseForeignValue(ticket, scope)
   }
   return undefined
 }
