--- a/src/target/createTargetDirectory/index.ts
+++ b/src/target/createTargetDirectory/index.ts
@@ -8,7 +8,7 @@
 import type { Runtime } from '../../runtime/types.js'
 import { createSubject } from '../../stream/createSubject/index.js'
 import { createNoticeBook, type TargetLife } from '../_lib/createNoticeBook.js'
-import type { TargetDirectory, TargetNotice, TargetNotices } from '../types.js'
+import type { TargetDirectory, TargetNotice } from '../types.js'
 
 /** What the directory works with. */
 export interface TargetDirectoryOptions {
@@ -18,7 +18,7 @@
 }
 
 /** A directory with its feeding task. */
-export interface FedTargetDirectory extends TargetDirectory, TargetNotices {
+export interface FedTargetDirectory extends TargetDirectory {
   /** Reads the host list until the signal aborts. */
   follow: (hostList: HostList, options: { pollMs: number, signal: AbortSignal }) => Promise<void>
 }
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -16,7 +16,7 @@
 }
 
 /** Look-up of targets, fed by the host list, by engines and by peers. */
-export interface TargetDirectory {
+export interface TargetDirectory extends TargetNotices {
   /** Address as `ip:port`, or nothing while its host is not listed. */
   address: (target: string) => string | undefined
   condition: (target: string) => TargetCondition
@@ -26,8 +26,6 @@
   noteSuspected: (target: string) => void
   /** Notes that a target answered on a fresh connection. */
   noteAnswered: (target: string) => void
-  /** Names of targets whose condition changed. */
-  changes: Stream<string>
 }
 
 /** The part of a directory that gossip works with. */
