--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -16,7 +16,7 @@
 }
 
 /** Look-up of targets, fed by the host list, by engines and by peers. */
-export interface TargetDirectory {
+export interface TargetDirectory extends TargetNotices {
   /** Address as `ip:port`, or nothing while its host is not listed. */
   address: (target: string) => string | undefined
   condition: (target: string) => TargetCondition
@@ -26,6 +26,10 @@
   noteSuspected: (target: string) => void
   /** Notes that a target answered on a fresh connection. */
   noteAnswered: (target: string) => void
+}
+
+/** The part of a directory that gossip works with. */
+export interface TargetNotices {
   /** Takes in notices of a peer. */
   takeNotices: (notices: TargetNotice[]) => void
   /** Notices learnt after a place in the order, oldest first, that are worth telling. */
