Share what one answer learnt of a lost link, and hand answers over on a forced stop

Cause: each answer found a degraded link for itself, one detection deadline after the other; and an entry that was made to stop cancelled the answers left on the engines, so that their callers could not go on at another entry.

A draining entry leaves the sequences of answers that it cuts off to the engines' hold.

--- a/bench/benches/recovery.ts
+++ b/bench/benches/recovery.ts
@@ -4,6 +4,7 @@
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 import { pause, startCallers } from '../recovery/callers.js'
 import { listScenarios, type Scenario } from '../recovery/scenarios.js'
+import { readEvents } from '../startDeployment/index.js'
 import { callControl, DETECTION, startFleet, type Fleet } from '../recovery/startFleet.js'
 import { tally } from '../recovery/tally.js'
 
@@ -39,5 +40,13 @@
   const { bookings: booked } = await callControl(`http://${fleet.deployment.targets['orders-1']}/orders`, undefined, 'GET') as { bookings: Record<string, number> }
   const { answers, bookings } = callers
   const figures = tally({ faults: FAULTS, answers, bookings, rows: await fleet.rows(), booked, countsAll: scenario.countsAll ?? false })
+  if (process.env.RECOVERY_TRACE) await trace(figures, fleet)
   return { ...figures, ...scenario.report?.() }
 }
+
+/** Prints the time line of the slowest answer to standard error. */
+async function trace (figures: Record<string, unknown>, { deployment }: Fleet): Promise<void> {
+  const request = String(figures.slowestId).split(':')[0]
+  const events = (await Promise.all(deployment.entries.map(readEvents))).flat().filter(event => event.request === request)
+  for (const { wallMs, host, name, ...fields } of events) console.error(wallMs, host, name, JSON.stringify(fields))
+}
--- a/bench/recovery/scenarios.ts
+++ b/bench/recovery/scenarios.ts
@@ -4,6 +4,9 @@
 import { callControl, type Fleet, type FleetEngine } from './startFleet.js'
 import { pause } from './callers.js'
 
+/** Entries that are shut down at the same time. */
+const ENTRIES_AT_ONCE = 2
+
 /** One kind of fault. */
 export interface Scenario {
   name: string
@@ -62,8 +65,8 @@
 }
 
 /** Asks an entry to stop while the balancer still sends to it for a while. */
-async function shutDownEntry (fleet: Fleet, exits: Array<number | string>): Promise<void> {
-  const entry = fleet.entries[0]!
+async function shutDownEntry (fleet: Fleet, index: number, exits: Array<number | string>): Promise<void> {
+  const entry = fleet.entries[index % ENTRIES_AT_ONCE]!
   entry.child.kill('SIGTERM')
   await pause(100)
   fleet.entries.splice(fleet.entries.indexOf(entry), 1)
@@ -102,9 +105,9 @@
     { name: 'entryKill', atOnce: 2, bringAbout: killEntry },
     {
       name: 'entryShutdown',
-      atOnce: 2,
+      atOnce: ENTRIES_AT_ONCE,
       countsAll: true,
-      bringAbout: fleet => shutDownEntry(fleet, exits),
+      bringAbout: (fleet, index) => shutDownEntry(fleet, index, exits),
       report: () => ({ exitCodes: [...new Set(exits)] })
     },
     { name: 'storeOutage', atOnce: 1, countsAll: true, bringAbout: stopStore },
--- a/bench/recovery/tally.ts
+++ b/bench/recovery/tally.ts
@@ -46,6 +46,7 @@
     falseNotRun: falseNotRunAnswers.length + falseNotRunBookings.length,
     doubleBookings: bookings.filter(({ key }) => (booked[key] ?? 0) > 1).length,
     bookings: bookings.length,
+    slowestId: met.sort((a, b) => longestGapMs(b.marksMs) - longestGapMs(a.marksMs))[0]?.ids.at(-1),
     broken: answers.reduce((sum, answer) => sum + answer.broken, 0),
     ...(lost.length > 0 ? { lostSample: describeLost(lost[0]!) } : {}),
     ...(violations.length > 0 ? { violationSample: violations.slice(0, 3) } : {})
--- a/src/entry/answerCompletion/index.ts
+++ b/src/entry/answerCompletion/index.ts
@@ -63,9 +63,11 @@
     engines: context.engines,
     directory: daemon.directory,
     pick: context.pick,
+    linkFaults: context.linkFaults,
     runtime: daemon.runtime,
     log: daemon.log,
     signal: call.signal,
+    isHandedOver: daemon.isDraining,
     onChain: writer.onChain,
     onToken (frame) {
       if (first) noteFirstToken(call, context, daemon.runtime.monotonicMs() - startedMs)
--- a/src/entry/startEntry/index.ts
+++ b/src/entry/startEntry/index.ts
@@ -7,6 +7,7 @@
 import type { EngineClient } from '../../engine/types.js'
 import { createHttpEngine } from '../../engine/createHttpEngine/index.js'
 import { listen } from '../../http/listen/index.js'
+import { createLinkFaults } from '../../pipeline/createLinkFaults/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
@@ -59,6 +60,7 @@
     daemon,
     engines,
     services,
+    linkFaults: createLinkFaults({ runtime }),
     pick: candidates => candidates[Math.floor(runtime.random() * candidates.length)]!
   }
   const handler = createCallerHandler(context)
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Daemon } from '../daemon/types.js'
 import type { EngineClient } from '../engine/types.js'
+import type { LinkFaults } from '../pipeline/createLinkFaults/index.js'
 import type { PickStage } from '../pipeline/types.js'
 import type { ServiceClient } from '../service/types.js'
 import type { Account } from '../ticket/types.js'
@@ -14,6 +15,7 @@
   engines: EngineClient
   services: ServiceClient
   pick: PickStage
+  linkFaults: LinkFaults
 }
 
 /** One call at the caller port, after its account is known. */
--- a/src/pipeline/_lib/progress.ts
+++ b/src/pipeline/_lib/progress.ts
@@ -7,6 +7,7 @@
 import type { Placement } from '../../ticket/types.js'
 import { NEVER_SENT } from '../../verdict/createRefusal/index.js'
 import type { Verdict } from '../../verdict/types.js'
+import type { LinkFaults } from '../createLinkFaults/index.js'
 import type { AnswerRequest, PickStage } from '../types.js'
 
 /** How long one answer avoids a target that failed it, in milliseconds. */
@@ -15,6 +16,7 @@
 /** What a progress works with. */
 export interface ProgressOptions {
   directory: TargetDirectory
+  linkFaults: LinkFaults
   runtime: Runtime
   onToken: (frame: TokenFrame) => void
 }
@@ -41,13 +43,15 @@
   /** Keeps a target out of the next chains of this answer alone. */
   avoid: (target: string) => void
   isUsable: (target: string) => boolean
+  /** Keeps both ends of a link out of the next choices of all answers, where there are others. */
+  noteLink: (link: { from: string, to: string }) => void
   /** Picks a stage that holds the KV cache where there is one. */
   preferKept: (pick: PickStage) => PickStage
 }
 
 /** State of an answer before its first attempt. */
 export function createProgress (request: AnswerRequest, options: ProgressOptions): Progress {
-  const { directory, runtime, onToken } = options
+  const { directory, linkFaults, runtime, onToken } = options
   const avoidedUntilMs = new Map<string, number>()
   const progress: Progress = {
     given: [...request.given],
@@ -77,9 +81,10 @@
       const condition = directory.condition(target)
       return condition === 'usable' || (condition === 'leaving' && progress.kept.has(target))
     },
+    noteLink: linkFaults.note,
     preferKept: pick => (candidates, chosen) => {
       const holding = candidates.filter((part: Placement) => progress.kept.has(part.target))
-      return pick(holding.length > 0 ? holding : candidates, chosen)
+      return pick(holding.length > 0 ? holding : linkFaults.prefer(candidates), chosen)
     }
   }
   return progress
--- a/src/pipeline/_lib/takeFinding.ts
+++ b/src/pipeline/_lib/takeFinding.ts
@@ -38,6 +38,7 @@
  * cannot tell which end is at fault; otherwise the one end that can be replaced.
  */
 function avoidLink (progress: Progress, link: Extract<Finding, { kind: 'linkLost' }>, { chain, model }: TakeFindingOptions): void {
+  progress.noteLink(link)
   for (const target of [link.from, link.to]) {
     const part = chain.find(stage => stage.target === target)
     const hasOther = model.placement.some(other => {
--- a/src/pipeline/findSequence/test.ts
+++ b/src/pipeline/findSequence/test.ts
@@ -84,3 +84,14 @@
   await rig.runtime.advance(10_100)
   t.is(await rig.takeOver(before, { givenTokens: 5 }), undefined)
 })
+
+test('an entry that is made to stop leaves its answers to another', async t => {
+  const rig = createAnswerRig()
+  const before = rig.start({}, { isHandedOver: () => true })
+  await rig.until(before, 5)
+  before.leave()
+  t.like(await rig.end(before), { kind: 'failed', reason: 'callerGone' })
+  const after = (await rig.takeOver(before, { givenTokens: 5 }))!
+  t.like(await rig.end(after), { kind: 'complete', tokens: 12 })
+  t.deepEqual(rig.faultsOf(after), [])
+})
--- a/src/pipeline/runPipeline/index.ts
+++ b/src/pipeline/runPipeline/index.ts
@@ -12,6 +12,7 @@
 import type { ModelScope } from '../../ticket/types.js'
 import type { ReasonName } from '../../verdict/reasons.js'
 import { chooseChain } from '../chooseChain/index.js'
+import { createLinkFaults, type LinkFaults } from '../createLinkFaults/index.js'
 import { examineChain, type Examination, type Finding } from '../examineChain/index.js'
 import { openChain } from '../openChain/index.js'
 import { sequenceName, type AnswerRequest, type AnswerResult, type Chain, type OpenChain, type OpenChainResult, type OpenFailure, type PickStage } from '../types.js'
@@ -32,10 +33,14 @@
   engines: EngineClient
   directory: TargetDirectory
   pick: PickStage
+  /** Shared by the answers of one entry; a memory of its own unless given. */
+  linkFaults?: LinkFaults
   runtime: Runtime
   log: EventLog
   /** Aborts when the caller goes away. */
   signal: AbortSignal
+  /** Whether an answer whose caller went away is left to another entry; it is cancelled otherwise. */
+  isHandedOver?: () => boolean
   /** Called once for each position, in order. */
   onToken: (frame: TokenFrame) => void
   /** Called with each chain that opens, so that a slow caller can pause it. */
@@ -62,9 +67,9 @@
  * const result = await runPipeline(request, { configuration, engines, directory, pick, runtime, log, signal, onToken })
  */
 export async function runPipeline (request: AnswerRequest, options: RunPipelineOptions): Promise<AnswerResult> {
-  const { runtime, directory, onToken } = options
+  const { runtime, directory, onToken, linkFaults = createLinkFaults({ runtime }) } = options
   using deadline = withDeadline(request.deadlineMs, { runtime, parent: options.signal })
-  const progress = createProgress(request, { directory, runtime, onToken })
+  const progress = createProgress(request, { directory, linkFaults, runtime, onToken })
   const answering: Answering = { request, options, progress, signal: deadline.signal }
   const { computed = [], ended = false, earlierAttempt } = request
   giveComputed({ computed, ended }, earlierAttempt, progress)
@@ -211,6 +216,7 @@
 
 /** Frees the sequence on all targets but those of the completed chain, without holding up the answer. */
 function cancelOthers (inUse: Chain, { request, options, progress }: Answering): void {
+  if (options.signal.aborted && options.isHandedOver?.()) return
   const timeoutMs = options.configuration().timeouts.connectMs
   const completed = new Set(inUse.map(part => part.target))
   for (const [target, address] of progress.touched) {
--- a/src/pipeline/runPipeline/test.ts
+++ b/src/pipeline/runPipeline/test.ts
@@ -66,6 +66,14 @@
   })
 }
 
+test('a link that one answer found lost is not met by the next', async t => {
+  const rig = createAnswerRig()
+  rig.engines.get('b').faults.linkCut = true
+  await endWhole(t, rig, rig.start())
+  await endWhole(t, rig, rig.start())
+  t.is(rig.engines.get('b').opens.length, 1)
+})
+
 test('a degraded link is replaced and its late frames are dropped', async t => {
   const rig = createAnswerRig()
   const answer = rig.start()
--- a/test/fakes/createAnswerRig.ts
+++ b/test/fakes/createAnswerRig.ts
@@ -8,8 +8,9 @@
 import type { Configuration } from '../../src/configuration/types.js'
 import type { EngineClient, TokenFrame } from '../../src/engine/types.js'
 import type { EventLog } from '../../src/event/types.js'
+import { createLinkFaults } from '../../src/pipeline/createLinkFaults/index.js'
 import { findSequence } from '../../src/pipeline/findSequence/index.js'
-import { runPipeline } from '../../src/pipeline/runPipeline/index.js'
+import { runPipeline, type RunPipelineOptions } from '../../src/pipeline/runPipeline/index.js'
 import { sequenceName, type AnswerRequest, type AnswerResult, type OpenChain } from '../../src/pipeline/types.js'
 import { createSubject } from '../../src/stream/createSubject/index.js'
 import type { TargetCondition, TargetDirectory } from '../../src/target/types.js'
@@ -43,7 +44,7 @@
   log: EventLog
   conditions: Map<string, TargetCondition>
   configure: (configuration: Configuration) => void
-  start: (request?: Partial<AnswerRequest>) => RunningAnswer
+  start: (request?: Partial<AnswerRequest>, more?: Pick<RunPipelineOptions, 'isHandedOver'>) => RunningAnswer
   /** Moves time on until a number of tokens was given. */
   until: (answer: RunningAnswer, tokens: number) => Promise<void>
   /** Moves time on until the answer has ended. */
@@ -77,9 +78,10 @@
     noteAnswered: target => { conditions.delete(target) },
     changes: createSubject<string>().stream
   }
+  const linkFaults = createLinkFaults({ runtime })
   let started = 0
 
-  function start (request: Partial<AnswerRequest> = {}): RunningAnswer {
+  function start (request: Partial<AnswerRequest> = {}, more: Pick<RunPipelineOptions, 'isHandedOver'> = {}): RunningAnswer {
     started += 1
     const whole: AnswerRequest = {
       request: `request-${started}`, account: 'studio', model: 'draft', prompt: `prompt ${started}`, maxTokens: 12, priority: 5, deadlineMs: 60_000, given: [], earlierAttempt: 0, ...request
@@ -90,7 +92,7 @@
     let chain: OpenChain | undefined
     const { client, kill } = createMortalClient(engines)
     const result = runPipeline(whole, {
-      configuration: () => configuration, engines: client, directory, pick: candidates => candidates[0]!, runtime, log, signal: controller.signal, onToken: frame => { frames.push(frame) }, onChain: open => { chain = open }
+      configuration: () => configuration, engines: client, directory, linkFaults, pick: candidates => candidates[0]!, runtime, log, signal: controller.signal, onToken: frame => { frames.push(frame) }, onChain: open => { chain = open }, ...more
     })
     result.then(value => { settled = value }, () => {})
     return { request: whole, frames, result, settled: () => settled, chain: () => chain, leave: () => controller.abort(), kill }
