Look early at the chain of a later attempt

Change: a later attempt is looked at after half of the deadline between tokens, and a lost link counts there once nothing has moved between two looks, so that a rebuild over slow links is not torn down.

--- a/src/pipeline/_lib/readTokens.ts
+++ b/src/pipeline/_lib/readTokens.ts
@@ -19,6 +19,8 @@
 export interface ReadTokensOptions {
   firstTokenMs: number
   betweenTokensMs: number
+  /** Looks at the chain of a later attempt before its deadline; a lost link must then show twice. */
+  looksEarly: boolean
   runtime: Runtime
   signal: AbortSignal
   /** Hands a token on; false where its position is not the next one. */
@@ -27,21 +29,39 @@
   examine: () => Promise<Examination>
 }
 
+/** Part of the deadline between tokens after which the chain of a later attempt is first looked at. */
+const EARLY_LOOK = 1 / 2
+
+/** Part of the deadline between tokens from one early look to the next. */
+const NEXT_LOOK = 1 / 4
+
 /**
  * Reads until the answer is complete or the attempt is lost. Frames of another attempt and
  * positions other than the next are dropped. When a deadline passes the chain is examined, and
  * while one of its stages works the wait goes on.
  */
 export function readTokens (open: OpenChain, options: ReadTokensOptions): Promise<ReadEnd> {
-  const { firstTokenMs, betweenTokensMs, runtime, signal, give, examine } = options
+  const { firstTokenMs, betweenTokensMs, runtime, looksEarly, signal, give, examine } = options
   return new Promise(resolve => {
     let given = 0
     let settled = false
-    let timer = watch(firstTokenMs)
+    let lookedAt: Examination | undefined
+    let timer = looksEarly ? watch(betweenTokensMs * EARLY_LOOK, lookEarly) : watch(firstTokenMs)
     const onAbort = (): void => finish({ kind: 'aborted' })
 
-    function watch (deadlineMs: number): Disposable {
-      return runtime.setTimer(deadlineMs, () => { question(deadlineMs).catch(fail) })
+    function watch (deadlineMs: number, look = question): Disposable {
+      return runtime.setTimer(deadlineMs, () => { look(deadlineMs).catch(fail) })
+    }
+
+    /** Frames may be on their way between two stages: a lost link counts when nothing moved since the last look. */
+    async function lookEarly (): Promise<void> {
+      const examination = await examine()
+      if (settled || given > 0) return
+      const hasMoved = lookedAt?.progress !== examination.progress
+      lookedAt = examination
+      const { kind } = examination.finding
+      if (kind === 'working' || (kind === 'linkLost' && hasMoved)) timer = watch(betweenTokensMs * NEXT_LOOK, lookEarly)
+      else finish({ kind: 'silent', examination })
     }
 
     const fail = (error: Error): void => finish({ kind: 'lost', target: open.stages.at(-1)!.target, cause: error.message })
--- a/src/pipeline/examineChain/index.ts
+++ b/src/pipeline/examineChain/index.ts
@@ -26,6 +26,8 @@
   computed: string[]
   /** Whether those end the answer. */
   ended: boolean
+  /** Sum of the stages' next positions; grows while anything moves. */
+  progress: number
 }
 
 /** What one stage of a chain answered. */
@@ -82,7 +84,8 @@
   const held = answer.kind === 'known' && answer.held.attempt === attempt ? answer.held : undefined
   const computed = held?.tokens.slice(position) ?? []
   const ended = held?.state === 'ended' && computed.length > 0
-  return { finding: findFault(answers, { attempt, hasComputed: computed.length > 0, ended }), computed, ended }
+  const progress = answers.reduce((sum, stage) => sum + (stage.answer.kind === 'known' ? stage.answer.held.nextPosition : 0), 0)
+  return { finding: findFault(answers, { attempt, hasComputed: computed.length > 0, ended }), computed, ended, progress }
 }
 
 function findFault (answers: StageAnswer[], options: { attempt: number, hasComputed: boolean, ended: boolean }): Finding {
--- a/src/pipeline/runPipeline/index.ts
+++ b/src/pipeline/runPipeline/index.ts
@@ -134,7 +134,7 @@
     timeoutMs: options.configuration().timeouts.connectMs
   })
   const { firstTokenMs, betweenTokensMs } = model.deadlines
-  const end = await readTokens(open, { firstTokenMs, betweenTokensMs, runtime, signal, give: progress.give, examine })
+  const end = await readTokens(open, { firstTokenMs, betweenTokensMs, looksEarly: progress.attempts > 1, runtime, signal, give: progress.give, examine })
   if (end.kind === 'complete') return complete(open)
   if (end.kind !== 'aborted') {
     const examination = end.kind === 'silent' ? end.examination : await examine()
--- a/src/pipeline/runPipeline/test.ts
+++ b/src/pipeline/runPipeline/test.ts
@@ -16,6 +16,12 @@
   t.is(rig.runtime.pendingTimers(), 0)
 }
 
+/** Layers of an engine by its name. */
+function rangeOf (target: string): { fromLayer: number, toLayer: number } {
+  const stage = 'abcd'.indexOf(target[0]!)
+  return { fromLayer: BOUNDARIES[stage]!, toLayer: BOUNDARIES[stage + 1]! }
+}
+
 const opensOf = (rig: AnswerRig, target: string) => rig.engines.get(target).opens.map(open => open.attempt)
 
 test('an answer runs each layer once and leaves nothing behind', async t => {
@@ -74,6 +80,31 @@
   t.is(rig.engines.get('b').opens.length, 1)
 })
 
+test('a replacement with a lost link of its own is found early', async t => {
+  const rig = createAnswerRig()
+  rig.engines.add({ target: 'b3', fromLayer: 2, toLayer: 4 })
+  const placement = ['a', 'b', 'c', 'd', 'b2', 'b3', 'c2'].map(target => ({ target, ...rangeOf(target) }))
+  rig.configure(buildTestConfiguration({ layers: 8, placement }))
+  const answer = rig.start()
+  await rig.until(answer, 5)
+  const lostAtMs = rig.runtime.monotonicMs()
+  rig.engines.get('b').die()
+  rig.engines.get('b2').faults.linkCut = true
+  await rig.until(answer, 7)
+  t.true(rig.runtime.monotonicMs() - lostAtMs <= 100 + 50 + 50)
+  await endWhole(t, rig, answer)
+})
+
+test('a rebuild over slow links is waited for while anything moves', async t => {
+  const rig = createAnswerRig()
+  for (const target of ['a', 'b', 'c', 'd', 'b2']) rig.engines.get(target).faults.linkDelayMs = 40
+  const answer = rig.start()
+  await rig.until(answer, 5)
+  rig.engines.get('b').die()
+  await endWhole(t, rig, answer)
+  t.is(answer.frames.at(-1)?.attempt, 2)
+})
+
 test('a degraded link is replaced and its late frames are dropped', async t => {
   const rig = createAnswerRig()
   const answer = rig.start()
@@ -232,7 +263,7 @@
   await rig.runtime.advance(12_000)
   t.is(answer.settled(), undefined)
   rig.engines.add({ target: 'new', fromLayer: 2, toLayer: 4 })
-  const placement = ['a', 'new', 'c', 'd'].map((target, stage) => ({ target, fromLayer: BOUNDARIES[stage]!, toLayer: BOUNDARIES[stage + 1]! }))
+  const placement = [{ target: 'new', ...rangeOf('b') }, ...['a', 'c', 'd'].map(target => ({ target, ...rangeOf(target) }))]
   rig.configure(buildTestConfiguration({ layers: 8, placement }))
   const joinedAtMs = rig.runtime.monotonicMs()
   await endWhole(t, rig, answer)
