--- a/src/entry/startEntry/index.ts
+++ b/src/entry/startEntry/index.ts
@@ -6,6 +6,7 @@
 import type { EngineClient } from '../../engine/types.js'
 import { createHttpEngine } from '../../engine/createHttpEngine/index.js'
 import { listen } from '../../http/listen/index.js'
+import { createLinkFaults } from '../../pipeline/createLinkFaults/index.js'
 import { createRouter } from '../../route/createRouter/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
@@ -73,6 +74,7 @@
     engines,
     services,
     router,
+    linkFaults: createLinkFaults({ runtime }),
     keep: calls.keep
   }
   const server = resources.use(await (ports.listen ?? listen)(createCallerHandler(context, { calls }), {
