Drain by events and end what is left with a verdict

Cause: a drain polled open responses, forgot operator calls and bookings whose caller had gone, and a second signal closed connections without an answer. Ruled out: refusing while draining, which costs each caller an attempt. Change: one shared drain for entry and control; each call left at the second signal or the deadline gets the refusal `draining` with a true verdict.

--- a/src/bin/coltsfootlead-control.ts
+++ b/src/bin/coltsfootlead-control.ts
@@ -5,6 +5,7 @@
 import { Cli, Command } from 'clipanion'
 import { DaemonCommand, type RunningDaemon } from '../cli/daemonCommand.js'
 import { startControl } from '../control/startControl/index.js'
+import { drainDaemon } from '../daemon/drainDaemon/index.js'
 import type { Runtime } from '../runtime/types.js'
 import type { DaemonSettings } from '../settings/types.js'
 
@@ -18,10 +19,7 @@
     const control = await startControl(settings, options)
     return {
       addresses: { operator: control.daemon.operatorUrl },
-      async drain () {
-        control.daemon.drain()
-        control.daemon.log.emit('processDraining')
-      },
+      drain: ({ signal }) => drainDaemon(control.daemon, { signal }),
       stopped: () => control.daemon.log.emit('processStopped'),
       [Symbol.asyncDispose]: () => control[Symbol.asyncDispose]()
     }
--- a/src/cli/daemonCommand.ts
+++ b/src/cli/daemonCommand.ts
@@ -3,9 +3,11 @@
  */
 import { Command, Option } from 'clipanion'
 import { createSystemRuntime } from '../runtime/createSystemRuntime/index.js'
+import { sleep } from '../runtime/sleep/index.js'
 import type { Runtime } from '../runtime/types.js'
 import { readSettings, SettingsError } from '../settings/readSettings/index.js'
 import { daemonSettingsSchema, type DaemonSettings } from '../settings/types.js'
+import { drainOnSignal } from './_lib/drainOnSignal.js'
 
 /** Exit codes of the daemons. */
 export const DAEMON_EXIT = {
@@ -16,6 +18,12 @@
   cutShort: 2
 } as const
 
+/** Period of the timer that keeps the process alive while nothing else does. */
+const KEEP_ALIVE_MS = 1 << 30
+
+/** Longest wait for connections to close after a shutdown that was cut short. */
+const DISPOSAL_LIMIT_MS = 2_000
+
 /** A daemon as its command line sees it. */
 export interface RunningDaemon extends AsyncDisposable {
   /** Printed as one JSON line once the daemon listens. */
@@ -44,30 +52,18 @@
       this.context.stderr.write(`${error instanceof SettingsError ? error.message : `cannot start: ${(error as Error).message}`}\n`)
       return DAEMON_EXIT.cannotStart
     }
-    await using running = daemon
-    this.context.stdout.write(`${JSON.stringify({ listening: running.addresses })}\n`)
-    return await drainOnSignal(running, { runtime, deadlineMs })
+    this.context.stdout.write(`${JSON.stringify({ listening: daemon.addresses })}\n`)
+    return await runUntilStopped(daemon, { runtime, deadlineMs })
   }
 }
 
-/** Waits for the first signal, then drains until done, a second signal or the deadline. */
-async function drainOnSignal (daemon: RunningDaemon, options: { runtime: Runtime, deadlineMs: number }): Promise<number> {
-  const cut = new AbortController()
-  const keepAlive = setInterval(() => {}, 1 << 30)
-  await new Promise<void>(resolve => {
-    let signals = 0
-    const onSignal = (): void => {
-      signals += 1
-      if (signals > 1) cut.abort()
-      resolve()
-    }
-    process.on('SIGTERM', onSignal)
-    process.on('SIGINT', onSignal)
-  })
-  const timer = options.runtime.setTimer(options.deadlineMs, () => cut.abort())
-  await daemon.drain({ signal: cut.signal })
-  timer[Symbol.dispose]()
+async function runUntilStopped (daemon: RunningDaemon, options: { runtime: Runtime, deadlineMs: number }): Promise<number> {
+  const keepAlive = setInterval(() => {}, KEEP_ALIVE_MS)
+  const isComplete = await drainOnSignal(daemon, { ...options, signals: process })
   daemon.stopped()
+  if (isComplete) await daemon[Symbol.asyncDispose]()
+  else await Promise.race([daemon[Symbol.asyncDispose](), sleep(DISPOSAL_LIMIT_MS, options)])
   clearInterval(keepAlive)
-  return cut.signal.aborted ? DAEMON_EXIT.cutShort : DAEMON_EXIT.ok
+  if (!isComplete) setImmediate(() => process.exit(DAEMON_EXIT.cutShort))
+  return isComplete ? DAEMON_EXIT.ok : DAEMON_EXIT.cutShort
 }
--- a/src/daemon/createOperatorHandler/index.ts
+++ b/src/daemon/createOperatorHandler/index.ts
@@ -1,9 +1,11 @@
 /**
  * The operator port: health, metrics, tickets, what is in force, members, events, explanations.
  */
+import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { authenticate } from '../../account/authenticate/index.js'
 import { readBody } from '../../http/readBody/index.js'
+import { readTarget } from '../../http/readTarget/index.js'
 import { sendJson, sendRefusal } from '../../http/sendJson/index.js'
 import { parseJsonc } from '../../settings/parseJsonc/index.js'
 import { listTickets, showTicket } from '../../ticket/showTicket/index.js'
@@ -28,14 +30,25 @@
  */
 export function createOperatorHandler (daemon: Daemon): Handler {
   const operators = new Map(daemon.settings.operators.map(operator => [operator.name, operator]))
-  return async (request, response) => {
-    const url = new URL(request.url ?? '/', 'http://operator')
-    const open = await answerOpen(url, response, daemon)
-    if (open) return
+
+  async function serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = readTarget(request.url)
+    if (url === undefined) return sendRefusal(response, createRefusal('malformedRequest'))
+    if (await answerOpen(url, response, daemon)) return
     const operator = authenticate(request.headers.authorization, { find: name => operators.get(name) })
     if (operator === undefined) return sendRefusal(response, createRefusal('unauthorized'))
     await answerOperator(url, { request, response, operator: operator.name }, daemon)
   }
+
+  return async (request, response) => {
+    response.on('error', () => { if (!response.writableEnded) response.destroy() })
+    const task = serve(request, response).catch((error: Error) => {
+      daemon.log.emit('unexpectedError', { cause: error.message })
+      sendRefusal(response, createRefusal('internalError', { verdict: { kind: 'mayHaveRun' } }))
+    })
+    daemon.operatorCalls.track({ request: randomUUID(), response, isAdmitted: request.method !== 'GET' }, task)
+    await task
+  }
 }
 
 /** Paths that need no token. */
@@ -64,7 +77,7 @@
 
 async function answerOperator (url: URL, call: Call, daemon: Daemon): Promise<void> {
   const { request, response } = call
-  const [, version, kind, ...rest] = url.pathname.split('/').map(decodeURIComponent)
+  const [, version, kind, ...rest] = decodeURIComponent(url.pathname).split('/')
   const argument = rest.join('/')
   const route = `${request.method} ${version}/${kind}`
   if (route === 'POST v1/tickets') return await acceptTicket(call, daemon)
--- a/src/daemon/startDaemon/index.ts
+++ b/src/daemon/startDaemon/index.ts
@@ -7,6 +7,7 @@
 import { watchConfiguration } from '../../configuration/watchConfiguration/index.js'
 import { createEventLog } from '../../event/createEventLog/index.js'
 import { createHttpHostList } from '../../hostList/createHttpHostList/index.js'
+import { createOpenCalls } from '../../http/createOpenCalls/index.js'
 import { listen } from '../../http/listen/index.js'
 import { createMemberTable } from '../../member/createMemberTable/index.js'
 import { listMembers, registerMember } from '../../member/registerMember/index.js'
@@ -60,7 +61,7 @@
   const refusals = createRefusalBook({ runtime })
 
   let draining = false
-  const daemon = { settings, runtime, clock, log, metrics, store, hostList, holder, directory, refusals, signal } as Daemon
+  const daemon = { settings, runtime, clock, log, metrics, store, hostList, holder, directory, refusals, operatorCalls: createOpenCalls({ runtime }), signal } as Daemon
   let accept: (stream: PeerStream) => void = stream => stream[Symbol.dispose]()
   const peerServer = resources.use(await ports.servePeers(stream => accept(stream), { address, port: settings.ports.peer }))
   const operatorServer = resources.use(await ports.listen(createOperatorHandler(daemon), { address, port: settings.ports.operator }))
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -7,6 +7,7 @@
 import type { ConfigurationHolder } from '../configuration/types.js'
 import type { EventLog } from '../event/types.js'
 import type { HostList } from '../hostList/types.js'
+import type { OpenCalls } from '../http/createOpenCalls/index.js'
 import type { MemberTable } from '../member/createMemberTable/index.js'
 import type { ObjectStore } from '../objectApi/types.js'
 import type { Runtime } from '../runtime/types.js'
@@ -28,6 +29,8 @@
   table: MemberTable
   directory: FedTargetDirectory
   refusals: RefusalBook
+  /** Calls of the operator port in flight. */
+  operatorCalls: OpenCalls
   /** Base URL of the operator port. */
   operatorUrl: string
   /** Aborts when the daemon stops. */
--- a/src/entry/createCallerHandler/index.ts
+++ b/src/entry/createCallerHandler/index.ts
@@ -7,10 +7,11 @@
 import { judgeCurrency } from '../../configuration/judgeCurrency/index.js'
 import type { Daemon } from '../../daemon/types.js'
 import { readBody } from '../../http/readBody/index.js'
+import { readTarget } from '../../http/readTarget/index.js'
 import { createRefusal } from '../../verdict/createRefusal/index.js'
 import type { ReasonName } from '../../verdict/reasons.js'
 import { answerCompletion, refuse } from '../answerCompletion/index.js'
-import type { OpenCall, OpenCalls } from '../createOpenCalls/index.js'
+import type { OpenCall, OpenCalls } from '../../http/createOpenCalls/index.js'
 import { passThrough } from '../passThrough/index.js'
 import type { CallerCall, EntryContext } from '../types.js'
 
@@ -36,7 +37,8 @@
 ): (incoming: IncomingMessage, response: ServerResponse) => Promise<void> {
   return async (incoming, response) => {
     const call: OpenCall = { request: randomUUID(), response, isAdmitted: false }
-    response.on('error', () => response.destroy())
+    response.on('error', () => { if (!response.writableEnded) response.destroy() })
+    response.setHeader('x-request-id', call.request)
     if (context.daemon.isDraining()) response.setHeader('connection', 'close')
     const task = serve(call, incoming, context)
     options.calls.track(call, task)
@@ -71,7 +73,7 @@
     const revision = daemon.holder.current().head.revision
     refuse(createRefusal(reason, { facts: { revision }, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }), open, context)
   }
-  const pathname = readPath(incoming.url)
+  const pathname = readTarget(incoming.url)?.pathname
   if (pathname === undefined) return refuseWith('malformedRequest')
   if (!daemon.holder.isReady()) return refuseWith('notReady', NOT_READY_RETRY_MS)
   if (isStale(daemon)) return refuseWith('staleConfiguration', NOT_READY_RETRY_MS)
@@ -93,9 +95,3 @@
   open.isAdmitted = true
   await (isCompletion ? answerCompletion(call, context) : passThrough(call, context))
 }
-
-/** The path of a request target in origin form; nothing for any other. */
-function readPath (target: string | undefined): string | undefined {
-  if (target === undefined || !target.startsWith('/') || target.startsWith('//')) return undefined
-  return URL.canParse(target, 'http://caller') ? new URL(target, 'http://caller').pathname : undefined
-}
--- a/src/entry/createOpenCalls/index.ts
+++ b/src/http/createOpenCalls/index.ts
@@ -3,6 +3,8 @@
  * that is left with a true verdict.
  */
 import type { ServerResponse } from 'node:http'
+import { sleep } from '../../runtime/sleep/index.js'
+import type { Runtime } from '../../runtime/types.js'
 import { PROBLEM_CONTENT_TYPE, toProblem } from '../../verdict/toProblem/index.js'
 import type { Refusal } from '../../verdict/types.js'
 
@@ -27,19 +29,23 @@
   endAll: (refuse: (call: OpenCall) => Refusal) => Promise<void>
 }
 
+/** Longest wait for callers to take the last bytes of their answers. */
+const FLUSH_LIMIT_MS = 1_000
+
 /** Media type of a stream that can carry the refusal as an event. */
 const EVENT_STREAM = 'text/event-stream'
 
 /**
  * @name createOpenCalls
  * @summary An empty set of calls.
+ * @param options - The runtime.
  * @returns The set.
  *
  * @example
- * const calls = createOpenCalls()
+ * const calls = createOpenCalls({ runtime })
  * calls.track({ request, response, isAdmitted: false }, handler(request, response))
  */
-export function createOpenCalls (): OpenCalls {
+export function createOpenCalls (options: { runtime: Runtime }): OpenCalls {
   const calls = new Set<OpenCall>()
   const tasks = new Set<Promise<unknown>>()
   const waiters = new Set<() => void>()
@@ -77,7 +83,9 @@
       })
     },
     async endAll (refuse) {
-      await Promise.all([...calls].map(async call => await endCall(call, refuse)))
+      const left = [...calls]
+      await Promise.race([Promise.all(left.map(call => endCall(call, refuse))), sleep(FLUSH_LIMIT_MS, options)])
+      for (const { response } of left) response.destroy()
     }
   }
 }
--- a/standin/service/serveService/index.ts
+++ b/standin/service/serveService/index.ts
@@ -12,6 +12,8 @@
   loseAnswers: number
   /** Bookings are refused before they take effect. */
   refuse: boolean
+  /** Bookings take effect and their answers wait until switched back. */
+  hold: boolean
 }
 
 /**
@@ -24,13 +26,18 @@
  * await using server = await serveService({ address: '127.0.0.1', port: 0 })
  */
 export async function serveService (options: { address: string, port: number }): Promise<ListeningServer> {
-  const faults: ServiceFaults = { delayMs: 0, loseAnswers: 0, refuse: false }
+  const faults: ServiceFaults = { delayMs: 0, loseAnswers: 0, refuse: false, hold: false }
+  let held: Array<() => void> = []
   const bookings = new Map<string, number>()
   let booked = 0
   return await listen(async (request, response) => {
     const { pathname } = new URL(request.url ?? '/', 'http://service')
     if (pathname === '/faults') {
       Object.assign(faults, await readJson(request))
+      if (!faults.hold) {
+        for (const release of held) release()
+        held = []
+      }
       return sendJson(response, 200, faults)
     }
     if (request.method === 'GET' && pathname.startsWith('/orders/')) {
@@ -48,6 +55,7 @@
       response.destroy()
       return
     }
+    if (faults.hold) await new Promise<void>(resolve => { held.push(resolve) })
     if (faults.delayMs > 0) await new Promise(resolve => { setTimeout(resolve, faults.delayMs) })
     sendJson(response, 201, { confirmation: booked, order })
   }, options)
