--- a/src/entry/createCallerHandler/index.ts
+++ b/src/entry/createCallerHandler/index.ts
@@ -80,6 +80,7 @@
   const { accounts } = daemon.holder.current()
   const account = authenticate(incoming.headers.authorization, { find: name => accounts.get(name) })
   if (account === undefined) return refuseWith('unauthorized')
+  if (incoming.headers.expect !== undefined && !isOverLimit(incoming, bodySizeBytes)) response.writeContinue()
   const read = await readBody(incoming, { sizeBytes: bodySizeBytes, deadlineMs: bodyDeadlineMs, runtime: daemon.runtime })
   if (read.kind === 'aborted') return
   if (read.kind !== 'body') {
@@ -95,3 +96,8 @@
   open.isAdmitted = true
   await (isCompletion ? answerCompletion(call, context) : passThrough(call, context))
 }
+
+/** Whether a body announces itself as too large, so that the caller is not asked to send it. */
+function isOverLimit (incoming: IncomingMessage, sizeBytes: number): boolean {
+  return Number(incoming.headers['content-length'] ?? 0) > sizeBytes
+}
--- a/src/entry/startEntry/index.ts
+++ b/src/entry/startEntry/index.ts
@@ -6,13 +6,15 @@
 import type { Daemon, DaemonPorts } from '../../daemon/types.js'
 import type { EngineClient } from '../../engine/types.js'
 import { createHttpEngine } from '../../engine/createHttpEngine/index.js'
-import { listen } from '../../http/listen/index.js'
+import { listen, type MalformedReason } from '../../http/listen/index.js'
 import { createRouter } from '../../route/createRouter/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import { createHttpService } from '../../service/createHttpService/index.js'
 import type { ServiceClient } from '../../service/types.js'
 import type { DaemonSettings } from '../../settings/types.js'
+import { createRefusal } from '../../verdict/createRefusal/index.js'
+import type { Refusal } from '../../verdict/types.js'
 import { createCallerHandler } from '../createCallerHandler/index.js'
 import { createOpenCalls } from '../../http/createOpenCalls/index.js'
 import type { EntryContext } from '../types.js'
@@ -71,7 +73,12 @@
     keep: calls.keep
   }
   const server = resources.use(await (ports.listen ?? listen)(createCallerHandler(context, { calls }), {
-    address: settings.address, port: settings.ports.caller, headerSizeBytes: settings.limits.headerSizeBytes
+    address: settings.address,
+    port: settings.ports.caller,
+    headerSizeBytes: settings.limits.headerSizeBytes,
+    requestDeadlineMs: settings.limits.bodyDeadlineMs,
+    isContinueByHandler: true,
+    refuseMalformed: reason => refuseConnection(reason, daemon)
   }))
   daemon.log.emit('processStarted', { caller: server.address, operator: daemon.operatorUrl })
   return {
@@ -85,3 +92,12 @@
     }
   }
 }
+
+/** A connection on which no request could be read has no request identity. */
+function refuseConnection (reason: MalformedReason, daemon: Daemon): Refusal {
+  const refusal = createRefusal(reason, { facts: { revision: daemon.holder.current().head.revision } })
+  daemon.refusals.add(refusal, {})
+  daemon.metrics.requests.inc({ outcome: reason })
+  daemon.log.emit('connectionMalformed', { reason, refusal: refusal.id })
+  return refusal
+}
--- a/src/http/listen/index.ts
+++ b/src/http/listen/index.ts
@@ -2,7 +2,21 @@
  * Listening HTTP servers as owned resources.
  */
 import http from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { PROBLEM_CONTENT_TYPE, toProblem } from '../../verdict/toProblem/index.js'
+import type { Refusal } from '../../verdict/types.js'
+
+/** Interval of the checks for requests that arrive too slowly. */
+const DEADLINE_CHECK_MS = 1_000
+
+/** Reasons for which a connection is refused before there is a request. */
+export type MalformedReason = 'headerTooLarge' | 'senderTooSlow' | 'malformedRequest'
+
+/** Reasons by the codes of Node's parser; any other code is a malformed request. */
+const REASONS_BY_CODE: Record<string, MalformedReason> = {
+  HPE_HEADER_OVERFLOW: 'headerTooLarge',
+  ERR_HTTP_REQUEST_TIMEOUT: 'senderTooSlow'
+}
 
 /** A listening server; disposal closes it and every connection. */
 export interface ListeningServer extends AsyncDisposable {
@@ -24,6 +38,12 @@
   port: number
   /** Limit of all header lines of one request together. */
   headerSizeBytes?: number
+  /** Longest time in which the header, and then the whole request, must arrive. */
+  requestDeadlineMs?: number
+  /** Refusal of what could not be read as a request; such connections are closed without one unless given. */
+  refuseMalformed?: (reason: MalformedReason) => Refusal
+  /** Leaves it to the handler to answer `Expect: 100-continue`; done before the handler runs unless set. */
+  isContinueByHandler?: boolean
 }
 
 /**
@@ -40,14 +60,22 @@
   handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
   options: ListenOptions
 ): Promise<ListeningServer> {
-  const { address, port, headerSizeBytes } = options
+  const { address, port, headerSizeBytes, requestDeadlineMs, refuseMalformed, isContinueByHandler = false } = options
   const server = http.createServer({
     ...(headerSizeBytes === undefined ? {} : { maxHeaderSize: headerSizeBytes }),
+    ...(requestDeadlineMs === undefined
+      ? {}
+      : {
+          headersTimeout: requestDeadlineMs, requestTimeout: 2 * requestDeadlineMs, connectionsCheckingInterval: DEADLINE_CHECK_MS
+        }),
     noDelay: true
   })
-  server.on('request', (request, response) => {
+  const serve = (request: http.IncomingMessage, response: http.ServerResponse): void => {
     handler(request, response).catch(() => response.destroy())
-  })
+  }
+  server.on('request', serve)
+  if (isContinueByHandler) server.on('checkContinue', serve)
+  server.on('clientError', (error, socket) => refuseConnection(error, socket as Socket, refuseMalformed))
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, address, resolve)
@@ -62,3 +90,22 @@
     })
   }
 }
+
+/** Answers on the bare connection, unless an answer to an earlier request is in progress on it. */
+function refuseConnection (error: Error & { code?: string }, socket: Socket, refuse?: (reason: MalformedReason) => Refusal): void {
+  const isAnswering = (socket as Socket & { _httpMessage?: unknown })._httpMessage != null
+  if (refuse === undefined || isAnswering || !socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const problem = toProblem(refuse(REASONS_BY_CODE[error.code ?? ''] ?? 'malformedRequest'))
+  const body = `${JSON.stringify(problem)}\n`
+  const head = [
+    `HTTP/1.1 ${problem.status} ${http.STATUS_CODES[problem.status] ?? ''}`,
+    `content-type: ${PROBLEM_CONTENT_TYPE}`,
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close'
+  ]
+  socket.on('error', () => socket.destroy())
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`)
+}
--- a/src/verdict/reasons.ts
+++ b/src/verdict/reasons.ts
@@ -22,6 +22,7 @@
   senderTooSlow: { number: 108, status: 408, title: 'The request body did not arrive in time.' },
   callerGone: { number: 109, status: 499, title: 'The caller went away.' },
   sequenceUnknown: { number: 110, status: 409, title: 'No engine holds the answer that the event identity names.' },
+  headerTooLarge: { number: 120, status: 431, title: 'The request header is over the limit.' },
   accountLimit: { number: 201, status: 429, title: 'A limit of the client account is reached.' },
   overloaded: { number: 202, status: 503, title: 'The wait would pass the deadline of the request.' },
   noPipeline: { number: 301, status: 503, title: 'No chain of live targets covers the model.' },
