Explain refusals from any host, by batches at a bounded rate

Cause: refusals were kept in the memory of their process only, under random identities, so `explain` worked on one host and ended with it. Ruled out: an object for each refusal (5,000 writes a second), a signed self-contained identity (too long to quote, a key to share), gossip.

--- a/src/daemon/createOperatorHandler/index.ts
+++ b/src/daemon/createOperatorHandler/index.ts
@@ -7,11 +7,14 @@
 import { readBody } from '../../http/readBody/index.js'
 import { readTarget } from '../../http/readTarget/index.js'
 import { sendJson, sendRefusal } from '../../http/sendJson/index.js'
+import { findRefusal } from '../../refusal/findRefusal/index.js'
 import { parseJsonc } from '../../settings/parseJsonc/index.js'
 import { listTickets, showTicket } from '../../ticket/showTicket/index.js'
 import { submitTicket } from '../../ticket/submitTicket/index.js'
 import { ticketSchema, type TicketOutcome } from '../../ticket/types.js'
 import { createRefusal } from '../../verdict/createRefusal/index.js'
+import type { Refusal } from '../../verdict/types.js'
+import { askMember } from '../_lib/askMember.js'
 import type { Daemon } from '../types.js'
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
@@ -33,10 +36,10 @@
 
   async function serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = readTarget(request.url)
-    if (url === undefined) return sendRefusal(response, createRefusal('malformedRequest'))
+    if (url === undefined) return refuse(response, daemon, createRefusal('malformedRequest'))
     if (await answerOpen(url, response, daemon)) return
     const operator = authenticate(request.headers.authorization, { find: name => operators.get(name) })
-    if (operator === undefined) return sendRefusal(response, createRefusal('unauthorized'))
+    if (operator === undefined) return refuse(response, daemon, createRefusal('unauthorized'))
     await answerOperator(url, { request, response, operator: operator.name }, daemon)
   }
 
@@ -44,7 +47,7 @@
     response.on('error', () => { if (!response.writableEnded) response.destroy() })
     const task = serve(request, response).catch((error: Error) => {
       daemon.log.emit('unexpectedError', { cause: error.message })
-      sendRefusal(response, createRefusal('internalError', { verdict: { kind: 'mayHaveRun' } }))
+      refuse(response, daemon, createRefusal('internalError', { verdict: { kind: 'mayHaveRun' } }))
     })
     daemon.operatorCalls.track({ request: randomUUID(), response, isAdmitted: request.method !== 'GET' }, task)
     await task
@@ -86,17 +89,17 @@
   if (route === 'GET v1/in-force') return answerInForce(argument, response, daemon)
   if (route === 'GET v1/members') return sendJson(response, 200, { members: daemon.table.all() })
   if (route === 'GET v1/events') return answerEvents(url, response, daemon)
-  if (route === 'GET v1/explain') return answerExplain(argument, response, daemon)
-  sendRefusal(response, createRefusal('unknownPath', { facts: { path: url.pathname } }))
+  if (route === 'GET v1/explain') return await answerExplain(argument, url, call, daemon)
+  refuse(response, daemon, createRefusal('unknownPath', { facts: { path: url.pathname } }))
 }
 
 async function acceptTicket (call: Call, daemon: Daemon): Promise<void> {
   const { settings, runtime, store, log } = daemon
   const { bodySizeBytes, bodyDeadlineMs } = settings.limits
   const read = await readBody(call.request, { sizeBytes: bodySizeBytes, deadlineMs: bodyDeadlineMs, runtime })
-  if (read.kind !== 'body') return sendRefusal(call.response, createRefusal(read.kind === 'tooLarge' ? 'bodyTooLarge' : 'senderTooSlow'))
+  if (read.kind !== 'body') return refuse(call.response, daemon, createRefusal(read.kind === 'tooLarge' ? 'bodyTooLarge' : 'senderTooSlow'))
   const parsed = parseJsonc(read.body.toString('utf8'), ticketSchema, { file: 'ticket' })
-  if (parsed.kind === 'invalid') return sendRefusal(call.response, createRefusal('ticketInvalid', { facts: { faults: parsed.faults } }))
+  if (parsed.kind === 'invalid') return refuse(call.response, daemon, createRefusal('ticketInvalid', { facts: { faults: parsed.faults } }))
   const outcome = await submitTicket(parsed.value, {
     store,
     runtime,
@@ -117,14 +120,13 @@
   const refusal = outcome.kind === 'refused'
     ? createRefusal(outcome.reason, { facts: { ticket: outcome.number, ...outcome.facts } })
     : createRefusal('ticketInDoubt', { verdict: { kind: 'mayHaveRun' }, facts: { ticket: outcome.number, cause: outcome.cause }, retryAfterMs: UNCERTAIN_RETRY_MS })
-  daemon.refusals.add(refusal, { ticket: outcome.number })
-  sendRefusal(response, refusal)
+  refuse(response, daemon, refusal, { ticket: outcome.number })
 }
 
 async function answerTicket (number: number, call: Call, daemon: Daemon): Promise<void> {
   const shown = await showTicket(number, { store: daemon.store, members: daemon.table.live(), inForce: daemon.holder.current().head })
   if (shown.kind === 'shown') return sendJson(call.response, 200, shown.ticket)
-  sendRefusal(call.response, createRefusal(shown.kind === 'unknown' ? 'unknownTicket' : 'storeUnavailable', { facts: { ticket: number } }))
+  refuse(call.response, daemon, createRefusal(shown.kind === 'unknown' ? 'unknownTicket' : 'storeUnavailable', { facts: { ticket: number } }))
 }
 
 function answerInForce (scope: string, response: ServerResponse, daemon: Daemon): void {
@@ -139,8 +141,22 @@
   sendJson(response, 200, { events })
 }
 
-function answerExplain (id: string, response: ServerResponse, daemon: Daemon): void {
-  const found = daemon.refusals.find(id)
-  if (found === undefined) return sendRefusal(response, createRefusal('unknownRefusal', { facts: { id } }))
-  sendJson(response, 200, found)
+/** Refusals by identity from any host; requests by their recent events on this one. */
+async function answerExplain (id: string, url: URL, call: Call, daemon: Daemon): Promise<void> {
+  const { response, request } = call
+  const isLocal = url.searchParams.has('local')
+  const found = await findRefusal(id, {
+    refusals: daemon.refusals,
+    store: daemon.store,
+    askHost: async host => isLocal ? undefined : await askMember(host, id, { daemon, authorization: request.headers.authorization ?? '' })
+  })
+  if (found.kind === 'found') return sendJson(response, 200, found.refusal)
+  const events = daemon.log.recent().filter(event => event.request === id)
+  if (events.length > 0) return sendJson(response, 200, { request: id, events })
+  if (found.kind === 'unavailable') return refuse(response, daemon, createRefusal('storeUnavailable', { facts: { id }, retryAfterMs: UNCERTAIN_RETRY_MS }))
+  refuse(response, daemon, createRefusal('unknownRefusal', { facts: { id, ...(found.kind === 'dropped' ? { dropped: found.dropped } : {}) } }))
+}
+
+function refuse (response: ServerResponse, daemon: Daemon, refusal: Refusal, context: Record<string, unknown> = {}): void {
+  sendRefusal(response, daemon.refusals.add(refusal, context))
 }
--- a/src/daemon/drainDaemon/index.ts
+++ b/src/daemon/drainDaemon/index.ts
@@ -53,12 +53,11 @@
 
 /** A request that reached no target certainly did not run; any other may have. */
 function cutCall ({ request, isAdmitted }: OpenCall, daemon: Daemon): Refusal {
-  const refusal = createRefusal('draining', {
+  const refusal = daemon.refusals.add(createRefusal('draining', {
     ...(isAdmitted ? { verdict: { kind: 'mayHaveRun' } } : {}),
     facts: { revision: daemon.holder.current().head.revision, host: daemon.settings.host },
     retryAfterMs: CUT_RETRY_MS
-  })
-  daemon.refusals.add(refusal, { request })
+  }), { request })
   daemon.metrics.requests.inc({ outcome: 'draining' })
   daemon.log.emit('requestCut', { request, refusal: refusal.id, verdict: refusal.verdict.kind })
   return refusal
--- a/src/daemon/startDaemon/index.ts
+++ b/src/daemon/startDaemon/index.ts
@@ -11,12 +11,14 @@
 import { listen } from '../../http/listen/index.js'
 import { createMemberTable } from '../../member/createMemberTable/index.js'
 import { listMembers, registerMember } from '../../member/registerMember/index.js'
-import type { Member, MemberRole } from '../../member/types.js'
+import { memberKey, type Member, type MemberRole } from '../../member/types.js'
 import { createHttpObjectStore } from '../../objectApi/createHttpObjectStore/index.js'
 import { connectPeer } from '../../peer/connectPeer/index.js'
 import { createPeerNode } from '../../peer/createPeerNode/index.js'
 import { servePeers } from '../../peer/servePeers/index.js'
 import type { PeerStream, TrafficMeter } from '../../peer/types.js'
+import { createRefusalJournal } from '../../refusal/createRefusalJournal/index.js'
+import type { RefusalBook } from '../../refusal/types.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
@@ -24,7 +26,6 @@
 import { createTargetDirectory } from '../../target/createTargetDirectory/index.js'
 import { createMetrics, type Metrics } from '../createMetrics/index.js'
 import { createOperatorHandler } from '../createOperatorHandler/index.js'
-import { createRefusalBook } from '../createRefusalBook/index.js'
 import type { Daemon, DaemonPorts } from '../types.js'
 
 /** Wait between reads of the stored members once this daemon is registered, and before. */
@@ -58,10 +59,10 @@
   const hostList = resources.use(ports.hostList)
   const holder = createConfigurationHolder({ runtime, log })
   const directory = createTargetDirectory({ holder, runtime, log })
-  const refusals = createRefusalBook({ runtime })
+  const refusals = createRefusalJournal({ host: memberKey({ host, role }), store, runtime, log })
 
   let draining = false
-  const daemon = { settings, runtime, clock, log, metrics, store, hostList, holder, directory, refusals, operatorCalls: createOpenCalls({ runtime }), signal } as Daemon
+  const daemon = { settings, runtime, clock, log, metrics, store, hostList, holder, directory, refusals: refusals as RefusalBook, operatorCalls: createOpenCalls({ runtime }), signal } as Daemon
   let accept: (stream: PeerStream) => void = stream => stream[Symbol.dispose]()
   const peerServer = resources.use(await ports.servePeers(stream => accept(stream), { address, port: settings.ports.peer }))
   const operatorServer = resources.use(await ports.listen(createOperatorHandler(daemon), { address, port: settings.ports.operator }))
@@ -79,6 +80,7 @@
   const table = createMemberTable(self, { runtime, log })
   const node = createPeerNode({ table, holder, directory, clock, connect: ports.connectPeer, intervalMs: settings.gossip.intervalMs, runtime, log, signal })
   accept = node.accept
+  const journal = refusals.run(signal)
   const tasks = [
     watchConfiguration({ store, holder, log, runtime, signal }),
     directory.follow(hostList, { pollMs: settings.hostList.pollMs, signal }),
@@ -106,6 +108,7 @@
     isDraining: () => draining,
     async [Symbol.asyncDispose] () {
       controller.abort()
+      await journal
       await resources[Symbol.asyncDispose]()
       await Promise.all(tasks)
     }
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -10,10 +10,10 @@
 import type { OpenCalls } from '../http/createOpenCalls/index.js'
 import type { MemberTable } from '../member/createMemberTable/index.js'
 import type { ObjectStore } from '../objectApi/types.js'
+import type { RefusalBook } from '../refusal/types.js'
 import type { Runtime } from '../runtime/types.js'
 import type { DaemonSettings } from '../settings/types.js'
 import type { FedTargetDirectory } from '../target/createTargetDirectory/index.js'
-import type { Refusal } from '../verdict/types.js'
 import type { Metrics } from './createMetrics/index.js'
 
 /** A started daemon: its parts, its tasks and its operator port. */
@@ -48,9 +48,3 @@
   servePeers: (onStream: (stream: PeerStream) => void, options: { address: string, port: number }) => Promise<PeerServer>
   listen: Listen
 }
-
-/** Keeps refusals for `explain`. */
-export interface RefusalBook {
-  add: (refusal: Refusal, context: Record<string, unknown>) => void
-  find: (id: string) => Record<string, unknown> | undefined
-}
--- a/src/entry/answerCompletion/index.ts
+++ b/src/entry/answerCompletion/index.ts
@@ -98,18 +98,20 @@
   }
   const { reason, verdict, tokens, facts, retryAfterMs } = result
   const revision = daemon.holder.current().head.revision
-  const refusal = createRefusal(reason, { verdict, facts: { ...facts, tokens, revision }, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) })
-  daemon.refusals.add(refusal, { request: call.request, account: call.account.name })
+  const refusal = daemon.refusals.add(
+    createRefusal(reason, { verdict, facts: { ...facts, tokens, revision }, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }),
+    { request: call.request, account: call.account.name }
+  )
   daemon.metrics.requests.inc({ outcome: reason })
   daemon.log.emit('requestFailed', { request: call.request, refusal: refusal.id, reason, verdict: verdict.kind, tokens })
   writer.fail(refusal)
 }
 
 /** Refuses before anything was sent to a target. */
-export function refuse (refusal: Refusal, call: Pick<CallerCall, 'request' | 'response'> & { account?: { name: string } }, { daemon }: EntryContext): void {
+export function refuse (unnumbered: Refusal, call: Pick<CallerCall, 'request' | 'response'> & { account?: { name: string } }, { daemon }: EntryContext): void {
   const account = call.account?.name
   nameRequest(call)
-  daemon.refusals.add(refusal, { request: call.request, ...(account === undefined ? {} : { account }) })
+  const refusal = daemon.refusals.add(unnumbered, { request: call.request, ...(account === undefined ? {} : { account }) })
   daemon.metrics.requests.inc({ outcome: refusal.reason })
   daemon.log.emit('requestRefused', { request: call.request, refusal: refusal.id, reason: refusal.reason, verdict: refusal.verdict.kind })
   sendRefusal(call.response, refusal)
--- a/src/entry/startEntry/index.ts
+++ b/src/entry/startEntry/index.ts
@@ -95,8 +95,7 @@
 
 /** A connection on which no request could be read has no request identity. */
 function refuseConnection (reason: MalformedReason, daemon: Daemon): Refusal {
-  const refusal = createRefusal(reason, { facts: { revision: daemon.holder.current().head.revision } })
-  daemon.refusals.add(refusal, {})
+  const refusal = daemon.refusals.add(createRefusal(reason, { facts: { revision: daemon.holder.current().head.revision } }), {})
   daemon.metrics.requests.inc({ outcome: reason })
   daemon.log.emit('connectionMalformed', { reason, refusal: refusal.id })
   return refusal
--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -36,6 +36,7 @@
   firstToken: { number: 3012, level: 'info', text: 'first token written to the caller' },
   requestAnswered: { number: 3020, level: 'info', text: 'request answered in full' },
   requestCut: { number: 3070, level: 'warn', text: 'request ended by a shutdown that was cut short' },
+  refusalsDropped: { number: 3072, level: 'warn', text: 'refusals not kept beyond the memory of their host' },
   connectionMalformed: { number: 3071, level: 'debug', text: 'connection refused before a request could be read' },
   requestFailed: { number: 3021, level: 'warn', text: 'request ended without a full answer' },
   answerTakenOver: { number: 3030, level: 'info', text: 'answer of another entry taken over' },
--- a/test/callerEdge.test.ts
+++ b/test/callerEdge.test.ts
@@ -5,7 +5,7 @@
 import { request } from 'undici'
 import { authenticate } from '../src/account/authenticate/index.js'
 import { parseCompletion } from '../src/entry/parseCompletion/index.js'
-import { ACCOUNT_HEADERS, startLocalEntry } from './fakes/startLocalEntry.js'
+import { ACCOUNT_HEADERS, OPERATOR_HEADERS, startLocalEntry } from './fakes/startLocalEntry.js'
 
 const SEED = 20_261_203
 const limits = { headerSizeBytes: 2_048, bodySizeBytes: 1_024, bodyDeadlineMs: 300, promptTokens: 8 }
@@ -69,6 +69,13 @@
   t.regex(await exchange('POST /v1/completions HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\nconnection: close\r\ncontent-length: 2\r\n\r\n'), /^HTTP\/1.1 401/)
 })
 
+test('a refusal is explained by the operator port', async t => {
+  const { instance } = await refusalOf({ path: '/nowhere' }) as unknown as { instance: string }
+  const url = `${local.entry.daemon.operatorUrl}/v1/explain/${instance.replace('urn:coltsfootlead:refusal:', '')}`
+  const answer = await request(url, { headers: OPERATOR_HEADERS })
+  t.like(await answer.body.json(), { reason: 'unknownPath', facts: { revision: 1 }, host: 'host-1-entry' })
+})
+
 test.serial('a caller that stops reading and then goes away leaves nothing in flight', async t => {
   const socket = net.connect(Number(local.entry.callerAddress.split(':')[1]), '127.0.0.1')
   const body = JSON.stringify({ model: 'draft', prompt: 'a', stream: true, max_tokens: 8_000 })
