--- a/src/entry/startEntry/index.ts
+++ b/src/entry/startEntry/index.ts
@@ -1,15 +1,15 @@
 /**
  * Wiring of the entry daemon.
  */
+import { drainDaemon } from '../../daemon/drainDaemon/index.js'
 import { startDaemon } from '../../daemon/startDaemon/index.js'
 import type { Daemon, DaemonPorts } from '../../daemon/types.js'
 import type { EngineClient } from '../../engine/types.js'
 import { createHttpEngine } from '../../engine/createHttpEngine/index.js'
-import { listen } from '../../http/listen/index.js'
+import { listen, type MalformedReason } from '../../http/listen/index.js'
 import { createLinkFaults } from '../../pipeline/createLinkFaults/index.js'
 import { createRouter } from '../../route/createRouter/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
-import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import { createHttpService } from '../../service/createHttpService/index.js'
 import type { ServiceClient } from '../../service/types.js'
@@ -17,15 +17,12 @@
 import { createRefusal } from '../../verdict/createRefusal/index.js'
 import type { Refusal } from '../../verdict/types.js'
 import { createCallerHandler } from '../createCallerHandler/index.js'
-import { createOpenCalls, type OpenCall } from '../createOpenCalls/index.js'
+import { createOpenCalls } from '../../http/createOpenCalls/index.js'
 import type { EntryContext } from '../types.js'
 
 /** Connect timeout of service calls, in milliseconds. */
 const SERVICE_CONNECT_MS = 500
 
-/** When a caller whose request was ended by a shutdown should come back; another host serves it. */
-const CUT_RETRY_MS = 1_000
-
 /** The outside of an entry daemon. */
 export interface EntryPorts extends DaemonPorts {
   engines: EngineClient
@@ -59,7 +56,7 @@
   const daemon = resources.use(await startDaemon(settings, { role: 'entry', runtime, ports }))
   const engines = resources.use(ports.engines ?? createHttpEngine({ runtime }))
   const services = resources.use(ports.services ?? createHttpService({ connectTimeoutMs: SERVICE_CONNECT_MS, runtime }))
-  const calls = createOpenCalls()
+  const calls = createOpenCalls({ runtime })
   const router = createRouter({
     ...settings.routing,
     holder: daemon.holder,
@@ -78,24 +75,19 @@
     keep: calls.keep
   }
   const server = resources.use(await (ports.listen ?? listen)(createCallerHandler(context, { calls }), {
-    address: settings.address, port: settings.ports.caller, headerSizeBytes: settings.limits.headerSizeBytes
+    address: settings.address,
+    port: settings.ports.caller,
+    headerSizeBytes: settings.limits.headerSizeBytes,
+    requestDeadlineMs: settings.limits.bodyDeadlineMs,
+    isContinueByHandler: true,
+    refuseMalformed: reason => refuseConnection(reason, daemon)
   }))
   daemon.log.emit('processStarted', { caller: server.address, operator: daemon.operatorUrl })
   return {
     daemon,
     callerAddress: server.address,
     inFlight: calls.size,
-    async drain ({ signal }) {
-      daemon.drain()
-      daemon.log.emit('processDraining', { inFlight: calls.size() })
-      await sleep(settings.shutdown.balancerLagMs, { runtime, signal })
-      await calls.whenIdle(signal)
-      server.stopAccepting()
-      await calls.whenIdle(signal)
-      if (!signal.aborted) return
-      daemon.log.emit('drainCut', { inFlight: calls.size() })
-      await calls.endAll(call => cutRefusal(call, daemon))
-    },
+    drain: ({ signal }) => drainDaemon(daemon, { signal, calls, stopAccepting: server.stopAccepting }),
     async [Symbol.asyncDispose] () {
       await resources[Symbol.asyncDispose]()
       await following
@@ -103,15 +95,10 @@
   }
 }
 
-/** A request that reached no target certainly did not run; any other may have. */
-function cutRefusal ({ request, isAdmitted }: OpenCall, daemon: Daemon): Refusal {
-  const refusal = createRefusal('draining', {
-    ...(isAdmitted ? { verdict: { kind: 'mayHaveRun' } } : {}),
-    facts: { revision: daemon.holder.current().head.revision, host: daemon.settings.host },
-    retryAfterMs: CUT_RETRY_MS
-  })
-  daemon.refusals.add(refusal, { request })
-  daemon.metrics.requests.inc({ outcome: 'draining' })
-  daemon.log.emit('requestCut', { request, refusal: refusal.id, verdict: refusal.verdict.kind })
+/** A connection on which no request could be read has no request identity. */
+function refuseConnection (reason: MalformedReason, daemon: Daemon): Refusal {
+  const refusal = daemon.refusals.add(createRefusal(reason, { facts: { revision: daemon.holder.current().head.revision } }), {})
+  daemon.metrics.requests.inc({ outcome: reason })
+  daemon.log.emit('connectionMalformed', { reason, refusal: refusal.id })
   return refusal
 }
