Admit requests by account limits, fair share and deadline

Every request went straight to the engines, whatever their load and the account's limits. An entry now takes its part of each limit among the entries that are not known to be dead, hands engines at most 1.5 s of its part of the bound, and keeps the rest in a weighted fair queue counted in tokens. What cannot be answered before its deadline, or would wait over 3 s, is refused on arrival with the load behind it.

--- a/src/entry/startEntry/index.ts
+++ b/src/entry/startEntry/index.ts
@@ -6,6 +6,8 @@
 import type { EngineClient } from '../../engine/types.js'
 import { createHttpEngine } from '../../engine/createHttpEngine/index.js'
 import { listen } from '../../http/listen/index.js'
+import { createAdmission } from '../../limit/createAdmission/index.js'
+import { rankEntry } from '../../limit/rankEntry/index.js'
 import { createRouter } from '../../route/createRouter/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
@@ -72,7 +74,7 @@
     daemon,
     engines,
     services,
-    router,
+    admission: createAdmission({ router, rank: () => rankEntry(daemon), runtime }),
     keep: calls.keep
   }
   const server = resources.use(await (ports.listen ?? listen)(createCallerHandler(context, { calls }), {
