--- /dev/null
+++ b/scenario/faults.ts
@@ -0,0 +1,144 @@
+/**
+ * One-line faults that scenarios must find. `npm run prove` puts each into a copy of the code.
+ */
+
+/** One fault. */
+export interface SeededFault {
+  /** What the product no longer does. */
+  what: string
+  file: string
+  /** Text of the sound code; it stands in the file exactly once. */
+  sound: string
+  faulty: string
+  /** Scenarios that fail with it. */
+  scenarios: string[]
+}
+
+export const FAULTS: SeededFault[] = [
+  {
+    what: 'an answer is given up when its first pipeline is lost',
+    file: 'src/pipeline/runPipeline/index.ts',
+    sound: 'if (result === undefined) continue',
+    faulty: "if (result === undefined) return giveUp('targetFailed', progress, progress.facts)",
+    scenarios: ['stage-dies', 'engine-joins', 'pair-two-stages-die', 'pair-stage-dies-store-down']
+  },
+  {
+    what: 'no deadline between tokens',
+    file: 'src/pipeline/_lib/readTokens.ts',
+    sound: '      if (frame.last) return finish({ kind: \'complete\' })\n      timer = watch(betweenTokensMs)',
+    faulty: '      if (frame.last) return finish({ kind: \'complete\' })\n      timer = watch(1e9)',
+    scenarios: ['stage-freezes', 'link-degrades', 'link-cut', 'connection-silent', 'pair-freeze-leaving', 'pair-silent-drain']
+  },
+  {
+    what: 'a token is taken from any position',
+    file: 'src/pipeline/_lib/progress.ts',
+    sound: 'if (frame.position !== progress.given.length) return false',
+    faulty: 'if (frame.position < 0) return false',
+    scenarios: ['stage-dies']
+  },
+  {
+    what: 'the identity of the last event is ignored',
+    file: 'src/entry/answerCompletion/index.ts',
+    sound: 'if (lastEventId !== undefined) {',
+    faulty: 'if (lastEventId === null) {',
+    scenarios: ['entry-dies', 'pair-entry-dies-store-down']
+  },
+  {
+    what: 'a caller that leaves is not noticed',
+    file: 'src/entry/createCallerHandler/index.ts',
+    sound: "response.once('close', () => controller.abort())",
+    faulty: "response.once('close', () => {})",
+    scenarios: ['caller-leaves']
+  },
+  {
+    what: 'shutdown closes the port before the balancer has learnt of it',
+    file: 'src/daemon/drainDaemon/index.ts',
+    sound: '  daemon.drain()\n',
+    faulty: '  daemon.drain()\n  stopAccepting()\n',
+    scenarios: ['drain']
+  },
+  {
+    what: 'shutdown does not wait for requests in flight',
+    file: 'src/entry/createOpenCalls/index.ts',
+    sound: 'if (tasks.size === 0',
+    faulty: 'if (tasks.size >= 0',
+    scenarios: ['drain']
+  },
+  {
+    what: 'the leaving state of the host list is not read',
+    file: 'src/target/createTargetDirectory/index.ts',
+    sound: "if (now?.state === 'leaving')",
+    faulty: "if (now?.state === 'live' && now.name === '')",
+    scenarios: ['target-leaves']
+  },
+  {
+    what: 'a lower revision is put into force',
+    file: 'src/configuration/createConfigurationHolder/index.ts',
+    sound: 'if (revision < current.head.revision) {',
+    faulty: 'if (revision < 0) {',
+    scenarios: ['store-restored']
+  },
+  {
+    what: 'a store behind what is in force is not repaired',
+    file: 'src/configuration/watchConfiguration/index.ts',
+    sound: 'if (revision >= inForce.head.revision) {',
+    faulty: 'if (revision >= 0) {',
+    scenarios: ['store-restored']
+  },
+  {
+    what: 'configurations of peers are not put into force',
+    file: 'src/peer/_lib/createConfigurationExchange.ts',
+    sound: "holder.offer(configuration, 'peer')",
+    faulty: 'configuration.head.scopes',
+    scenarios: ['restart-in-outage']
+  },
+  {
+    what: 'a silent watch is waited for again instead of reading the head',
+    file: 'src/configuration/watchConfiguration/index.ts',
+    sound: "if (result.kind === 'reset' || result.kind === 'silent') return { kind: 'at', revision: undefined }",
+    faulty: "if (result.kind === 'reset' || result.kind === 'silent') return { kind: 'at', revision: afterRevision }",
+    scenarios: ['watches-silent']
+  },
+  {
+    what: 'another ticket with the same number is taken for the same one',
+    file: 'src/ticket/submitTicket/_lib/recordTicket.ts',
+    sound: "return stored.digest === digest ? { kind: 'claimed'",
+    faulty: "return stored.digest !== '' ? { kind: 'claimed'",
+    scenarios: ['operators-race', 'pair-race-answers-lost']
+  },
+  {
+    what: 'an acceptance whose answer was lost is not looked up',
+    file: 'src/ticket/submitTicket/_lib/moveHead.ts',
+    sound: 'const listed = head.accepted?.find(entry => entry.ticket === number)',
+    faulty: 'const listed = head.accepted?.find(entry => entry.ticket === -number)',
+    scenarios: ['ticket-answer-lost', 'ticket-write-late']
+  },
+  {
+    what: 'a booking that may have run is sent again',
+    file: 'src/booking/bookOnce/index.ts',
+    sound: "if (record.state !== 'notRun' || record.closed) {",
+    faulty: "if (record.state === 'answered') {",
+    scenarios: ['booking-answer-lost', 'pair-booking-entry-dies']
+  },
+  {
+    what: 'a booking is sent though its intent may not be stored',
+    file: 'src/booking/_lib/writeUntilKnown.ts',
+    sound: "if (written.kind === 'written') return { kind: 'applied', version: written.version }",
+    faulty: "if (written.kind !== 'conflict') return { kind: 'applied', version: 0 }",
+    scenarios: ['store-down-serving']
+  },
+  {
+    what: 'a connection that was refused counts as a call that may have run',
+    file: 'src/booking/bookOnce/index.ts',
+    sound: "if (verdict.kind === 'notRun') return",
+    faulty: "if (verdict.kind === 'ran') return",
+    scenarios: ['booking-service-unreachable']
+  },
+  {
+    what: 'a chain that could not be chosen is waited for until the deadline',
+    file: 'src/pipeline/runPipeline/index.ts',
+    sound: "if (progress.verdict.kind === 'notRun') return giveUp('noPipeline'",
+    faulty: "if (progress.verdict.kind === 'ran') return giveUp('noPipeline'",
+    scenarios: ['no-chain-left']
+  }
+]
