Hand an accepted ticket to its own host at once

Ruled out: a shorter wait of the watch, which costs calls all the time.

Change: the submission offers the configuration that its answered write brought about to its own host, from where gossip carries it.

--- a/src/daemon/createOperatorHandler/index.ts
+++ b/src/daemon/createOperatorHandler/index.ts
@@ -106,6 +106,7 @@
     log,
     operator: call.operator,
     known: daemon.holder.current,
+    offer: configuration => { daemon.holder.offer(configuration, 'store') },
     highestRevision: () => Math.max(...daemon.table.live().map(member => member.revisionInForce)),
     hosts: async () => {
       const listed = await daemon.hostList.read()
--- a/src/ticket/submitTicket/_lib/moveHead.ts
+++ b/src/ticket/submitTicket/_lib/moveHead.ts
@@ -40,15 +40,18 @@
   if (hostFaults.length > 0) {
     return await refuseFenced({ kind: 'refused', number, reason: 'ticketUnknownHost', facts: { faults: hostFaults } }, base, submission)
   }
-  const applied = applyTicket(configuration, ticket).head
+  const applied = applyTicket(configuration, ticket)
   const list = await trimAccepted(configuration.head.accepted ?? [], options.store)
   const next: Head = {
-    ...applied,
+    ...applied.head,
     nonce: claim.record.nonce,
-    accepted: [...list, { ticket: number, revision: applied.revision, digest }]
+    accepted: [...list, { ticket: number, revision: applied.head.revision, digest }]
   }
   const written = await options.store.write(HEAD_KEY, next, conditionOf(base))
-  if (written.kind === 'written') return { kind: 'accepted', number, revision: next.revision }
+  if (written.kind === 'written') {
+    options.offer?.({ ...applied, head: next })
+    return { kind: 'accepted', number, revision: next.revision }
+  }
   return written.kind === 'notApplied' ? undecided(number, written.cause) : 'again'
 }
 
--- a/src/ticket/submitTicket/test.ts
+++ b/src/ticket/submitTicket/test.ts
@@ -4,6 +4,7 @@
 import { createTestLog } from '../../../test/fakes/createTestLog.js'
 import { buildConfiguration, EMPTY_HEAD } from '../../configuration/buildConfiguration/index.js'
 import { loadConfiguration } from '../../configuration/loadConfiguration/index.js'
+import type { Configuration } from '../../configuration/types.js'
 import { HEAD_KEY, MAX_ACCEPTED_IN_HEAD, UNNOTED_IN_HEAD } from '../constants.js'
 import type { Ticket } from '../types.js'
 import { submitTicket, type SubmitTicketOptions } from './index.js'
@@ -114,6 +115,13 @@
   t.true((known.current.head.accepted?.length ?? 0) <= MAX_ACCEPTED_IN_HEAD + 1)
 })
 
+test('an accepted ticket is handed to its own host at once', async t => {
+  const offered: Configuration[] = []
+  const { submit } = setUp({ offer: configuration => { offered.push(configuration) } })
+  await submit(timeouts(1, 100))
+  t.like(offered, [{ head: { revision: 1, scopes: { timeouts: 1 } }, timeouts: { connectMs: 100 } }])
+})
+
 test('a host behind other members accepts nothing', async t => {
   const { submit } = setUp({ highestRevision: () => 5 })
   t.is((await submit(timeouts(1, 100))).kind, 'uncertain')
