--- a/src/ticket/submitTicket/index.ts
+++ b/src/ticket/submitTicket/index.ts
@@ -1,6 +1,7 @@
 /**
  * Carrying a ticket into force: its record, its values, then one conditional update of the head.
  */
+import type { Configuration } from '../../configuration/types.js'
 import { checkTicket } from '../checkTicket/index.js'
 import { digestTicket } from '../digestTicket/index.js'
 import type { Ticket, TicketOutcome } from '../types.js'
@@ -30,11 +31,13 @@
  * const outcome = await submitTicket(ticket, { store, runtime, log, operator: 'ana' })
  */
 export async function submitTicket (ticket: Ticket, options: SubmitTicketOptions): Promise<TicketOutcome> {
-  const outcome = await carryOut(ticket, options)
+  const brought: Configuration[] = []
+  const outcome = await carryOut(ticket, { ...options, offer: configuration => { brought.push(configuration) } })
   const fields = { ticket: ticket.number, operator: options.operator }
   if (outcome.kind === 'accepted') options.log.emit('ticketAccepted', { ...fields, revision: outcome.revision })
   if (outcome.kind === 'refused') options.log.emit('ticketRefused', { ...fields, reason: outcome.reason, facts: outcome.facts })
   if (outcome.kind === 'uncertain') options.log.emit('ticketUncertain', { ...fields, cause: outcome.cause })
+  for (const configuration of brought) options.offer?.(configuration)
   return outcome
 }
 
