--- a/src/control/carryOrders/index.ts
+++ b/src/control/carryOrders/index.ts
@@ -12,7 +12,7 @@
 import { ENGINE_CALL_MS } from '../types.js'
 
 /** Longest time between full readings; shorter for targets that accept orders of any holder. */
-const READ_ALL_MS = 60_000
+const READ_ALL_MS = 180_000
 const READ_UNFENCED_MS = 5_000
 
 /** Calls to engines under way together. */
