--- /dev/null
+++ b/bench/benches/explain.ts
@@ -0,0 +1,83 @@
+/**
+ * Refusals a second against store calls a second, and whether another host explains a refusal
+ * while its host lives and after it was killed.
+ */
+import http from 'node:http'
+import { startDeployment, type Deployment, type StartedProcess } from '../startDeployment/index.js'
+
+/** Callers that refuse-provoking requests come from, and for how long. */
+const CALLERS = 32
+const RUN_MS = 25_000
+
+/** Refusals that are asked for after the run. */
+const ASKED = 200
+
+interface Answer {
+  id: string
+  atMs: number
+}
+
+/** Sends requests without a token, one after the other, until the time is over. */
+async function provoke (address: string, agent: http.Agent, untilMs: number, answers: Answer[]): Promise<void> {
+  while (performance.now() < untilMs) {
+    const body = await new Promise<string>((resolve, reject) => {
+      const call = http.request(`http://${address}/v1/completions`, { method: 'POST', agent }, response => {
+        let text = ''
+        response.on('data', chunk => { text += String(chunk) })
+        response.on('end', () => resolve(text))
+      })
+      call.on('error', reject)
+      call.end('{}')
+    })
+    answers.push({ id: (JSON.parse(body) as { instance: string }).instance.split(':').at(-1)!, atMs: performance.now() })
+  }
+}
+
+async function readWrites (entry: StartedProcess): Promise<number> {
+  const text = await (await fetch(`${String(entry.listening.operator)}/metrics`)).text()
+  return Number(/^coltsfootlead_store_calls_total\{operation="write"\} (\d+)/m.exec(text)?.[1] ?? 0)
+}
+
+async function explain (deployment: Deployment, at: StartedProcess, ids: string[]) {
+  const outcomes = { found: 0, dropped: 0, unknown: 0 }
+  for (const id of ids) {
+    const { status, body } = await deployment.operate(at, `/v1/explain/${id}`)
+    if (status === 200) outcomes.found += 1
+    else if (body.facts?.dropped !== undefined) outcomes.dropped += 1
+    else outcomes.unknown += 1
+  }
+  return outcomes
+}
+
+/** Picks evenly from a list. */
+function pick<T> (list: T[], count: number): T[] {
+  return Array.from({ length: Math.min(count, list.length) }, (_, index) => list[Math.floor(index * list.length / count)]!)
+}
+
+export async function run () {
+  await using deployment = await startDeployment({ entries: 2, controls: 0, plan: {} })
+  const [refusing, other] = deployment.entries as [StartedProcess, StartedProcess]
+  while ((await fetch(`${String(refusing.listening.operator)}/health/ready`)).status !== 200) await new Promise(resolve => { setTimeout(resolve, 50) })
+  const agent = new http.Agent({ keepAlive: true, maxSockets: CALLERS })
+  const answers: Answer[] = []
+  const before = await readWrites(refusing)
+  const startedMs = performance.now()
+  await Promise.all(Array.from({ length: CALLERS }, () => provoke(String(refusing.listening.caller), agent, startedMs + RUN_MS, answers)))
+  const seconds = (performance.now() - startedMs) / 1_000
+  const writes = await readWrites(refusing) - before
+  agent.destroy()
+  const ids = pick(answers, ASKED).map(({ id }) => id)
+  const live = await explain(deployment, other, ids)
+  refusing.child.kill('SIGKILL')
+  await refusing.exited
+  const gone = await explain(deployment, other, ids)
+  return {
+    refusals: answers.length,
+    refusalsPerS: Math.round(answers.length / seconds),
+    storeWrites: writes,
+    storeWritesPerS: Number((writes / seconds).toFixed(2)),
+    asked: ids.length,
+    hostAlive: live,
+    hostKilled: gone
+  }
+}
