--- a/standin/engine/createEngine/index.ts
+++ b/standin/engine/createEngine/index.ts
@@ -22,6 +22,9 @@
   tokensPerS: number
   /** Least time of one step, in milliseconds. */
   stepMs: number
+  /** Activations a second that its link to the next stage carries. */
+  linkTokensPerS?: number | undefined
+  linkDelayMs?: number
   runtime: Runtime
   /** Sends a frame to another stage. */
   sendLink: (address: string, frame: LinkFrame) => void
@@ -66,12 +69,13 @@
  */
 export function createEngine (options: EngineOptions): Engine {
   const { target, runtime, sendLink, sendToken, endStage } = options
-  const faults: EngineFaults = { frozen: false, silenceOpen: false, linkDelayMs: 0, linkCut: false, leaving: false, checksFencing: true }
+  const faults: EngineFaults = { frozen: false, silenceOpen: false, linkDelayMs: options.linkDelayMs ?? 0, linkCut: false, leaving: false, checksFencing: true }
   const table = createSequenceTable({ runtime })
   const pace = createPace({ ...options, isFrozen: () => faults.frozen })
   const ledger: LedgerRow[] = []
   let held = { model: options.model, version: options.version, fromLayer: options.fromLayer, toLayer: options.toLayer }
   let fencing = 0
+  let linkFreeMs = 0
 
   function open (sequence: OpenSequence): EngineAnswer {
     const before = table.get(sequence.request)
@@ -153,10 +157,19 @@
     if (next !== undefined) send(next, { kind: 'finish', request, attempt, position: nextPosition, activations: [] })
   }
 
+  /** Time until the link has carried a number of activations after those before. */
+  function waitForLink (activations: number): number {
+    if (options.linkTokensPerS === undefined) return 0
+    const nowMs = runtime.monotonicMs()
+    linkFreeMs = Math.max(linkFreeMs, nowMs) + activations * 1_000 / options.linkTokensPerS
+    return linkFreeMs - nowMs
+  }
+
   function send (address: string, frame: LinkFrame): void {
     if (faults.linkCut) return
-    if (faults.linkDelayMs === 0) sendLink(address, frame)
-    else runtime.setTimer(faults.linkDelayMs, () => sendLink(address, frame))
+    const delayMs = faults.linkDelayMs + waitForLink(frame.activations.length)
+    if (delayMs === 0) sendLink(address, frame)
+    else runtime.setTimer(delayMs, () => sendLink(address, frame))
   }
 
   return {
--- a/standin/engine/serveEngine/index.ts
+++ b/standin/engine/serveEngine/index.ts
@@ -19,7 +19,7 @@
 }
 
 /** Where an engine listens, and what it is. */
-export type ServeEngineOptions = Pick<EngineOptions, 'target' | 'model' | 'version' | 'fromLayer' | 'toLayer' | 'tokensPerS' | 'stepMs'> & {
+export type ServeEngineOptions = Pick<EngineOptions, 'target' | 'model' | 'version' | 'fromLayer' | 'toLayer' | 'tokensPerS' | 'stepMs' | 'linkTokensPerS' | 'linkDelayMs'> & {
   address: string
   port: number
   /** File to which each row of the ledger is appended, so that it outlives the process. */
--- a/standin/plan/index.ts
+++ b/standin/plan/index.ts
@@ -14,6 +14,9 @@
   toLayer: z.int().min(0).default(0),
   tokensPerS: z.number().positive().default(2_000),
   stepMs: z.number().min(0).default(1),
+  /** Activations a second that its link to the next stage carries; no limit by default. */
+  linkTokensPerS: z.number().positive().optional(),
+  linkDelayMs: z.number().min(0).default(0),
   /** File to which each row of the ledger is appended. */
   ledgerFile: z.string().optional()
 })
