Admit requests by account limits, fair share and deadline

Every request went straight to the engines, whatever their load and the account's limits. An entry now takes its part of each limit among the entries that are not known to be dead, hands engines at most 1.5 s of its part of the bound, and keeps the rest in a weighted fair queue counted in tokens. What cannot be answered before its deadline, or would wait over 3 s, is refused on arrival with the load behind it.

Targets that become usable again are let in slowly.

--- a/bench/_lib/planEngines.ts
+++ b/bench/_lib/planEngines.ts
@@ -2,10 +2,12 @@
  * The engines of the routing benches: 40 of three kinds over three layer ranges, on links of
  * two classes that are a hundredfold apart in bandwidth and in delay.
  */
+import { computeFlowShares } from '../../src/route/computeFlowShares/index.js'
+import { modelScopeSchema, targetSchema } from '../../src/ticket/types.js'
 import { benchTokenHash, submitAndWait, type Deployment } from '../startDeployment/index.js'
 
 /** Layers of the model. */
-export const LAYERS = 24
+const LAYERS = 24
 
 /** First layers of the ranges. */
 const RANGE_LAYERS = 8
@@ -14,14 +16,14 @@
 const STANDIN_PROCESSES = 4
 
 /** Kinds of accelerators. */
-export const KINDS = {
+const KINDS = {
   large: { tokensPerS: 400, stepMs: 2 },
   medium: { tokensPerS: 200, stepMs: 3 },
   small: { tokensPerS: 60, stepMs: 6 }
 } as const
 
 /** Classes of links. */
-export const LINKS = {
+const LINKS = {
   near: { tokensPerS: 10_000, delayMs: 0.2 },
   far: { tokensPerS: 100, delayMs: 20 }
 } as const
@@ -57,6 +59,14 @@
     }))))
 }
 
+/** Throughput bound of the 40 engines. */
+export function computeBound (): number {
+  const engines = planEngines()
+  const model = modelScopeSchema.parse({ layers: LAYERS, version: '1', placement: engines.map(({ name, fromLayer, toLayer }) => ({ target: name, fromLayer, toLayer })) })
+  const targets = engines.map(({ name, kind, link }) => targetSchema.parse({ name, host: name, kind: 'engine', tokensPerS: KINDS[kind].tokensPerS, link: LINKS[link] }))
+  return computeFlowShares({ model, targets: new Map(targets.map(target => [target.name, target])), isUsable: () => true }).boundTokensPerS
+}
+
 /** Starts the engines in several stand-in processes that join the deployment's host list. */
 export async function startEngines (deployment: Deployment, engines: BenchEngine[]): Promise<void> {
   const parts = Array.from({ length: STANDIN_PROCESSES }, (_, part) => engines.filter((_, index) => index % STANDIN_PROCESSES === part))
--- a/bench/benches/throughput.ts
+++ b/bench/benches/throughput.ts
@@ -8,12 +8,10 @@
 import { streamCompletion } from '../../src/load/streamCompletion/index.js'
 import { summarizeLoad } from '../../src/load/summarizeLoad/index.js'
 import type { LoadMix, TimeSummary } from '../../src/load/types.js'
-import { computeFlowShares } from '../../src/route/computeFlowShares/index.js'
 import { POLICY_NAMES, type PolicyName } from '../../src/route/types.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
-import { modelScopeSchema, targetSchema } from '../../src/ticket/types.js'
 import { measureRelay } from '../_lib/measureRelay.js'
-import { KINDS, LAYERS, LINKS, planEngines, startEngines, submitEngines, waitForBound } from '../_lib/planEngines.js'
+import { computeBound, planEngines, startEngines, submitEngines, waitForBound } from '../_lib/planEngines.js'
 import { startDeployment } from '../startDeployment/index.js'
 
 /** Entry processes. */
@@ -50,13 +48,6 @@
   }
 }
 
-function computeBound (): number {
-  const engines = planEngines()
-  const model = modelScopeSchema.parse({ layers: LAYERS, version: '1', placement: engines.map(({ name, fromLayer, toLayer }) => ({ target: name, fromLayer, toLayer })) })
-  const targets = engines.map(({ name, kind, link }) => targetSchema.parse({ name, host: name, kind: 'engine', tokensPerS: KINDS[kind].tokensPerS, link: LINKS[link] }))
-  return computeFlowShares({ model, targets: new Map(targets.map(target => [target.name, target])), isUsable: () => true }).boundTokensPerS
-}
-
 async function measurePolicy (policy: PolicyName, boundTokensPerS: number, seed: number): Promise<PolicyFigures> {
   await using deployment = await startDeployment({ entries: ENTRIES, controls: 0, plan: {}, settings: { routing: { policy }, log: { level: 'error' } } })
   const engines = planEngines()
--- a/src/entry/answerCompletion/index.ts
+++ b/src/entry/answerCompletion/index.ts
@@ -4,7 +4,7 @@
 import { sendRefusal } from '../../http/sendJson/index.js'
 import { runPipeline } from '../../pipeline/runPipeline/index.js'
 import type { AnswerRequest, AnswerResult } from '../../pipeline/types.js'
-import { createRefusal } from '../../verdict/createRefusal/index.js'
+import { createRefusal, NEVER_SENT } from '../../verdict/createRefusal/index.js'
 import type { Refusal } from '../../verdict/types.js'
 import { createStreamWriter, createWholeWriter, type AnswerWriter } from '../_lib/answerWriter.js'
 import { takeOver } from '../_lib/takeOver.js'
@@ -55,9 +55,17 @@
   }
   nameRequest(call)
   const startedMs = daemon.runtime.monotonicMs()
+  const admitted = await context.admission.admit({ account: call.account, model: request.model, tokens: request.maxTokens, deadlineMs: request.deadlineMs, signal: call.signal })
+  if (admitted.kind === 'refused') {
+    const { reason, facts, retryAfterMs } = admitted
+    const { revision } = configuration.head
+    const verdict = request.earlierAttempt > 0 ? { kind: 'mayHaveRun' } as const : NEVER_SENT
+    return refuse(createRefusal(reason, { verdict, facts: { ...facts, revision }, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }), call, context)
+  }
+  using route = admitted.route
+  request.deadlineMs = Math.max(1, request.deadlineMs - admitted.waitedMs)
   daemon.log.emit('requestAdmitted', { request: call.request, account: call.account.name, model: body.model })
   const writer = body.stream ? createStreamWriter(call, body, context) : createWholeWriter(call, body)
-  using route = context.router.begin(request.model, request.maxTokens)
   let first = true
   const result = await runPipeline(request, {
     configuration: daemon.holder.current,
--- a/src/entry/startEntry/index.ts
+++ b/src/entry/startEntry/index.ts
@@ -7,6 +7,8 @@
 import type { EngineClient } from '../../engine/types.js'
 import { createHttpEngine } from '../../engine/createHttpEngine/index.js'
 import { listen, type MalformedReason } from '../../http/listen/index.js'
+import { createAdmission } from '../../limit/createAdmission/index.js'
+import { rankEntry } from '../../limit/rankEntry/index.js'
 import { createLinkFaults } from '../../pipeline/createLinkFaults/index.js'
 import { createRouter } from '../../route/createRouter/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
@@ -70,7 +72,7 @@
     daemon,
     engines,
     services,
-    router,
+    admission: createAdmission({ router, rank: () => rankEntry(daemon), runtime }),
     linkFaults: createLinkFaults({ runtime }),
     keep: calls.keep
   }
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -4,8 +4,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Daemon } from '../daemon/types.js'
 import type { EngineClient } from '../engine/types.js'
+import type { Admission } from '../limit/types.js'
 import type { LinkFaults } from '../pipeline/createLinkFaults/index.js'
-import type { Router } from '../route/types.js'
 import type { ServiceClient } from '../service/types.js'
 import type { Account } from '../ticket/types.js'
 
@@ -14,7 +14,7 @@
   daemon: Daemon
   engines: EngineClient
   services: ServiceClient
-  router: Router
+  admission: Admission
   linkFaults: LinkFaults
   /** Takes over a task that outlives its answer; shutdown waits for it. */
   keep: (task: Promise<void>) => void
--- a/src/route/createRouter/index.ts
+++ b/src/route/createRouter/index.ts
@@ -8,6 +8,7 @@
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import type { TargetDirectory } from '../../target/types.js'
+import { createSlowStart } from '../_lib/createSlowStart.js'
 import { computeFlowShares } from '../computeFlowShares/index.js'
 import { createPolicy } from '../createPolicy/index.js'
 import type { FlowShares, LoadView, Policy, PolicyName, RequestRoute, Router } from '../types.js'
@@ -53,6 +54,7 @@
   const loads = new Map<string, TargetLoad>()
   const byModel = new Map<string, number>()
   const policies = new Map<string, Policy>()
+  const slowStart = createSlowStart({ runtime })
   let shares = new Map<string, FlowShares>()
   let changed = true
 
@@ -60,8 +62,10 @@
     changed = false
     const configuration = holder.current()
     const next = new Map<string, FlowShares>()
+    const isUsable = (target: string): boolean => directory.condition(target) === 'usable'
+    slowStart.update(new Set([...configuration.targets.keys()].filter(isUsable)))
     for (const [name, model] of configuration.models) {
-      next.set(name, computeFlowShares({ model, targets: configuration.targets, isUsable: target => directory.condition(target) === 'usable' }))
+      next.set(name, computeFlowShares({ model, targets: configuration.targets, isUsable }))
     }
     for (const [model, { boundTokensPerS }] of next) {
       options.onBound?.(model, boundTokensPerS)
@@ -79,7 +83,7 @@
     return {
       inFlight: target => loads.get(target)?.inFlight ?? 0,
       outstandingTokens: target => loads.get(target)?.outstandingTokens ?? 0,
-      flowTokensPerS: target => sharesOf(model).tokensPerS.get(target) ?? 0,
+      flowTokensPerS: target => (sharesOf(model).tokensPerS.get(target) ?? 0) * slowStart.part(target),
       linkDelayMs: target => holder.current().targets.get(target)?.link?.delayMs ?? 0,
       random: runtime.random
     }
@@ -118,10 +122,10 @@
 
     return {
       pick (candidates, chosen) {
-        if (chosen.length === 0) release()
         const stage = policy(candidates, leftTokens)
-        stages.push(stage.target)
-        add(stage.target, 1, leftTokens)
+        release()
+        stages = [...chosen, stage].map(part => part.target)
+        for (const target of stages) add(target, 1, leftTokens)
         return stage
       },
       noteToken () {
--- a/src/route/createRouter/test.ts
+++ b/src/route/createRouter/test.ts
@@ -78,3 +78,28 @@
   controller.abort()
   await following
 })
+
+test('a target that comes back is let in slowly', async t => {
+  const { router, lost, changes, runtime } = setUp('flowShare')
+  const controller = new AbortController()
+  const following = router.follow(controller.signal)
+  lost.add('fast')
+  router.boundTokensPerS('draft')
+  await runtime.advance(1_000)
+  lost.delete('fast')
+  changes.next('fast')
+  await runtime.advance(50)
+  const share = (): number => {
+    const chosen = Array.from({ length: 200 }, () => {
+      using route = router.begin('draft', 10)
+      return route.pick(placement, []).target
+    })
+    return chosen.filter(target => target === 'fast').length / 200
+  }
+  t.true(share() < 0.35, 'at a tenth of 300 beside 100 tokens a second')
+  await runtime.advance(20_000)
+  share()
+  t.true(share() > 0.7)
+  controller.abort()
+  await following
+})
