--- a/src/route/computeMaxFlow/test.ts
+++ b/src/route/computeMaxFlow/test.ts
@@ -37,3 +37,10 @@
   }), { seed: 6, numRuns: 500 })
   t.pass()
 })
+
+test('flow along the shortest paths is led another way where that lets more through', t => {
+  const [source, a, b, c, d, e, sink] = [0, 1, 2, 3, 4, 5, 6]
+  const pairs = [[source, a], [source, b], [a, c], [a, d], [b, c], [c, sink], [d, e], [e, sink]] as const
+  const edges = pairs.map(([from, to]) => ({ from, to, capacity: 1 }))
+  t.is(computeMaxFlow(edges, { nodes: 7, source, sink }).value, 2)
+})
