Widen the window of work that engines are handed

With 92 ms between tokens a window of 1.5 s holds about 100 sequences, which give about 1,080 tokens a second of the 2,160. A window of 4 s holds as many sequences as were in flight before admission. It has not been measured yet.

--- a/src/limit/createAdmission/index.ts
+++ b/src/limit/createAdmission/index.ts
@@ -10,7 +10,7 @@
 import type { Admission, AdmissionRequest, AdmissionResult, EntryRank } from '../types.js'
 
 /** Work that is handed to engines, in seconds of this entry's part of the bound. */
-const WINDOW_S = 1.5
+const WINDOW_S = 4
 
 /** Least work that is handed to engines, in tokens, so that a small part does not stall. */
 const LEAST_WINDOW_TOKENS = 512
