--- a/src/entry/answerCompletion/index.ts
+++ b/src/entry/answerCompletion/index.ts
@@ -4,7 +4,7 @@
 import { sendRefusal } from '../../http/sendJson/index.js'
 import { runPipeline } from '../../pipeline/runPipeline/index.js'
 import type { AnswerRequest, AnswerResult } from '../../pipeline/types.js'
-import { createRefusal } from '../../verdict/createRefusal/index.js'
+import { createRefusal, NEVER_SENT } from '../../verdict/createRefusal/index.js'
 import type { Refusal } from '../../verdict/types.js'
 import { createStreamWriter, createWholeWriter, type AnswerWriter } from '../_lib/answerWriter.js'
 import { takeOver } from '../_lib/takeOver.js'
@@ -59,7 +59,8 @@
   if (admitted.kind === 'refused') {
     const { reason, facts, retryAfterMs } = admitted
     const { revision } = configuration.head
-    return refuse(createRefusal(reason, { facts: { ...facts, revision }, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }), call, context)
+    const verdict = request.earlierAttempt > 0 ? { kind: 'mayHaveRun' } as const : NEVER_SENT
+    return refuse(createRefusal(reason, { verdict, facts: { ...facts, revision }, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }), call, context)
   }
   using route = admitted.route
   request.deadlineMs = Math.max(1, request.deadlineMs - admitted.waitedMs)
