Ask a peer that is ahead though others are as far behind

Cause: with every watch silent, separate processes learnt of a ticket only when their watches were replaced, up to 6 s later. A daemon that heard of a higher revision gave the store 250 ms first; each frame of a peer as far behind as itself cleared that wait, so with many peers it never ended.

Ruled out: the submission itself (25 ms), the hand-over to the accepting host (40 ms), frames without the revision (each carries it).

Change: the wait is cleared only once the highest revision heard of is in force.

--- a/src/peer/_lib/createConfigurationExchange.ts
+++ b/src/peer/_lib/createConfigurationExchange.ts
@@ -27,6 +27,7 @@
 /** The exchange of one daemon. */
 export function createConfigurationExchange (options: { holder: ConfigurationHolder, runtime: Runtime, log: EventLog }): ConfigurationExchange {
   const { holder, runtime, log } = options
+  let newestRevision = 0
   let behindSinceMs: number | undefined
   let askedMs = -Infinity
 
@@ -47,10 +48,9 @@
     noteRevision (revision) {
       const { head } = holder.current()
       const nowMs = runtime.monotonicMs()
-      if (revision <= head.revision) {
-        if (revision === head.revision) behindSinceMs = undefined
-        return undefined
-      }
+      newestRevision = Math.max(newestRevision, revision)
+      if (newestRevision <= head.revision) behindSinceMs = undefined
+      if (revision <= head.revision) return undefined
       behindSinceMs ??= nowMs
       const patient = holder.isReady() && nowMs - behindSinceMs < STORE_FIRST_MS
       if (patient || nowMs - askedMs < ANSWER_WITHIN_MS) return undefined
