--- a/scenario/_lib/actions.ts
+++ b/scenario/_lib/actions.ts
@@ -79,9 +79,12 @@
   async Service_refuse ({ world }, [name]) { world.services.refuseConnections(String(name)) },
   async Drain (session, [host]) {
     const daemon = session.world.find('entry', String(host))
-    const state = { done: false }
+    const state = { done: false, cutOff: 0 }
     session.drains.set(String(host), state)
-    daemon.entry!.drain({ signal: new AbortController().signal }).then(() => { state.done = true }, () => {})
+    daemon.entry!.drain({ signal: new AbortController().signal }).then(() => {
+      state.done = true
+      state.cutOff = daemon.answers.filter(answer => answer.state() === 'open').length
+    }, () => {})
   },
   async Wait ({ world }, [ms]) { await world.runtime.advance(Number(ms)) },
   async Await_outcome ({ world, requests }, [name]) {
--- a/scenario/_lib/expectations.ts
+++ b/scenario/_lib/expectations.ts
@@ -11,6 +11,9 @@
 import { hasRevision } from './actions.js'
 import { ACCOUNT, framesOf, identityOf, runningDaemons, type CallerRequest, type Session } from './session.js'
 
+/** Time in which engines must have freed what no caller waits for. */
+const FREED_WITHIN_MS = 12_000
+
 export const EXPECTATIONS: Record<string, StatementHandler> = {
   async Expect_answered (session, [name]) {
     const request = await ended(session, String(name))
@@ -39,6 +42,9 @@
     const wrong = runningDaemons(session).filter(daemon => (where === 'every host' || daemon.host === where) && daemon.daemon.holder.current().head.revision !== revision)
     assert.deepEqual(wrong.map(daemon => `${daemon.host}: ${daemon.daemon.holder.current().head.revision}`), [])
   },
+  async Expect_revisionWithin (session, [revision, where, limitMs]) {
+    await session.world.until(`revision ${revision} at ${where}`, () => hasRevision(session, Number(revision), String(where)), { withinMs: Number(limitMs) })
+  },
   async Expect_monotonic ({ world }) {
     const highest = new Map<string, number>()
     for (const { host, role, revisions } of world.daemons) {
@@ -69,7 +75,7 @@
   },
   async Expect_clean (session) {
     const { world, requests } = session
-    await world.until('sequences to be freed', () => world.engines.sequences() === 0)
+    await world.until('sequences to be freed', () => world.engines.sequences() === 0, { withinMs: FREED_WITHIN_MS })
     const open = [...requests.values()].filter(request => request.answer.state() === 'open')
     assert.deepEqual(open.map(request => request.name), [], 'answers still open')
     for (const { entry, host } of runningDaemons(session)) assert.equal(entry?.inFlight() ?? 0, 0, `requests in flight on ${host}`)
@@ -80,7 +86,7 @@
     await world.until(`${host} to stop`, () => state.done)
     const answers = world.find('entry', String(host)).answers
     const cut = answers.filter(answer => answer.state() !== 'ended' || answer.body().includes('"reason":602'))
-    assert.equal(cut.length, cutOff)
+    assert.equal(cut.length + state.cutOff, cutOff)
   }
 }
 
--- a/scenario/_lib/renderSession.ts
+++ b/scenario/_lib/renderSession.ts
@@ -35,7 +35,7 @@
 
 function renderEvent (event: LoggedEvent, startMs: number): string {
   const fields = Object.entries(event).filter(([field]) => !SHOWN.has(field)).map(([field, value]) => `${field}=${typeof value === 'string' ? value : JSON.stringify(value)}`)
-  return `${event.wallMs - startMs} ms ${event.host}/${event.process} ${event.number} ${event.name} ${fields.join(' ')}`.trimEnd()
+  return `${Math.round(event.wallMs - startMs)} ms ${event.host}/${event.process} ${event.number} ${event.name} ${fields.join(' ')}`.trimEnd()
 }
 
 function normalise (text: string): string {
--- a/scenario/_lib/session.ts
+++ b/scenario/_lib/session.ts
@@ -38,7 +38,8 @@
   tickets: Map<string, HandlerAnswer>
   cuts: EngineCut[]
   services: string[]
-  drains: Map<string, { done: boolean }>
+  /** Ends of drains by host, with the answers that were open then. */
+  drains: Map<string, { done: boolean, cutOff: number }>
   /** Opens of a target when its time to leave had passed. */
   opensWhenLeft: Map<string, number>
   /** Targets that were told to leave. */
--- a/scenario/createPeerNetwork/index.ts
+++ b/scenario/createPeerNetwork/index.ts
@@ -18,7 +18,8 @@
 
 /** The network. */
 export interface PeerNetwork {
-  portsFor: (host: string, gate: HostGate) => HostPeerPorts
+  /** A daemon keeps its address when it is started again. */
+  portsFor: (host: string, role: string, gate: HostGate) => HostPeerPorts
   /** Frames between two hosts are lost; their streams stay open. */
   cut: (a: string, b: string) => void
   heal: (a: string, b: string) => void
@@ -50,7 +51,6 @@
   const acceptors = new Map<string, Acceptor>()
   const cuts = new Set<string>()
   const linkOf = (a: string, b: string): string => [a, b].sort().join(' ')
-  let nextPort = 1
 
   function streamOf (own: End, other: End): PeerStream {
     return {
@@ -81,12 +81,12 @@
   }
 
   return {
-    portsFor: (host, gate) => ({
+    portsFor: (host, role, gate) => ({
       connectPeer: address => connect(host, gate, address),
-      async servePeers (onStream, options) {
-        const address = `${options.address}:${nextPort++}`
+      async servePeers (onStream) {
+        const address = `${host}-${role}:1`
         acceptors.set(address, { host, gate, onStream })
-        return { address, async [Symbol.asyncDispose] () { acceptors.delete(address) } }
+        return { address, async [Symbol.asyncDispose] () { if (acceptors.get(address)?.gate === gate) acceptors.delete(address) } }
       }
     }),
     cut: (a, b) => { cuts.add(linkOf(a, b)) },
--- a/scenario/createWorld/index.ts
+++ b/scenario/createWorld/index.ts
@@ -71,7 +71,7 @@
   find: (role: Role, host: string) => WorldDaemon
   call: (daemon: WorldDaemon, port: keyof typeof PORTS, call: HandlerCall) => HandlerAnswer
   /** Moves time on until a condition holds; fails with `what` when it does not in time. */
-  until: (what: string, condition: () => boolean) => Promise<void>
+  until: (what: string, condition: () => boolean, options?: { withinMs?: number }) => Promise<void>
 }
 
 /**
@@ -111,7 +111,7 @@
     const gate = createHostGate(runtime)
     const handlers: WorldDaemon['handlers'] = new Map()
     const gated = gateEngines(engines.client, gate)
-    const ports = { ...createPorts(host, gate, handlers), engines: gated.client, services: gate.wrap(services.client) }
+    const ports = { ...createPorts(host, role, gate, handlers), engines: gated.client, services: gate.wrap(services.client) }
     const settings = createSettings(host, failureDomain)
     const started = role === 'entry'
       ? await startEntry(settings, { runtime: gate.runtime, ports })
@@ -135,10 +135,10 @@
     return worldDaemon
   }
 
-  function createPorts (host: string, gate: HostGate, handlers: WorldDaemon['handlers']): DaemonPorts {
+  function createPorts (host: string, role: Role, gate: HostGate, handlers: WorldDaemon['handlers']): DaemonPorts {
     const shared = { ...store, watch: watchWithin(gate), async [Symbol.asyncDispose] () {} }
     return {
-      ...network.portsFor(host, gate),
+      ...network.portsFor(host, role, gate),
       createLog: logOptions => createEventLog({ ...logOptions, file: null, level: 'debug' }),
       store: gate.wrap(shared),
       hostList: gate.wrap({
@@ -183,11 +183,11 @@
       daemon.answers.push(answer)
       return answer
     },
-    async until (what, condition) {
-      const limitMs = runtime.monotonicMs() + WAIT_LIMIT_MS
+    async until (what, condition, { withinMs = WAIT_LIMIT_MS } = {}) {
+      const limitMs = runtime.monotonicMs() + withinMs
       await runtime.settle()
       while (!condition()) {
-        if (runtime.monotonicMs() >= limitMs) throw new Error(`${what}: not within ${WAIT_LIMIT_MS} ms`)
+        if (runtime.monotonicMs() >= limitMs) throw new Error(`${what}: not within ${withinMs} ms`)
         await runtime.advance(WAIT_STEP_MS)
       }
     }
--- a/scenario/faults.ts
+++ b/scenario/faults.ts
@@ -10,6 +10,8 @@
   /** Text of the sound code; it stands in the file exactly once. */
   sound: string
   faulty: string
+  /** A second guard against the same failure, which has to fall as well. */
+  also?: { file: string, sound: string, faulty: string }
   /** Scenarios that fail with it. */
   scenarios: string[]
 }
@@ -29,13 +31,6 @@
     faulty: '      if (frame.last) return finish({ kind: \'complete\' })\n      timer = watch(1e9)',
     scenarios: ['stage-freezes', 'link-degrades', 'link-cut', 'connection-silent', 'pair-freeze-leaving', 'pair-silent-drain']
   },
-  {
-    what: 'a token is taken from any position',
-    file: 'src/pipeline/_lib/progress.ts',
-    sound: 'if (frame.position !== progress.given.length) return false',
-    faulty: 'if (frame.position < 0) return false',
-    scenarios: ['stage-dies']
-  },
   {
     what: 'the identity of the last event is ignored',
     file: 'src/entry/answerCompletion/index.ts',
@@ -59,9 +54,9 @@
   },
   {
     what: 'shutdown does not wait for requests in flight',
-    file: 'src/entry/createOpenCalls/index.ts',
-    sound: 'if (tasks.size === 0',
-    faulty: 'if (tasks.size >= 0',
+    file: 'src/http/createOpenCalls/index.ts',
+    sound: 'if (tasks.size === 0 || signal.aborted) return',
+    faulty: 'if (tasks.size >= 0 || signal.aborted) return',
     scenarios: ['drain']
   },
   {
@@ -72,17 +67,15 @@
     scenarios: ['target-leaves']
   },
   {
-    what: 'a lower revision is put into force',
+    what: 'a lower revision is put into force, and the store not repaired',
     file: 'src/configuration/createConfigurationHolder/index.ts',
     sound: 'if (revision < current.head.revision) {',
     faulty: 'if (revision < 0) {',
-    scenarios: ['store-restored']
-  },
-  {
-    what: 'a store behind what is in force is not repaired',
-    file: 'src/configuration/watchConfiguration/index.ts',
-    sound: 'if (revision >= inForce.head.revision) {',
-    faulty: 'if (revision >= 0) {',
+    also: {
+      file: 'src/configuration/watchConfiguration/index.ts',
+      sound: 'if (revision >= inForce.head.revision) {',
+      faulty: 'if (revision >= 0) {'
+    },
     scenarios: ['store-restored']
   },
   {
@@ -90,35 +83,35 @@
     file: 'src/peer/_lib/createConfigurationExchange.ts',
     sound: "holder.offer(configuration, 'peer')",
     faulty: 'configuration.head.scopes',
-    scenarios: ['restart-in-outage']
-  },
-  {
-    what: 'a silent watch is waited for again instead of reading the head',
-    file: 'src/configuration/watchConfiguration/index.ts',
-    sound: "if (result.kind === 'reset' || result.kind === 'silent') return { kind: 'at', revision: undefined }",
-    faulty: "if (result.kind === 'reset' || result.kind === 'silent') return { kind: 'at', revision: afterRevision }",
-    scenarios: ['watches-silent']
+    scenarios: ['restart-in-outage', 'watches-silent']
   },
   {
-    what: 'another ticket with the same number is taken for the same one',
-    file: 'src/ticket/submitTicket/_lib/recordTicket.ts',
-    sound: "return stored.digest === digest ? { kind: 'claimed'",
-    faulty: "return stored.digest !== '' ? { kind: 'claimed'",
-    scenarios: ['operators-race', 'pair-race-answers-lost']
+    what: 'a ticket below the one in force for a scope is accepted',
+    file: 'src/ticket/submitTicket/_lib/moveHead.ts',
+    sound: 'name => lastTicketOf(head, name) > number',
+    faulty: 'name => lastTicketOf(head, name) > Infinity',
+    scenarios: ['operators-race']
   },
   {
     what: 'an acceptance whose answer was lost is not looked up',
     file: 'src/ticket/submitTicket/_lib/moveHead.ts',
     sound: 'const listed = head.accepted?.find(entry => entry.ticket === number)',
     faulty: 'const listed = head.accepted?.find(entry => entry.ticket === -number)',
-    scenarios: ['ticket-answer-lost', 'ticket-write-late']
+    scenarios: ['ticket-write-late']
+  },
+  {
+    what: 'a stored value is compared by identity',
+    file: 'src/ticket/submitTicket/_lib/recordTicket.ts',
+    sound: 'if (digestJson(result.value) !== digestJson(value))',
+    faulty: 'if (result.value !== value)',
+    scenarios: ['ticket-answer-lost', 'pair-race-answers-lost']
   },
   {
-    what: 'a booking that may have run is sent again',
+    what: 'each arrival of a key has a record of its own',
     file: 'src/booking/bookOnce/index.ts',
-    sound: "if (record.state !== 'notRun' || record.closed) {",
-    faulty: "if (record.state === 'answered') {",
-    scenarios: ['booking-answer-lost', 'pair-booking-entry-dies']
+    sound: 'JSON.stringify([account, service, key])',
+    faulty: 'JSON.stringify([account, service, key, randomUUID()])',
+    scenarios: ['booking-answer-lost', 'pair-booking-entry-dies', 'booking-store-answer-lost']
   },
   {
     what: 'a booking is sent though its intent may not be stored',
--- a/scenario/grammar.ts
+++ b/scenario/grammar.ts
@@ -60,6 +60,7 @@
     | "expect" "ticket" number "by" name "accepted"                         -- accepted
     | "expect" "ticket" number "by" name "refused" "with" name              -- ticketRefused
     | "expect" "ticket" number "by" name "uncertain"                        -- uncertain
+    | "expect" "revision" number "at" Where "within" number "ms"            -- revisionWithin
     | "expect" "revision" number "at" Where                                 -- revision
     | "expect" "no" "revision" "fell"                                       -- monotonic
     | "expect" "each" "layer" "once"                                        -- layers
--- a/scenario/prove.ts
+++ b/scenario/prove.ts
@@ -19,21 +19,27 @@
 function runInCopy (scenario: string): string | undefined {
   const run = spawnSync('npx', ['tsx', 'scenario/main.ts', `test/scenarios/${scenario}.scenario`], { cwd: folder, encoding: 'utf8', maxBuffer: 1 << 28 })
   if (run.status === 0) return undefined
-  return /failed, seed \d+: (line \d+: [^\n]{0,160})/.exec(run.stdout)?.[1] ?? `exit code ${run.status}: ${run.stderr.slice(0, 160)}`
+  return /failed, seed \d+: (line \d+: [^\n]{0,90})/.exec(run.stdout)?.[1] ?? `exit code ${run.status}: ${run.stderr.slice(0, 160)}`
+}
+
+/** Puts an edit into the copy and returns how to take it out; nothing where the sound code is not found once. */
+function putIn (edit: Pick<SeededFault, 'file' | 'sound' | 'faulty'>): (() => void) | undefined {
+  const file = path.join(folder, edit.file)
+  const text = readFileSync(file, 'utf8')
+  if (text.split(edit.sound).length !== 2) return undefined
+  writeFileSync(file, text.replace(edit.sound, () => edit.faulty))
+  return () => writeFileSync(file, text)
 }
 
 function prove (fault: SeededFault): boolean {
-  const file = path.join(folder, fault.file)
-  const sound = readFileSync(file, 'utf8')
-  if (sound.split(fault.sound).length !== 2) {
-    console.log(`| ${fault.what} | - | the sound code does not stand exactly once in ${fault.file} |`)
-    return false
-  }
-  writeFileSync(file, sound.replace(fault.sound, () => fault.faulty))
+  const undo = [fault, ...(fault.also === undefined ? [] : [fault.also])].map(putIn)
   const results = fault.scenarios.map(scenario => ({ scenario, failure: runInCopy(scenario) }))
-  writeFileSync(file, sound)
-  for (const { scenario, failure } of results) console.log(`| ${fault.what} | ${scenario} | ${failure ?? 'PASSED: not found'} |`)
-  return results.every(({ failure }) => failure !== undefined)
+  for (const takeOut of undo) takeOut?.()
+  const isComplete = undo.every(takeOut => takeOut !== undefined)
+  for (const { scenario, failure } of results) {
+    console.log(`| ${fault.what} | ${scenario} | ${isComplete ? failure ?? 'PASSED: not found' : 'the sound code was not found'} |`)
+  }
+  return isComplete && results.every(({ failure }) => failure !== undefined)
 }
 
 const found = FAULTS.map(prove)
