--- a/src/entry/_lib/answerWriter.ts
+++ b/src/entry/_lib/answerWriter.ts
@@ -21,6 +21,11 @@
   fail: (refusal: Refusal) => void
 }
 
+/** Why an answer ended, as the completions form names it. */
+function nameEnd (tokens: number, body: CompletionBody): 'length' | 'stop' {
+  return tokens >= body.max_tokens ? 'length' : 'stop'
+}
+
 /** Collects the tokens and answers once. */
 export function createWholeWriter (call: CallerCall, body: CompletionBody): AnswerWriter {
   const tokens: string[] = []
@@ -31,7 +36,7 @@
       id: call.request,
       object: 'text_completion',
       model: body.model,
-      choices: [{ index: 0, text: tokens.join(''), finish_reason: count >= body.max_tokens ? 'length' : 'stop' }],
+      choices: [{ index: 0, text: tokens.join(''), finish_reason: nameEnd(count, body) }],
       usage: { completion_tokens: count }
     }),
     fail: refusal => sendRefusal(call.response, refusal)
@@ -72,7 +77,7 @@
         id: request,
         object: 'text_completion',
         model: body.model,
-        choices: [{ index: 0, text: frame.token, finish_reason: frame.last ? 'stop' : null }]
+        choices: [{ index: 0, text: frame.token, finish_reason: frame.last ? nameEnd(frame.position + 1, body) : null }]
       })
     },
     complete () {
--- a/src/entry/answerCompletion/index.ts
+++ b/src/entry/answerCompletion/index.ts
@@ -26,7 +26,7 @@
   const { limits } = daemon.settings
   const parsed = parseCompletion(call.body)
   if (parsed.kind === 'invalid') return refuse(createRefusal('malformedRequest', { facts: { faults: parsed.faults } }), call, context)
-  const { body } = parsed
+  const body = { ...parsed.body, max_tokens: Math.min(parsed.body.max_tokens, limits.answerTokens) }
   const promptTokens = countPromptTokens(body.prompt)
   if (promptTokens > limits.promptTokens) {
     return refuse(createRefusal('promptTooLong', { facts: { promptTokens, limit: limits.promptTokens } }), call, context)
@@ -40,7 +40,7 @@
     account: call.account.name,
     model: body.model,
     prompt: body.prompt,
-    maxTokens: Math.min(body.max_tokens, limits.answerTokens),
+    maxTokens: body.max_tokens,
     priority: call.account.priority,
     deadlineMs: body.deadline_ms ?? model.deadlines.answerMs,
     given: [],
