Show the time line as a page with a lane for each process

Cause: the time line was text only, and three places rendered an event's fields. Ruled out: a page that loads scripts; it must open anywhere, from a file. Conclusion: one renderer for fields, and a page an operator can keep.

--- a/scenario/_lib/renderSession.ts
+++ b/scenario/_lib/renderSession.ts
@@ -1,14 +1,12 @@
 /**
  * A session as text that two runs of one seed share.
  */
+import { describeFields } from '../../src/event/describeFields/index.js'
 import { mergeTimeline } from '../../src/event/mergeTimeline/index.js'
 import type { LoggedEvent } from '../../src/event/types.js'
 import type { HandlerAnswer } from '../invokeHandler/index.js'
 import type { Session } from './session.js'
 
-/** Fields of an event that its line shows already. */
-const SHOWN = new Set(['number', 'name', 'text', 'level', 'host', 'process', 'wallMs', 'counter', 'message'])
-
 /** Random identities, which are replaced by their order of appearance. */
 const IDENTITY = /[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}/g
 
@@ -34,8 +32,7 @@
 }
 
 function renderEvent (event: LoggedEvent, startMs: number): string {
-  const fields = Object.entries(event).filter(([field]) => !SHOWN.has(field)).map(([field, value]) => `${field}=${typeof value === 'string' ? value : JSON.stringify(value)}`)
-  return `${Math.round(event.wallMs - startMs)} ms ${event.host}/${event.process} ${event.number} ${event.name} ${fields.join(' ')}`.trimEnd()
+  return `${Math.round(event.wallMs - startMs)} ms ${event.host}/${event.process} ${event.number} ${event.name} ${describeFields(event)}`.trimEnd()
 }
 
 function normalise (text: string): string {
--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -1,10 +1,12 @@
 /**
  * `coltsfootlead timeline`: the events of all processes in causal order.
  */
-import { readFile } from 'node:fs/promises'
+import { readFile, writeFile } from 'node:fs/promises'
 import { Command, Option } from 'clipanion'
+import { describeFields } from '../../event/describeFields/index.js'
 import type { LoggedEvent } from '../../event/types.js'
 import { mergeTimeline } from '../../event/mergeTimeline/index.js'
+import { renderTimelineHtml } from '../../event/renderTimelineHtml/index.js'
 import type { Member } from '../../member/types.js'
 import { EXIT, OperatorCommand } from '../_lib/operatorCommand.js'
 
@@ -19,6 +21,7 @@
   ticket = Option.String('--ticket', { description: 'Only events of this ticket' })
   target = Option.String('--target', { description: 'Only events of this target' })
   host = Option.String('--host', { description: 'Only events of this host' })
+  html = Option.String('--html', { description: 'Write a self-contained page with a lane for each process to this file' })
   files = Option.Rest()
 
   async execute (): Promise<number> {
@@ -26,6 +29,7 @@
       const filter = this.filter()
       const events = this.files.length > 0 ? await this.readFiles() : await this.askMembers(filter)
       const merged = mergeTimeline(events, { filter })
+      if (this.html !== undefined) await writeFile(this.html, renderTimelineHtml(merged, { title: describeFilter(filter) }))
       if (this.json) this.print(JSON.stringify(merged))
       else for (const event of merged) this.print(renderEvent(event))
       return EXIT.ok
@@ -55,11 +59,13 @@
   }
 }
 
-/** Fields that every event has, or that its line shows already. */
-const SHOWN = new Set(['number', 'name', 'text', 'level', 'host', 'process', 'wallMs', 'counter', 'message'])
+/** Title of the page. */
+function describeFilter (filter: Record<string, string>): string {
+  const parts = Object.entries(filter).map(([field, value]) => `${field} ${value}`)
+  return parts.length === 0 ? 'all events' : parts.join(', ')
+}
 
 function renderEvent (event: LoggedEvent): string {
   const time = new Date(event.wallMs).toISOString()
-  const fields = Object.entries(event).filter(([field]) => !SHOWN.has(field)).map(([field, value]) => `${field}=${typeof value === 'string' ? value : JSON.stringify(value)}`)
-  return `${time}+${event.counter}  ${event.host}/${event.process}  ${event.number} ${event.text}  ${fields.join(' ')}`
+  return `${time}+${event.counter}  ${event.host}/${event.process}  ${event.number} ${event.text}  ${describeFields(event)}`
 }
