Show a host that is cut off from store and peers

Cause: the rule for a host that cannot know that it is current (decision 12) had tests of its judgement but none through the caller port. Ruled out: a store that is down for all; peers then confirm each other, as they should. Change: scenarios can cut one host off the store; scenario host-cut-off.

--- a/scenario/createWorld/index.ts
+++ b/scenario/createWorld/index.ts
@@ -10,6 +10,7 @@
 import type { ListedHost } from '../../src/hostList/types.js'
 import type { Listen } from '../../src/http/listen/index.js'
 import { withDeadline } from '../../src/runtime/withDeadline/index.js'
+import type { ObjectStore } from '../../src/objectApi/types.js'
 import { daemonSettingsSchema, type DaemonSettings } from '../../src/settings/types.js'
 import { createMemoryObjectStore, type MemoryObjectStore } from '../../standin/objectApi/createMemoryObjectStore/index.js'
 import { createManualRuntime, type ManualRuntime } from '../../test/fakes/createManualRuntime.js'
@@ -64,6 +65,8 @@
   engines: MemoryEngines
   services: MemoryServices
   network: PeerNetwork
+  /** Hosts that do not reach the object API. */
+  cutFromStore: Set<string>
   hosts: Map<string, ListedHost>
   daemons: WorldDaemon[]
   start: (role: Role, host: string, failureDomain: string) => Promise<WorldDaemon>
@@ -104,6 +107,7 @@
   const engines = createMemoryEngines({ runtime })
   const services = createMemoryServices()
   const network = createPeerNetwork(runtime)
+  const cutFromStore = new Set<string>()
   const hosts = new Map<string, ListedHost>()
   const daemons: WorldDaemon[] = []
 
@@ -136,7 +140,7 @@
   }
 
   function createPorts (host: string, role: Role, gate: HostGate, handlers: WorldDaemon['handlers']): DaemonPorts {
-    const shared = { ...store, watch: watchWithin(gate), async [Symbol.asyncDispose] () {} }
+    const shared = reachStore({ ...store, watch: watchWithin(gate), async [Symbol.asyncDispose] () {} }, () => cutFromStore.has(host))
     return {
       ...network.portsFor(host, role, gate),
       createLog: logOptions => createEventLog({ ...logOptions, file: null, level: 'debug' }),
@@ -168,6 +172,7 @@
     engines,
     services,
     network,
+    cutFromStore,
     hosts,
     daemons,
     start,
@@ -194,6 +199,23 @@
   }
 }
 
+/** The object API as a host reaches it that can be cut off from it. */
+function reachStore (store: ObjectStore, isCut: () => boolean): ObjectStore {
+  const unavailable = { kind: 'unavailable' as const, cause: 'no route' }
+  const notApplied = { kind: 'notApplied' as const, cause: 'no route' }
+  return {
+    ...store,
+    read: async key => isCut() ? unavailable : await store.read(key),
+    list: async prefix => isCut() ? unavailable : await store.list(prefix),
+    write: async (key, value, condition) => isCut() ? notApplied : await store.write(key, value, condition),
+    remove: async (key, condition) => isCut() ? notApplied : await store.remove(key, condition),
+    async watch (prefix, afterRevision, options) {
+      const result = isCut() ? unavailable : await store.watch(prefix, afterRevision, options)
+      return isCut() ? unavailable : result
+    }
+  }
+}
+
 function isEntry (started: Entry | Control): started is Entry {
   return 'callerAddress' in started
 }
--- a/scenario/faults.ts
+++ b/scenario/faults.ts
@@ -133,5 +133,12 @@
     sound: "if (progress.verdict.kind === 'notRun') return giveUp('noPipeline'",
     faulty: "if (progress.verdict.kind === 'ran') return giveUp('noPipeline'",
     scenarios: ['no-chain-left']
+  },
+  {
+    what: 'a host that is cut off serves on without a bound',
+    file: 'src/entry/createCallerHandler/index.ts',
+    sound: 'if (isStale(daemon)) return',
+    faulty: 'if (isStale(daemon) && false) return',
+    scenarios: ['host-cut-off']
   }
 ]
--- a/scenario/grammar.ts
+++ b/scenario/grammar.ts
@@ -30,8 +30,10 @@
   Resume = "resume" Engine                                                  -- engine
     | "resume" Thing                                                        -- daemon
   Cut = "cut" Engine "off"                                                  -- link
+    | "cut" name "from" "the" "store"                                       -- store
     | "cut" name "from" name                                                -- hosts
-  Heal = "heal" name "and" name
+  Heal = "heal" name "and" "the" "store"                                    -- store
+    | "heal" name "and" name                                                -- hosts
   Degrade = "degrade" Engine "by" number "ms"
   Silence = "silence" Engine                                                -- engine
     | "silence" "watches"                                                   -- watches
