Wait for all four daemons in the quick start, and print the verdict that came

Cause: one run submitted ticket 1 while its host knew three members, and said "in force on 3 of 3"; the booking's verdict was printed by the script, not read. Ruled out: waiting in `ticket submit` for members that nobody has heard of yet. Change: the script waits until four members are known, and reads x-verdict. Conclusion: what the quick start says is what happened.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -64,6 +64,13 @@
 export COLTSFOOTLEAD_OPERATOR
 caller=$(field "$run/entry-2.out" listening.caller)
 
+step='waiting for the daemons to find each other'
+for _ in $(seq 60); do
+  members=$(node "$bin/coltsfootlead.js" members | wc -l)
+  [ "$members" -ge 4 ] && break
+done
+[ "$members" -ge 4 ]
+
 step='submitting ticket 1'
 node "$bin/coltsfootlead.js" ticket submit examples/ticket-1.jsonc --wait
 step='waiting for the engines to hold their layers'
@@ -82,8 +89,11 @@
 
 step='booking an order'
 printf 'booking: '
-node scripts/request.mjs POST "http://$caller/services/orders/orders" shop.shop-demo-secret '{"item":"print run"}' "order-$$" | tail -n +2
-echo ' (verdict: ran)'
+node scripts/request.mjs POST "http://$caller/services/orders/orders" shop.shop-demo-secret '{"item":"print run"}' "order-$$" >"$run/booking"
+tail -n +2 "$run/booking"
+verdict=$(head -n 1 "$run/booking" | cut -d ' ' -f 2)
+echo " (verdict: $verdict)"
+[ "$verdict" = ran ]
 
 step='reading the time line'
 echo "time line of request $request:"
