--- a/src/event/createEventLog/index.ts
+++ b/src/event/createEventLog/index.ts
@@ -2,6 +2,7 @@
  * Numbered events, written by winston as one JSON line each and kept in a bounded buffer for
  * the operator port.
  */
+import type { Writable } from 'node:stream'
 import winston from 'winston'
 import type { HybridClock } from '../../clock/types.js'
 import { EVENTS, type EventName } from '../catalogue.js'
@@ -19,6 +20,10 @@
   level?: string
   /** File to append to; standard output when absent. `null` writes nowhere. */
   file?: string | null
+  /** Stream to write to in place of a file or standard output. */
+  output?: Writable
+  /** Events kept in memory for the operator port. */
+  keptEvents?: number
 }
 
 /**
@@ -32,7 +37,7 @@
  * log.emit('processStarted', { address })
  */
 export function createEventLog (options: EventLogOptions): EventLog {
-  const { host, process, clock } = options
+  const { host, process, clock, keptEvents = RECENT_EVENTS } = options
   const logger = createLogger(options)
   const kept: LoggedEvent[] = []
   return {
@@ -44,7 +49,7 @@
         ...fields, ...definition, name, host, process, wallMs: stamp.wallMs, counter: stamp.counter
       }
       kept.push(event)
-      if (kept.length > RECENT_EVENTS) kept.splice(0, kept.length - RECENT_EVENTS / 2)
+      if (kept.length > keptEvents) kept.splice(0, kept.length - Math.floor(keptEvents / 2))
       logger.log({ message: name, ...event })
     },
     recent: () => kept
@@ -53,9 +58,7 @@
 
 function createLogger (options: EventLogOptions): winston.Logger {
   const { file, level = 'info' } = options
-  const transport = file
-    ? new winston.transports.File({ filename: file })
-    : new winston.transports.Console()
+  const transport = createTransport(options)
   return winston.createLogger({
     level,
     silent: file === null,
@@ -63,3 +66,8 @@
     transports: [transport]
   })
 }
+
+function createTransport ({ file, output }: EventLogOptions): winston.transport {
+  if (output !== undefined) return new winston.transports.Stream({ stream: output })
+  return file ? new winston.transports.File({ filename: file }) : new winston.transports.Console()
+}
--- /dev/null
+++ b/src/gateway/_lib/answerCaller.ts
@@ -0,0 +1,54 @@
+/**
+ * Answers to callers: a target's answer as it is, or the gateway's own refusal or failure.
+ */
+import { REASONS, type ReasonName } from '../../verdict/reasons.js'
+import type { Call, GatewayParts } from '../types.js'
+
+/** Facts that an own answer is logged with. */
+export type AnswerDetails = Record<string, unknown>
+
+/** Sends a target's whole answer. */
+export function sendAnswer (call: Call, parts: GatewayParts, answer: { status: number, rawHeaders: readonly string[], body: Buffer }): void {
+  const { response } = call
+  if (response.headersSent || response.destroyed) return
+  const headers = [...parts.format.buildAnswerHeaders(answer.rawHeaders), 'Content-Length', String(answer.body.length)]
+  response.writeHead(answer.status, closing(parts, headers))
+  response.end(answer.body)
+}
+
+/** Ends a call with an answer of the gateway's own, or cuts it when its answer has begun. */
+export function endWithReason (call: Call, parts: GatewayParts, reason: ReasonName, details: AnswerDetails & { retryAfterMs?: number }): void {
+  const { response, facts, route, account, startedMs } = call
+  const { log, metrics, runtime, fleet } = parts
+  const { status } = REASONS[reason]
+  const isRefusal = status < 500 || status === 503
+  log.emit(isRefusal ? 'gatewayRefused' : 'gatewayFailed', {
+    request: facts.requestId,
+    route: route.name,
+    ...(account === undefined ? {} : { account }),
+    reason,
+    status,
+    tookMs: Math.round(runtime.monotonicMs() - startedMs),
+    version: fleet.configuration()?.version,
+    targetsAgeMs: Math.round(parts.targetsAgeMs()),
+    ...details
+  })
+  metrics.calls.inc({ kind: route.kind, outcome: reason })
+  if (response.destroyed) return
+  if (response.headersSent) {
+    response.destroy()
+    return
+  }
+  writeOwn(call, parts, status, details.retryAfterMs)
+}
+
+function writeOwn (call: Call, parts: GatewayParts, status: number, retryAfterMs: number | undefined): void {
+  const headers = parts.format.buildRefusalHeaders({ requestId: call.facts.requestId, retryAfterMs })
+  call.response.writeHead(status, closing(parts, [...headers, 'Content-Length', '0']))
+  call.response.end()
+}
+
+/** Asks for the connection to be closed while the process shuts down. */
+export function closing (parts: Pick<GatewayParts, 'isDraining'>, headers: string[]): string[] {
+  return parts.isDraining() ? [...headers, 'Connection', 'close'] : headers
+}
--- /dev/null
+++ b/src/gateway/_lib/choosePlace.ts
@@ -0,0 +1,46 @@
+/**
+ * Places for requests: a path over engines with room, or the least busy target of a plain
+ * service.
+ */
+import type { Service, Target } from '../../fleet/types.js'
+import { choosePath, type RequestSize } from '../../path/choosePath/index.js'
+import type { GatewayParts, Place } from '../types.js'
+
+/** Weight of a request in progress against a failure domain other than the host's, when targets are compared. */
+const OTHER_DOMAIN_LOAD = 0.5
+
+/** Memory that a plain target's request counts for; only their number matters. */
+const PLAIN_SIZE: RequestSize = { promptTokens: 0, outputTokens: 0 }
+
+/** A place on engines, or `undefined` while no path has room. */
+export function takePath (service: Service, size: RequestSize, excluded: ReadonlySet<string>, ownDomain: string, parts: GatewayParts): Place | undefined {
+  const model = service.model!
+  const { fleet, occupancy, suspicions } = parts
+  const engines = fleet.serving(service.name).filter(target => !excluded.has(target.id))
+  const chosen = choosePath(engines, size, { model, loadOf: occupancy.loadOf, slownessOf: suspicions.slownessOf, ownDomain })
+  if (chosen === undefined) return undefined
+  const claim = occupancy.claim(chosen.path, size)
+  return { target: chosen.path[0]!.target, path: chosen.path, [Symbol.dispose]: () => claim[Symbol.dispose]() }
+}
+
+/** Whether any path covers the model, with room or without. */
+export function hasPath (service: Service, size: RequestSize, parts: GatewayParts): boolean {
+  const { fleet, occupancy, suspicions } = parts
+  const options = { model: service.model!, loadOf: occupancy.loadOf, slownessOf: suspicions.slownessOf, isOvercommitted: true }
+  return choosePath(fleet.serving(service.name), size, options) !== undefined
+}
+
+/** The least busy target of a plain service that is not excluded. */
+export function takeTarget (service: Service, excluded: ReadonlySet<string>, ownDomain: string, parts: GatewayParts): Place | undefined {
+  const { fleet, occupancy, suspicions } = parts
+  const cost = (target: Target): number => {
+    const otherDomain = target.failureDomain === ownDomain ? 0 : OTHER_DOMAIN_LOAD
+    return (1 + occupancy.loadOf(target.id).sequences + otherDomain) * suspicions.slownessOf(target.id)
+  }
+  const target = fleet.serving(service.name)
+    .filter(candidate => !excluded.has(candidate.id) && Number.isFinite(cost(candidate)))
+    .sort((a, b) => cost(a) - cost(b))[0]
+  if (target === undefined) return undefined
+  const claim = occupancy.claim([{ target, from: 0, to: 1 }], PLAIN_SIZE)
+  return { target, path: undefined, [Symbol.dispose]: () => claim[Symbol.dispose]() }
+}
--- /dev/null
+++ b/src/gateway/_lib/findPeers.ts
@@ -0,0 +1,59 @@
+/**
+ * Finds peers by objects in the store; digests carry their addresses from then on.
+ */
+import { z } from 'zod'
+import type { DigestExchange } from '../../digest/createDigestExchange/index.js'
+import type { ObjectStore } from '../../objectApi/types.js'
+import { sleep } from '../../runtime/sleep/index.js'
+import type { Runtime } from '../../runtime/types.js'
+
+const hostSchema = z.object({ ip: z.string() })
+
+/** Prefix of the objects that name hosts. */
+const HOST_PREFIX = 'hosts/'
+
+/** Interval of the reads while no peer is heard, and afterwards. */
+const SEARCH_MS = 1_000
+const REFRESH_MS = 30_000
+
+/** Wait after a failed write of this host's own object. */
+const RETRY_MS = 500
+
+interface StoreAccess {
+  store: ObjectStore
+  runtime: Runtime
+  signal: AbortSignal
+}
+
+/** Writes this host's address into the store, until that has succeeded. */
+export async function registerHost (host: { host: string, ip: string }, { store, runtime, signal }: StoreAccess): Promise<void> {
+  const key = `${HOST_PREFIX}${host.host}`
+  const value = { ip: host.ip }
+  while (!signal.aborted) {
+    const created = await store.write(key, value, { ifAbsent: true })
+    if (created.kind === 'written') return
+    if (created.kind === 'conflict') {
+      const read = await store.read(key)
+      if (read.kind === 'found') {
+        if (hostSchema.safeParse(read.object.value).data?.ip === host.ip) return
+        const replaced = await store.write(key, value, { ifVersion: read.object.version })
+        if (replaced.kind === 'written') return
+      }
+    }
+    await sleep(RETRY_MS, { runtime, signal })
+  }
+}
+
+/** Reads the addresses of hosts from the store, often until a peer is heard. */
+export async function findPeers (exchange: DigestExchange, { store, runtime, signal }: StoreAccess): Promise<void> {
+  while (!signal.aborted) {
+    const listed = await store.list(HOST_PREFIX)
+    if (listed.kind === 'listed') {
+      for (const { value } of listed.objects) {
+        const parsed = hostSchema.safeParse(value)
+        if (parsed.success) exchange.addAddress(parsed.data.ip)
+      }
+    }
+    await sleep(exchange.peers().length === 0 ? SEARCH_MS : REFRESH_MS, { runtime, signal })
+  }
+}
--- /dev/null
+++ b/src/gateway/_lib/openExchange.ts
@@ -0,0 +1,63 @@
+/**
+ * One request to a target over a connection of its own. An answer that comes late or twice on
+ * another connection can then never be taken for this one, and a failed connect proves that the
+ * request was not sent.
+ */
+import http from 'node:http'
+import type { IncomingMessage } from 'node:http'
+import type { Runtime } from '../../runtime/types.js'
+
+/** Deadline of a connect; several times the round trip between any two failure domains of a region. */
+export const CONNECT_TIMEOUT_MS = 100
+
+/** Head of an answer, or why there is none. */
+export type ExchangeResult =
+  | { kind: 'answered', answer: IncomingMessage }
+  /** No byte of the request left. */
+  | { kind: 'notSent', cause: string }
+  /** Sent, and no head of an answer came. */
+  | { kind: 'lost', cause: string }
+
+/** An exchange under way. */
+export interface Exchange {
+  result: Promise<ExchangeResult>
+  /** Closes the connection; the target stops its work. */
+  close: (cause: string) => void
+}
+
+/** What is sent. */
+export interface ExchangeOptions {
+  method: string
+  path: string
+  /** Raw headers, names and values in turn. */
+  headers: string[]
+  body: Buffer
+  runtime: Runtime
+}
+
+/** Sends a request to `ip:port`. */
+export function openExchange (address: string, options: ExchangeOptions): Exchange {
+  const { method, path, headers, body, runtime } = options
+  const [ip, port] = address.split(':')
+  const request = http.request({ host: ip, port: Number(port), method, path, headers, agent: false })
+  let isConnected = false
+  const result = new Promise<ExchangeResult>(resolve => {
+    const timer = runtime.setTimer(CONNECT_TIMEOUT_MS, () => request.destroy(new Error('connect timed out')))
+    request.once('socket', socket => socket.once('connect', () => {
+      isConnected = true
+      socket.setNoDelay(true)
+      timer[Symbol.dispose]()
+    }))
+    request.once('response', answer => resolve({ kind: 'answered', answer }))
+    request.on('error', error => {
+      timer[Symbol.dispose]()
+      resolve({ kind: isConnected ? 'lost' : 'notSent', cause: error.message })
+    })
+    request.once('close', () => {
+      timer[Symbol.dispose]()
+      resolve({ kind: isConnected ? 'lost' : 'notSent', cause: 'connection closed' })
+    })
+  })
+  request.end(body)
+  return { result, close: cause => { request.destroy(new Error(cause)) } }
+}
--- /dev/null
+++ b/src/gateway/_lib/serveStream.ts
@@ -0,0 +1,267 @@
+/**
+ * Streams from engines. A stream that breaks off goes on at another path after the last event
+ * that the caller has; the caller sees one answer without gap or repeat.
+ */
+import type { IncomingMessage } from 'node:http'
+import type { RequestSize } from '../../path/choosePath/index.js'
+import { endWithReason, closing, type AnswerDetails } from './answerCaller.js'
+import { hasPath, takePath, takeTarget } from './choosePlace.js'
+import { createEventSplitter } from './createEventSplitter.js'
+import { openExchange, type Exchange } from './openExchange.js'
+import { readAnswerBody } from './readAnswerBody.js'
+import { DeadlineError } from '../../runtime/withDeadline/index.js'
+import type { ActiveStream, Call, GatewayParts, Place } from '../types.js'
+
+/** Longest useful wait for a place, as a multiple of the route's objective; callers leave a silent stream after four. */
+const WAIT_OBJECTIVES = 3
+
+/** Time after the last sign of a whole cover in which lost layers are likely to be loaded again, in milliseconds. */
+const REPAIR_MS = 2_500
+
+/** Tries of one call beyond its attempts on targets that went away meanwhile. */
+const MOST_TRIES = 6
+
+/** Weight of the caller's estimate against the usual output; the estimate is often far off. */
+const HINT_WEIGHT = 0.5
+
+/** Wait that callers are told when no place was found, in milliseconds. */
+const RETRY_AFTER_MS = 1_000
+
+type StreamResult =
+  | { kind: 'complete' }
+  /** The engine's own failure, to be passed on. */
+  | { kind: 'refusedByTarget', status: number, rawHeaders: string[], body: Buffer }
+  | { kind: 'notRun', cause: string, faultyAddress: string | undefined, isArrival: boolean }
+  | { kind: 'brokenOff', cause: string }
+
+/** State of a call over all its tries. */
+interface Progress {
+  lastEventId: number | undefined
+  tries: number
+  arrivals: number
+  waitedMs: number
+  attempts: string[]
+  firstEventMs: number | undefined
+}
+
+/** Expected size of a request, from what the caller says and what is usual. */
+export function estimateSize (call: Pick<Call, 'facts' | 'service'>): RequestSize {
+  const { facts, service } = call
+  const usual = service.model?.usualOutputTokens ?? facts.maxOutputTokens
+  const expected = facts.hintedOutputTokens === undefined ? usual : HINT_WEIGHT * facts.hintedOutputTokens + (1 - HINT_WEIGHT) * usual
+  return { promptTokens: facts.promptTokens, outputTokens: Math.min(facts.maxOutputTokens, Math.round(expected)) }
+}
+
+/** Serves one stream to its end. */
+export async function serveStream (call: Call, ownDomain: string, parts: GatewayParts): Promise<void> {
+  const { route, service, signal, facts } = call
+  const { budget, fleet, log, metrics, runtime } = parts
+  const size = estimateSize(call)
+  const excluded = new Set<string>()
+  const progress: Progress = { lastEventId: facts.lastEventId, tries: 0, arrivals: 0, waitedMs: 0, attempts: [], firstEventMs: undefined }
+  const details = (): AnswerDetails => ({ attempts: progress.attempts, waitedMs: Math.round(progress.waitedMs), queueLength: parts.dispatcherOf(service.name).queueLength() })
+
+  while (!signal.aborted) {
+    const outcome = await requestPlace()
+    if (outcome.kind === 'aborted') break
+    progress.waitedMs += outcome.waitedMs
+    if (outcome.kind === 'refused') return endWithReason(call, parts, progress.arrivals > 0 ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
+    using place = outcome.place
+    if (progress.arrivals > 0 && !budget.take(service.name)) return endWithReason(call, parts, 'targetFailed', { ...details(), cause: 'retry budget spent' })
+    progress.tries++
+    const result = await attemptStream(call, place, size, progress, parts)
+    metrics.attempts.inc({ result: result.kind })
+    const { target } = place
+    progress.attempts.push(`${target.id} ${'cause' in result ? result.cause : result.kind}`)
+    if (result.kind === 'complete') return finish()
+    if (signal.aborted) break
+    if (result.kind === 'refusedByTarget') {
+      parts.suspicions.note(target.id, 'failedAnswer')
+      progress.arrivals++
+      excluded.add(target.id)
+      if (progress.arrivals < route.maxAttempts && route.isResumable) continue
+      return passOn(result)
+    }
+    if (result.kind === 'notRun') {
+      const faulty = findByAddress(result.faultyAddress) ?? target.id
+      parts.suspicions.note(faulty, result.isArrival ? 'refused' : 'unreachable')
+      if (result.isArrival) progress.arrivals++
+      excluded.add(faulty)
+    } else {
+      if (!route.isResumable) return endWithReason(call, parts, 'targetFailed', details())
+      parts.suspicions.note(target.id, 'lostAnswer')
+      if (fleet.isServing(target)) progress.arrivals++
+      excluded.add(target.id)
+    }
+    const isSpent = progress.arrivals >= route.maxAttempts || progress.tries >= MOST_TRIES
+    if (isSpent) return endWithReason(call, parts, result.kind === 'notRun' && progress.lastEventId === undefined ? 'noPipeline' : 'targetFailed', { ...details(), retryAfterMs: RETRY_AFTER_MS })
+    log.emit('streamResumed', { request: facts.requestId, target: target.id, cause: result.cause, lastEventId: progress.lastEventId, tries: progress.tries })
+  }
+  if (signal.reason instanceof DeadlineError) {
+    return endWithReason(call, parts, progress.tries > 0 ? 'deadlinePassed' : 'overloaded', details())
+  }
+  log.emit('callerGone', { request: facts.requestId, route: route.name, tookMs: Math.round(runtime.monotonicMs() - call.startedMs), lastEventId: progress.lastEventId, ...details() })
+  metrics.calls.inc({ kind: route.kind, outcome: 'callerGone' })
+
+  function requestPlace (): ReturnType<ReturnType<GatewayParts['dispatcherOf']>['request']> {
+    const elapsedMs = runtime.monotonicMs() - call.startedMs
+    let coveredMs = runtime.monotonicMs()
+    const model = service.model
+    return parts.dispatcherOf(service.name).request({
+      rank: call.rank,
+      account: call.account ?? '',
+      maxWaitMs: Math.min(WAIT_OBJECTIVES * route.objectiveMs - (progress.tries === 0 ? elapsedMs : 0), call.endMs - runtime.monotonicMs()),
+      tryPlace: () => model === undefined ? takeTarget(service, excluded, ownDomain, parts) : takePath(service, size, excluded, ownDomain, parts),
+      isPlaceExpected () {
+        if (model === undefined) return fleet.serving(service.name).length > 0
+        if (hasPath(service, size, parts)) coveredMs = runtime.monotonicMs()
+        return runtime.monotonicMs() - coveredMs < REPAIR_MS
+      },
+      signal
+    })
+  }
+
+  function findByAddress (address: string | undefined): string | undefined {
+    return address === undefined ? undefined : fleet.targets().find(target => target.address === address)?.id
+  }
+
+  function finish (): void {
+    metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
+    log.emit('gatewayAnswered', {
+      request: facts.requestId,
+      route: route.name,
+      ...(call.account === undefined ? {} : { account: call.account }),
+      status: 200,
+      tookMs: Math.round(runtime.monotonicMs() - call.startedMs),
+      firstEventMs: Math.round((progress.firstEventMs ?? call.startedMs) - call.startedMs),
+      lastEventId: progress.lastEventId,
+      version: fleet.configuration()?.version,
+      ...details()
+    })
+  }
+
+  function passOn (result: Extract<StreamResult, { kind: 'refusedByTarget' }>): void {
+    if (call.response.headersSent) return endWithReason(call, parts, 'targetFailed', details())
+    const headers = [...parts.format.buildAnswerHeaders(result.rawHeaders), 'Content-Length', String(result.body.length)]
+    call.response.writeHead(result.status, closing(parts, headers))
+    call.response.end(result.body)
+    metrics.calls.inc({ kind: route.kind, outcome: 'failedByTarget' })
+    log.emit('gatewayFailed', { request: facts.requestId, route: route.name, reason: 'targetFailed', status: result.status, ...details() })
+  }
+}
+
+/** Runs one try: from the send to the end of the engine's stream. */
+async function attemptStream (call: Call, place: Place, size: RequestSize, progress: Progress, parts: GatewayParts): Promise<StreamResult> {
+  const { request, body, facts, account, signal } = call
+  const { format, runtime } = parts
+  const leftMs = Math.floor(call.endMs - runtime.monotonicMs())
+  if (leftMs <= 0) return { kind: 'notRun', cause: 'no time left', faultyAddress: undefined, isArrival: false }
+  const { lastEventId } = progress
+  const exchange = openExchange(place.target.address, {
+    method: request.method ?? 'POST',
+    path: request.url ?? '/',
+    headers: format.buildHeaders(request, body, { requestId: facts.requestId, account, leftMs, targetId: place.target.id, path: place.path, lastEventId }),
+    body,
+    runtime
+  })
+  const stop = (): void => exchange.close('call ended')
+  signal.addEventListener('abort', stop, { once: true })
+  using stream = place.path === undefined ? undefined : registerStream(call, place, size, exchange, parts)
+  try {
+    const result = await exchange.result
+    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, isArrival: false }
+    if (result.kind === 'lost') return { kind: 'brokenOff', cause: result.cause }
+    return await takeAnswer(result.answer, call, progress, stream?.active, parts)
+  } finally {
+    signal.removeEventListener('abort', stop)
+    exchange.close('exchange ended')
+  }
+}
+
+interface RegisteredStream extends Disposable {
+  active: ActiveStream
+}
+
+function registerStream (call: Call, place: Place, size: RequestSize, exchange: Exchange, parts: GatewayParts): RegisteredStream {
+  const { occupancy, streams, runtime } = parts
+  let moved: Disposable | undefined
+  const active: ActiveStream = {
+    requestId: call.facts.requestId,
+    service: call.service,
+    size,
+    path: place.path!,
+    progressedMs: runtime.monotonicMs(),
+    hasStarted: false,
+    isBeingMoved: false,
+    moveTo (path) {
+      place[Symbol.dispose]()
+      moved?.[Symbol.dispose]()
+      moved = occupancy.claim(path, size)
+      active.path = path
+    },
+    abandon: cause => exchange.close(cause)
+  }
+  streams.add(active)
+  return {
+    active,
+    [Symbol.dispose] () {
+      streams.delete(active)
+      moved?.[Symbol.dispose]()
+    }
+  }
+}
+
+/** Judges the head of an answer and passes its events on. */
+async function takeAnswer (answer: IncomingMessage, call: Call, progress: Progress, stream: ActiveStream | undefined, parts: GatewayParts): Promise<StreamResult> {
+  const said = parts.format.readAnswer(answer.headers)
+  const status = answer.statusCode ?? 0
+  if (status !== 200) {
+    const body = await readAnswerBody(answer)
+    if (said.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: said.faultyAddress, isArrival: true }
+    if (body === undefined || !said.isSigned || said.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: `status ${status}` }
+    return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body }
+  }
+  if (said.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: 'answer to another request' }
+  if (!said.isSigned || answer.headers['content-encoding'] !== undefined) return { kind: 'brokenOff', cause: 'answer without signature' }
+  return await passEvents(answer, call, progress, stream, parts)
+}
+
+function passEvents (answer: IncomingMessage, call: Call, progress: Progress, stream: ActiveStream | undefined, parts: GatewayParts): Promise<StreamResult> {
+  const { response, startedMs } = call
+  const { format, metrics, runtime, suspicions } = parts
+  const split = createEventSplitter()
+  return new Promise(resolve => {
+    const fail = (cause: string): void => {
+      answer.destroy()
+      resolve({ kind: 'brokenOff', cause })
+    }
+    answer.on('data', (chunk: Buffer) => {
+      const nowMs = runtime.monotonicMs()
+      for (const event of split(chunk)) {
+        if (event.id === undefined) return fail('event without id')
+        if (progress.lastEventId !== undefined && event.id !== progress.lastEventId + 1) return fail(`event ${event.id} after ${progress.lastEventId}`)
+        if (!response.headersSent) response.writeHead(200, closing(parts, format.buildAnswerHeaders(answer.rawHeaders)))
+        if (progress.firstEventMs === undefined) {
+          progress.firstEventMs = nowMs
+          metrics.firstEventSeconds.observe((nowMs - startedMs) / 1_000)
+        }
+        progress.lastEventId = event.id
+        if (!response.write(event.bytes)) {
+          answer.pause()
+          response.once('drain', () => answer.resume())
+        }
+      }
+      if (stream === undefined) return
+      stream.progressedMs = nowMs
+      stream.hasStarted = true
+      for (const stage of stream.path) suspicions.note(stage.target.id, 'progressed')
+    })
+    answer.once('end', () => {
+      if (!answer.complete || split.restBytes() > 0 || progress.firstEventMs === undefined) return fail('stream broke off')
+      response.end()
+      resolve({ kind: 'complete' })
+    })
+    answer.once('error', error => fail(error.message))
+    answer.once('close', () => fail('stream broke off'))
+  })
+}
--- /dev/null
+++ b/src/gateway/createGatewayMetrics/index.ts
@@ -0,0 +1,55 @@
+/**
+ * Metrics of a gateway.
+ */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** Upper bounds of the time histograms, in seconds. */
+const TIME_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 20]
+
+/** The metrics that the gateway's modules write to. */
+export interface GatewayMetrics {
+  registry: Registry
+  calls: Counter<'kind' | 'outcome'>
+  attempts: Counter<'result'>
+  firstEventSeconds: Histogram
+  waitSeconds: Histogram
+  storeCalls: Counter<'operation'>
+  orders: Counter<'operation' | 'result'>
+  streams: Gauge
+  waiting: Gauge
+  targets: Gauge<'state'>
+  configurationVersion: Gauge
+  retryBudgetLeft: Gauge
+  isLeaseHolder: Gauge
+  droppedLogLines: Counter
+}
+
+/**
+ * @name createGatewayMetrics
+ * @summary Metrics in a registry of their own.
+ * @returns The metrics.
+ *
+ * @example
+ * const metrics = createGatewayMetrics()
+ * metrics.calls.inc({ kind: 'safe', outcome: 'answered' })
+ */
+export function createGatewayMetrics (): GatewayMetrics {
+  const registry = new Registry()
+  const registers = [registry]
+  return {
+    registry,
+    calls: new Counter({ name: 'coltsfootlead_gateway_calls_total', help: 'Calls by kind of route and outcome', labelNames: ['kind', 'outcome'], registers }),
+    attempts: new Counter({ name: 'coltsfootlead_gateway_attempts_total', help: 'Requests sent to targets by result', labelNames: ['result'], registers }),
+    firstEventSeconds: new Histogram({ name: 'coltsfootlead_gateway_first_event_seconds', help: 'Time from arrival to the first event of a stream', buckets: TIME_BUCKETS_S, registers }),
+    waitSeconds: new Histogram({ name: 'coltsfootlead_gateway_wait_seconds', help: 'Time in the queue', buckets: TIME_BUCKETS_S, registers }),
+    storeCalls: new Counter({ name: 'coltsfootlead_gateway_store_calls_total', help: 'Calls to the object API', labelNames: ['operation'], registers }),
+    orders: new Counter({ name: 'coltsfootlead_gateway_orders_total', help: 'Orders to engines', labelNames: ['operation', 'result'], registers }),
+    streams: new Gauge({ name: 'coltsfootlead_gateway_streams', help: 'Streams in progress', registers }),
+    waiting: new Gauge({ name: 'coltsfootlead_gateway_waiting', help: 'Requests in the queue', registers }),
+    targets: new Gauge({ name: 'coltsfootlead_gateway_targets', help: 'Targets by state', labelNames: ['state'], registers }),
+    configurationVersion: new Gauge({ name: 'coltsfootlead_gateway_configuration_version', help: 'Configuration in force', registers }),
+    retryBudgetLeft: new Gauge({ name: 'coltsfootlead_gateway_retry_budget_left', help: 'Least repeats left of any service', registers }),
+    isLeaseHolder: new Gauge({ name: 'coltsfootlead_gateway_lease_holder', help: '1 on the host that places layers', registers }),
+    droppedLogLines: new Counter({ name: 'coltsfootlead_gateway_log_lines_dropped_total', help: 'Log lines dropped by limit or because the reader was slow', registers })
+  }
+}
--- /dev/null
+++ b/src/gateway/rescueStreams/index.ts
@@ -0,0 +1,99 @@
+/**
+ * Moves streams off engines that are dead or leaving. Answers the load pattern in which one
+ * engine of a path falls silent and every stream through it stalls: a pause on any stream is
+ * followed by connects to the engines of its path, and streams through one that does not answer
+ * get a new path, or go on elsewhere when their first engine is lost.
+ */
+import type { Path, Target } from '../../fleet/types.js'
+import { choosePath } from '../../path/choosePath/index.js'
+import { sleep } from '../../runtime/sleep/index.js'
+import type { ActiveStream, GatewayParts } from '../types.js'
+
+/** Interval of the checks; a fraction of the pause that is still on time. */
+const CHECK_MS = 30
+
+/** Pause of a running stream after which its engines are checked, in milliseconds; steps take up to about 50 ms. */
+const PAUSE_MS = 110
+
+/** The same before the first event, when the prompt is read. */
+const FIRST_PAUSE_MS = 400
+
+/** Shortest time between two checks of one engine, in milliseconds. */
+const PROBE_INTERVAL_MS = 400
+
+/** Streams moved off leaving engines in one check; each move reads its tokens again. */
+const MOVES_PER_CHECK = 4
+
+/** Rescues streams until the signal aborts. */
+export async function rescueStreams (parts: GatewayParts, options: { signal: AbortSignal, onFinding: () => void }): Promise<void> {
+  const { signal, onFinding } = options
+  const { runtime, streams, suspicions, control, fleet, log } = parts
+  const probedMs = new Map<string, number>()
+
+  while (!signal.aborted) {
+    await sleep(CHECK_MS, { runtime, signal })
+    const suspects = listSuspects()
+    for (const target of suspects) probe(target)
+    moveStreams()
+  }
+
+  function listSuspects (): Target[] {
+    const nowMs = runtime.monotonicMs()
+    const targets = new Map<string, Target>()
+    for (const stream of streams) {
+      if (nowMs - stream.progressedMs < (stream.hasStarted ? PAUSE_MS : FIRST_PAUSE_MS)) continue
+      for (const { target } of stream.path) {
+        const isDue = nowMs - (probedMs.get(target.id) ?? -Infinity) >= PROBE_INTERVAL_MS
+        if (isDue && !suspicions.hasProgressed(target.id, PAUSE_MS)) targets.set(target.id, target)
+      }
+    }
+    for (const id of targets.keys()) probedMs.set(id, nowMs)
+    return [...targets.values()]
+  }
+
+  async function probe (target: Target): Promise<void> {
+    if (await control.isReachable(target)) return
+    log.emit('targetSuspected', { target: target.id, address: target.address, cause: 'connect failed after a pause' })
+    suspicions.note(target.id, 'unreachable')
+    onFinding()
+    moveStreams()
+  }
+
+  function moveStreams (): void {
+    let moves = 0
+    for (const stream of streams) {
+      if (stream.isBeingMoved) continue
+      const isDown = stream.path.some(stage => suspicions.isDown(stage.target.id))
+      const isLeaving = !isDown && stream.path.slice(1).some(stage => !fleet.isServing(stage.target))
+      if (isDown) move(stream, 'engine down')
+      else if (isLeaving && stream.hasStarted && moves++ < MOVES_PER_CHECK) move(stream, 'engine leaving')
+    }
+  }
+
+  async function move (stream: ActiveStream, cause: string): Promise<void> {
+    const first = stream.path[0]!
+    if (suspicions.isDown(first.target.id)) return stream.abandon('first engine down')
+    const path = choosePathFrom(stream)
+    if (path === undefined) return
+    stream.isBeingMoved = true
+    const before = stream.path
+    stream.moveTo(path)
+    const result = await control.repath(first.target, stream.requestId, path)
+    log.emit('pathReplaced', { request: stream.requestId, cause, result: result.kind, path: path.map(stage => `${stage.target.id} ${stage.from}-${stage.to}`) })
+    parts.metrics.orders.inc({ operation: 'repath', result: result.kind })
+    if (result.kind === 'done' || result.kind === 'begun') stream.progressedMs = runtime.monotonicMs()
+    else if (cause === 'engine leaving') stream.moveTo(before)
+    else stream.abandon(`path could not be replaced: ${result.kind}`)
+    stream.isBeingMoved = false
+  }
+
+  /** A path with the same first stage, over engines with room, or else over any. */
+  function choosePathFrom (stream: ActiveStream): Path | undefined {
+    const { service, size, path } = stream
+    const first = path[0]!
+    const others = fleet.serving(service.name).filter(target => target.id !== first.target.id)
+    const fixed: Target = { ...first.target, layers: { from: first.from, to: first.to } }
+    const options = { model: service.model!, loadOf: parts.occupancy.loadOf, slownessOf: suspicions.slownessOf, first: fixed }
+    return (choosePath(others, size, options) ?? choosePath(others, size, { ...options, isOvercommitted: true }))?.path
+  }
+}
--- /dev/null
+++ b/src/gateway/startGateway/index.ts
@@ -0,0 +1,282 @@
+/**
+ * Wiring of a gateway: one process a host that serves callers, follows the store, exchanges
+ * digests with its peers and, while it holds the control lease, places layers.
+ */
+import { createLeaseClaim } from '../../control/holdLease/index.js'
+import { createDigestExchange } from '../../digest/createDigestExchange/index.js'
+import type { Digest, DigestSocket } from '../../digest/types.js'
+import type { EventLog } from '../../event/types.js'
+import { createFleetState } from '../../fleet/createFleetState/index.js'
+import { followFleet, type FleetFormat } from '../../fleet/followFleet/index.js'
+import { createOpenCalls } from '../../http/createOpenCalls/index.js'
+import { listen } from '../../http/listen/index.js'
+import type { ObjectStore } from '../../objectApi/types.js'
+import { createOccupancy } from '../../path/createOccupancy/index.js'
+import { runPlacement } from '../../placement/runPlacement/index.js'
+import type { EngineControl } from '../../placement/types.js'
+import { createRetryBudget } from '../../retry/createRetryBudget/index.js'
+import { createResourceStack } from '../../runtime/createResourceStack/index.js'
+import { sleep } from '../../runtime/sleep/index.js'
+import { withDeadline } from '../../runtime/withDeadline/index.js'
+import type { Runtime } from '../../runtime/types.js'
+import { createSuspicions } from '../../suspicion/createSuspicions/index.js'
+import { createDispatcher, type Dispatcher } from '../../waiting/createDispatcher/index.js'
+import { createCallHandler } from '../createCallHandler/index.js'
+import type { GatewayMetrics } from '../createGatewayMetrics/index.js'
+import { rescueStreams } from '../rescueStreams/index.js'
+import { findPeers, registerHost } from '../_lib/findPeers.js'
+import { createInternalHandler, readPeerState } from '../_lib/internalPort.js'
+import type { CallFormat, GatewayParts, Place } from '../types.js'
+
+/** What a gateway is told at its start. */
+export interface GatewaySettings {
+  host: string
+  ip: string
+  failureDomain: string
+  callerAddress: { address: string, port: number }
+  readinessAddress: { address: string, port: number }
+  /** Where peers read this host's state. */
+  internalAddress: { address: string, port: number }
+  metricsAddress: { address: string, port: number }
+  /** Addresses of hosts to ask first. */
+  seedIps: string[]
+  retryRatio: number
+  retryExtra: number
+  retryWindowMs: number
+  /** Time from the request to stop until the process is killed. */
+  graceMs: number
+}
+
+/** Edges of a gateway. */
+export interface GatewayPorts {
+  store: ObjectStore
+  control: EngineControl
+  socket: DigestSocket
+  format: CallFormat
+  fleetFormat: FleetFormat
+  runtime: Runtime
+  log: EventLog
+  metrics: GatewayMetrics
+}
+
+/** A running gateway. */
+export interface Gateway extends AsyncDisposable {
+  /** Leaves the balancer's rotation, serves what is under way and resolves when it may stop. */
+  drain: () => Promise<void>
+}
+
+/** Duration of the lease and interval of its renewal, in milliseconds; a successor acts within two to three seconds. */
+const LEASE_MS = 1_500
+const LEASE_STEP_MS = 500
+
+/** Silence of the holder's digests after which other hosts look at the lease. */
+const HOLDER_SILENT_MS = 500
+
+/** Time for which a connection may stay idle: longer than callers keep theirs. */
+const IDLE_TIMEOUT_MS = 20_000
+
+/** Longest time for a request's header to arrive. */
+const REQUEST_DEADLINE_MS = 10_000
+
+/** Limit of a request's header lines; the configuration's own limit is lower. */
+const HEADER_SIZE_BYTES = 65_536
+
+/** Time after the request to stop in which the balancer may still send new connections. */
+const ROTATION_MS = 2_800
+
+/** Part of the grace that is left for the end of the process. */
+const EXIT_RESERVE_MS = 400
+
+/** How long the budget counts hosts that were heard, in milliseconds; one window of the budget. */
+const HOST_MEMORY_MS = 10_000
+
+/** Interval at which waiting requests are looked at when nothing else happens. */
+const POKE_MS = 50
+
+/**
+ * @name startGateway
+ * @summary Starts a gateway.
+ * @param settings - Identity, addresses and bounds.
+ * @param ports - Edges; those with resources are disposed of with the gateway.
+ * @returns The gateway once it listens.
+ *
+ * @example
+ * await using gateway = await startGateway(settings, ports)
+ */
+export async function startGateway (settings: GatewaySettings, ports: GatewayPorts): Promise<Gateway> {
+  const { store, control, socket, format, runtime, log, metrics } = ports
+  const resources = createResourceStack()
+  const controller = new AbortController()
+  const { signal } = controller
+  const fleet = createFleetState({ runtime })
+  const occupancy = createOccupancy()
+  const suspicions = createSuspicions({ runtime })
+  const calls = createOpenCalls({ runtime })
+  const dispatchers = new Map<string, Dispatcher<Place>>()
+  const startedMs = runtime.nowMs()
+  let drainingSinceMs: number | undefined
+  resources.use(store)
+  resources.use(socket)
+
+  const claim = createLeaseClaim({ holder: settings.host, durationMs: LEASE_MS, store, runtime })
+  let lastFencing = 0
+  const pokeAll = (): void => { for (const dispatcher of dispatchers.values()) dispatcher.poke() }
+
+  const exchange = createDigestExchange({
+    socket,
+    ownIp: settings.ip,
+    runtime,
+    log,
+    signal,
+    buildDigest,
+    onDigest: takeDigest,
+    onPeerLost: host => occupancy.removePeer(host),
+    fetchState: address => readPeerState(address, { fleet, runtime, log })
+  })
+  settings.seedIps.forEach(exchange.addAddress)
+
+  const isStoreUpForPeers = (): boolean => exchange.peers().some(peer => peer.digest.isStoreConnected)
+  const follower = followFleet(fleet, { store, format: ports.fleetFormat, log, runtime, signal, isStoreUpForPeers })
+  const budget = createRetryBudget({
+    ratio: settings.retryRatio,
+    extraRepeats: settings.retryExtra,
+    windowMs: settings.retryWindowMs,
+    runtime,
+    hostCount: () => exchange.countHosts(HOST_MEMORY_MS)
+  })
+  const parts: GatewayParts = {
+    fleet,
+    occupancy,
+    suspicions,
+    budget,
+    streams: new Set(),
+    control,
+    format,
+    runtime,
+    log,
+    metrics,
+    dispatcherOf,
+    isDraining: () => drainingSinceMs !== undefined,
+    targetsAgeMs: follower.targetsAgeMs
+  }
+  fleet.onChange(() => {
+    suspicions.retain(new Set(fleet.targets().map(target => target.id)))
+    pokeAll()
+  })
+
+  const handler = createCallHandler(parts, { ownDomain: settings.failureDomain, takesStreams: () => !isRotationOver() })
+  const callers = resources.use(await listen(async (request, response) => {
+    const task = handler(request, response)
+    calls.track({ request: '', response, isAdmitted: false }, task)
+    await task.finally(pokeAll)
+  }, {
+    ...settings.callerAddress,
+    headerSizeBytes: HEADER_SIZE_BYTES,
+    requestDeadlineMs: REQUEST_DEADLINE_MS,
+    idleTimeoutMs: IDLE_TIMEOUT_MS,
+    isContinueByHandler: false
+  }))
+  resources.use(await listen(async (_request, response) => {
+    response.writeHead(isReady() ? 200 : 503, { 'content-length': '0' })
+    response.end()
+  }, settings.readinessAddress))
+  const internal = createInternalHandler({ fleet, metrics })
+  resources.use(await listen(internal, settings.internalAddress))
+  resources.use(await listen(internal, settings.metricsAddress))
+  log.emit('processStarted', { address: callers.address, failureDomain: settings.failureDomain })
+
+  registerHost(settings, { store, runtime, signal })
+  findPeers(exchange, { store, runtime, signal })
+  rescueStreams(parts, { signal, onFinding: exchange.flush })
+  runPlacement({ fleet, suspicions, control, runtime, log, metrics, signal, fencing: mayOrder, onLoaded: exchange.flush })
+  keepLease()
+  pokeNow()
+
+  function dispatcherOf (service: string): Dispatcher<Place> {
+    const known = dispatchers.get(service)
+    if (known !== undefined) return known
+    const dispatcher = createDispatcher<Place>({ runtime })
+    dispatchers.set(service, dispatcher)
+    return dispatcher
+  }
+
+  function buildDigest (): Omit<Digest, 'sequence' | 'peers'> {
+    return {
+      host: settings.host,
+      startedMs,
+      statePort: settings.internalAddress.port,
+      configurationVersion: fleet.configuration()?.version ?? -1,
+      targetsRevision: fleet.revision(),
+      isStoreConnected: follower.isConnected(),
+      leaseFencing: mayOrder() ?? 0,
+      load: occupancy.own(),
+      suspicions: suspicions.share(),
+      seenLayers: fleet.seenLayers()
+    }
+  }
+
+  function takeDigest (digest: Digest): void {
+    occupancy.setPeer(digest.host, digest.load)
+    digest.suspicions.forEach(suspicions.learn)
+    for (const seen of digest.seenLayers) if (!isKnown(seen)) fleet.noteLayers(seen)
+    pokeAll()
+  }
+
+  function isKnown (seen: Digest['seenLayers'][number]): boolean {
+    const target = fleet.targets().find(candidate => candidate.id === seen.targetId)
+    return target?.layers?.from === seen.layers?.from && target?.layers?.to === seen.layers?.to
+  }
+
+  /** Without the store nobody can take the lease, so its last holder goes on. */
+  function mayOrder (): number | undefined {
+    const held = claim.held()
+    if (held !== undefined) return held.fencing
+    const isOutage = lastFencing > 0 && !follower.isConnected() && !isStoreUpForPeers()
+    return isOutage ? lastFencing : undefined
+  }
+
+  const isReady = (): boolean => drainingSinceMs === undefined && fleet.configuration() !== undefined && fleet.revision() >= 0
+
+  const isRotationOver = (): boolean => drainingSinceMs !== undefined && runtime.monotonicMs() - drainingSinceMs > ROTATION_MS
+
+  async function keepLease (): Promise<void> {
+    while (!signal.aborted) {
+      const isHolder = claim.held() !== undefined
+      const holder = exchange.peers().find(peer => peer.digest.leaseFencing > 0 && runtime.monotonicMs() - peer.heardMs < HOLDER_SILENT_MS)
+      if (isHolder || (holder === undefined && drainingSinceMs === undefined)) await claim.step({ fencingAbove: 0 })
+      const held = claim.held()
+      if (held !== undefined && !isHolder) log.emit('leaseAcquired', { fencing: held.fencing })
+      if (held === undefined && isHolder) log.emit('leaseLost', { fencing: lastFencing })
+      lastFencing = held?.fencing ?? lastFencing
+      metrics.isLeaseHolder.set(held === undefined ? 0 : 1)
+      await sleep(LEASE_STEP_MS, { runtime, signal })
+    }
+  }
+
+  async function pokeNow (): Promise<void> {
+    while (!signal.aborted) {
+      await sleep(POKE_MS, { runtime, signal })
+      pokeAll()
+      metrics.streams.set(parts.streams.size)
+      metrics.waiting.set([...dispatchers.values()].reduce((sum, dispatcher) => sum + dispatcher.queueLength(), 0))
+      metrics.configurationVersion.set(fleet.configuration()?.version ?? -1)
+    }
+  }
+
+  return {
+    async drain () {
+      drainingSinceMs = runtime.monotonicMs()
+      log.emit('processDraining', { openCalls: calls.size() })
+      await sleep(ROTATION_MS, { runtime })
+      callers.stopAccepting()
+      using limit = withDeadline(settings.graceMs - ROTATION_MS - EXIT_RESERVE_MS, { runtime })
+      await calls.whenIdle(limit.signal)
+      if (calls.size() > 0) log.emit('drainCut', { openCalls: calls.size() })
+      log.emit('processStopped')
+    },
+    async [Symbol.asyncDispose] () {
+      controller.abort()
+      await resources[Symbol.asyncDispose]()
+    }
+  }
+}
--- a/src/http/listen/index.ts
+++ b/src/http/listen/index.ts
@@ -40,6 +40,8 @@
   headerSizeBytes?: number
   /** Longest time in which the header, and then the whole request, must arrive. */
   requestDeadlineMs?: number
+  /** How long a connection may stay open between requests; Node's default unless given. */
+  idleTimeoutMs?: number
   /** Refusal of what could not be read as a request; such connections are closed without one unless given. */
   refuseMalformed?: (reason: MalformedReason) => Refusal
   /** Leaves it to the handler to answer `Expect: 100-continue`; done before the handler runs unless set. */
@@ -60,7 +62,7 @@
   handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
   options: ListenOptions
 ): Promise<ListeningServer> {
-  const { address, port, headerSizeBytes, requestDeadlineMs, refuseMalformed, isContinueByHandler = false } = options
+  const { address, port, headerSizeBytes, requestDeadlineMs, idleTimeoutMs, refuseMalformed, isContinueByHandler = false } = options
   const server = http.createServer({
     ...(headerSizeBytes === undefined ? {} : { maxHeaderSize: headerSizeBytes }),
     ...(requestDeadlineMs === undefined
@@ -68,6 +70,7 @@
       : {
           headersTimeout: requestDeadlineMs, requestTimeout: 2 * requestDeadlineMs, connectionsCheckingInterval: DEADLINE_CHECK_MS
         }),
+    ...(idleTimeoutMs === undefined ? {} : { keepAliveTimeout: idleTimeoutMs }),
     noDelay: true
   })
   const serve = (request: http.IncomingMessage, response: http.ServerResponse): void => {
--- a/src/objectApi/types.ts
+++ b/src/objectApi/types.ts
@@ -36,7 +36,8 @@
 
 /** Result of one wait on a watch. */
 export type WatchResult =
-  | { kind: 'changes', revision: number, objects: StoredObject[] }
+  /** `removedKeys` is absent from stores whose watches do not tell of removals. */
+  | { kind: 'changes', revision: number, objects: StoredObject[], removedKeys?: string[] }
   /** The store no longer knows the revision, as after a restore: list again. */
   | { kind: 'reset' }
   /** No answer although the wait and its grace have passed; the connection is closed. */
--- /dev/null
+++ b/src/path/createOccupancy/index.ts
@@ -0,0 +1,75 @@
+/**
+ * Work in progress on each engine: that of this host, counted, and that of its peers, as they
+ * last reported it.
+ */
+import type { Path } from '../../fleet/types.js'
+import type { EngineLoad, RequestSize } from '../choosePath/index.js'
+
+/** Load by target identity. */
+export type LoadByTarget = Record<string, EngineLoad>
+
+/** Work on all engines. */
+export interface Occupancy {
+  /** Counts a request on every engine of a path until the returned claim is disposed of. */
+  claim: (path: Path, size: RequestSize) => Disposable
+  /** Load of all hosts together. */
+  loadOf: (targetId: string) => EngineLoad
+  /** Load of this host's own requests. */
+  own: () => LoadByTarget
+  /** Replaces what a peer reported. */
+  setPeer: (host: string, load: LoadByTarget) => void
+  /** Forgets a peer that is gone. */
+  removePeer: (host: string) => void
+}
+
+/**
+ * @name createOccupancy
+ * @summary Occupancy of a host without requests.
+ * @returns The occupancy.
+ *
+ * @example
+ * using claim = occupancy.claim(path, { promptTokens: 800, outputTokens: 170 })
+ */
+export function createOccupancy (): Occupancy {
+  const own = new Map<string, EngineLoad>()
+  const peers = new Map<string, LoadByTarget>()
+
+  function add (path: Path, size: RequestSize, sign: 1 | -1): void {
+    path.forEach((stage, index) => {
+      const load = own.get(stage.target.id) ?? { tokenLayers: 0, sequences: 0, firstSequences: 0 }
+      load.tokenLayers += sign * (size.promptTokens + size.outputTokens) * (stage.to - stage.from)
+      load.sequences += sign
+      if (index === 0) load.firstSequences += sign
+      if (load.sequences > 0) own.set(stage.target.id, load)
+      else own.delete(stage.target.id)
+    })
+  }
+
+  return {
+    claim (path, size) {
+      add(path, size, 1)
+      let isReleased = false
+      return {
+        [Symbol.dispose] () {
+          if (isReleased) return
+          isReleased = true
+          add(path, size, -1)
+        }
+      }
+    },
+    loadOf (targetId) {
+      const sum = { ...(own.get(targetId) ?? { tokenLayers: 0, sequences: 0, firstSequences: 0 }) }
+      for (const load of peers.values()) {
+        const part = load[targetId]
+        if (part === undefined) continue
+        sum.tokenLayers += part.tokenLayers
+        sum.sequences += part.sequences
+        sum.firstSequences += part.firstSequences
+      }
+      return sum
+    },
+    own: () => Object.fromEntries(own),
+    setPeer: (host, load) => { peers.set(host, load) },
+    removePeer: host => { peers.delete(host) }
+  }
+}
