Cover the model once by the fastest engines, with the domains' covers as stand-by

Cause: on a pipeline of slow engines a stream lasts 2 to 4 s, so each fault meets about 100 of them, and moving them all over the link between domains takes over a second. Change: an express cover, crossing at most one link; the use of links is part of a path's cost; streams leave engines that are going only where that adds no crossing; pauses are judged by the stream's own mean. An answer without a length gets none at the caller's side. Ruled out: moving streams off leaving engines at once (pauses of 400 to 1,900 ms).

--- a/src/gateway/_lib/answerCaller.ts
+++ b/src/gateway/_lib/answerCaller.ts
@@ -7,11 +7,31 @@
 /** Facts that an own answer is logged with. */
 export type AnswerDetails = Record<string, unknown>
 
-/** Sends a target's whole answer. */
-export function sendAnswer (call: Call, parts: GatewayParts, answer: { status: number, rawHeaders: readonly string[], body: Buffer }): void {
+/** A target's answer, read to its end. */
+export interface WholeAnswer {
+  status: number
+  rawHeaders: readonly string[]
+  body: Buffer
+  /** Whether a length or chunks show its end; without them only the end of its connection does. */
+  isFramed: boolean
+}
+
+/**
+ * Sends a target's answer. One whose end was shown by its connection alone may be short, so it
+ * gets no length here either and ends with the caller's connection.
+ */
+export function sendAnswer (call: Call, parts: GatewayParts, answer: WholeAnswer): void {
   const { response } = call
   if (response.headersSent || response.destroyed) return
-  const headers = [...parts.format.buildAnswerHeaders(answer.rawHeaders), 'Content-Length', String(answer.body.length)]
+  const headers = parts.format.buildAnswerHeaders(answer.rawHeaders)
+  if (!answer.isFramed) {
+    response.useChunkedEncodingByDefault = false
+    response.shouldKeepAlive = false
+    response.writeHead(answer.status, headers)
+    response.end(answer.body)
+    return
+  }
+  headers.push('Content-Length', String(answer.body.length))
   response.writeHead(answer.status, closing(parts, headers))
   response.end(answer.body)
 }
--- a/src/gateway/_lib/openExchange.ts
+++ b/src/gateway/_lib/openExchange.ts
@@ -21,6 +21,8 @@
 /** An exchange under way. */
 export interface Exchange {
   result: Promise<ExchangeResult>
+  /** Whether the connection failed, now or before; an answer that ends with its connection is then not whole. */
+  hasFailed: () => boolean
   /** Closes the connection; the target stops its work. */
   close: (cause: string) => void
 }
@@ -41,6 +43,7 @@
   const [ip, port] = address.split(':')
   const request = http.request({ host: ip, port: Number(port), method, path, headers, agent: false })
   let isConnected = false
+  let hasFailed = false
   const result = new Promise<ExchangeResult>(resolve => {
     const timer = runtime.setTimer(CONNECT_TIMEOUT_MS, () => request.destroy(new Error('connect timed out')))
     request.once('socket', socket => socket.once('connect', () => {
@@ -49,7 +52,9 @@
       timer[Symbol.dispose]()
     }))
     request.once('response', answer => resolve({ kind: 'answered', answer }))
+    // The parser ends an answer without a length after this event, as if it were whole.
     request.on('error', error => {
+      hasFailed = true
       timer[Symbol.dispose]()
       resolve({ kind: isConnected ? 'lost' : 'notSent', cause: error.message })
     })
@@ -59,5 +64,5 @@
     })
   })
   request.end(body)
-  return { result, close: cause => { request.destroy(new Error(cause)) } }
+  return { result, hasFailed: () => hasFailed, close: cause => { request.destroy(new Error(cause)) } }
 }
--- a/src/gateway/_lib/readAnswerBody.ts
+++ b/src/gateway/_lib/readAnswerBody.ts
@@ -3,12 +3,17 @@
  */
 import type { IncomingMessage } from 'node:http'
 
-/** Resolves with the body, or with `undefined` when it broke off. */
-export function readAnswerBody (answer: IncomingMessage): Promise<Buffer | undefined> {
+/** Whether the head of an answer says how its body ends. */
+export function isFramed (answer: IncomingMessage): boolean {
+  return answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined
+}
+
+/** Resolves with the body, or with `undefined` when it broke off or its connection failed. */
+export function readAnswerBody (answer: IncomingMessage, hasFailed: () => boolean): Promise<Buffer | undefined> {
   return new Promise(resolve => {
     const chunks: Buffer[] = []
     answer.on('data', (chunk: Buffer) => { chunks.push(chunk) })
-    answer.once('end', () => resolve(answer.complete ? Buffer.concat(chunks) : undefined))
+    answer.once('end', () => resolve(answer.complete && !hasFailed() ? Buffer.concat(chunks) : undefined))
     answer.once('error', () => resolve(undefined))
     answer.once('close', () => resolve(undefined))
   })
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -3,8 +3,8 @@
  * attempts and the budget; an unsafe one only where the first provably did not run it.
  */
 import { openExchange } from './openExchange.js'
-import { readAnswerBody } from './readAnswerBody.js'
-import { endWithReason, sendAnswer } from './answerCaller.js'
+import { isFramed, readAnswerBody } from './readAnswerBody.js'
+import { endWithReason, sendAnswer, type WholeAnswer } from './answerCaller.js'
 import { takeTarget } from './choosePlace.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
 import type { Call, GatewayParts, Place } from '../types.js'
@@ -19,7 +19,7 @@
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
 
 type AttemptResult =
-  | { kind: 'whole', status: number, rawHeaders: string[], body: Buffer }
+  | { kind: 'whole' } & WholeAnswer
   | { kind: 'notRun', cause: string, isArrival: boolean }
   | { kind: 'mayHaveRun', cause: string }
 
@@ -109,7 +109,7 @@
     if (result.kind === 'lost') return { kind: 'mayHaveRun', cause: result.cause }
     const { answer } = result
     const said = format.readAnswer(answer.headers)
-    const answerBody = await readAnswerBody(answer)
+    const answerBody = await readAnswerBody(answer, exchange.hasFailed)
     exchange.close('answer read')
     const status = answer.statusCode ?? 0
     if (said.isNotRun) return { kind: 'notRun', cause: `status ${status}`, isArrival: true }
@@ -117,7 +117,7 @@
     if (said.requestId !== undefined && said.requestId !== facts.requestId) return { kind: 'mayHaveRun', cause: 'answer to another request' }
     if (answer.headers['content-encoding'] !== undefined || !said.isSigned) return { kind: 'mayHaveRun', cause: 'answer without signature' }
     if (NOT_RUN_STATUSES.has(status)) return { kind: 'mayHaveRun', cause: `status ${status} without proof` }
-    return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody }
+    return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody, isFramed: isFramed(answer) }
   } finally {
     signal.removeEventListener('abort', stop)
   }
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -4,11 +4,11 @@
  */
 import type { IncomingMessage } from 'node:http'
 import type { RequestSize } from '../../path/choosePath/index.js'
-import { endWithReason, closing, type AnswerDetails } from './answerCaller.js'
+import { endWithReason, closing, sendAnswer, type WholeAnswer, type AnswerDetails } from './answerCaller.js'
 import { hasPath, takePath, takeTarget } from './choosePlace.js'
 import { createEventSplitter } from './createEventSplitter.js'
 import { openExchange, type Exchange } from './openExchange.js'
-import { readAnswerBody } from './readAnswerBody.js'
+import { isFramed, readAnswerBody } from './readAnswerBody.js'
 import { DeadlineError } from '../../runtime/withDeadline/index.js'
 import type { ActiveStream, Call, GatewayParts, Place } from '../types.js'
 
@@ -24,13 +24,16 @@
 /** Weight of the caller's estimate against the usual output; the estimate is often far off. */
 const HINT_WEIGHT = 0.5
 
+/** Weight of one pause in the mean of a stream's pauses. */
+const PAUSE_WEIGHT = 0.2
+
 /** Wait that callers are told when no place was found, in milliseconds. */
 const RETRY_AFTER_MS = 1_000
 
 type StreamResult =
   | { kind: 'complete' }
   /** The engine's own failure, to be passed on. */
-  | { kind: 'refusedByTarget', status: number, rawHeaders: string[], body: Buffer }
+  | { kind: 'refusedByTarget' } & WholeAnswer
   | { kind: 'notRun', cause: string, faultyAddress: string | undefined, isArrival: boolean }
   | { kind: 'brokenOff', cause: string }
 
@@ -42,6 +45,10 @@
   waitedMs: number
   attempts: string[]
   firstEventMs: number | undefined
+  lastEventMs: number | undefined
+  /** Longest pause between two events, and when it ended. */
+  longestPauseMs: number
+  longestPauseEndMs: number
 }
 
 /** Expected size of a request, from what the caller says and what is usual. */
@@ -58,7 +65,7 @@
   const { budget, fleet, log, metrics, runtime } = parts
   const size = estimateSize(call)
   const excluded = new Set<string>()
-  const progress: Progress = { lastEventId: facts.lastEventId, tries: 0, arrivals: 0, waitedMs: 0, attempts: [], firstEventMs: undefined }
+  const progress: Progress = { lastEventId: facts.lastEventId, tries: 0, arrivals: 0, waitedMs: 0, attempts: [], firstEventMs: undefined, lastEventMs: undefined, longestPauseMs: 0, longestPauseEndMs: 0 }
   const details = (): AnswerDetails => ({ attempts: progress.attempts, waitedMs: Math.round(progress.waitedMs), queueLength: parts.dispatcherOf(service.name).queueLength() })
 
   while (!signal.aborted) {
@@ -72,7 +79,7 @@
     const result = await attemptStream(call, place, size, progress, parts)
     metrics.attempts.inc({ result: result.kind })
     const { target } = place
-    progress.attempts.push(`${target.id} ${'cause' in result ? result.cause : result.kind}`)
+    progress.attempts.push(`${describePath(place)} ${'cause' in result ? result.cause : result.kind}`)
     if (result.kind === 'complete') return finish()
     if (signal.aborted) break
     if (result.kind === 'refusedByTarget') {
@@ -134,6 +141,8 @@
       status: 200,
       tookMs: Math.round(runtime.monotonicMs() - call.startedMs),
       firstEventMs: Math.round((progress.firstEventMs ?? call.startedMs) - call.startedMs),
+      longestPauseMs: Math.round(progress.longestPauseMs),
+      pauseEndedMs: Math.round(progress.longestPauseEndMs - call.startedMs),
       lastEventId: progress.lastEventId,
       version: fleet.configuration()?.version,
       ...details()
@@ -142,14 +151,25 @@
 
   function passOn (result: Extract<StreamResult, { kind: 'refusedByTarget' }>): void {
     if (call.response.headersSent) return endWithReason(call, parts, 'targetFailed', details())
-    const headers = [...parts.format.buildAnswerHeaders(result.rawHeaders), 'Content-Length', String(result.body.length)]
-    call.response.writeHead(result.status, closing(parts, headers))
-    call.response.end(result.body)
+    sendAnswer(call, parts, result)
     metrics.calls.inc({ kind: route.kind, outcome: 'failedByTarget' })
     log.emit('gatewayFailed', { request: facts.requestId, route: route.name, reason: 'targetFailed', status: result.status, ...details() })
   }
 }
 
+/** The stages of a place, for the log. */
+function describePath (place: Place): string {
+  return place.path === undefined ? place.target.id : place.path.map(stage => `${stage.target.id}:${stage.from}-${stage.to}`).join(',')
+}
+
+function notePause (progress: Progress, nowMs: number): void {
+  const pauseMs = nowMs - (progress.lastEventMs ?? nowMs)
+  progress.lastEventMs = nowMs
+  if (pauseMs <= progress.longestPauseMs) return
+  progress.longestPauseMs = pauseMs
+  progress.longestPauseEndMs = nowMs
+}
+
 /** Runs one try: from the send to the end of the engine's stream. */
 async function attemptStream (call: Call, place: Place, size: RequestSize, progress: Progress, parts: GatewayParts): Promise<StreamResult> {
   const { request, body, facts, account, signal } = call
@@ -171,7 +191,7 @@
     const result = await exchange.result
     if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, isArrival: false }
     if (result.kind === 'lost') return { kind: 'brokenOff', cause: result.cause }
-    return await takeAnswer(result.answer, call, progress, stream?.active, parts)
+    return await takeAnswer(result.answer, exchange.hasFailed, call, progress, stream?.active, parts)
   } finally {
     signal.removeEventListener('abort', stop)
     exchange.close('exchange ended')
@@ -192,6 +212,7 @@
     path: place.path!,
     progressedMs: runtime.monotonicMs(),
     hasStarted: false,
+    meanPauseMs: 0,
     isBeingMoved: false,
     moveTo (path) {
       place[Symbol.dispose]()
@@ -212,21 +233,21 @@
 }
 
 /** Judges the head of an answer and passes its events on. */
-async function takeAnswer (answer: IncomingMessage, call: Call, progress: Progress, stream: ActiveStream | undefined, parts: GatewayParts): Promise<StreamResult> {
+async function takeAnswer (answer: IncomingMessage, hasFailed: () => boolean, call: Call, progress: Progress, stream: ActiveStream | undefined, parts: GatewayParts): Promise<StreamResult> {
   const said = parts.format.readAnswer(answer.headers)
   const status = answer.statusCode ?? 0
   if (status !== 200) {
-    const body = await readAnswerBody(answer)
+    const body = await readAnswerBody(answer, hasFailed)
     if (said.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: said.faultyAddress, isArrival: true }
     if (body === undefined || !said.isSigned || said.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: `status ${status}` }
-    return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body }
+    return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: isFramed(answer) }
   }
   if (said.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: 'answer to another request' }
   if (!said.isSigned || answer.headers['content-encoding'] !== undefined) return { kind: 'brokenOff', cause: 'answer without signature' }
-  return await passEvents(answer, call, progress, stream, parts)
+  return await passEvents(answer, hasFailed, call, progress, stream, parts)
 }
 
-function passEvents (answer: IncomingMessage, call: Call, progress: Progress, stream: ActiveStream | undefined, parts: GatewayParts): Promise<StreamResult> {
+function passEvents (answer: IncomingMessage, hasFailed: () => boolean, call: Call, progress: Progress, stream: ActiveStream | undefined, parts: GatewayParts): Promise<StreamResult> {
   const { response, startedMs } = call
   const { format, metrics, runtime, suspicions } = parts
   const split = createEventSplitter()
@@ -246,18 +267,20 @@
           metrics.firstEventSeconds.observe((nowMs - startedMs) / 1_000)
         }
         progress.lastEventId = event.id
+        notePause(progress, nowMs)
         if (!response.write(event.bytes)) {
           answer.pause()
           response.once('drain', () => answer.resume())
         }
       }
       if (stream === undefined) return
+      if (stream.hasStarted) stream.meanPauseMs += PAUSE_WEIGHT * (nowMs - stream.progressedMs - stream.meanPauseMs)
       stream.progressedMs = nowMs
       stream.hasStarted = true
       for (const stage of stream.path) suspicions.note(stage.target.id, 'progressed')
     })
     answer.once('end', () => {
-      if (!answer.complete || split.restBytes() > 0 || progress.firstEventMs === undefined) return fail('stream broke off')
+      if (!answer.complete || hasFailed() || split.restBytes() > 0 || progress.firstEventMs === undefined) return fail('stream broke off')
       response.end()
       resolve({ kind: 'complete' })
     })
--- a/src/gateway/rescueStreams/index.ts
+++ b/src/gateway/rescueStreams/index.ts
@@ -10,10 +10,12 @@
 import type { ActiveStream, GatewayParts } from '../types.js'
 
 /** Interval of the checks; a fraction of the pause that is still on time. */
-const CHECK_MS = 30
+const CHECK_MS = 25
 
-/** Pause of a running stream after which its engines are checked, in milliseconds; steps take up to about 50 ms. */
-const PAUSE_MS = 110
+/** Pause of a running stream after which its engines are checked: a multiple of its mean pause, within bounds in milliseconds. */
+const PAUSE_FACTOR = 4
+const PAUSE_MIN_MS = 40
+const PAUSE_MAX_MS = 110
 
 /** The same before the first event, when the prompt is read. */
 const FIRST_PAUSE_MS = 400
@@ -41,10 +43,11 @@
     const nowMs = runtime.monotonicMs()
     const targets = new Map<string, Target>()
     for (const stream of streams) {
-      if (nowMs - stream.progressedMs < (stream.hasStarted ? PAUSE_MS : FIRST_PAUSE_MS)) continue
+      const limitMs = pauseLimitMs(stream)
+      if (nowMs - stream.progressedMs < limitMs) continue
       for (const { target } of stream.path) {
         const isDue = nowMs - (probedMs.get(target.id) ?? -Infinity) >= PROBE_INTERVAL_MS
-        if (isDue && !suspicions.hasProgressed(target.id, PAUSE_MS)) targets.set(target.id, target)
+        if (isDue && !suspicions.hasProgressed(target.id, limitMs)) targets.set(target.id, target)
       }
     }
     for (const id of targets.keys()) probedMs.set(id, nowMs)
@@ -70,10 +73,10 @@
     }
   }
 
-  async function move (stream: ActiveStream, cause: string): Promise<void> {
+  async function move (stream: ActiveStream, cause: 'engine down' | 'engine leaving'): Promise<void> {
     const first = stream.path[0]!
     if (suspicions.isDown(first.target.id)) return stream.abandon('first engine down')
-    const path = choosePathFrom(stream)
+    const path = choosePathFrom(stream, cause)
     if (path === undefined) return
     stream.isBeingMoved = true
     const before = stream.path
@@ -87,13 +90,27 @@
     stream.isBeingMoved = false
   }
 
-  /** A path with the same first stage, over engines with room, or else over any. */
-  function choosePathFrom (stream: ActiveStream): Path | undefined {
+  /**
+   * A path with the same first stage, over engines with room. A dead engine is replaced by any
+   * path there is; a leaving one, which still serves, by one that adds no crossing of domains.
+   */
+  function choosePathFrom (stream: ActiveStream, cause: 'engine down' | 'engine leaving'): Path | undefined {
     const { service, size, path } = stream
     const first = path[0]!
     const others = fleet.serving(service.name).filter(target => target.id !== first.target.id)
     const fixed: Target = { ...first.target, layers: { from: first.from, to: first.to } }
     const options = { model: service.model!, loadOf: parts.occupancy.loadOf, slownessOf: suspicions.slownessOf, first: fixed }
-    return (choosePath(others, size, options) ?? choosePath(others, size, { ...options, isOvercommitted: true }))?.path
+    const chosen = choosePath(others, size, options)?.path
+    if (cause === 'engine leaving') return chosen !== undefined && countCrossings(chosen) <= countCrossings(path) ? chosen : undefined
+    return chosen ?? choosePath(others, size, { ...options, isOvercommitted: true })?.path
   }
 }
+
+function pauseLimitMs (stream: ActiveStream): number {
+  if (!stream.hasStarted) return FIRST_PAUSE_MS
+  return Math.min(PAUSE_MAX_MS, Math.max(PAUSE_MIN_MS, PAUSE_FACTOR * stream.meanPauseMs))
+}
+
+function countCrossings (path: Path): number {
+  return path.slice(1).filter((stage, index) => stage.target.failureDomain !== path[index]!.target.failureDomain).length
+}
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -109,7 +109,7 @@
   const controller = new AbortController()
   const { signal } = controller
   const fleet = createFleetState({ runtime })
-  const occupancy = createOccupancy()
+  const occupancy = createOccupancy({ runtime })
   const suspicions = createSuspicions({ runtime })
   const calls = createOpenCalls({ runtime })
   const dispatchers = new Map<string, Dispatcher<Place>>()
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -96,6 +96,8 @@
   /** Monotonic time of the last event, or of the start. */
   progressedMs: number
   hasStarted: boolean
+  /** Mean pause between its events, in milliseconds. */
+  meanPauseMs: number
   isBeingMoved: boolean
   /** Counts the stream on another path. */
   moveTo: (path: Path) => void
--- a/src/path/choosePath/index.ts
+++ b/src/path/choosePath/index.ts
@@ -7,7 +7,7 @@
 
 /** What is known of the work on one engine. */
 export interface EngineLoad {
-  /** Cache in use, in tokens times layers. */
+  /** Cache in use, in tokens times layers; on a link, tokens that crossed it lately. */
   tokenLayers: number
   /** Sequences in progress. */
   sequences: number
@@ -46,8 +46,14 @@
 /** Weight of a crossing between failure domains over its own transfer time: the link is shared by all requests. */
 const CROSSING_WEIGHT = 4
 
+/** Time over which the use of a link is averaged, in milliseconds. */
+export const LINK_WINDOW_MS = 500
+
+/** Use of a link up to which requests are sent over it; transfers queue beyond. */
+const LINK_USE_LIMIT = 0.75
+
 /** Delay that a crossing adds to each token, in milliseconds; the configuration's delays between domains are of this order. */
-const CROSSING_TOKEN_MS = 0.5
+const CROSSING_TOKEN_MS = 0.4
 
 /** Fixed cost of a further stage, in milliseconds; keeps paths short among equals. */
 const STAGE_MS = 1
@@ -135,9 +141,10 @@
   for (const previous of arrivals) {
     if (previous !== undefined && includesTarget(previous, stage.target.id)) continue
     const isCrossing = previous !== undefined && previous.stage.target.failureDomain !== stage.target.failureDomain
-    if (isCrossing && options.isCrossing === false) continue
+    const linkMs = isCrossing ? crossingMs(previous.stage.target, stage.target, size, options) : 0
+    if (linkMs === undefined) continue
     const isAway = previous === undefined && options.ownDomain !== undefined && options.ownDomain !== stage.target.failureDomain
-    const costMs = (previous?.costMs ?? 0) + stageMs + (isAway ? CROSSING_TOKEN_MS * size.outputTokens : 0) + (isCrossing ? crossingMs(size, options.model) : 0)
+    const costMs = (previous?.costMs ?? 0) + stageMs + (isAway ? CROSSING_TOKEN_MS * size.outputTokens : 0) + linkMs
     const known = best.get(key)
     if (known === undefined || costMs < known.costMs) best.set(key, { costMs, stage, previous })
   }
@@ -168,9 +175,20 @@
   return (prefillMs + stepMs * size.outputTokens + crowding) * options.slownessOf(target.id) + STAGE_MS
 }
 
-function crossingMs (size: RequestSize, model: EngineModel): number {
-  const transferMs = size.promptTokens * model.activationBytes * MS_PER_BYTE_AT_1_MBPS / model.pipeMbps
-  return CROSSING_WEIGHT * transferMs + CROSSING_TOKEN_MS * size.outputTokens
+/** Key under which the load of the link between two failure domains is kept. */
+export function linkKey (one: string, other: string): string {
+  return `link ${one < other ? `${one} ${other}` : `${other} ${one}`}`
+}
+
+/** Expected time that a crossing adds to the whole request, or `undefined` when its link is full. */
+function crossingMs (from: Target, to: Target, size: RequestSize, options: PathOptions): number | undefined {
+  const { model } = options
+  if (options.isCrossing === false) return undefined
+  const tokenMs = model.activationBytes * MS_PER_BYTE_AT_1_MBPS / model.pipeMbps
+  const crossedTokens = options.loadOf(linkKey(from.failureDomain, to.failureDomain)).tokenLayers + size.promptTokens
+  const use = Math.min(0.95, crossedTokens * tokenMs / LINK_WINDOW_MS)
+  if (use > LINK_USE_LIMIT && options.isOvercommitted !== true) return undefined
+  return CROSSING_WEIGHT * size.promptTokens * tokenMs / (1 - use) + CROSSING_TOKEN_MS * size.outputTokens
 }
 
 function unwind (last: Step): Path {
--- a/src/path/createOccupancy/index.ts
+++ b/src/path/createOccupancy/index.ts
@@ -3,9 +3,10 @@
  * last reported it.
  */
 import type { Path } from '../../fleet/types.js'
-import type { EngineLoad, RequestSize } from '../choosePath/index.js'
+import type { Runtime } from '../../runtime/types.js'
+import { linkKey, LINK_WINDOW_MS, type EngineLoad, type RequestSize } from '../choosePath/index.js'
 
-/** Load by target identity. */
+/** Load by target identity, and by link between failure domains. */
 export type LoadByTarget = Record<string, EngineLoad>
 
 /** Work on all engines. */
@@ -25,12 +26,14 @@
 /**
  * @name createOccupancy
  * @summary Occupancy of a host without requests.
+ * @param options - The runtime.
  * @returns The occupancy.
  *
  * @example
  * using claim = occupancy.claim(path, { promptTokens: 800, outputTokens: 170 })
  */
-export function createOccupancy (): Occupancy {
+export function createOccupancy (options: { runtime: Runtime }): Occupancy {
+  const { runtime } = options
   const own = new Map<string, EngineLoad>()
   const peers = new Map<string, LoadByTarget>()
 
@@ -45,9 +48,29 @@
     })
   }
 
+  /** Counts the prompt on each link that it crosses, for as long as links are averaged over. */
+  function addTransfers (path: Path, { promptTokens }: RequestSize): void {
+    path.slice(1).forEach((stage, index) => {
+      const before = path[index]!.target.failureDomain
+      if (before === stage.target.failureDomain) return
+      const key = linkKey(before, stage.target.failureDomain)
+      changeTransfer(key, promptTokens, 1)
+      runtime.setTimer(LINK_WINDOW_MS, () => changeTransfer(key, promptTokens, -1))
+    })
+  }
+
+  function changeTransfer (key: string, tokens: number, sign: 1 | -1): void {
+    const load = own.get(key) ?? { tokenLayers: 0, sequences: 0, firstSequences: 0 }
+    load.tokenLayers += sign * tokens
+    load.sequences += sign
+    if (load.sequences > 0) own.set(key, load)
+    else own.delete(key)
+  }
+
   return {
     claim (path, size) {
       add(path, size, 1)
+      addTransfers(path, size)
       let isReleased = false
       return {
         [Symbol.dispose] () {
--- a/src/placement/planPlacement/index.ts
+++ b/src/placement/planPlacement/index.ts
@@ -5,23 +5,9 @@
  * take the place of lost ones, and an engine that serves is not moved.
  */
 import type { EngineModel, LayerRange, Target } from '../../fleet/types.js'
-
-/** An engine as the planner sees it. */
-export interface PlacementEngine {
-  target: Target
-  /** Layers that it holds or is loading. */
-  layers: LayerRange | undefined
-  /** Whether requests can be sent to it now or once it has loaded. */
-  isUsable: boolean
-  /** Whether it may be given an order. */
-  isIdle: boolean
-}
-
-/** One load to order. */
-export interface PlannedLoad {
-  target: Target
-  range: LayerRange
-}
+import { countCoverage, fillWithRoom, findHoles, layersThatFit } from '../_lib/coverage.js'
+import { planExpress } from '../planExpress/index.js'
+import type { PlacementEngine, PlannedLoad } from '../types.js'
 
 /** Cache that an engine should have room for, in tokens, from the best to the least that is worth serving with. */
 const ROOM_STEPS_TOKENS = [80_000, 77_000, 74_000, 70_000, 66_000, 62_000, 58_000, 50_000, 40_000, 30_000, 20_000, 12_000]
@@ -32,23 +18,6 @@
 /** Part of a domain's capacity beyond its covers that is kept for repair. */
 const SPARE_SHARE = 0.13
 
-/**
- * @name layersThatFit
- * @summary How many layers an engine can hold beside the cache of a number of tokens.
- * @param target - The engine.
- * @param roomTokens - Tokens whose cache must fit beside the layers.
- * @param model - Its model.
- * @returns Number of layers; 0 for an engine of unknown kind.
- *
- * @example
- * layersThatFit(engine, 80_000, model)
- */
-export function layersThatFit (target: Target, roomTokens: number, model: EngineModel): number {
-  const kind = target.kind === undefined ? undefined : model.kinds[target.kind]
-  if (kind === undefined) return 0
-  return Math.min(model.layerCount, Math.floor(kind.memoryMb / (model.layerMb + roomTokens * model.tokenLayerMb)))
-}
-
 /**
  * @name planPlacement
  * @summary The loads that complete the covers of each failure domain, most urgent first.
@@ -61,9 +30,11 @@
  */
 export function planPlacement (engines: readonly PlacementEngine[], options: { model: EngineModel }): PlannedLoad[] {
   const { model } = options
-  const domains = [...new Set(engines.map(engine => engine.target.failureDomain))].sort()
-  const plans = domains.map(domain => planDomain(engines.filter(engine => engine.target.failureDomain === domain), model))
-  const loads = plans.sort((a, b) => a.urgency - b.urgency).flatMap(plan => plan.loads)
+  const express = planExpress(engines, { model })
+  const others = engines.filter(engine => !express.memberIds.has(engine.target.id))
+  const domains = [...new Set(others.map(engine => engine.target.failureDomain))].sort()
+  const plans = domains.map(domain => planDomain(others.filter(engine => engine.target.failureDomain === domain), model))
+  const loads = [...express.loads, ...plans.sort((a, b) => a.urgency - b.urgency).flatMap(plan => plan.loads)]
   return [...loads, ...coverGaps(engines, loads, model)]
 }
 
@@ -101,25 +72,6 @@
   return spare === undefined || coverage.every(count => count > 0) ? [] : [spare.target]
 }
 
-function countCoverage (ranges: readonly LayerRange[], model: EngineModel): number[] {
-  const coverage = new Array<number>(model.layerCount).fill(0)
-  for (const { from, to } of ranges) {
-    for (let layer = from; layer < Math.min(to, model.layerCount); layer++) coverage[layer]!++
-  }
-  return coverage
-}
-
-function findHoles (coverage: readonly number[], depth: number): LayerRange[] {
-  const holes: LayerRange[] = []
-  coverage.forEach((count, layer) => {
-    if (count >= depth) return
-    const last = holes.at(-1)
-    if (last?.to === layer) last.to = layer + 1
-    else holes.push({ from: layer, to: layer + 1 })
-  })
-  return holes
-}
-
 /** Fills every hole with as few engines as leave comfortable room, or with the most room that is possible. */
 function fillHoles (holes: readonly LayerRange[], idle: readonly Target[], model: EngineModel): PlannedLoad[] | undefined {
   let best: PlannedLoad[] | undefined
@@ -131,35 +83,6 @@
   return best
 }
 
-function fillWithRoom (holes: readonly LayerRange[], idle: readonly Target[], roomTokens: number, model: EngineModel): PlannedLoad[] | undefined {
-  const left = new Set(idle)
-  const loads: PlannedLoad[] = []
-  for (const hole of [...holes].sort((a, b) => (b.to - b.from) - (a.to - a.from))) {
-    let from = hole.from
-    while (from < hole.to) {
-      const target = pickEngine(left, hole.to - from, roomTokens, model)
-      if (target === undefined) return undefined
-      left.delete(target)
-      const to = Math.min(hole.to, from + layersThatFit(target, roomTokens, model))
-      loads.push({ target, range: { from, to } })
-      from = to
-    }
-  }
-  return loads
-}
-
-/** The smallest engine that takes all the layers, or else the one that takes most; the faster among equals. */
-function pickEngine (engines: ReadonlySet<Target>, layerCount: number, roomTokens: number, model: EngineModel): Target | undefined {
-  const fit = (target: Target): number => layersThatFit(target, roomTokens, model)
-  const pace = (target: Target): number => model.kinds[target.kind ?? '']?.pace ?? Infinity
-  const candidates = [...engines].filter(target => fit(target) > 0)
-  const whole = candidates.filter(target => fit(target) >= layerCount)
-  const ranked = whole.length > 0
-    ? whole.sort((a, b) => fit(a) - fit(b) || pace(a) - pace(b))
-    : candidates.sort((a, b) => fit(b) - fit(a) || pace(a) - pace(b))
-  return ranked[0]
-}
-
 /** Layers that no domain covers are loaded by whatever engine is empty, wherever it is. */
 function coverGaps (engines: readonly PlacementEngine[], loads: readonly PlannedLoad[], model: EngineModel): PlannedLoad[] {
   const usable = engines.filter(engine => engine.isUsable)
--- a/src/placement/runPlacement/index.ts
+++ b/src/placement/runPlacement/index.ts
@@ -9,8 +9,8 @@
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import type { Suspicions } from '../../suspicion/createSuspicions/index.js'
-import { planPlacement, type PlacementEngine, type PlannedLoad } from '../planPlacement/index.js'
-import type { EngineControl } from '../types.js'
+import { planPlacement } from '../planPlacement/index.js'
+import type { EngineControl, PlacementEngine, PlannedLoad } from '../types.js'
 
 /** Interval of planning; a small part of the time that a load takes. */
 const PLAN_INTERVAL_MS = 100
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -1,5 +1,5 @@
 /**
- * Port to what engines are told and asked beside requests.
+ * What engines are told and asked beside requests, and what placement is planned from.
  */
 import type { LayerRange, Path, Target } from '../fleet/types.js'
 
@@ -32,3 +32,20 @@
   /** Whether a connection to the target can be opened. */
   isReachable: (target: Target) => Promise<boolean>
 }
+
+/** An engine as the planner sees it. */
+export interface PlacementEngine {
+  target: Target
+  /** Layers that it holds or is loading. */
+  layers: LayerRange | undefined
+  /** Whether requests can be sent to it now or once it has loaded. */
+  isUsable: boolean
+  /** Whether it may be given an order. */
+  isIdle: boolean
+}
+
+/** One load to order. */
+export interface PlannedLoad {
+  target: Target
+  range: LayerRange
+}
