Let usual paths cross one link, and let a first host order while the store is away

Cause: after all processes had died, paths with three and four crossings filled the links between domains, and every stream over them was late. With the store down for all, nobody could repair when the holder of the lease was stopped.

--- a/src/gateway/_lib/choosePlace.ts
+++ b/src/gateway/_lib/choosePlace.ts
@@ -9,6 +9,9 @@
 /** Weight of a request in progress against a failure domain other than the host's, when targets are compared. */
 const OTHER_DOMAIN_LOAD = 0.5
 
+/** Crossings of links that are allowed where no usual path covers the model. */
+const ANY_CROSSINGS = 4
+
 /** Memory that a plain target's request counts for; only their number matters. */
 const PLAIN_SIZE: RequestSize = { promptTokens: 0, outputTokens: 0 }
 
@@ -17,7 +20,9 @@
   const model = service.model!
   const { fleet, occupancy, suspicions } = parts
   const engines = fleet.serving(service.name).filter(target => !excluded.has(target.id))
-  const chosen = choosePath(engines, size, { model, loadOf: occupancy.loadOf, slownessOf: suspicions.slownessOf, ownDomain })
+  const options = { model, loadOf: occupancy.loadOf, slownessOf: suspicions.slownessOf, ownDomain }
+  const isUsual = choosePath(engines, size, { ...options, isOvercommitted: true }) !== undefined
+  const chosen = choosePath(engines, size, isUsual ? options : { ...options, maxCrossings: ANY_CROSSINGS })
   if (chosen === undefined) return undefined
   const claim = occupancy.claim(chosen.path, size)
   return { target: chosen.path[0]!.target, path: chosen.path, [Symbol.dispose]: () => claim[Symbol.dispose]() }
@@ -26,7 +31,7 @@
 /** Whether any path covers the model, with room or without. */
 export function hasPath (service: Service, size: RequestSize, parts: GatewayParts): boolean {
   const { fleet, occupancy, suspicions } = parts
-  const options = { model: service.model!, loadOf: occupancy.loadOf, slownessOf: suspicions.slownessOf, isOvercommitted: true }
+  const options = { model: service.model!, loadOf: occupancy.loadOf, slownessOf: suspicions.slownessOf, isOvercommitted: true, maxCrossings: ANY_CROSSINGS }
   return choosePath(fleet.serving(service.name), size, options) !== undefined
 }
 
--- a/src/gateway/rescueStreams/index.ts
+++ b/src/gateway/rescueStreams/index.ts
@@ -26,6 +26,9 @@
 /** Streams moved off leaving engines in one check; each move reads its tokens again. */
 const MOVES_PER_CHECK = 4
 
+/** Crossings of links that the path of a rescued stream may have when there is no better one. */
+const RESCUE_CROSSINGS = 3
+
 /** Rescues streams until the signal aborts. */
 export async function rescueStreams (parts: GatewayParts, options: { signal: AbortSignal, onFinding: () => void }): Promise<void> {
   const { signal, onFinding } = options
@@ -102,7 +105,7 @@
     const options = { model: service.model!, loadOf: parts.occupancy.loadOf, slownessOf: suspicions.slownessOf, first: fixed }
     const chosen = choosePath(others, size, options)?.path
     if (cause === 'engine leaving') return chosen !== undefined && countCrossings(chosen) <= countCrossings(path) ? chosen : undefined
-    return chosen ?? choosePath(others, size, { ...options, isOvercommitted: true })?.path
+    return chosen ?? choosePath(others, size, { ...options, isOvercommitted: true, maxCrossings: RESCUE_CROSSINGS })?.path
   }
 }
 
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -120,6 +120,8 @@
 
   const claim = createLeaseClaim({ holder: settings.host, durationMs: LEASE_MS, store, runtime })
   let lastFencing = 0
+  /** Whether this host held the lease when it was last known who does. */
+  let isHolderInOutage = false
   const pokeAll = (): void => { for (const dispatcher of dispatchers.values()) dispatcher.poke() }
 
   const exchange = createDigestExchange({
@@ -217,6 +219,7 @@
 
   function takeDigest (digest: Digest): void {
     occupancy.setPeer(digest.host, digest.load)
+    lastFencing = Math.max(lastFencing, digest.leaseFencing)
     digest.suspicions.forEach(suspicions.learn)
     for (const seen of digest.seenLayers) if (!isKnown(seen)) fleet.noteLayers(seen)
     pokeAll()
@@ -227,12 +230,19 @@
     return target?.layers?.from === seen.layers?.from && target?.layers?.to === seen.layers?.to
   }
 
-  /** Without the store nobody can take the lease, so its last holder goes on. */
+  /**
+   * Fencing number while this host may give orders. Without the store nobody can take the lease:
+   * its last holder goes on, or else the first of the hosts that hear each other. Two such hosts
+   * waste effort at worst, since each order names the engine's state that it was planned for.
+   */
   function mayOrder (): number | undefined {
     const held = claim.held()
     if (held !== undefined) return held.fencing
-    const isOutage = lastFencing > 0 && !follower.isConnected() && !isStoreUpForPeers()
-    return isOutage ? lastFencing : undefined
+    if (drainingSinceMs !== undefined || follower.isConnected() || isStoreUpForPeers()) return undefined
+    const peers = exchange.peers()
+    const isLastHolder = isHolderInOutage && !peers.some(peer => peer.digest.leaseFencing > lastFencing)
+    const isFirst = peers.every(peer => peer.digest.leaseFencing === 0 && peer.digest.host > settings.host)
+    return isLastHolder || isFirst ? lastFencing : undefined
   }
 
   const isReady = (): boolean => drainingSinceMs === undefined && fleet.configuration() !== undefined && fleet.revision() >= 0
@@ -248,6 +258,8 @@
       if (held !== undefined && !isHolder) log.emit('leaseAcquired', { fencing: held.fencing })
       if (held === undefined && isHolder) log.emit('leaseLost', { fencing: lastFencing })
       lastFencing = held?.fencing ?? lastFencing
+      if (held !== undefined) isHolderInOutage = true
+      else if (follower.isConnected()) isHolderInOutage = false
       metrics.isLeaseHolder.set(held === undefined ? 0 : 1)
       await sleep(LEASE_STEP_MS, { runtime, signal })
     }
--- a/src/path/choosePath/index.ts
+++ b/src/path/choosePath/index.ts
@@ -7,7 +7,7 @@
 
 /** What is known of the work on one engine. */
 export interface EngineLoad {
-  /** Cache in use, in tokens times layers; on a link, tokens that crossed it lately. */
+  /** Cache in use, in tokens times layers; on a link, tokens that were lately sent across, with those expected in answer. */
   tokenLayers: number
   /** Sequences in progress. */
   sequences: number
@@ -29,8 +29,8 @@
   slownessOf: (targetId: string) => number
   /** Lets engines be used beyond their memory, where requests wait for each other. */
   isOvercommitted?: boolean
-  /** Whether a path may take the narrow link between failure domains; it may by default. */
-  isCrossing?: boolean
+  /** Most changes of the failure domain along the path. */
+  maxCrossings?: number
   /** Failure domain to which the tokens go; any other costs a little. */
   ownDomain?: string
   /** First stage of the path, with all of its layers, as for a request that is under way there. */
@@ -43,6 +43,9 @@
   expectedMs: number
 }
 
+/** Changes of the failure domain along a path unless the caller allows others; further ones fill the links. */
+export const USUAL_CROSSINGS = 1
+
 /** Weight of a crossing between failure domains over its own transfer time: the link is shared by all requests. */
 const CROSSING_WEIGHT = 4
 
@@ -50,7 +53,7 @@
 export const LINK_WINDOW_MS = 500
 
 /** Use of a link up to which requests are sent over it; transfers queue beyond. */
-const LINK_USE_LIMIT = 0.75
+const LINK_USE_LIMIT = 0.7
 
 /** Delay that a crossing adds to each token, in milliseconds; the configuration's delays between domains are of this order. */
 const CROSSING_TOKEN_MS = 0.4
@@ -68,6 +71,7 @@
   costMs: number
   stage: Stage
   previous: Step | undefined
+  crossings: number
 }
 
 /**
@@ -133,20 +137,22 @@
   return [...boundaries].filter(boundary => boundary <= model.layerCount).sort((a, b) => a - b)
 }
 
-/** Keeps the cheapest way to each boundary by each engine, so that an engine is never left and entered again. */
+/** Keeps the cheapest way to each boundary by each engine and number of crossings. */
 function extend (best: Map<string, Step>, arrivals: Array<Step | undefined>, stage: Stage, size: RequestSize, options: PathOptions): void {
   const stageMs = expectStageMs(stage, size, options, arrivals[0] === undefined)
   if (stageMs === undefined) return
-  const key = `${stage.to} ${stage.target.id}`
   for (const previous of arrivals) {
     if (previous !== undefined && includesTarget(previous, stage.target.id)) continue
     const isCrossing = previous !== undefined && previous.stage.target.failureDomain !== stage.target.failureDomain
     const linkMs = isCrossing ? crossingMs(previous.stage.target, stage.target, size, options) : 0
     if (linkMs === undefined) continue
     const isAway = previous === undefined && options.ownDomain !== undefined && options.ownDomain !== stage.target.failureDomain
+    const crossings = (previous?.crossings ?? 0) + (isCrossing ? 1 : 0)
+    if (crossings > (options.maxCrossings ?? USUAL_CROSSINGS)) continue
+    const key = `${stage.to} ${stage.target.id} ${crossings}`
     const costMs = (previous?.costMs ?? 0) + stageMs + (isAway ? CROSSING_TOKEN_MS * size.outputTokens : 0) + linkMs
     const known = best.get(key)
-    if (known === undefined || costMs < known.costMs) best.set(key, { costMs, stage, previous })
+    if (known === undefined || costMs < known.costMs) best.set(key, { costMs, stage, previous, crossings })
   }
 }
 
@@ -183,9 +189,8 @@
 /** Expected time that a crossing adds to the whole request, or `undefined` when its link is full. */
 function crossingMs (from: Target, to: Target, size: RequestSize, options: PathOptions): number | undefined {
   const { model } = options
-  if (options.isCrossing === false) return undefined
   const tokenMs = model.activationBytes * MS_PER_BYTE_AT_1_MBPS / model.pipeMbps
-  const crossedTokens = options.loadOf(linkKey(from.failureDomain, to.failureDomain)).tokenLayers + size.promptTokens
+  const crossedTokens = options.loadOf(linkKey(from.failureDomain, to.failureDomain)).tokenLayers + size.promptTokens + size.outputTokens
   const use = Math.min(0.95, crossedTokens * tokenMs / LINK_WINDOW_MS)
   if (use > LINK_USE_LIMIT && options.isOvercommitted !== true) return undefined
   return CROSSING_WEIGHT * size.promptTokens * tokenMs / (1 - use) + CROSSING_TOKEN_MS * size.outputTokens
--- a/src/path/createOccupancy/index.ts
+++ b/src/path/createOccupancy/index.ts
@@ -48,14 +48,15 @@
     })
   }
 
-  /** Counts the prompt on each link that it crosses, for as long as links are averaged over. */
-  function addTransfers (path: Path, { promptTokens }: RequestSize): void {
+  /** Counts a request's tokens on each link that it crosses, for as long as links are averaged over. */
+  function addTransfers (path: Path, { promptTokens, outputTokens }: RequestSize): void {
+    const tokens = promptTokens + outputTokens
     path.slice(1).forEach((stage, index) => {
       const before = path[index]!.target.failureDomain
       if (before === stage.target.failureDomain) return
       const key = linkKey(before, stage.target.failureDomain)
-      changeTransfer(key, promptTokens, 1)
-      runtime.setTimer(LINK_WINDOW_MS, () => changeTransfer(key, promptTokens, -1))
+      changeTransfer(key, tokens, 1)
+      runtime.setTimer(LINK_WINDOW_MS, () => changeTransfer(key, tokens, -1))
     })
   }
 
