Weigh a link by the wait behind prompts, and move spare engines into a domain's holes

Cause: a token that crosses a busy link waits behind whole prompts, so at 0.7 of the link's use streams on fast engines took 15 ms an event and pauses neared 200 ms; a domain whose empty engines were used up kept its hole although others held layers twice. Change: the path's cost has the expected wait, links are used to 0.5, and an engine all of whose layers have another holder in the domain may be moved where none is empty.

--- a/src/path/choosePath/index.ts
+++ b/src/path/choosePath/index.ts
@@ -47,16 +47,19 @@
 export const USUAL_CROSSINGS = 1
 
 /** Weight of a crossing between failure domains over its own transfer time: the link is shared by all requests. */
-const CROSSING_WEIGHT = 4
+const CROSSING_WEIGHT = 2
 
 /** Time over which the use of a link is averaged, in milliseconds. */
 export const LINK_WINDOW_MS = 500
 
 /** Use of a link up to which requests are sent over it; transfers queue beyond. */
-const LINK_USE_LIMIT = 0.7
+const LINK_USE_LIMIT = 0.5
 
 /** Delay that a crossing adds to each token, in milliseconds; the configuration's delays between domains are of this order. */
-const CROSSING_TOKEN_MS = 0.4
+const CROSSING_TOKEN_MS = 0.5
+
+/** Tokens of a prompt that are sent across as one transfer; a token behind it waits for half of it on average. */
+const TRANSFER_TOKENS = 512
 
 /** Fixed cost of a further stage, in milliseconds; keeps paths short among equals. */
 const STAGE_MS = 1
@@ -193,7 +196,8 @@
   const crossedTokens = options.loadOf(linkKey(from.failureDomain, to.failureDomain)).tokenLayers + size.promptTokens + size.outputTokens
   const use = Math.min(0.95, crossedTokens * tokenMs / LINK_WINDOW_MS)
   if (use > LINK_USE_LIMIT && options.isOvercommitted !== true) return undefined
-  return CROSSING_WEIGHT * size.promptTokens * tokenMs / (1 - use) + CROSSING_TOKEN_MS * size.outputTokens
+  const waitMs = use / (1 - use) * Math.min(TRANSFER_TOKENS, model.usualPromptTokens) * tokenMs / 2
+  return CROSSING_WEIGHT * size.promptTokens * tokenMs / (1 - use) + (CROSSING_TOKEN_MS + waitMs) * size.outputTokens
 }
 
 function unwind (last: Step): Path {
--- a/src/placement/planPlacement/index.ts
+++ b/src/placement/planPlacement/index.ts
@@ -31,45 +31,55 @@
 export function planPlacement (engines: readonly PlacementEngine[], options: { model: EngineModel }): PlannedLoad[] {
   const { model } = options
   const express = planExpress(engines, { model })
-  const others = engines.filter(engine => !express.memberIds.has(engine.target.id))
-  const domains = [...new Set(others.map(engine => engine.target.failureDomain))].sort()
-  const plans = domains.map(domain => planDomain(others.filter(engine => engine.target.failureDomain === domain), model))
+  const domains = [...new Set(engines.map(engine => engine.target.failureDomain))].sort()
+  const plans = domains.map(domain => planDomain(engines.filter(engine => engine.target.failureDomain === domain), express.memberIds, model))
   const loads = [...express.loads, ...plans.sort((a, b) => a.urgency - b.urgency).flatMap(plan => plan.loads)]
   return [...loads, ...coverGaps(engines, loads, model)]
 }
 
 interface DomainPlan {
   loads: PlannedLoad[]
-  /** Layers still missing from the first cover: a domain that is nearly whole goes first. */
+  /** Layers that the domain does not cover at all: one that is nearly whole goes first. */
   urgency: number
 }
 
-function planDomain (engines: readonly PlacementEngine[], model: EngineModel): DomainPlan {
+/**
+ * Completes a domain's covers: first the layers that none of its engines holds, if need be with
+ * an engine whose layers have another holder; then a whole cover beside the express engines;
+ * then further covers, while enough engines stay empty.
+ */
+function planDomain (engines: readonly PlacementEngine[], expressIds: ReadonlySet<string>, model: EngineModel): DomainPlan {
   const usable = engines.filter(engine => engine.isUsable)
-  const coverage = countCoverage(usable.flatMap(engine => engine.layers ?? []), model)
-  const urgency = coverage.filter(count => count === 0).length
-  const capacity = usable.reduce((sum, engine) => sum + layersThatFit(engine.target, ROOM_STEPS_TOKENS[0]!, model), 0)
+  const others = usable.filter(engine => !expressIds.has(engine.target.id))
+  const held = countCoverage(usable.flatMap(engine => engine.layers ?? []), model)
+  const heldByOthers = countCoverage(others.flatMap(engine => engine.layers ?? []), model)
+  const urgency = held.filter(count => count === 0).length
+  const empty = others.filter(engine => engine.isIdle && engine.layers === undefined).map(engine => engine.target)
+  const loads = fillCovers(heldByOthers, empty, others, model)
+  if (loads.length > 0 || urgency === 0) return { loads, urgency }
+  const spare = others.find(engine => isSpare(engine, held))
+  const candidates = spare === undefined ? empty : [...empty, spare.target]
+  return { loads: fillHoles(findHoles(held, 1), candidates, model) ?? [], urgency }
+}
+
+function fillCovers (coverage: number[], empty: readonly Target[], engines: readonly PlacementEngine[], model: EngineModel): PlannedLoad[] {
+  const capacity = engines.reduce((sum, engine) => sum + layersThatFit(engine.target, ROOM_STEPS_TOKENS[0]!, model), 0)
   const covers = Math.max(1, Math.floor(capacity / (model.layerCount * (1 + SPARE_SHARE))))
   const loads: PlannedLoad[] = []
-  let idle = [...listIdle(usable, coverage)]
+  let left = [...empty]
   for (let depth = 1; depth <= covers; depth++) {
-    const holes = findHoles(coverage, depth)
-    const filled = fillHoles(holes, idle, model)
+    const filled = fillHoles(findHoles(coverage, depth), left, model)
     if (filled === undefined) break
     loads.push(...filled)
-    idle = idle.filter(target => !filled.some(load => load.target.id === target.id))
+    left = left.filter(target => !filled.some(load => load.target.id === target.id))
     for (const { range } of filled) for (let layer = range.from; layer < range.to; layer++) coverage[layer]!++
   }
-  return { loads, urgency }
+  return loads
 }
 
-/** Empty engines, and those whose layers all have another holder when none is empty. */
-function listIdle (usable: readonly PlacementEngine[], coverage: readonly number[]): Target[] {
-  const empty = usable.filter(engine => engine.isIdle && engine.layers === undefined)
-  if (empty.length > 0) return empty.map(engine => engine.target)
-  const spare = usable.find(engine => engine.isIdle && engine.layers !== undefined &&
-    coverage.slice(engine.layers.from, engine.layers.to).every(count => count > 1))
-  return spare === undefined || coverage.every(count => count > 0) ? [] : [spare.target]
+/** Whether every layer of an engine has another holder in its domain, so that it can be moved. */
+function isSpare (engine: PlacementEngine, held: readonly number[]): boolean {
+  return engine.isIdle && engine.layers !== undefined && held.slice(engine.layers.from, engine.layers.to).every(count => count > 1)
 }
 
 /** Fills every hole with as few engines as leave comfortable room, or with the most room that is possible. */
