--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -280,7 +280,8 @@
       for (const stage of stream.path) suspicions.note(stage.target.id, 'progressed')
     })
     answer.once('end', () => {
-      if (!answer.complete || hasFailed() || split.restBytes() > 0 || progress.firstEventMs === undefined) return fail('stream broke off')
+      const isWhole = answer.complete && (isFramed(answer) || !hasFailed())
+      if (!isWhole || split.restBytes() > 0 || progress.firstEventMs === undefined) return fail('stream broke off')
       response.end()
       resolve({ kind: 'complete' })
     })
--- /dev/null
+++ b/src/path/choosePath/test.ts
@@ -0,0 +1,67 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { buildEngine, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
+import { choosePath, linkKey, type EngineLoad, type PathOptions } from './index.js'
+
+const NO_LOAD: EngineLoad = { tokenLayers: 0, sequences: 0, firstSequences: 0 }
+const SIZE = { promptTokens: 770, outputTokens: 174 }
+const OPTIONS: PathOptions = { model: TEST_MODEL, loadOf: () => NO_LOAD, slownessOf: () => 1 }
+
+const halves = (domain: string, kind = 'large') => [
+  buildEngine(`${domain}-low`, domain, kind, { from: 0, to: 40 }),
+  buildEngine(`${domain}-high`, domain, kind, { from: 40, to: 80 })
+]
+const ids = (path: ReturnType<typeof choosePath>): string | undefined => path?.path.map(stage => `${stage.target.id}:${stage.from}-${stage.to}`).join(' ')
+
+test('a path stays in one failure domain where it can', t => {
+  t.is(ids(choosePath([...halves('north'), ...halves('south')], SIZE, { ...OPTIONS, ownDomain: 'south' })), 'south-low:0-40 south-high:40-80')
+})
+
+test('a dead engine is passed round over the link between domains', t => {
+  const engines = [...halves('north'), ...halves('south')]
+  const slownessOf = (id: string): number => id === 'north-high' || id === 'south-low' ? Infinity : 1
+  t.is(ids(choosePath(engines, SIZE, { ...OPTIONS, slownessOf })), 'north-low:0-40 south-high:40-80')
+  t.is(choosePath(engines, SIZE, { ...OPTIONS, slownessOf, maxCrossings: 0 }), undefined)
+})
+
+test('a full link is not used for a usual request', t => {
+  const engines = [halves('north')[0]!, halves('south')[1]!]
+  const loadOf = (id: string): EngineLoad => id === linkKey('north', 'south') ? { ...NO_LOAD, tokenLayers: 20_000 } : NO_LOAD
+  t.is(choosePath(engines, SIZE, { ...OPTIONS, loadOf }), undefined)
+  t.truthy(choosePath(engines, SIZE, { ...OPTIONS, loadOf, isOvercommitted: true }))
+})
+
+test('a busy link makes slower engines of the domain the better choice', t => {
+  const engines = [halves('north')[0]!, halves('south')[1]!, buildEngine('north-slow', 'north', 'medium', { from: 40, to: 60 }), buildEngine('north-slower', 'north', 'small', { from: 60, to: 70 }), buildEngine('north-slowest', 'north', 'small', { from: 70, to: 80 })]
+  t.is(ids(choosePath(engines, SIZE, OPTIONS)), 'north-low:0-40 south-high:40-80')
+  const loadOf = (id: string): EngineLoad => id.startsWith('link') ? { ...NO_LOAD, tokenLayers: 6_500 } : NO_LOAD
+  t.is(ids(choosePath(engines, SIZE, { ...OPTIONS, loadOf })), 'north-low:0-40 north-slow:40-60 north-slower:60-70 north-slowest:70-80')
+})
+
+test('a request that finds no room waits instead of being sent', t => {
+  const loadOf = (): EngineLoad => ({ tokenLayers: 5_000_000, sequences: 100, firstSequences: 0 })
+  t.is(choosePath(halves('north'), SIZE, { ...OPTIONS, loadOf }), undefined)
+})
+
+test('a path under way keeps its first stage', t => {
+  const first = buildEngine('old', 'north', 'large', { from: 0, to: 30 })
+  const engines = [...halves('north'), buildEngine('north-mid', 'north', 'small', { from: 30, to: 40 })]
+  t.is(ids(choosePath(engines, SIZE, { ...OPTIONS, first })), 'old:0-30 north-low:30-40 north-high:40-80')
+})
+
+test('every path runs each layer once, in order, on engines that hold it', t => {
+  const engineArbitrary = fc.tuple(fc.integer({ min: 0, max: 79 }), fc.integer({ min: 1, max: 40 }), fc.constantFrom('north', 'south', 'east'), fc.constantFrom('large', 'medium', 'small', 'tiny'))
+  fc.assert(fc.property(fc.array(engineArbitrary, { minLength: 1, maxLength: 25 }), fc.integer({ min: 0, max: 4 }), (ranges, maxCrossings) => {
+    const engines = ranges.map(([from, length, domain, kind], index) => buildEngine(`e${index}`, domain, kind, { from, to: Math.min(80, from + length) }))
+    const chosen = choosePath(engines, SIZE, { ...OPTIONS, maxCrossings, isOvercommitted: true })
+    if (chosen === undefined) return true
+    let at = 0
+    for (const stage of chosen.path) {
+      if (stage.from !== at || stage.to <= at || stage.from < stage.target.layers!.from || stage.to > stage.target.layers!.to) return false
+      at = stage.to
+    }
+    const crossings = chosen.path.slice(1).filter((stage, index) => stage.target.failureDomain !== chosen.path[index]!.target.failureDomain).length
+    return at === 80 && crossings <= maxCrossings && new Set(chosen.path.map(stage => stage.target.id)).size === chosen.path.length
+  }), { seed: 20261204, numRuns: 300 })
+  t.pass()
+})
--- /dev/null
+++ b/src/placement/planPlacement/test.ts
@@ -0,0 +1,80 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { buildEngine, buildFleet, describeEngines, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
+import type { Target } from '../../fleet/types.js'
+import { choosePath } from '../../path/choosePath/index.js'
+import type { PlannedLoad } from '../types.js'
+import { planPlacement } from './index.js'
+
+const NO_LOAD = { tokenLayers: 0, sequences: 0, firstSequences: 0 }
+const SIZE = { promptTokens: 770, outputTokens: 174 }
+
+function apply (targets: readonly Target[], loads: readonly PlannedLoad[]): Target[] {
+  const ranges = new Map(loads.map(load => [load.target.id, load.range]))
+  return targets.map(target => ranges.has(target.id) ? { ...target, layers: ranges.get(target.id)! } : target)
+}
+
+const hasPath = (targets: readonly Target[], maxCrossings: number): boolean => choosePath(targets, SIZE, {
+  model: TEST_MODEL, loadOf: () => NO_LOAD, slownessOf: () => 1, isOvercommitted: true, maxCrossings
+}) !== undefined
+
+const place = (targets: readonly Target[]): Target[] => apply(targets, planPlacement(describeEngines(targets), { model: TEST_MODEL }))
+
+test('a new fleet gets a whole cover in each domain and one on the fast engines', t => {
+  const placed = place(buildFleet())
+  for (const domain of ['north', 'east', 'south']) t.true(hasPath(placed.filter(target => target.failureDomain === domain), 0), domain)
+  t.true(hasPath(placed.filter(target => target.kind === 'large' || target.kind === 'medium'), 1))
+})
+
+test('the loss of any one engine leaves paths without a crossing', t => {
+  const placed = place(buildFleet())
+  for (const lost of placed) t.true(hasPath(placed.filter(target => target !== lost), 0), lost.id)
+})
+
+test('a complete placement is left alone', t => {
+  const placed = place(buildFleet())
+  t.deepEqual(planPlacement(describeEngines(placed), { model: TEST_MODEL }), [])
+})
+
+test('an empty engine of the domain takes the layers of a lost one', t => {
+  const placed = place(buildFleet())
+  const spare = buildEngine('spare', 'east', 'small')
+  const lost = placed.find(target => target.failureDomain === 'east' && target.kind === 'small' && target.layers !== undefined)!
+  const loads = planPlacement(describeEngines([...placed, spare], new Set([lost.id])), { model: TEST_MODEL })
+  const covered = loads.filter(load => load.target.failureDomain === 'east').flatMap(load => range(load.range))
+  t.deepEqual([...new Set(covered)].sort((a, b) => a - b), range(lost.layers!))
+})
+
+test('an engine whose layers all have another holder is moved where none is empty', t => {
+  const engines = [
+    buildEngine('a', 'north', 'small', { from: 0, to: 8 }),
+    buildEngine('twin', 'north', 'small', { from: 0, to: 8 }),
+    ...Array.from({ length: 8 }, (_, index) => buildEngine(`b${index}`, 'north', 'small', { from: 8 + 8 * index, to: 16 + 8 * index }))
+  ]
+  const [load, ...rest] = planPlacement(describeEngines(engines), { model: TEST_MODEL })
+  t.deepEqual(rest, [])
+  t.deepEqual(load?.range, { from: 72, to: 80 })
+  t.true(load?.target.id === 'a' || load?.target.id === 'twin')
+})
+
+test('no plan gives an engine more than its memory, or moves the only holder of a layer', t => {
+  fc.assert(fc.property(fc.array(fc.tuple(fc.boolean(), fc.boolean()), { minLength: 39, maxLength: 39 }), states => {
+    const placed = place(buildFleet())
+    const engines = placed.map((target, index) => ({ target: states[index]![1] ? { ...target, layers: undefined } : target, isLost: states[index]![0] && states[index]![1] }))
+    const described = engines.map(({ target, isLost }) => ({ target: target as Target, layers: target.layers, isUsable: !isLost, isIdle: true }))
+    for (const { target, range: { from, to } } of planPlacement(described, { model: TEST_MODEL })) {
+      if ((to - from) * TEST_MODEL.layerMb > TEST_MODEL.kinds[target.kind!]!.memoryMb) return false
+      if (target.layers === undefined) continue
+      const others = described.filter(engine => engine.isUsable && engine.target.id !== target.id)
+      for (let layer = target.layers.from; layer < target.layers.to; layer++) {
+        if (!others.some(engine => engine.layers !== undefined && engine.layers.from <= layer && layer < engine.layers.to)) return false
+      }
+    }
+    return true
+  }), { seed: 20261204, numRuns: 60 })
+  t.pass()
+})
+
+function range ({ from, to }: { from: number, to: number }): number[] {
+  return Array.from({ length: to - from }, (_, index) => from + index)
+}
--- /dev/null
+++ b/src/waiting/createDispatcher/test.ts
@@ -0,0 +1,72 @@
+import test from 'ava'
+import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
+import { createDispatcher, type PlaceOutcome, type PlaceRequest } from './index.js'
+
+function createBench () {
+  const runtime = createManualRuntime()
+  const dispatcher = createDispatcher<string>({ runtime })
+  const places: string[] = []
+  const state = { isExpected: true }
+  const order: string[] = []
+  const ask = (name: string, options: Partial<PlaceRequest<string>> = {}): Promise<PlaceOutcome<string>> => dispatcher.request({
+    rank: 1,
+    account: 'one',
+    maxWaitMs: 1_000,
+    tryPlace: () => places.pop(),
+    isPlaceExpected: () => state.isExpected,
+    signal: new AbortController().signal,
+    ...options
+  }).then(outcome => {
+    order.push(`${name} ${outcome.kind}`)
+    return outcome
+  })
+  return { runtime, dispatcher, places, state, order, ask }
+}
+
+test('a request that can be served at once does not wait', async t => {
+  const { places, ask } = createBench()
+  places.push('p')
+  t.like(await ask('a'), { kind: 'placed', waitedMs: 0 })
+})
+
+test('urgent requests go first, then accounts take turns, then arrival decides', async t => {
+  const { runtime, dispatcher, places, order, ask } = createBench()
+  for (const [name, rank, account] of [['big1', 1, 'big'], ['big2', 1, 'big'], ['small', 1, 'small'], ['urgent', 0, 'big']] as const) ask(name, { rank, account })
+  for (let count = 0; count < 4; count++) {
+    places.push('p')
+    dispatcher.poke()
+    await runtime.settle()
+  }
+  t.deepEqual(order, ['urgent placed', 'small placed', 'big1 placed', 'big2 placed'])
+})
+
+test('what cannot be served is refused at once, and so are those that wait for it', async t => {
+  const { runtime, dispatcher, state, order, ask } = createBench()
+  ask('waiting')
+  await runtime.settle()
+  state.isExpected = false
+  t.like(await ask('new'), { kind: 'refused', waitedMs: 0 })
+  dispatcher.poke()
+  await runtime.settle()
+  t.deepEqual(order, ['new refused', 'waiting refused'])
+})
+
+test('a wait that is no longer useful ends with a refusal', async t => {
+  const { runtime, order, ask } = createBench()
+  ask('a', { maxWaitMs: 400 })
+  await runtime.advance(399)
+  t.deepEqual(order, [])
+  await runtime.advance(1)
+  t.deepEqual(order, ['a refused'])
+})
+
+test('a caller that leaves gives up its turn', async t => {
+  const { runtime, dispatcher, order, ask } = createBench()
+  const controller = new AbortController()
+  ask('a', { signal: controller.signal })
+  await runtime.settle()
+  controller.abort()
+  await runtime.settle()
+  t.deepEqual(order, ['a aborted'])
+  t.is(dispatcher.queueLength(), 0)
+})
--- /dev/null
+++ b/standin/platform/servePlatformStore/index.ts
@@ -0,0 +1,160 @@
+/**
+ * Stand-in of the platform's metadata store: objects by kind with one revision counter, pages,
+ * watches, and the ways in which it fails.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { listen, type ListeningServer } from '../../../src/http/listen/index.js'
+import { sendJson } from '../../../src/http/sendJson/index.js'
+
+/** An object as the store keeps it. */
+interface StoreObject {
+  metadata: { name: string, revision: number, created: number, finalizers: string[], deleting: boolean }
+  spec: unknown
+  status: unknown
+}
+
+interface StoreEvent {
+  kind: string
+  revision: number
+  object: StoreObject
+  deleted: boolean
+}
+
+/** Failures that a test can switch on. */
+export interface StoreFaults {
+  /** Answers every call with this status. */
+  status?: 503 | 429
+  /** Leaves every call without an answer. */
+  isSilent?: boolean
+  /** Carries the next write out and loses its answer. */
+  losesNextWrite?: boolean
+  /** Answers the next watch as if its history were gone. */
+  forgetsHistory?: boolean
+}
+
+/** A running store. */
+export interface PlatformStoreStandin extends ListeningServer {
+  faults: StoreFaults
+  put: (kind: string, name: string, spec: unknown) => void
+  remove: (kind: string, name: string) => void
+  /** Calls received, by method and kind. */
+  calls: string[]
+}
+
+/** Objects on one page of a list. */
+const PAGE_SIZE = 3
+
+/**
+ * @name servePlatformStore
+ * @summary Starts a store on a free port of the loopback.
+ * @returns The store.
+ *
+ * @example
+ * await using store = await servePlatformStore()
+ * store.put('servers', 'i-1', entry)
+ */
+export async function servePlatformStore (): Promise<PlatformStoreStandin> {
+  const objects = new Map<string, StoreObject>()
+  const events: StoreEvent[] = []
+  const waiting = new Set<() => void>()
+  const faults: StoreFaults = {}
+  const calls: string[] = []
+  let revision = 0
+
+  function record (kind: string, object: StoreObject, deleted: boolean): void {
+    events.push({ kind, revision: object.metadata.revision, object, deleted })
+    for (const wake of [...waiting]) wake()
+  }
+
+  function put (kind: string, name: string, spec: unknown): StoreObject {
+    const key = `${kind}/${name}`
+    const created = objects.get(key)?.metadata.created ?? revision + 1
+    const object: StoreObject = { metadata: { name, revision: ++revision, created, finalizers: [], deleting: false }, spec, status: null }
+    objects.set(key, object)
+    record(kind, object, false)
+    return object
+  }
+
+  function remove (kind: string, name: string): void {
+    const object = objects.get(`${kind}/${name}`)
+    if (object === undefined) return
+    objects.delete(`${kind}/${name}`)
+    record(kind, { ...object, metadata: { ...object.metadata, revision: ++revision } }, true)
+  }
+
+  async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://store')
+    const [, , kind = '', name] = url.pathname.split('/')
+    calls.push(`${request.method} ${kind}`)
+    if (faults.isSilent) return
+    if (faults.status !== undefined) return sendJson(response, faults.status, {})
+    if (request.method === 'GET') return await read(url, kind, name, response)
+    const body = await readJson(request) as Partial<StoreObject>
+    const result = write(request.method ?? '', kind, name ?? body.metadata?.name ?? '', body, url)
+    if (faults.losesNextWrite) {
+      faults.losesNextWrite = false
+      response.destroy()
+    } else {
+      sendJson(response, result.status, result.body)
+    }
+  }
+
+  function write (method: string, kind: string, name: string, body: Partial<StoreObject>, url: URL): { status: number, body: unknown } {
+    const known = objects.get(`${kind}/${name}`)
+    const expected = body.metadata?.revision ?? (url.searchParams.has('revision') ? Number(url.searchParams.get('revision')) : undefined)
+    if (method === 'POST') return known === undefined ? { status: 200, body: put(kind, name, body.spec) } : { status: 409, body: known }
+    if (known === undefined) return { status: 404, body: {} }
+    if (expected !== undefined && expected !== known.metadata.revision) return { status: 409, body: known }
+    if (method === 'PUT') return { status: 200, body: put(kind, name, body.spec) }
+    remove(kind, name)
+    return { status: 200, body: known }
+  }
+
+  async function read (url: URL, kind: string, name: string | undefined, response: ServerResponse): Promise<void> {
+    if (name !== undefined) {
+      const object = objects.get(`${kind}/${name}`)
+      return sendJson(response, object === undefined ? 404 : 200, object ?? {})
+    }
+    if (url.searchParams.has('watch')) return await watch(kind, Number(url.searchParams.get('watch')), Number(url.searchParams.get('wait_ms') ?? 0), response)
+    const after = url.searchParams.get('after') ?? ''
+    const names = [...objects.keys()].filter(key => key.startsWith(`${kind}/`) && key.slice(kind.length + 1) > after).sort()
+    const items = names.slice(0, PAGE_SIZE).map(key => objects.get(key))
+    sendJson(response, 200, { items, truncated: names.length > PAGE_SIZE, as_of: revision })
+  }
+
+  async function watch (kind: string, afterRevision: number, waitMs: number, response: ServerResponse): Promise<void> {
+    if (faults.forgetsHistory) {
+      faults.forgetsHistory = false
+      return sendJson(response, 410, {})
+    }
+    const pick = (): StoreEvent[] => events.filter(event => event.kind === kind && event.revision > afterRevision)
+    if (pick().length === 0) {
+      await new Promise<void>(resolve => {
+        const timer = setTimeout(resolve, waitMs)
+        const wake = (): void => {
+          if (pick().length === 0) return
+          clearTimeout(timer)
+          waiting.delete(wake)
+          resolve()
+        }
+        waiting.add(wake)
+        response.once('close', () => {
+          clearTimeout(timer)
+          waiting.delete(wake)
+          resolve()
+        })
+      })
+    }
+    sendJson(response, 200, { events: pick().map(({ object, deleted }) => ({ object, deleted })), as_of: revision })
+  }
+
+  const server = await listen(handle, { address: '127.0.0.1', port: 0 })
+  return { ...server, faults, calls, put, remove, [Symbol.asyncDispose]: () => server[Symbol.asyncDispose]() }
+}
+
+async function readJson (request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = []
+  for await (const chunk of request) chunks.push(chunk as Buffer)
+  const text = Buffer.concat(chunks).toString()
+  return text === '' ? {} : JSON.parse(text)
+}
--- /dev/null
+++ b/test/fakes/startTestGateway.ts
@@ -0,0 +1,106 @@
+/**
+ * A gateway's call handler on the loopback, before stand-in targets.
+ */
+import http from 'node:http'
+import { createGatewayMetrics } from '../../src/gateway/createGatewayMetrics/index.js'
+import { createCallHandler } from '../../src/gateway/createCallHandler/index.js'
+import type { GatewayParts, Place } from '../../src/gateway/types.js'
+import { createFleetState } from '../../src/fleet/createFleetState/index.js'
+import type { FleetConfiguration, Route, Target } from '../../src/fleet/types.js'
+import { listen } from '../../src/http/listen/index.js'
+import { createOccupancy } from '../../src/path/createOccupancy/index.js'
+import type { EngineControl } from '../../src/placement/types.js'
+import { createRetryBudget } from '../../src/retry/createRetryBudget/index.js'
+import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
+import { createSuspicions } from '../../src/suspicion/createSuspicions/index.js'
+import { createDispatcher, type Dispatcher } from '../../src/waiting/createDispatcher/index.js'
+import { platformHeaders } from '../../platform/headers.js'
+import { TEST_MODEL } from './buildFleet.js'
+import { createTestLog } from './createTestLog.js'
+
+const route = (kind: Route['kind'], service: string): Route => ({
+  name: kind,
+  host: 'studio.example',
+  pathPrefix: `/${kind}/`,
+  kind,
+  timeoutMs: 5_000,
+  objectiveMs: 2_000,
+  rank: 1,
+  services: [{ service, weight: 1 }],
+  maxAttempts: 2,
+  isPublic: false,
+  isResumable: kind === 'stream'
+})
+
+/** Routes of each kind, and one account with the key `secret`. */
+export const TEST_CONFIGURATION: FleetConfiguration = {
+  version: 3,
+  routes: [route('safe', 'orders'), route('unsafe', 'orders'), route('stream', 'model')],
+  services: [{ name: 'orders' }, { name: 'model', model: TEST_MODEL }],
+  accounts: [{ name: 'studio', keys: ['secret'] }],
+  limits: { headerBytes: 16_384, bodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+}
+
+/** What a caller got. */
+export interface CallerResult {
+  status: number
+  headers: http.IncomingHttpHeaders
+  body: string
+  /** Whether the answer came to its end. */
+  isComplete: boolean
+}
+
+/** Starts the handler; `control` stands for orders to engines. */
+export async function startTestGateway (targets: readonly Target[], options: { configuration?: FleetConfiguration | undefined, control?: Partial<EngineControl> } = {}) {
+  const { control = {} } = options
+  const runtime = createSystemRuntime()
+  const fleet = createFleetState({ runtime })
+  const configuration = 'configuration' in options ? options.configuration : TEST_CONFIGURATION
+  if (configuration !== undefined) fleet.applyConfiguration(configuration)
+  fleet.applySnapshot({ revision: 1, targets: [...targets] })
+  const dispatchers = new Map<string, Dispatcher<Place>>()
+  const log = createTestLog()
+  const parts: GatewayParts = {
+    fleet,
+    occupancy: createOccupancy({ runtime }),
+    suspicions: createSuspicions({ runtime }),
+    budget: createRetryBudget({ ratio: 0.2, extraRepeats: 196, windowMs: 10_000, runtime, hostCount: () => 1 }),
+    streams: new Set(),
+    control: { report: async () => undefined, place: async () => ({ kind: 'begun' }), repath: async () => ({ kind: 'done' }), isReachable: async () => true, ...control },
+    format: platformHeaders,
+    runtime,
+    log,
+    metrics: createGatewayMetrics(),
+    dispatcherOf (service) {
+      const known = dispatchers.get(service) ?? createDispatcher<Place>({ runtime })
+      dispatchers.set(service, known)
+      return known
+    },
+    isDraining: () => false,
+    targetsAgeMs: () => 0
+  }
+  const server = await listen(createCallHandler(parts, { ownDomain: 'north', takesStreams: () => true }), { address: '127.0.0.1', port: 0 })
+  return {
+    parts,
+    address: server.address,
+    send: (path: string, headers: Record<string, string> = {}, body = '') => sendCall(server.address, path, headers, body),
+    [Symbol.asyncDispose]: () => server[Symbol.asyncDispose]()
+  }
+}
+
+/** Sends one call as a caller with the right key. */
+export function sendCall (address: string, path: string, headers: Record<string, string>, body: string): Promise<CallerResult> {
+  const [host, port] = address.split(':')
+  return new Promise((resolve, reject) => {
+    const request = http.request({ host, port: Number(port), path, method: 'POST', agent: false, headers: { host: 'studio.example', authorization: 'Token secret', 'request-id': 'r1', 'deadline-ms': '4000', 'token-usage': '100,40', ...headers } })
+    request.once('error', reject)
+    request.once('response', response => {
+      let text = ''
+      const finish = (): void => resolve({ status: response.statusCode ?? 0, headers: response.headers, body: text, isComplete: response.complete })
+      response.on('data', chunk => { text += chunk })
+      response.once('error', finish)
+      response.once('close', finish)
+    })
+    request.end(body)
+  })
+}
--- /dev/null
+++ b/test/gateway/plain.test.ts
@@ -0,0 +1,138 @@
+import { connect } from 'node:net'
+import test from 'ava'
+import type { Target } from '../../src/fleet/types.js'
+import { answerOf, servePlatformEngine, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
+import { startTestGateway, type CallerResult } from '../fakes/startTestGateway.js'
+
+const target = (id: string, address: string): Target => ({ id, service: 'orders', address, failureDomain: 'north', bornMs: 1, isLeaving: false, slots: 6 })
+
+/** A gateway before a first and a second target; the first one is the one tried first. */
+async function startPair (first: EngineScript, second: EngineScript = (request, socket) => socket.end(answerOf(request, 'second'))) {
+  const [one, two] = [await servePlatformEngine(first), await servePlatformEngine(second)]
+  const gateway = await startTestGateway([target('i-1', one.address), { ...target('i-2', two.address), failureDomain: 'south' }])
+  return {
+    one,
+    two,
+    gateway,
+    async [Symbol.asyncDispose] () {
+      await gateway[Symbol.asyncDispose]()
+      await one[Symbol.asyncDispose]()
+      await two[Symbol.asyncDispose]()
+    }
+  }
+}
+
+/** A promise and what resolves it. */
+function createGate (): { promise: Promise<void>, resolve: () => void } {
+  let resolve = (): void => {}
+  const promise = new Promise<void>(_resolve => { resolve = _resolve })
+  return { promise, resolve }
+}
+
+const RESET: EngineScript = (_request, socket) => socket.resetAndDestroy()
+
+test('an unsafe call whose answer is lost is not sent again, and not called unrun', async t => {
+  await using pair = await startPair(RESET)
+  t.is((await pair.gateway.send('/unsafe/x')).status, 502)
+  t.is(pair.two.arrived.length, 0)
+})
+
+test('an unsafe call that was never sent goes to another target', async t => {
+  await using pair = await startPair(RESET)
+  await pair.one[Symbol.asyncDispose]()
+  t.like(await pair.gateway.send('/unsafe/x'), { status: 200, body: 'second' })
+})
+
+test('an unsafe call that its target refused unrun goes to another target', async t => {
+  await using pair = await startPair((request, socket) => socket.end(answerOf(request, '', { status: '503 Full', headers: ['Not-Executed: 1'] })))
+  t.like(await pair.gateway.send('/unsafe/x'), { status: 200, body: 'second' })
+})
+
+test('a 503 without the statement that the call did not run is not passed on as a promise', async t => {
+  await using pair = await startPair((request, socket) => socket.end(answerOf(request, '', { status: '503 Odd' })))
+  t.is((await pair.gateway.send('/unsafe/x')).status, 502)
+})
+
+test('a safe call goes to a second target after a lost, broken, spoiled or foreign answer', async t => {
+  const scripts: EngineScript[] = [
+    RESET,
+    (request, socket) => socket.end(answerOf(request, 'whole').slice(0, -2)),
+    (_request, socket) => socket.end('these bytes are no answer\r\n\r\n'),
+    (request, socket) => socket.end(answerOf({ ...request, headers: { 'request-id': 'other' } }, 'foreign')),
+    (request, socket) => socket.end(answerOf(request, 'coded', { headers: ['Content-Encoding: gzip'] }))
+  ]
+  for (const script of scripts) {
+    await using pair = await startPair(script)
+    t.like(await pair.gateway.send('/safe/x'), { status: 200, body: 'second' })
+  }
+})
+
+test("a target's own failure is passed on as it is", async t => {
+  await using pair = await startPair((request, socket) => socket.end(answerOf(request, 'no', { status: '500 Failed' })))
+  t.like(await pair.gateway.send('/unsafe/x'), { status: 500, body: 'no' })
+})
+
+test('bytes after a whole answer belong to nobody', async t => {
+  await using pair = await startPair((request, socket) => socket.end(answerOf(request, 'first') + answerOf(request, 'extra')))
+  t.like(await pair.gateway.send('/unsafe/x'), { status: 200, body: 'first' })
+})
+
+test('an answer without a length is never given one, and fails if its connection is seen to be reset', async t => {
+  const head = 'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\nConnection: close\r\n\r\n'
+  await using pair = await startPair((_request, socket) => {
+    socket.write(`${head}half`, () => setImmediate(() => socket.resetAndDestroy()))
+  })
+  const short = await pair.gateway.send('/unsafe/x')
+  // A reset that arrives with the last bytes is reported as the end of the connection.
+  t.true(short.status === 502 || isUnframed(short))
+  pair.one.play((_request, socket) => socket.end(`${head}all of it`))
+  const answer = await pair.gateway.send('/unsafe/x')
+  t.like(answer, { status: 200, body: 'all of it' })
+  t.true(isUnframed(answer))
+})
+
+const isUnframed = ({ headers }: CallerResult): boolean => headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+
+test('a target learns the account, the time left and its own identity, and never the key', async t => {
+  await using pair = await startPair((request, socket) => socket.end(answerOf(request, 'ok')))
+  await pair.gateway.send('/unsafe/a%2Fb?q=1', { tenant: 'forged', 'x-own': 'Kept' }, 'body bytes')
+  const [request] = pair.one.arrived
+  t.like(request, { method: 'POST', path: '/unsafe/a%2Fb?q=1', body: 'body bytes' })
+  t.like(request!.headers, { tenant: 'studio', 'expect-instance': 'i-1', 'request-id': 'r1', 'x-own': 'Kept', host: 'studio.example' })
+  t.true(Number(request!.headers['deadline-ms']) <= 4_000)
+  t.false(request!.rawHead.includes('secret'))
+})
+
+test('what no route, key or configuration allows is refused without a send', async t => {
+  await using pair = await startPair((request, socket) => socket.end(answerOf(request, 'ok')))
+  t.is((await pair.gateway.send('/other/x')).status, 404)
+  t.is((await pair.gateway.send('/unsafe/x', { authorization: 'Token wrong' })).status, 401)
+  await using unready = await startTestGateway([], { configuration: undefined })
+  const refused = await unready.send('/unsafe/x')
+  t.is(refused.status, 503)
+  t.truthy(refused.headers['retry-after'])
+  t.is(pair.one.arrived.length, 0)
+})
+
+test('without any target a call is refused at once with a time to come back', async t => {
+  await using gateway = await startTestGateway([])
+  const refused = await gateway.send('/unsafe/x')
+  t.is(refused.status, 503)
+  t.is(refused.headers['retry-after'], '0.5')
+})
+
+test('a target is told when the caller leaves', async t => {
+  const { promise: arrived, resolve: noteArrival } = createGate()
+  const { promise: closed, resolve: noteClose } = createGate()
+  await using pair = await startPair((_request, socket) => {
+    socket.once('close', () => noteClose())
+    noteArrival()
+  })
+  const [host, port] = pair.gateway.address.split(':')
+  const caller = connect(Number(port), host)
+  caller.write('POST /unsafe/x HTTP/1.1\r\nHost: studio.example\r\nAuthorization: Token secret\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n')
+  await arrived
+  caller.destroy()
+  await closed
+  t.is(pair.two.arrived.length, 0)
+})
--- /dev/null
+++ b/test/gateway/stream.test.ts
@@ -0,0 +1,120 @@
+import test from 'ava'
+import type { Target } from '../../src/fleet/types.js'
+import { rescueStreams } from '../../src/gateway/rescueStreams/index.js'
+import { answerOf, chunk, chunksOf, servePlatformEngine, streamHeadOf, STREAM_END, type EngineScript, type PlatformEngineStandin } from '../../standin/platform/servePlatformEngine/index.js'
+import { startTestGateway } from '../fakes/startTestGateway.js'
+
+/** An engine that holds part of the layers; memory is not at stake here. */
+const engine = (id: string, address: string, from: number, to: number, failureDomain = 'north'): Target => ({
+  id, service: 'model', address, failureDomain, bornMs: 1, isLeaving: false, kind: 'large', slots: 134, layers: { from, to }
+})
+
+const WHOLE: EngineScript = (request, socket) => {
+  const first = Number(request.headers['last-event-id'] ?? 0) + 1
+  socket.end(streamHeadOf(request) + chunksOf([1, 2, 3, 4].filter(id => id >= first)) + STREAM_END)
+}
+
+/** A gateway before two whole pipelines, each of two engines; only first stages are reached by requests. */
+async function startPipelines (first: EngineScript, second: EngineScript = WHOLE, control: Parameters<typeof startTestGateway>[1] = {}) {
+  const engines = [await servePlatformEngine(first), await servePlatformEngine(second), await servePlatformEngine(WHOLE), await servePlatformEngine(WHOLE)] as [PlatformEngineStandin, PlatformEngineStandin, PlatformEngineStandin, PlatformEngineStandin]
+  const [one, two, oneHigh, twoHigh] = engines
+  const gateway = await startTestGateway([
+    engine('i-1', one.address, 0, 30), engine('i-1h', oneHigh.address, 30, 60), engine('i-1t', oneHigh.address, 60, 80),
+    engine('i-2', two.address, 0, 30, 'south'), engine('i-2h', twoHigh.address, 30, 60, 'south'), engine('i-2t', twoHigh.address, 60, 80, 'south')
+  ], control)
+  return {
+    one,
+    two,
+    gateway,
+    async [Symbol.asyncDispose] () {
+      await gateway[Symbol.asyncDispose]()
+      for (const standin of engines) await standin[Symbol.asyncDispose]()
+    }
+  }
+}
+
+const idsOf = (body: string): number[] => [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]))
+
+test('a stream is passed on event by event, over a path of every layer', async t => {
+  await using pipelines = await startPipelines(WHOLE)
+  const answer = await pipelines.gateway.send('/stream/x')
+  t.like(answer, { status: 200, isComplete: true })
+  t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+  t.regex(pipelines.one.arrived[0]!.headers['hop-count']!, /=0-30,.*=30-60,.*=60-80$/)
+})
+
+test('a stream that breaks off, also midway in an event, goes on elsewhere without gap or repeat', async t => {
+  const breaks: EngineScript[] = [
+    (request, socket) => { socket.write(streamHeadOf(request) + chunksOf([1, 2]), () => socket.destroy()) },
+    (request, socket) => { socket.write(streamHeadOf(request) + chunksOf([1, 2]) + chunk('id: 3\ndata: pi'), () => socket.destroy()) },
+    (request, socket) => { socket.end(streamHeadOf(request) + chunksOf([1, 2, 4])) },
+    (request, socket) => { socket.end(streamHeadOf(request) + chunksOf([1, 2]) + chunk('data: piece without id\n\n')) }
+  ]
+  for (const script of breaks) {
+    await using pipelines = await startPipelines(script)
+    const answer = await pipelines.gateway.send('/stream/x')
+    t.like(answer, { status: 200, isComplete: true })
+    t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+    t.is(pipelines.two.arrived[0]!.headers['last-event-id'], '2')
+  }
+})
+
+test('a caller that goes on with a stream gets what follows its last event', async t => {
+  await using pipelines = await startPipelines(WHOLE)
+  t.deepEqual(idsOf((await pipelines.gateway.send('/stream/x', { 'last-event-id': '2' })).body), [3, 4])
+})
+
+test('a stream that cannot go on anywhere does not look complete', async t => {
+  const broken: EngineScript = (request, socket) => { socket.write(streamHeadOf(request) + chunksOf([Number(request.headers['last-event-id'] ?? 0) + 1]), () => socket.destroy()) }
+  await using pipelines = await startPipelines(broken, broken)
+  t.false((await pipelines.gateway.send('/stream/x')).isComplete)
+})
+
+test('an engine that refuses unrun is passed over, and so is the stage that it names', async t => {
+  await using pipelines = await startPipelines((request, socket) => socket.end(answerOf(request, '', { status: '503 Full', headers: ['Not-Executed: 1'] })))
+  t.deepEqual(idsOf((await pipelines.gateway.send('/stream/x')).body), [1, 2, 3, 4])
+  t.is(pipelines.two.arrived.length, 1)
+})
+
+test('without a path the call is refused with a time to come back', async t => {
+  await using gateway = await startTestGateway([engine('i-1', '127.0.0.1:1', 0, 40)])
+  const refused = await gateway.send('/stream/x', { 'deadline-ms': '1' })
+  t.is(refused.status, 503)
+})
+
+test('a stream whose later stage is dead gets another path within the same answer', async t => {
+  const paths: string[] = []
+  let release = (): void => {}
+  const held: EngineScript = (request, socket) => {
+    socket.write(streamHeadOf(request) + chunksOf([1, 2]))
+    release = () => socket.end(chunksOf([3, 4]) + STREAM_END)
+  }
+  const control = {
+    isReachable: async (target: Target) => target.id !== 'i-1h',
+    repath: async (_target: Target, requestId: string, path: Array<{ target: Target }>) => {
+      paths.push(`${requestId} ${path.map(stage => stage.target.id).join(' ')}`)
+      release()
+      return { kind: 'done' as const }
+    }
+  }
+  await using pipelines = await startPipelines(held, WHOLE, { control })
+  const controller = new AbortController()
+  const rescue = rescueStreams(pipelines.gateway.parts, { signal: controller.signal, onFinding: () => {} })
+  const answer = await pipelines.gateway.send('/stream/x')
+  controller.abort()
+  await rescue
+  t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+  t.deepEqual(paths, ['r1 i-1 i-2h i-2t'])
+  t.is(pipelines.two.arrived.length, 0)
+})
+
+test('a stream whose first engine is dead goes on at another one', async t => {
+  const silent: EngineScript = (request, socket) => { socket.write(streamHeadOf(request) + chunksOf([1, 2])) }
+  await using pipelines = await startPipelines(silent, WHOLE, { control: { isReachable: async (target: Target) => target.id !== 'i-1' } })
+  const controller = new AbortController()
+  const rescue = rescueStreams(pipelines.gateway.parts, { signal: controller.signal, onFinding: () => {} })
+  const answer = await pipelines.gateway.send('/stream/x')
+  controller.abort()
+  await rescue
+  t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+})
