--- /dev/null
+++ b/test/platform/store.test.ts
@@ -0,0 +1,89 @@
+import test from 'ava'
+import { createPlatformStore } from '../../platform/createPlatformStore.js'
+import { createFleetFormat } from '../../platform/decode.js'
+import { createFleetState } from '../../src/fleet/createFleetState/index.js'
+import { followFleet } from '../../src/fleet/followFleet/index.js'
+import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
+import { servePlatformStore, type PlatformStoreStandin } from '../../standin/platform/servePlatformStore/index.js'
+import { createTestLog } from '../fakes/createTestLog.js'
+
+const runtime = createSystemRuntime()
+
+/** Deadlines far below the test's own, since silence is waited for. */
+const open = (store: PlatformStoreStandin) => createPlatformStore({ address: store.address, callTimeoutMs: 200, watchWaitMs: 50, watchGraceMs: 100, runtime, onCall: () => {} })
+
+const entry = (state = 'ready') => ({ service: 'model', address: '10.0.0.1:80', zone: 'north', version: 'v1', slots: 4, state, cold_remaining_ms: 0, sequence: 1, born: 5 })
+const configuration = (version: number) => ({ version, routes: [], services: [{ name: 'model' }], limits: { max_header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 } })
+
+test('a list is read over all its pages', async t => {
+  await using standin = await servePlatformStore()
+  await using store = open(standin)
+  for (const name of ['a', 'b', 'c', 'd', 'e', 'f', 'g']) standin.put('servers', name, { name })
+  const listed = await store.list('servers/')
+  t.is(listed.kind, 'listed')
+  if (listed.kind === 'listed') t.deepEqual(listed.objects.map(object => object.key), ['a', 'b', 'c', 'd', 'e', 'f', 'g'].map(name => `servers/${name}`))
+})
+
+test('a watch tells of changes and removals, and of none after its wait', async t => {
+  await using standin = await servePlatformStore()
+  await using store = open(standin)
+  standin.put('servers', 'a', 1)
+  const { signal } = new AbortController()
+  standin.put('servers', 'b', 2)
+  standin.remove('servers', 'a')
+  const watched = await store.watch('servers/', 1, { signal })
+  t.like(watched, { kind: 'changes', removedKeys: ['servers/a'] })
+  if (watched.kind === 'changes') t.deepEqual(watched.objects.map(object => object.key), ['servers/b'])
+  t.like(await store.watch('servers/', 3, { signal }), { kind: 'changes', objects: [] })
+})
+
+test('history that is gone and a silent watch are told apart', async t => {
+  await using standin = await servePlatformStore()
+  await using store = open(standin)
+  const { signal } = new AbortController()
+  standin.faults.forgetsHistory = true
+  t.is((await store.watch('servers/', 0, { signal })).kind, 'reset')
+  standin.faults.isSilent = true
+  t.is((await store.watch('servers/', 0, { signal })).kind, 'silent')
+})
+
+test('a write is written, in conflict, not applied, or of unknown outcome', async t => {
+  await using standin = await servePlatformStore()
+  await using store = open(standin)
+  t.like(await store.write('leases/control', { a: 1 }, { ifAbsent: true }), { kind: 'written', version: 1 })
+  t.is((await store.write('leases/control', { a: 2 }, { ifAbsent: true })).kind, 'conflict')
+  t.is((await store.write('leases/control', { a: 2 }, { ifVersion: 9 })).kind, 'conflict')
+  standin.faults.losesNextWrite = true
+  t.is((await store.write('leases/control', { a: 3 }, { ifVersion: 1 })).kind, 'mayBeApplied')
+  standin.faults.status = 429
+  t.is((await store.write('leases/control', { a: 4 }, { ifVersion: 2 })).kind, 'notApplied')
+})
+
+test('configuration and targets are followed over an outage, and bad entries left out', async t => {
+  await using standin = await servePlatformStore()
+  await using store = open(standin)
+  const log = createTestLog()
+  const fleet = createFleetState({ runtime })
+  const controller = new AbortController()
+  const changed = (isDone: () => boolean): Promise<void> => new Promise(resolve => {
+    fleet.onChange(() => { if (isDone()) resolve() })
+    if (isDone()) resolve()
+  })
+  standin.faults.status = 503
+  const follower = followFleet(fleet, { store, format: createFleetFormat(log), log, runtime, signal: controller.signal, isStoreUpForPeers: () => false })
+  t.false(follower.isConnected())
+  standin.put('config', 'main', configuration(4))
+  standin.put('servers', 'a', entry())
+  standin.put('servers', 'foreign', { service: 7 })
+  delete standin.faults.status
+  await changed(() => fleet.configuration()?.version === 4 && fleet.targets().length === 1)
+  standin.put('servers', 'a', entry('draining'))
+  standin.put('config', 'main', configuration(9))
+  await changed(() => fleet.configuration()?.version === 9 && fleet.serving('model').length === 0)
+  standin.put('config', 'main', { version: 12, routes: 'none' })
+  standin.put('servers', 'b', entry())
+  await changed(() => fleet.serving('model').length === 1)
+  t.is(fleet.configuration()?.version, 9)
+  t.true(log.recent().some(event => event.name === 'targetInvalid'))
+  controller.abort()
+})
