Work out a path's costs once for each engine; check covers without a path

Cause: choosing a path took most of a process's time (each position, engine and end asked for loads again, twice for each request, and for each waiting request in turn).

--- a/src/digest/createDigestExchange/index.ts
+++ b/src/digest/createDigestExchange/index.ts
@@ -24,6 +24,8 @@
   signal: AbortSignal
   /** This host's digest, but for what the exchange itself adds. */
   buildDigest: () => Omit<Digest, 'sequence' | 'peers'>
+  /** How far this host has read the store; part of its digest. */
+  progress: () => Pick<Digest, 'configurationVersion' | 'targetsRevision' | 'isStoreConnected'>
   /** Takes a peer's digest. */
   onDigest: (digest: Digest) => void
   /** Called when a peer was not heard for a while. */
@@ -69,7 +71,7 @@
  * const exchange = createDigestExchange({ socket, ownIp, runtime, log, signal, buildDigest, onDigest, onPeerLost, fetchState })
  */
 export function createDigestExchange (options: DigestExchangeOptions): DigestExchange {
-  const { socket, ownIp, runtime, log, signal, buildDigest, onDigest, onPeerLost, fetchState } = options
+  const { socket, ownIp, runtime, log, signal, buildDigest, progress, onDigest, onPeerLost, fetchState } = options
   const addressHeardMs = new Map<string, number>()
   const peers = new Map<string, Peer>()
   const aheadSinceMs = new Map<string, number>()
@@ -116,7 +118,7 @@
   }
 
   function followAhead (ip: string, digest: Digest): void {
-    const own = buildDigest()
+    const own = progress()
     const isAhead = digest.configurationVersion > own.configurationVersion || digest.targetsRevision > own.targetsRevision
     if (!isAhead) {
       aheadSinceMs.delete(ip)
--- a/src/digest/createDigestExchange/test.ts
+++ b/src/digest/createDigestExchange/test.ts
@@ -27,6 +27,7 @@
       buildDigest: (): Omit<Digest, 'sequence' | 'peers'> => ({
         host: `host ${ip}`, startedMs: 1, statePort: 80, configurationVersion: state.version, targetsRevision: 0, isStoreConnected: state.isStoreConnected, leaseFencing: 0, load: {}, suspicions: [], seenLayers: []
       }),
+      progress: () => ({ configurationVersion: state.version, targetsRevision: 0, isStoreConnected: state.isStoreConnected }),
       onDigest: () => {},
       onPeerLost: name => { lost.push(name) },
       fetchState: async address => { fetched.push(address) }
--- a/src/fleet/createFleetState/index.ts
+++ b/src/fleet/createFleetState/index.ts
@@ -71,7 +71,11 @@
   const missing = new Map<string, number>()
   const sightings = new Map<string, Sighting>()
   const listeners: Array<() => void> = []
-  const changed = (): void => { for (const listener of listeners) listener() }
+  let listed: Target[] | undefined
+  const changed = (): void => {
+    listed = undefined
+    for (const listener of listeners) listener()
+  }
 
   function drop (ids: readonly string[], keepMissingMs: number): void {
     for (const id of ids) {
@@ -112,7 +116,10 @@
     return { ...target, layers: sighting.layers ?? undefined }
   }
 
-  const listTargets = (): Target[] => [...targets.values()].map(withSighting)
+  const listTargets = (): Target[] => {
+    listed ??= [...targets.values()].map(withSighting)
+    return listed
+  }
 
   return {
     configuration: () => configuration,
@@ -149,6 +156,7 @@
       const known = targets.get(seen.targetId)
       if (known === undefined || known.bornMs !== seen.bornMs) return
       sightings.set(seen.targetId, { ...seen, seenMs: runtime.monotonicMs() })
+      runtime.setTimer(SIGHTING_MS + 1, () => { listed = undefined })
       changed()
     },
     seenLayers: () => [...sightings.values()]
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { RequestSize } from '../../path/choosePath/index.js'
 import { endWithReason, closing, sendAnswer, type WholeAnswer, type AnswerDetails } from './answerCaller.js'
-import { hasPath, takePath, takeTarget } from './choosePlace.js'
+import { isCovered, takePath, takeTarget } from './choosePlace.js'
 import { createEventSplitter } from './createEventSplitter.js'
 import { openExchange, type Exchange } from './openExchange.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
@@ -121,7 +121,7 @@
       tryPlace: () => model === undefined ? takeTarget(service, excluded, ownDomain, parts) : takePath(service, size, excluded, ownDomain, parts),
       isPlaceExpected () {
         if (model === undefined) return fleet.serving(service.name).length > 0
-        if (hasPath(service, size, parts)) coveredMs = runtime.monotonicMs()
+        if (isCovered(service, parts)) coveredMs = runtime.monotonicMs()
         return runtime.monotonicMs() - coveredMs < REPAIR_MS
       },
       signal
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -131,6 +131,7 @@
     log,
     signal,
     buildDigest,
+    progress,
     onDigest: takeDigest,
     onPeerLost: host => occupancy.removePeer(host),
     fetchState: address => readPeerState(address, { fleet, runtime, log })
@@ -207,9 +208,7 @@
       host: settings.host,
       startedMs,
       statePort: settings.internalAddress.port,
-      configurationVersion: fleet.configuration()?.version ?? -1,
-      targetsRevision: fleet.revision(),
-      isStoreConnected: follower.isConnected(),
+      ...progress(),
       leaseFencing: mayOrder() ?? 0,
       load: occupancy.own(),
       suspicions: suspicions.share(),
@@ -217,6 +216,10 @@
     }
   }
 
+  function progress (): Pick<Digest, 'configurationVersion' | 'targetsRevision' | 'isStoreConnected'> {
+    return { configurationVersion: fleet.configuration()?.version ?? -1, targetsRevision: fleet.revision(), isStoreConnected: follower.isConnected() }
+  }
+
   function takeDigest (digest: Digest): void {
     occupancy.setPeer(digest.host, digest.load)
     lastFencing = Math.max(lastFencing, digest.leaseFencing)
--- a/src/path/choosePath/index.ts
+++ b/src/path/choosePath/index.ts
@@ -3,7 +3,7 @@
  * speeds hold overlapping ranges of layers and some of them are full, suspected or behind the
  * narrow link between failure domains.
  */
-import type { EngineModel, Path, Stage, Target } from '../../fleet/types.js'
+import type { EngineModel, Path, Target } from '../../fleet/types.js'
 
 /** What is known of the work on one engine. */
 export interface EngineLoad {
@@ -67,12 +67,34 @@
 /** Share of an engine's cache that requests are given; the rest is for answers longer than expected. */
 const CACHE_SHARE = 0.95
 
+/** Use of an engine's cache from which its steps count as slower, since requests begin to wait for each other, and how much. */
+const CROWDED_FILL = 0.8
+const CROWDING_WEIGHT = 2
+
 /** Bits in a byte, over bits in a megabit, times milliseconds in a second. */
 const MS_PER_BYTE_AT_1_MBPS = 8 / 1_000
 
+/** An engine with what its stages cost, worked out once for a request. */
+interface Candidate {
+  target: Target
+  from: number
+  to: number
+  /** Expected time for each layer that it runs, in milliseconds. */
+  layerMs: number
+  /** Expected time of the steps alone for each layer, in milliseconds. */
+  layerStepMs: number
+  /** Cache in use, and all that may be used, in tokens times layers. */
+  usedTokenLayers: number
+  roomTokenLayers: number
+  slowness: number
+  canBeFirst: boolean
+}
+
 interface Step {
   costMs: number
-  stage: Stage
+  candidate: Candidate
+  from: number
+  to: number
   previous: Step | undefined
   crossings: number
 }
@@ -107,81 +129,91 @@
  */
 export function choosePath (engines: readonly Target[], size: RequestSize, options: PathOptions): ChosenPath | undefined {
   const { model, first } = options
-  const others = engines.filter(engine => engine.layers !== undefined && Number.isFinite(options.slownessOf(engine.id)))
-  const usable = first === undefined ? others : [first, ...others]
-  const boundaries = listBoundaries(usable, model)
-  const best = new Map<string, Step>()
+  const others = engines.flatMap(engine => describeCandidate(engine, size, options) ?? [])
+  const fixed = first === undefined ? undefined : describeCandidate(first, size, options)
+  if (first !== undefined && fixed === undefined) return undefined
+  const candidates = fixed === undefined ? others : [fixed, ...others]
+  const boundaries = listBoundaries(candidates, model)
+  /** The cheapest way to each boundary by each engine and number of crossings. */
+  const arrivals = new Map<number, Map<string, Step>>(boundaries.map(boundary => [boundary, new Map()]))
   for (const position of boundaries.slice(0, -1)) {
-    const arrivals = position === 0 ? [undefined] : [...best.values()].filter(step => step.stage.to === position)
-    if (arrivals.length === 0) continue
-    for (const engine of usable) {
-      if (first !== undefined && (position === 0) !== (engine === first)) continue
-      const { from, to } = engine.layers!
-      if (from > position || to <= position) continue
+    const steps = position === 0 ? [undefined] : [...arrivals.get(position)!.values()]
+    if (steps.length === 0) continue
+    for (const candidate of candidates) {
+      if (candidate.from > position || candidate.to <= position) continue
+      if (fixed !== undefined && (position === 0) !== (candidate === fixed)) continue
       for (const end of boundaries) {
-        if (end <= position || end > to || (engine === first && end < to)) continue
-        extend(best, arrivals, { target: engine, from: position, to: end }, size, options)
+        if (end <= position || end > candidate.to || (candidate === fixed && end < candidate.to)) continue
+        extend(arrivals.get(end)!, steps, candidate, position, end, size, options)
       }
     }
   }
-  const ends = [...best.values()].filter(step => step.stage.to === model.layerCount)
-  const last = ends.reduce<Step | undefined>((least, step) => least === undefined || step.costMs < least.costMs ? step : least, undefined)
-  if (last === undefined) return undefined
-  const path = unwind(last)
-  return hasRepeatedTarget(path) ? undefined : { path, expectedMs: last.costMs }
+  let last: Step | undefined
+  for (const step of arrivals.get(model.layerCount)!.values()) if (last === undefined || step.costMs < last.costMs) last = step
+  return last === undefined ? undefined : { path: unwind(last), expectedMs: last.costMs }
 }
 
-function listBoundaries (engines: readonly Target[], model: EngineModel): number[] {
-  const boundaries = new Set([0, model.layerCount])
-  for (const { layers } of engines) {
-    boundaries.add(layers!.from)
-    boundaries.add(layers!.to)
+/** `undefined` for an engine that must not be used. */
+function describeCandidate (target: Target, size: RequestSize, options: PathOptions): Candidate | undefined {
+  const { model } = options
+  const kind = target.kind === undefined ? undefined : model.kinds[target.kind]
+  const slowness = options.slownessOf(target.id)
+  if (kind === undefined || target.layers === undefined || !Number.isFinite(slowness)) return undefined
+  const { from, to } = target.layers
+  const load = options.loadOf(target.id)
+  const contextK = load.tokenLayers / Math.max(1, to - from) / 1_000
+  const stepMs = (model.stepMs + model.perSequenceMs * (load.sequences + 1) + model.perContextKMs * contextK) * kind.pace / model.layerCount
+  const prefillMs = size.promptTokens / model.prefillTokensPerMs * kind.prefillFactor / model.layerCount
+  return {
+    target,
+    from,
+    to: Math.min(to, model.layerCount),
+    layerMs: prefillMs + stepMs * size.outputTokens,
+    layerStepMs: stepMs * size.outputTokens,
+    usedTokenLayers: load.tokenLayers,
+    roomTokenLayers: Math.max(1, roomOf(target, to - from, model) * CACHE_SHARE),
+    slowness,
+    canBeFirst: load.firstSequences < model.slots
   }
+}
+
+function listBoundaries (candidates: readonly Candidate[], model: EngineModel): number[] {
+  const boundaries = new Set([0, model.layerCount])
+  for (const { from, to } of candidates) boundaries.add(from).add(to)
   return [...boundaries].filter(boundary => boundary <= model.layerCount).sort((a, b) => a - b)
 }
 
-/** Keeps the cheapest way to each boundary by each engine and number of crossings. */
-function extend (best: Map<string, Step>, arrivals: Array<Step | undefined>, stage: Stage, size: RequestSize, options: PathOptions): void {
-  const stageMs = expectStageMs(stage, size, options, arrivals[0] === undefined)
+function extend (best: Map<string, Step>, steps: ReadonlyArray<Step | undefined>, candidate: Candidate, from: number, to: number, size: RequestSize, options: PathOptions): void {
+  const stageMs = expectStageMs(candidate, to - from, size, options, from === 0)
   if (stageMs === undefined) return
-  for (const previous of arrivals) {
-    if (previous !== undefined && includesTarget(previous, stage.target.id)) continue
-    const isCrossing = previous !== undefined && previous.stage.target.failureDomain !== stage.target.failureDomain
-    const linkMs = isCrossing ? crossingMs(previous.stage.target, stage.target, size, options) : 0
-    if (linkMs === undefined) continue
-    const isAway = previous === undefined && options.ownDomain !== undefined && options.ownDomain !== stage.target.failureDomain
+  const { failureDomain, id } = candidate.target
+  for (const previous of steps) {
+    if (previous !== undefined && includesTarget(previous, candidate)) continue
+    const isCrossing = previous !== undefined && previous.candidate.target.failureDomain !== failureDomain
     const crossings = (previous?.crossings ?? 0) + (isCrossing ? 1 : 0)
     if (crossings > (options.maxCrossings ?? USUAL_CROSSINGS)) continue
-    const key = `${stage.to} ${stage.target.id} ${crossings}`
-    const costMs = (previous?.costMs ?? 0) + stageMs + (isAway ? CROSSING_TOKEN_MS * size.outputTokens : 0) + linkMs
+    const linkMs = isCrossing ? crossingMs(previous.candidate.target, candidate.target, size, options) : 0
+    if (linkMs === undefined) continue
+    const isAway = previous === undefined && options.ownDomain !== undefined && options.ownDomain !== failureDomain
+    const costMs = (previous?.costMs ?? 0) + stageMs + linkMs + (isAway ? CROSSING_TOKEN_MS * size.outputTokens : 0)
+    const key = `${id} ${crossings}`
     const known = best.get(key)
-    if (known === undefined || costMs < known.costMs) best.set(key, { costMs, stage, previous, crossings })
+    if (known === undefined || costMs < known.costMs) best.set(key, { costMs, candidate, from, to, previous, crossings })
   }
 }
 
-function includesTarget (step: Step | undefined, id: string): boolean {
-  for (let at = step; at !== undefined; at = at.previous) if (at.stage.target.id === id) return true
+function includesTarget (step: Step | undefined, candidate: Candidate): boolean {
+  for (let at = step; at !== undefined; at = at.previous) if (at.candidate === candidate) return true
   return false
 }
 
 /** Expected time that one stage adds to the whole request, or `undefined` when it has no room. */
-function expectStageMs (stage: Stage, size: RequestSize, options: PathOptions, isFirst: boolean): number | undefined {
-  const { model, isOvercommitted = false } = options
-  const { target, from, to } = stage
-  const kind = target.kind === undefined ? undefined : model.kinds[target.kind]
-  if (kind === undefined) return undefined
-  const load = options.loadOf(target.id)
-  const held = target.layers!.to - target.layers!.from
-  const room = roomOf(target, held, model) * CACHE_SHARE
-  const needed = (size.promptTokens + size.outputTokens) * (to - from)
-  const fill = (load.tokenLayers + needed) / Math.max(1, room)
-  if (!isOvercommitted && (fill > 1 || (isFirst && load.firstSequences >= model.slots))) return undefined
-  const share = (to - from) / model.layerCount
-  const contextK = load.tokenLayers / Math.max(1, held) / 1_000
-  const stepMs = (model.stepMs + model.perSequenceMs * (load.sequences + 1) + model.perContextKMs * contextK) * kind.pace * share
-  const prefillMs = size.promptTokens / model.prefillTokensPerMs * kind.prefillFactor * share
-  const crowding = Math.max(0, fill - 0.8) * stepMs * size.outputTokens * 2
-  return (prefillMs + stepMs * size.outputTokens + crowding) * options.slownessOf(target.id) + STAGE_MS
+function expectStageMs (candidate: Candidate, layers: number, size: RequestSize, options: PathOptions, isFirst: boolean): number | undefined {
+  const neededTokenLayers = (size.promptTokens + size.outputTokens) * layers
+  const fill = (candidate.usedTokenLayers + neededTokenLayers) / candidate.roomTokenLayers
+  if (options.isOvercommitted !== true && (fill > 1 || (isFirst && !candidate.canBeFirst))) return undefined
+  const crowdingMs = Math.max(0, fill - CROWDED_FILL) * candidate.layerStepMs * layers * CROWDING_WEIGHT
+  return (candidate.layerMs * layers + crowdingMs) * candidate.slowness + STAGE_MS
 }
 
 /** Key under which the load of the link between two failure domains is kept. */
@@ -202,10 +234,8 @@
 
 function unwind (last: Step): Path {
   const path: Path = []
-  for (let step: Step | undefined = last; step !== undefined; step = step.previous) path.unshift(step.stage)
+  for (let step: Step | undefined = last; step !== undefined; step = step.previous) {
+    path.unshift({ target: step.candidate.target, from: step.from, to: step.to })
+  }
   return path
 }
-
-function hasRepeatedTarget (path: Path): boolean {
-  return new Set(path.map(stage => stage.target.id)).size !== path.length
-}
