--- a/src/gateway/_lib/createEventSplitter.ts
+++ b/src/gateway/_lib/createEventSplitter.ts
@@ -15,7 +15,7 @@
 
 const ID_LINE = /(?:^|\n)id: ?(\d+)\r?(?:\n|$)/
 
-/** Blank lines that end an event. */
+/** Blank lines that end an event, the usual one first; a stream keeps to one of them. */
 const SEPARATORS = ['\n\n', '\r\n\r\n']
 
 /** A splitter at the start of a stream. */
@@ -36,9 +36,9 @@
 }
 
 function findEnd (bytes: Buffer): number | undefined {
-  const ends = SEPARATORS.flatMap(separator => {
+  for (const separator of SEPARATORS) {
     const at = bytes.indexOf(separator)
-    return at < 0 ? [] : [at + separator.length]
-  })
-  return ends.length === 0 ? undefined : Math.min(...ends)
+    if (at >= 0) return at + separator.length
+  }
+  return undefined
 }
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -2,6 +2,7 @@
  * Wiring of a gateway: one process a host that serves callers, follows the store, exchanges
  * digests with its peers and, while it holds the control lease, places layers.
  */
+import { setMaxListeners } from 'node:events'
 import { createLeaseClaim } from '../../control/holdLease/index.js'
 import { createDigestExchange } from '../../digest/createDigestExchange/index.js'
 import type { Digest, DigestSocket } from '../../digest/types.js'
@@ -108,6 +109,8 @@
   const resources = createResourceStack()
   const controller = new AbortController()
   const { signal } = controller
+  // Every load, watch and loop of this process waits on the one signal.
+  setMaxListeners(0, signal)
   const fleet = createFleetState({ runtime })
   const occupancy = createOccupancy({ runtime })
   const suspicions = createSuspicions({ runtime })
