Keep waiting requests from taking the processor

Change: waiting requests are looked at 40 times a second, two failed tries a look; coverage is worked out ten times a second. Rescues draw a surcharge for each link, so that hosts acting at once do not all take the same one.

--- a/src/gateway/_lib/choosePlace.ts
+++ b/src/gateway/_lib/choosePlace.ts
@@ -3,7 +3,7 @@
  * service.
  */
 import type { Service, Target } from '../../fleet/types.js'
-import { choosePath, type ChosenPath, type PathOptions, type RequestSize } from '../../path/choosePath/index.js'
+import { choosePath, type RequestSize } from '../../path/choosePath/index.js'
 import type { GatewayParts, Place } from '../types.js'
 
 /** Weight of a request in progress against a failure domain other than the host's, when targets are compared. */
@@ -21,27 +21,12 @@
   const { fleet, occupancy, suspicions } = parts
   const engines = fleet.serving(service.name).filter(target => !excluded.has(target.id))
   const options = { model, loadOf: occupancy.loadOf, slownessOf: suspicions.slownessOf, ownDomain }
-  const chosen = choosePath(engines, size, options) ?? choosePathOverAnyLinks(engines, size, options)
+  const chosen = choosePath(engines, size, parts.checkCoverage(service).isUsual ? options : { ...options, maxCrossings: ANY_CROSSINGS })
   if (chosen === undefined) return undefined
   const claim = occupancy.claim(chosen.path, size)
   return { target: chosen.path[0]!.target, path: chosen.path, [Symbol.dispose]: () => claim[Symbol.dispose]() }
 }
 
-/** Used only where no usual path covers the model: a request that merely finds no room on one waits for it. */
-function choosePathOverAnyLinks (engines: readonly Target[], size: RequestSize, options: PathOptions): ChosenPath | undefined {
-  if (choosePath(engines, size, { ...options, isOvercommitted: true }) !== undefined) return undefined
-  return choosePath(engines, size, { ...options, maxCrossings: ANY_CROSSINGS })
-}
-
-/** Whether engines that may be used hold every layer between them, with room or without. */
-export function isCovered (service: Service, parts: GatewayParts): boolean {
-  const { fleet, suspicions } = parts
-  const ranges = fleet.serving(service.name).filter(target => !suspicions.isDown(target.id)).flatMap(target => target.layers ?? [])
-  let covered = 0
-  for (const { from, to } of ranges.sort((a, b) => a.from - b.from)) if (from <= covered) covered = Math.max(covered, to)
-  return covered >= service.model!.layerCount
-}
-
 /** The least busy target of a plain service that is not excluded. */
 export function takeTarget (service: Service, excluded: ReadonlySet<string>, ownDomain: string, parts: GatewayParts): Place | undefined {
   const { fleet, occupancy, suspicions } = parts
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { RequestSize } from '../../path/choosePath/index.js'
 import { endWithReason, closing, sendAnswer, type WholeAnswer, type AnswerDetails } from './answerCaller.js'
-import { isCovered, takePath, takeTarget } from './choosePlace.js'
+import { takePath, takeTarget } from './choosePlace.js'
 import { createEventSplitter } from './createEventSplitter.js'
 import { openExchange, type Exchange } from './openExchange.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
@@ -74,6 +74,7 @@
     progress.waitedMs += outcome.waitedMs
     if (outcome.kind === 'refused') return endWithReason(call, parts, progress.arrivals > 0 ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
     using place = outcome.place
+    if (signal.aborted) break
     if (progress.arrivals > 0 && !budget.take(service.name)) return endWithReason(call, parts, 'targetFailed', { ...details(), cause: 'retry budget spent' })
     progress.tries++
     const result = await attemptStream(call, place, size, progress, parts)
@@ -121,7 +122,7 @@
       tryPlace: () => model === undefined ? takeTarget(service, excluded, ownDomain, parts) : takePath(service, size, excluded, ownDomain, parts),
       isPlaceExpected () {
         if (model === undefined) return fleet.serving(service.name).length > 0
-        if (isCovered(service, parts)) coveredMs = runtime.monotonicMs()
+        if (parts.checkCoverage(service).isWhole) coveredMs = runtime.monotonicMs()
         return runtime.monotonicMs() - coveredMs < REPAIR_MS
       },
       signal
--- a/src/gateway/rescueStreams/index.ts
+++ b/src/gateway/rescueStreams/index.ts
@@ -29,6 +29,9 @@
 /** Crossings of links that the path of a rescued stream may have when there is no better one. */
 const RESCUE_CROSSINGS = 3
 
+/** Largest random surcharge on a link, as a factor: hosts that rescue streams at the same moment share the links between them. */
+const LINK_BIAS = 3
+
 /** Rescues streams until the signal aborts. */
 export async function rescueStreams (parts: GatewayParts, options: { signal: AbortSignal, onFinding: () => void }): Promise<void> {
   const { signal, onFinding } = options
@@ -100,7 +103,13 @@
   function choosePathFrom (stream: ActiveStream, cause: 'engine down' | 'engine leaving'): Path | undefined {
     const { service, size, path } = stream
     const others = fleet.serving(service.name)
-    const options = { model: service.model!, loadOf: parts.occupancy.loadOf, slownessOf: suspicions.slownessOf, current: path, maxCrossings: RESCUE_CROSSINGS }
+    const biases = new Map<string, number>()
+    const linkBias = (link: string): number => {
+      const bias = biases.get(link) ?? 1 + runtime.random() * LINK_BIAS
+      biases.set(link, bias)
+      return bias
+    }
+    const options = { model: service.model!, loadOf: parts.occupancy.loadOf, slownessOf: suspicions.slownessOf, current: path, linkBias, maxCrossings: RESCUE_CROSSINGS }
     const chosen = choosePath(others, size, options)?.path
     if (cause === 'engine leaving') return chosen !== undefined && countCrossings(chosen) <= countCrossings(path) ? chosen : undefined
     return chosen ?? choosePath(others, size, { ...options, isOvercommitted: true })?.path
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -12,6 +12,7 @@
 import { createOpenCalls } from '../../http/createOpenCalls/index.js'
 import { listen } from '../../http/listen/index.js'
 import type { ObjectStore } from '../../objectApi/types.js'
+import { createCoverageCheck } from '../../path/createCoverageCheck/index.js'
 import { createOccupancy } from '../../path/createOccupancy/index.js'
 import { runPlacement } from '../../placement/runPlacement/index.js'
 import type { EngineControl } from '../../placement/types.js'
@@ -91,8 +92,8 @@
 /** How long the budget counts hosts that were heard, in milliseconds; one window of the budget. */
 const HOST_MEMORY_MS = 10_000
 
-/** Interval at which waiting requests are looked at when nothing else happens. */
-const POKE_MS = 50
+/** Interval at which waiting requests are looked at; each look may choose several paths. */
+const POKE_MS = 25
 
 /**
  * @name startGateway
@@ -125,7 +126,6 @@
   let lastFencing = 0
   /** Whether this host held the lease when it was last known who does. */
   let isHolderInOutage = false
-  const pokeAll = (): void => { for (const dispatcher of dispatchers.values()) dispatcher.poke() }
 
   const exchange = createDigestExchange({
     socket,
@@ -161,20 +161,18 @@
     runtime,
     log,
     metrics,
+    checkCoverage: createCoverageCheck({ fleet, suspicions, runtime }),
     dispatcherOf,
     isDraining: () => drainingSinceMs !== undefined,
     targetsAgeMs: follower.targetsAgeMs
   }
-  fleet.onChange(() => {
-    suspicions.retain(new Set(fleet.targets().map(target => target.id)))
-    pokeAll()
-  })
+  fleet.onChange(() => suspicions.retain(new Set(fleet.targets().map(target => target.id))))
 
   const handler = createCallHandler(parts, { ownDomain: settings.failureDomain, takesStreams: () => !isRotationOver() })
   const callers = resources.use(await listen(async (request, response) => {
     const task = handler(request, response)
     calls.track({ request: '', response, isAdmitted: false }, task)
-    await task.finally(pokeAll)
+    await task
   }, {
     ...settings.callerAddress,
     headerSizeBytes: HEADER_SIZE_BYTES,
@@ -228,7 +226,6 @@
     lastFencing = Math.max(lastFencing, digest.leaseFencing)
     digest.suspicions.forEach(suspicions.learn)
     for (const seen of digest.seenLayers) if (!isKnown(seen)) fleet.noteLayers(seen)
-    pokeAll()
   }
 
   function isKnown (seen: Digest['seenLayers'][number]): boolean {
@@ -274,7 +271,7 @@
   async function pokeNow (): Promise<void> {
     while (!signal.aborted) {
       await sleep(POKE_MS, { runtime, signal })
-      pokeAll()
+      for (const dispatcher of dispatchers.values()) dispatcher.poke()
       metrics.streams.set(parts.streams.size)
       metrics.waiting.set([...dispatchers.values()].reduce((sum, dispatcher) => sum + dispatcher.queueLength(), 0))
       metrics.configurationVersion.set(fleet.configuration()?.version ?? -1)
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from '../event/types.js'
 import type { FleetState } from '../fleet/createFleetState/index.js'
 import type { Path, Route, Service, Target } from '../fleet/types.js'
+import type { Coverage } from '../path/createCoverageCheck/index.js'
 import type { Occupancy } from '../path/createOccupancy/index.js'
 import type { RequestSize } from '../path/choosePath/index.js'
 import type { EngineControl } from '../placement/types.js'
@@ -111,6 +112,7 @@
   occupancy: Occupancy
   suspicions: Suspicions
   budget: RetryBudget
+  checkCoverage: (service: Service) => Coverage
   dispatcherOf: (service: string) => Dispatcher<Place>
   streams: Set<ActiveStream>
   control: EngineControl
--- a/src/path/choosePath/index.ts
+++ b/src/path/choosePath/index.ts
@@ -29,6 +29,8 @@
   slownessOf: (targetId: string) => number
   /** Lets engines be used beyond their memory, where requests wait for each other. */
   isOvercommitted?: boolean
+  /** Factor on the cost of a link, by its key; 1 by default. */
+  linkBias?: (link: string) => number
   /** Most changes of the failure domain along the path. */
   maxCrossings?: number
   /** Failure domain to which the tokens go; any other costs a little. */
@@ -243,11 +245,13 @@
 function crossingMs (from: Target, to: Target, size: RequestSize, options: PathOptions): number | undefined {
   const { model } = options
   const tokenMs = model.activationBytes * MS_PER_BYTE_AT_1_MBPS / model.pipeMbps
-  const crossedTokens = options.loadOf(linkKey(from.failureDomain, to.failureDomain)).tokenLayers + size.promptTokens + size.outputTokens
+  const link = linkKey(from.failureDomain, to.failureDomain)
+  const crossedTokens = options.loadOf(link).tokenLayers + size.promptTokens + size.outputTokens
   const use = Math.min(0.95, crossedTokens * tokenMs / LINK_WINDOW_MS)
   if (use > LINK_USE_LIMIT && options.isOvercommitted !== true) return undefined
   const waitMs = use / (1 - use) * Math.min(TRANSFER_TOKENS, model.usualPromptTokens) * tokenMs / 2
-  return CROSSING_WEIGHT * size.promptTokens * tokenMs / (1 - use) + (CROSSING_TOKEN_MS + waitMs) * size.outputTokens
+  const bias = options.linkBias?.(link) ?? 1
+  return bias * CROSSING_WEIGHT * size.promptTokens * tokenMs / (1 - use) + (CROSSING_TOKEN_MS + waitMs) * size.outputTokens
 }
 
 function unwind (last: Step): Path {
--- /dev/null
+++ b/src/path/createCoverageCheck/test.ts
@@ -0,0 +1,22 @@
+import test from 'ava'
+import { buildEngine, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
+import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
+import { createFleetState } from '../../fleet/createFleetState/index.js'
+import { createSuspicions } from '../../suspicion/createSuspicions/index.js'
+import { createCoverageCheck } from './index.js'
+
+test('coverage is worked out once for all that ask within a moment', async t => {
+  const runtime = createManualRuntime()
+  const fleet = createFleetState({ runtime })
+  const suspicions = createSuspicions({ runtime })
+  let reads = 0
+  const counted = { ...fleet, serving: (service: string) => { reads++; return fleet.serving(service) } }
+  const check = createCoverageCheck({ fleet: counted, suspicions, runtime })
+  const service = { name: 'model', model: TEST_MODEL }
+  fleet.applySnapshot({ revision: 1, targets: [buildEngine('a', 'north', 'large', { from: 0, to: 40 }), buildEngine('b', 'south', 'large', { from: 40, to: 80 })] })
+  for (let count = 0; count < 500; count++) t.deepEqual(check(service), { isWhole: true, isUsual: true })
+  t.is(reads, 1)
+  suspicions.note('b', 'unreachable')
+  await runtime.advance(100)
+  t.deepEqual(check(service), { isWhole: false, isUsual: false })
+})
--- a/src/waiting/createDispatcher/index.ts
+++ b/src/waiting/createDispatcher/index.ts
@@ -40,7 +40,7 @@
 const QUEUE_LIMIT = 300
 
 /** Failed tries in one round after which the rest of the queue waits for the next one. */
-const TRIES_PER_ROUND = 4
+const TRIES_PER_ROUND = 2
 
 interface Waiting<Place> {
   wanted: PlaceRequest<Place>
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -8,6 +8,7 @@
 import { createFleetState } from '../../src/fleet/createFleetState/index.js'
 import type { FleetConfiguration, Route, Target } from '../../src/fleet/types.js'
 import { listen } from '../../src/http/listen/index.js'
+import { createCoverageCheck } from '../../src/path/createCoverageCheck/index.js'
 import { createOccupancy } from '../../src/path/createOccupancy/index.js'
 import type { EngineControl } from '../../src/placement/types.js'
 import { createRetryBudget } from '../../src/retry/createRetryBudget/index.js'
@@ -58,12 +59,13 @@
   const configuration = 'configuration' in options ? options.configuration : TEST_CONFIGURATION
   if (configuration !== undefined) fleet.applyConfiguration(configuration)
   fleet.applySnapshot({ revision: 1, targets: [...targets] })
+  const suspicions = createSuspicions({ runtime })
   const dispatchers = new Map<string, Dispatcher<Place>>()
   const log = createTestLog()
   const parts: GatewayParts = {
     fleet,
     occupancy: createOccupancy({ runtime }),
-    suspicions: createSuspicions({ runtime }),
+    suspicions,
     budget: createRetryBudget({ ratio: 0.2, extraRepeats: 196, windowMs: 10_000, runtime, hostCount: () => 1 }),
     streams: new Set(),
     control: { report: async () => undefined, place: async () => ({ kind: 'begun' }), repath: async () => ({ kind: 'done' }), isReachable: async () => true, ...control },
@@ -71,6 +73,7 @@
     runtime,
     log,
     metrics: createGatewayMetrics(),
+    checkCoverage: createCoverageCheck({ fleet, suspicions, runtime }),
     dispatcherOf (service) {
       const known = dispatchers.get(service) ?? createDispatcher<Place>({ runtime })
       dispatchers.set(service, known)
