Pass over engines that refuse, and replace those that refuse in a row

Change: a refusal takes the engine named at fault out for 250 ms, doubled in a row, tells the other hosts, and after three in a row its layers are loaded elsewhere. Logs are bounded by event, and the timeline reads lines with a collector's prefix.

--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -14,7 +14,7 @@
   static override paths = [['timeline']]
   static override usage = Command.Usage({
     description: 'Merge the events of all processes in causal order.',
-    details: 'Reads the log files given, or else asks every member that the operator port knows.'
+    details: 'Reads the log files given (- for standard input), or else asks every member that the operator port knows. Text before the JSON of a line, such as a collector adds, is passed over.'
   })
 
   request = Option.String('--request', { description: 'Only events of this request' })
@@ -42,8 +42,11 @@
   }
 
   private async readFiles (): Promise<LoggedEvent[]> {
-    const texts = await Promise.all(this.files.map(file => readFile(file, 'utf8')))
-    return texts.flatMap(text => text.split('\n').filter(line => line.startsWith('{')).map(line => JSON.parse(line) as LoggedEvent))
+    const texts = await Promise.all(this.files.map(file => readFile(file === '-' ? '/dev/stdin' : file, 'utf8')))
+    const parsed = texts.flatMap(text => text.split('\n').map(parseLine))
+    const unread = parsed.filter(event => event === 'unread').length
+    if (unread > 0) this.context.stderr.write(`${unread} lines could not be read\n`)
+    return parsed.filter(event => typeof event === 'object')
   }
 
   private async askMembers (filter: Record<string, string>): Promise<LoggedEvent[]> {
@@ -59,6 +62,22 @@
   }
 }
 
+/** The event of a log line; `undefined` for a line without JSON. */
+function parseLine (line: string): LoggedEvent | 'unread' | undefined {
+  const start = line.indexOf('{')
+  if (start < 0) return undefined
+  try {
+    const value: unknown = JSON.parse(line.slice(start))
+    return isEvent(value) ? value : 'unread'
+  } catch {
+    return 'unread'
+  }
+}
+
+function isEvent (value: unknown): value is LoggedEvent {
+  return typeof value === 'object' && value !== null && 'wallMs' in value && 'name' in value
+}
+
 /** Title of the page. */
 function describeFilter (filter: Record<string, string>): string {
   const parts = Object.entries(filter).map(([field, value]) => `${field} ${value}`)
--- a/src/digest/types.ts
+++ b/src/digest/types.ts
@@ -21,7 +21,7 @@
   /** Highest fencing number of the control lease that it held itself, 0 if none. */
   leaseFencing: z.number(),
   load: z.record(z.string(), z.object({ tokenLayers: z.number(), sequences: z.number(), firstSequences: z.number() })),
-  suspicions: z.array(z.object({ targetId: z.string(), ageMs: z.number() })),
+  suspicions: z.array(z.object({ targetId: z.string(), ageMs: z.number(), leftMs: z.number(), isUnfit: z.boolean() })),
   seenLayers: z.array(z.object({ targetId: z.string(), bornMs: z.number(), layers: layerRangeSchema.nullable() })),
   /** Addresses of the hosts that it hears. */
   peers: z.array(z.string())
--- a/src/event/createEventLog/index.ts
+++ b/src/event/createEventLog/index.ts
@@ -6,6 +6,7 @@
 import winston from 'winston'
 import type { HybridClock } from '../../clock/types.js'
 import { EVENTS, type EventName } from '../catalogue.js'
+import type { EventLimiter } from '../createEventLimiter/index.js'
 import type { EventFields, EventLog, LoggedEvent } from '../types.js'
 
 /** How many events a process keeps in memory for the operator port. */
@@ -22,6 +23,8 @@
   file?: string | null
   /** Stream to write to in place of a file or standard output. */
   output?: Writable
+  /** Drops events beyond a rate; all are written unless given. */
+  limiter?: EventLimiter
   /** Events kept in memory for the operator port. */
   keptEvents?: number
 }
@@ -37,20 +40,27 @@
  * log.emit('processStarted', { address })
  */
 export function createEventLog (options: EventLogOptions): EventLog {
-  const { host, process, clock, keptEvents = RECENT_EVENTS } = options
+  const { host, process, clock, limiter, keptEvents = RECENT_EVENTS } = options
   const logger = createLogger(options)
   const kept: LoggedEvent[] = []
+
+  function write (name: EventName, fields: EventFields): void {
+    const definition = EVENTS[name]
+    const stamp = clock.tick()
+    const event: LoggedEvent = {
+      ...fields, ...definition, name, host, process, wallMs: stamp.wallMs, counter: stamp.counter
+    }
+    kept.push(event)
+    if (kept.length > keptEvents) kept.splice(0, kept.length - Math.floor(keptEvents / 2))
+    logger.log({ message: name, ...event })
+  }
+
   return {
     emit (name: EventName, fields: EventFields = {}) {
-      const definition = EVENTS[name]
-      if (!logger.isLevelEnabled(definition.level)) return
-      const stamp = clock.tick()
-      const event: LoggedEvent = {
-        ...fields, ...definition, name, host, process, wallMs: stamp.wallMs, counter: stamp.counter
-      }
-      kept.push(event)
-      if (kept.length > keptEvents) kept.splice(0, kept.length - Math.floor(keptEvents / 2))
-      logger.log({ message: name, ...event })
+      if (!logger.isLevelEnabled(EVENTS[name].level)) return
+      const dropped = limiter?.takeDropped()
+      if (dropped !== undefined) write('eventsDropped', { dropped })
+      if (limiter?.admits(name) ?? true) write(name, fields)
     },
     recent: () => kept
   }
--- a/src/gateway/_lib/choosePlace.ts
+++ b/src/gateway/_lib/choosePlace.ts
@@ -34,9 +34,10 @@
     const otherDomain = target.failureDomain === ownDomain ? 0 : OTHER_DOMAIN_LOAD
     return (1 + occupancy.loadOf(target.id).sequences + otherDomain) * suspicions.slownessOf(target.id)
   }
-  const target = fleet.serving(service.name)
-    .filter(candidate => !excluded.has(candidate.id) && Number.isFinite(cost(candidate)))
-    .sort((a, b) => cost(a) - cost(b))[0]
+  const candidates = fleet.serving(service.name).filter(candidate => !excluded.has(candidate.id))
+  const usable = candidates.filter(candidate => Number.isFinite(cost(candidate))).sort((a, b) => cost(a) - cost(b))
+  // A target that merely refused a moment ago is better than none.
+  const target = usable[0] ?? candidates.find(candidate => !suspicions.isUnfit(candidate.id))
   if (target === undefined) return undefined
   const claim = occupancy.claim([{ target, from: 0, to: 1 }], PLAIN_SIZE)
   return { target, path: undefined, [Symbol.dispose]: () => claim[Symbol.dispose]() }
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -18,6 +18,9 @@
 /** Status codes of targets that promise that the call did not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
 
+/** Cause of an attempt that was not made. */
+const NO_TIME = 'no time left'
+
 type AttemptResult =
   | { kind: 'whole' } & WholeAnswer
   | { kind: 'notRun', cause: string, isArrival: boolean }
@@ -49,7 +52,7 @@
       continue
     }
     if (result.kind === 'notRun') {
-      suspicions.note(place.target.id, result.isArrival ? 'refused' : 'unreachable')
+      if (result.isArrival || result.cause !== NO_TIME) suspicions.note(place.target.id, result.isArrival ? 'refused' : 'unreachable')
       if (result.isArrival) arrivals++
       continue
     }
@@ -91,7 +94,7 @@
   const { request, body, facts, route, account, signal } = call
   const { format, runtime } = parts
   const leftMs = Math.floor(call.endMs - runtime.monotonicMs())
-  if (leftMs <= 0) return { kind: 'notRun', cause: 'no time left', isArrival: false }
+  if (leftMs <= 0) return { kind: 'notRun', cause: NO_TIME, isArrival: false }
   const exchange = openExchange(place.target.address, {
     method: request.method ?? 'GET',
     path: request.url ?? '/',
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -91,6 +91,7 @@
       return passOn(result)
     }
     if (result.kind === 'notRun') {
+      if (call.endMs <= runtime.monotonicMs()) break
       const faulty = findByAddress(result.faultyAddress) ?? target.id
       parts.suspicions.note(faulty, result.isArrival ? 'refused' : 'unreachable')
       if (result.isArrival) progress.arrivals++
@@ -176,7 +177,7 @@
   const { request, body, facts, account, signal } = call
   const { format, runtime } = parts
   const leftMs = Math.floor(call.endMs - runtime.monotonicMs())
-  if (leftMs <= 0) return { kind: 'notRun', cause: 'no time left', faultyAddress: undefined, isArrival: false }
+  if (leftMs <= 0 || signal.aborted) return { kind: 'notRun', cause: 'no time left', faultyAddress: undefined, isArrival: false }
   const { lastEventId } = progress
   const exchange = openExchange(place.target.address, {
     method: request.method ?? 'POST',
--- a/src/placement/runPlacement/index.ts
+++ b/src/placement/runPlacement/index.ts
@@ -94,7 +94,7 @@
     return {
       target,
       layers: isPending ? load.range : target.layers,
-      isUsable: !target.isLeaving && !suspicions.isDown(target.id),
+      isUsable: !target.isLeaving && !suspicions.isUnfit(target.id),
       isIdle: !isPending && !isResting
     }
   }
--- a/src/suspicion/createSuspicions/index.ts
+++ b/src/suspicion/createSuspicions/index.ts
@@ -14,6 +14,10 @@
   targetId: string
   /** Time since the finding, in milliseconds. */
   ageMs: number
+  /** How much longer the target gets no work, in milliseconds. */
+  leftMs: number
+  /** Whether it is unfit for the layers that it holds, so that others should load them. */
+  isUnfit: boolean
 }
 
 /** Suspicions of one host and its peers. */
@@ -21,6 +25,8 @@
   note: (targetId: string, finding: Finding) => void
   /** Whether the target must get no work at all. */
   isDown: (targetId: string) => boolean
+  /** Whether the target is dead or keeps refusing, so that its layers need another holder. */
+  isUnfit: (targetId: string) => boolean
   /** Whether work went through the target within a time, in milliseconds. */
   hasProgressed: (targetId: string, withinMs: number) => boolean
   /** Factor on the target's expected time; infinite while it is down. */
@@ -36,6 +42,12 @@
 /** How long an unreachable target gets no work; about the time in which the platform notices a dead target. */
 const DOWN_MS = 2_500
 
+/** How long a target gets no work after it refused some; doubled with each further refusal in a row. */
+const REFUSED_MS = 250
+
+/** Refusals in a row after which a target counts as unfit, as when it leaves and the store cannot say so. */
+const UNFIT_REFUSALS = 3
+
 /** Half-life of the share of failures, in milliseconds; a grey period lasts several seconds. */
 const FAILURE_HALF_LIFE_MS = 2_000
 
@@ -52,6 +64,10 @@
   downUntilMs: number
   /** When this host itself found it down; peers' findings are not passed on. */
   foundDownMs: number | undefined
+  /** Refusals since work last went through it. */
+  refusals: number
+  /** Whether a peer holds it to be unfit. */
+  isUnfitToPeer: boolean
   failureShare: number
   updatedMs: number
   /** When work last went through it. */
@@ -74,7 +90,7 @@
   function open (targetId: string): TargetRecord {
     const known = records.get(targetId)
     if (known !== undefined) return known
-    const record = { downUntilMs: -Infinity, foundDownMs: undefined, failureShare: 0, updatedMs: runtime.monotonicMs(), progressedMs: -Infinity }
+    const record = { downUntilMs: -Infinity, foundDownMs: undefined, refusals: 0, isUnfitToPeer: false, failureShare: 0, updatedMs: runtime.monotonicMs(), progressedMs: -Infinity }
     records.set(targetId, record)
     return record
   }
@@ -86,12 +102,18 @@
 
   const isDown = (targetId: string): boolean => (records.get(targetId)?.downUntilMs ?? -Infinity) > runtime.monotonicMs()
 
+  function isUnfit (targetId: string): boolean {
+    const record = records.get(targetId)
+    return record !== undefined && isDown(targetId) && (record.refusals >= UNFIT_REFUSALS || record.isUnfitToPeer)
+  }
+
   return {
     note (targetId, finding) {
       const record = open(targetId)
       const nowMs = runtime.monotonicMs()
       if (finding === 'progressed') {
         record.progressedMs = nowMs
+        record.refusals = 0
         return
       }
       const share = decayedShare(record)
@@ -100,13 +122,22 @@
       if (finding === 'unreachable') {
         record.downUntilMs = nowMs + DOWN_MS
         record.foundDownMs = nowMs
+        record.refusals = UNFIT_REFUSALS
+      }
+      if (finding === 'refused') {
+        record.downUntilMs = Math.max(record.downUntilMs, nowMs + Math.min(DOWN_MS, REFUSED_MS * 2 ** record.refusals))
+        record.foundDownMs = nowMs
+        record.refusals++
       }
       if (finding === 'answered') {
         record.downUntilMs = -Infinity
         record.foundDownMs = undefined
+        record.refusals = 0
+        record.isUnfitToPeer = false
       }
     },
     isDown,
+    isUnfit,
     hasProgressed: (targetId, withinMs) => runtime.monotonicMs() - (records.get(targetId)?.progressedMs ?? -Infinity) < withinMs,
     slownessOf (targetId) {
       if (isDown(targetId)) return Infinity
@@ -117,13 +148,16 @@
       const nowMs = runtime.monotonicMs()
       return [...records]
         .filter(([, record]) => record.foundDownMs !== undefined && record.downUntilMs > nowMs)
-        .map(([targetId, record]) => ({ targetId, ageMs: Math.round(nowMs - record.foundDownMs!) }))
+        .map(([targetId, record]) => ({
+          targetId, ageMs: Math.round(nowMs - record.foundDownMs!), leftMs: Math.round(record.downUntilMs - nowMs), isUnfit: record.refusals >= UNFIT_REFUSALS
+        }))
     },
-    learn ({ targetId, ageMs }) {
-      const record = open(targetId)
-      const foundMs = runtime.monotonicMs() - ageMs
-      if (record.progressedMs > foundMs) return
-      record.downUntilMs = Math.max(record.downUntilMs, foundMs + DOWN_MS)
+    learn (suspicion) {
+      const record = open(suspicion.targetId)
+      const nowMs = runtime.monotonicMs()
+      if (record.progressedMs > nowMs - suspicion.ageMs) return
+      record.downUntilMs = Math.max(record.downUntilMs, nowMs + suspicion.leftMs)
+      record.isUnfitToPeer = suspicion.isUnfit
     },
     retain (targetIds) {
       for (const id of records.keys()) if (!targetIds.has(id)) records.delete(id)
--- a/src/suspicion/createSuspicions/test.ts
+++ b/src/suspicion/createSuspicions/test.ts
@@ -20,14 +20,14 @@
   t.true(other.isDown('a'))
   const third = createSuspicions({ runtime })
   third.note('a', 'progressed')
-  third.learn({ targetId: 'a', ageMs: 50 })
+  third.learn({ targetId: 'a', ageMs: 50, leftMs: 2_450, isUnfit: true })
   t.false(third.isDown('a'))
 })
 
 test('a peer passes on what it saw itself and nothing that it learned', t => {
   const runtime = createManualRuntime()
   const suspicions = createSuspicions({ runtime })
-  suspicions.learn({ targetId: 'a', ageMs: 0 })
+  suspicions.learn({ targetId: 'a', ageMs: 0, leftMs: 2_500, isUnfit: true })
   t.deepEqual(suspicions.share(), [])
 })
 
@@ -41,3 +41,24 @@
   for (let count = 0; count < 20; count++) suspicions.note('a', 'answered')
   t.true(suspicions.slownessOf('a') < once)
 })
+
+test('a target that refuses is passed over, longer each time, and is unfit after three in a row', async t => {
+  const runtime = createManualRuntime()
+  const suspicions = createSuspicions({ runtime })
+  suspicions.note('a', 'refused')
+  t.true(suspicions.isDown('a'))
+  t.false(suspicions.isUnfit('a'))
+  await runtime.advance(250)
+  t.false(suspicions.isDown('a'))
+  suspicions.note('a', 'refused')
+  await runtime.advance(250)
+  t.true(suspicions.isDown('a'))
+  suspicions.note('a', 'refused')
+  t.true(suspicions.isUnfit('a'))
+})
+
+test('work that goes through a target ends its row of refusals', t => {
+  const suspicions = createSuspicions({ runtime: createManualRuntime() })
+  for (const finding of ['refused', 'refused', 'progressed', 'refused'] as const) suspicions.note('a', finding)
+  t.false(suspicions.isUnfit('a'))
+})
--- a/test/gateway/plain.test.ts
+++ b/test/gateway/plain.test.ts
@@ -114,6 +114,14 @@
   t.is(pair.one.arrived.length, 0)
 })
 
+test('a target that refused a moment ago is still better than none', async t => {
+  await using engine = await servePlatformEngine((request, socket) => socket.end(answerOf(request, '', { status: '503 Full', headers: ['Not-Executed: 1'] })))
+  await using gateway = await startTestGateway([target('i-1', engine.address)])
+  t.is((await gateway.send('/unsafe/x')).status, 503)
+  engine.play((request, socket) => socket.end(answerOf(request, 'ok')))
+  t.is((await gateway.send('/unsafe/x')).status, 200)
+})
+
 test('without any target a call is refused at once with a time to come back', async t => {
   await using gateway = await startTestGateway([])
   const refused = await gateway.send('/unsafe/x')
