--- a/src/path/choosePath/index.ts
+++ b/src/path/choosePath/index.ts
@@ -58,7 +58,7 @@
 export const LINK_WINDOW_MS = 500
 
 /** Use of a link up to which requests are sent over it; transfers queue beyond. */
-const LINK_USE_LIMIT = 0.5
+const LINK_USE_LIMIT = 0.6
 
 /** Delay that a crossing adds to each token, in milliseconds; the configuration's delays between domains are of this order. */
 const CROSSING_TOKEN_MS = 0.5
@@ -249,7 +249,7 @@
   const crossedTokens = options.loadOf(link).tokenLayers + size.promptTokens + size.outputTokens
   const use = Math.min(0.95, crossedTokens * tokenMs / LINK_WINDOW_MS)
   if (use > LINK_USE_LIMIT && options.isOvercommitted !== true) return undefined
-  const waitMs = use / (1 - use) * Math.min(TRANSFER_TOKENS, model.usualPromptTokens) * tokenMs / 2
+  const waitMs = use * Math.min(TRANSFER_TOKENS, model.usualPromptTokens) * tokenMs / 2
   const bias = options.linkBias?.(link) ?? 1
   return bias * CROSSING_WEIGHT * size.promptTokens * tokenMs / (1 - use) + (CROSSING_TOKEN_MS + waitMs) * size.outputTokens
 }
