Let refusals that prove a stream unrun leave its attempts; read log files without an operator port

Cause: a stream whose path was refused twice ended in 502 although no engine had run it anew; the timeline of files asked for an operator port that it did not use.

--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -25,15 +25,17 @@
   files = Option.Rest()
 
   async execute (): Promise<number> {
-    return await this.attempt(async () => {
-      const filter = this.filter()
-      const events = this.files.length > 0 ? await this.readFiles() : await this.askMembers(filter)
-      const merged = mergeTimeline(events, { filter })
-      if (this.html !== undefined) await writeFile(this.html, renderTimelineHtml(merged, { title: describeFilter(filter) }))
-      if (this.json) this.print(JSON.stringify(merged))
-      else for (const event of merged) this.print(renderEvent(event))
-      return EXIT.ok
-    })
+    if (this.files.length > 0) return await this.render(await this.readFiles())
+    return await this.attempt(async () => await this.render(await this.askMembers(this.filter())))
+  }
+
+  private async render (events: LoggedEvent[]): Promise<number> {
+    const filter = this.filter()
+    const merged = mergeTimeline(events, { filter })
+    if (this.html !== undefined) await writeFile(this.html, renderTimelineHtml(merged, { title: describeFilter(filter) }))
+    if (this.json) this.print(JSON.stringify(merged))
+    else for (const event of merged) this.print(renderEvent(event))
+    return EXIT.ok
   }
 
   private filter (): Record<string, string> {
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -18,8 +18,8 @@
 /** Time after the last sign of a whole cover in which lost layers are likely to be loaded again, in milliseconds. */
 const REPAIR_MS = 2_500
 
-/** Tries of one call beyond its attempts on targets that went away meanwhile. */
-const MOST_TRIES = 6
+/** Tries of one call beyond its attempts, where engines refused it unrun or went away meanwhile. */
+const MOST_REFUSALS = 2
 
 /** Weight of the caller's estimate against the usual output; the estimate is often far off. */
 const HINT_WEIGHT = 0.5
@@ -75,7 +75,7 @@
     if (outcome.kind === 'refused') return endWithReason(call, parts, progress.arrivals > 0 ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
     using place = outcome.place
     if (signal.aborted) break
-    if (progress.arrivals > 0 && !budget.take(service.name)) return endWithReason(call, parts, 'targetFailed', { ...details(), cause: 'retry budget spent' })
+    if (progress.tries > 0 && !budget.take(service.name)) return endWithReason(call, parts, 'targetFailed', { ...details(), cause: 'retry budget spent' })
     progress.tries++
     const result = await attemptStream(call, place, size, progress, parts)
     metrics.attempts.inc({ result: result.kind })
@@ -94,7 +94,6 @@
       if (call.endMs <= runtime.monotonicMs()) break
       const faulty = findByAddress(result.faultyAddress) ?? target.id
       parts.suspicions.note(faulty, result.isArrival ? 'refused' : 'unreachable')
-      if (result.isArrival) progress.arrivals++
       excluded.add(faulty)
     } else {
       if (!route.isResumable) return endWithReason(call, parts, 'targetFailed', details())
@@ -102,7 +101,7 @@
       if (fleet.isServing(target)) progress.arrivals++
       excluded.add(target.id)
     }
-    const isSpent = progress.arrivals >= route.maxAttempts || progress.tries >= MOST_TRIES
+    const isSpent = progress.arrivals >= route.maxAttempts || progress.tries >= route.maxAttempts + MOST_REFUSALS
     if (isSpent) return endWithReason(call, parts, result.kind === 'notRun' && progress.lastEventId === undefined ? 'noPipeline' : 'targetFailed', { ...details(), retryAfterMs: RETRY_AFTER_MS })
     log.emit('streamResumed', { request: facts.requestId, target: target.id, cause: result.cause, lastEventId: progress.lastEventId, tries: progress.tries })
   }
