--- /dev/null
+++ b/test/gateway/startGateway.test.ts
@@ -0,0 +1,130 @@
+import http from 'node:http'
+import test from 'ava'
+import { request } from 'undici'
+import { createPlatformStore } from '../../platform/createPlatformStore.js'
+import { createFleetFormat } from '../../platform/decode.js'
+import { platformHeaders } from '../../platform/headers.js'
+import type { DigestSocket } from '../../src/digest/types.js'
+import { createGatewayMetrics } from '../../src/gateway/createGatewayMetrics/index.js'
+import { startGateway } from '../../src/gateway/startGateway/index.js'
+import { answerOf, servePlatformEngine, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
+import { servePlatformStore } from '../../standin/platform/servePlatformStore/index.js'
+import { createScaledRuntime } from '../fakes/createScaledRuntime.js'
+import { createTestLog } from '../fakes/createTestLog.js'
+import { sendCall } from '../fakes/startTestGateway.js'
+
+/** How much faster than real time the gateway's waits pass. */
+const SPEED = 20
+
+const NO_PEERS: DigestSocket = { send () {}, onMessage () {}, async [Symbol.asyncDispose] () {} }
+
+/** A port that was free a moment ago. */
+async function freePort (): Promise<number> {
+  const server = http.createServer()
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as { port: number }
+  await new Promise(resolve => { server.close(resolve) })
+  return port
+}
+
+/** A gateway before one plain target, with a store that names it. */
+async function startWhole (script: EngineScript) {
+  const [store, target] = [await servePlatformStore(), await servePlatformEngine(script)]
+  const runtime = createScaledRuntime(SPEED)
+  const log = createTestLog()
+  const [caller, readiness, internal, metrics] = [await freePort(), await freePort(), await freePort(), await freePort()]
+  const address = '127.0.0.1'
+  const gateway = await startGateway({
+    host: 'entry-1',
+    ip: address,
+    failureDomain: 'north',
+    callerAddress: { address, port: caller },
+    readinessAddress: { address, port: readiness },
+    internalAddress: { address, port: internal },
+    metricsAddress: { address, port: metrics },
+    seedIps: [],
+    retryRatio: 0.2,
+    retryExtra: 196,
+    retryWindowMs: 10_000,
+    graceMs: 8_000
+  }, {
+    store: createPlatformStore({ address: store.address, callTimeoutMs: 4_000, watchWaitMs: 200, watchGraceMs: 4_000, runtime, onCall: () => {} }),
+    control: { report: async () => undefined, place: async () => ({ kind: 'begun' }), repath: async () => ({ kind: 'done' }), isReachable: async () => true },
+    socket: NO_PEERS,
+    format: platformHeaders,
+    fleetFormat: createFleetFormat(log),
+    runtime,
+    log,
+    metrics: createGatewayMetrics()
+  })
+  const isReady = async (): Promise<number> => (await request(`http://${address}:${readiness}/ready`)).statusCode
+  return {
+    store,
+    target,
+    gateway,
+    isReady,
+    callerAddress: `${address}:${caller}`,
+    metricsUrl: `http://${address}:${metrics}/metrics`,
+    configure () {
+      store.put('servers', 'i-1', { service: 'orders', address: target.address, zone: 'north', version: 'v1', slots: 4, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 5 })
+      store.put('config', 'main', {
+        version: 1,
+        routes: [{ name: 'r', host: 'studio.example', path_prefix: '/unsafe/', kind: 'unsafe', timeout_ms: 60_000, target_latency_ms: 300, max_attempts: 1, service: 'orders' }],
+        services: [{ name: 'orders' }],
+        limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+        tenants: [{ name: 'studio', api_keys: ['secret'] }]
+      })
+    },
+    async [Symbol.asyncDispose] () {
+      await gateway[Symbol.asyncDispose]()
+      await target[Symbol.asyncDispose]()
+      await store[Symbol.asyncDispose]()
+    }
+  }
+}
+
+/** Asks again until the answer is the wanted one; the test's own deadline bounds it. */
+async function until<T> (ask: () => Promise<T>, wanted: T): Promise<void> {
+  while (await ask() !== wanted) await new Promise(resolve => { setImmediate(resolve) })
+}
+
+const call = (address: string) => sendCall(address, '/unsafe/x', { 'deadline-ms': '60000' }, '')
+
+test('a gateway is ready once it knows configuration and targets, and serves from then on', async t => {
+  await using whole = await startWhole((request, socket) => socket.end(answerOf(request, 'done')))
+  t.is(await whole.isReady(), 503)
+  t.is((await call(whole.callerAddress)).status, 503)
+  whole.configure()
+  await until(whole.isReady, 200)
+  t.like(await call(whole.callerAddress), { status: 200, body: 'done' })
+  t.regex(await (await request(whole.metricsUrl)).body.text(), /coltsfootlead_gateway_calls_total\{kind="unsafe",outcome="answered"\} 1/)
+})
+
+test('a stop lets what is under way end, and asks for its connection to be closed', async t => {
+  let release = (): void => {}
+  let noteArrival = (): void => {}
+  const arrived = new Promise<void>(resolve => { noteArrival = resolve })
+  await using whole = await startWhole((request, socket) => {
+    release = () => socket.end(answerOf(request, 'late but whole'))
+    noteArrival()
+  })
+  whole.configure()
+  await until(whole.isReady, 200)
+  const answer = call(whole.callerAddress)
+  await arrived
+  const drained = whole.gateway.drain()
+  t.is(await whole.isReady(), 503)
+  release()
+  const { status, body, headers } = await answer
+  t.deepEqual([status, body, headers.connection], [200, 'late but whole', 'close'])
+  await drained
+})
+
+test('a stop that nothing holds up refuses no call that still comes in', async t => {
+  await using whole = await startWhole((request, socket) => socket.end(answerOf(request, 'done')))
+  whole.configure()
+  await until(whole.isReady, 200)
+  const drained = whole.gateway.drain()
+  t.like(await call(whole.callerAddress), { status: 200, body: 'done' })
+  await drained
+})
