--- a/src/waiting/createDispatcher/index.ts
+++ b/src/waiting/createDispatcher/index.ts
@@ -2,7 +2,8 @@
  * Who gets the next free place and who is turned away. Answers the load pattern in which part
  * of the fleet is lost and more requests arrive than the rest can hold: requests wait at the
  * host, not in the engines, in order of rank and then of arrival, and one that cannot start in
- * time is refused at once.
+ * time is refused at once: by the rate at which places were lately handed out, those before it
+ * would take longer than its useful wait.
  */
 import type { Runtime } from '../../runtime/types.js'
 
@@ -39,6 +40,15 @@
 /** Requests that wait at most; beyond it the newest is refused. */
 const QUEUE_LIMIT = 300
 
+/** Time over which the rate of places is measured, in milliseconds; about one longest wait. */
+const RATE_WINDOW_MS = 1_500
+
+/** Places a second that are counted on when fewer were handed out, as right after a fault that is being repaired. */
+const RATE_FLOOR_PER_S = 4
+
+/** Milliseconds in a second. */
+const MS_PER_S = 1_000
+
 /** Failed tries in one round after which the rest of the queue waits for the next one. */
 const TRIES_PER_ROUND = 2
 
@@ -69,6 +79,20 @@
     entry.settle(outcome)
   }
 
+  /** Monotonic times at which places were handed out lately. */
+  let placedMs: number[] = []
+
+  function notePlaced (): void {
+    placedMs.push(runtime.monotonicMs())
+  }
+
+  /** Time until a request behind all that wait can expect a place. */
+  function expectWaitMs (): number {
+    placedMs = placedMs.filter(atMs => runtime.monotonicMs() - atMs < RATE_WINDOW_MS)
+    const ratePerS = Math.max(RATE_FLOOR_PER_S, placedMs.length * MS_PER_S / RATE_WINDOW_MS)
+    return queue.length / ratePerS * MS_PER_S
+  }
+
   const waitedMs = (entry: Waiting<Place>): number => runtime.monotonicMs() - entry.arrivedMs
 
   function refuse (entry: Waiting<Place>): void {
@@ -89,6 +113,7 @@
         continue
       }
       const { account } = entry.wanted
+      notePlaced()
       servedByAccount.set(account, (servedByAccount.get(account) ?? 0) + 1)
       finish(entry, { kind: 'placed', place, waitedMs: waitedMs(entry) })
     }
@@ -100,9 +125,12 @@
     request (wanted) {
       if (queue.length === 0) {
         const place = wanted.tryPlace()
-        if (place !== undefined) return Promise.resolve({ kind: 'placed', place, waitedMs: 0 })
+        if (place !== undefined) {
+          notePlaced()
+          return Promise.resolve({ kind: 'placed', place, waitedMs: 0 })
+        }
       }
-      if (queue.length >= QUEUE_LIMIT || wanted.maxWaitMs <= 0 || !wanted.isPlaceExpected()) {
+      if (queue.length >= QUEUE_LIMIT || wanted.maxWaitMs <= 0 || expectWaitMs() > wanted.maxWaitMs || !wanted.isPlaceExpected()) {
         return Promise.resolve({ kind: 'refused', waitedMs: 0, queueLength: queue.length })
       }
       return new Promise(resolve => {
--- a/src/waiting/createDispatcher/test.ts
+++ b/src/waiting/createDispatcher/test.ts
@@ -70,3 +70,29 @@
   t.deepEqual(order, ['a aborted'])
   t.is(dispatcher.queueLength(), 0)
 })
+
+test('after a fault that halves the fleet, those that cannot start in time are refused on arrival', async t => {
+  const { runtime, dispatcher, places, order, ask } = createBench()
+  const placedEachMs = 100
+  for (let arrival = 0; arrival < 40; arrival++) {
+    ask(`r${arrival}`, { maxWaitMs: 1_500 })
+    await runtime.advance(placedEachMs / 2)
+    if (arrival % 2 === 1) {
+      places.push('p')
+      dispatcher.poke()
+      await runtime.settle()
+    }
+  }
+  const late = order.filter(line => line.endsWith('refused')).length
+  t.true(dispatcher.queueLength() <= 15)
+  t.true(late > 0)
+  await runtime.advance(1_500)
+  t.is(order.length, 40)
+})
+
+test('a short queue waits through a pause in which no place is handed out', async t => {
+  const { runtime, order, ask } = createBench()
+  for (const name of ['a', 'b', 'c']) ask(name)
+  await runtime.settle()
+  t.deepEqual(order, [])
+})
