Split the longest modules, and let background tasks outlive a failed round

The lease's duty, the passing of a stream and the cost of links have modules of their own. A loop that threw once (an unreadable lease, say) ended for good; each round's failure is now logged and the loop goes on. Failed reports and store calls have their log line.

--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -70,6 +70,7 @@
   targetLeaving: { number: 6001, level: 'info', text: 'target is leaving and gets no new work' },
   targetSuspected: { number: 6002, level: 'warn', text: 'target suspected' },
   targetInvalid: { number: 6003, level: 'warn', text: 'entry of a target could not be read and is left out' },
+  targetUnavailable: { number: 6004, level: 'warn', text: 'target did not report its state' },
   layersLoaded: { number: 6022, level: 'info', text: 'engine holds the ordered layers' },
   leaseAcquired: { number: 6010, level: 'info', text: 'control lease acquired' },
   leaseLost: { number: 6011, level: 'warn', text: 'control lease lost' },
--- a/src/gateway/_lib/findPeers.ts
+++ b/src/gateway/_lib/findPeers.ts
@@ -3,6 +3,7 @@
  */
 import { z } from 'zod'
 import type { DigestExchange } from '../../digest/createDigestExchange/index.js'
+import type { EventLog } from '../../event/types.js'
 import type { ObjectStore } from '../../objectApi/types.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
@@ -22,17 +23,19 @@
 interface StoreAccess {
   store: ObjectStore
   runtime: Runtime
+  log: EventLog
   signal: AbortSignal
 }
 
 /** Writes this host's address into the store, until that has succeeded. */
-export async function registerHost (host: { host: string, ip: string }, { store, runtime, signal }: StoreAccess): Promise<void> {
+export async function registerHost (host: { host: string, ip: string }, { store, runtime, log, signal }: StoreAccess): Promise<void> {
   const key = `${HOST_PREFIX}${host.host}`
   const value = { ip: host.ip }
   while (!signal.aborted) {
     const created = await store.write(key, value, { ifAbsent: true })
     if (created.kind === 'written') return
-    if (created.kind === 'conflict') {
+    if (created.kind !== 'conflict') log.emit('storeUnavailable', { prefix: HOST_PREFIX, cause: created.cause })
+    else {
       const read = await store.read(key)
       if (read.kind === 'found') {
         if (hostSchema.safeParse(read.object.value).data?.ip === host.ip) return
@@ -45,9 +48,10 @@
 }
 
 /** Reads the addresses of hosts from the store, often until a peer is heard. */
-export async function findPeers (exchange: DigestExchange, { store, runtime, signal }: StoreAccess): Promise<void> {
+export async function findPeers (exchange: DigestExchange, { store, runtime, log, signal }: StoreAccess): Promise<void> {
   while (!signal.aborted) {
     const listed = await store.list(HOST_PREFIX)
+    if (listed.kind === 'unavailable') log.emit('storeUnavailable', { prefix: HOST_PREFIX, cause: listed.cause })
     if (listed.kind === 'listed') {
       for (const { value } of listed.objects) {
         const parsed = hostSchema.safeParse(value)
--- a/src/gateway/rescueStreams/index.ts
+++ b/src/gateway/rescueStreams/index.ts
@@ -6,7 +6,7 @@
  */
 import type { Path, Target } from '../../fleet/types.js'
 import { choosePath } from '../../path/choosePath/index.js'
-import { sleep } from '../../runtime/sleep/index.js'
+import { repeatTask } from '../../runtime/repeatTask/index.js'
 import type { ActiveStream, GatewayParts } from '../types.js'
 
 /** Interval of the checks; a fraction of the pause that is still on time. */
@@ -38,8 +38,9 @@
   const { runtime, streams, suspicions, control, fleet, log } = parts
   const probedMs = new Map<string, number>()
 
-  while (!signal.aborted) {
-    await sleep(CHECK_MS, { runtime, signal })
+  await repeatTask(check, { intervalMs: CHECK_MS, task: 'rescue', runtime, log, signal })
+
+  function check (): void {
     const suspects = listSuspects()
     for (const target of suspects) probe(target)
     moveStreams()
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -3,7 +3,6 @@
  * digests with its peers and, while it holds the control lease, places layers.
  */
 import { setMaxListeners } from 'node:events'
-import { createLeaseClaim } from '../../control/holdLease/index.js'
 import { createDigestExchange } from '../../digest/createDigestExchange/index.js'
 import type { Digest, DigestSocket } from '../../digest/types.js'
 import type { EventLog } from '../../event/types.js'
@@ -17,6 +16,7 @@
 import { runPlacement } from '../../placement/runPlacement/index.js'
 import type { EngineControl } from '../../placement/types.js'
 import { createRetryBudget } from '../../retry/createRetryBudget/index.js'
+import { repeatTask } from '../../runtime/repeatTask/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline } from '../../runtime/withDeadline/index.js'
@@ -27,6 +27,7 @@
 import type { GatewayMetrics } from '../createGatewayMetrics/index.js'
 import { rescueStreams } from '../rescueStreams/index.js'
 import { findPeers, registerHost } from '../_lib/findPeers.js'
+import { createDuty } from '../_lib/createDuty.js'
 import { createInternalHandler, readPeerState } from '../_lib/internalPort.js'
 import type { CallFormat, GatewayParts, Place } from '../types.js'
 
@@ -69,13 +70,9 @@
   drain: () => Promise<void>
 }
 
-/** Duration of the lease and interval of its renewal, in milliseconds; a successor acts within two to three seconds. */
-const LEASE_MS = 1_500
+/** Interval at which the lease is renewed, in milliseconds; a third of its duration. */
 const LEASE_STEP_MS = 500
 
-/** Silence of the holder's digests after which other hosts look at the lease. */
-const HOLDER_SILENT_MS = 500
-
 /** Time for which a connection may stay idle: longer than callers keep theirs. */
 const IDLE_TIMEOUT_MS = 20_000
 
@@ -121,11 +118,6 @@
   resources.use(store)
   resources.use(socket)
 
-  const claim = createLeaseClaim({ holder: settings.host, durationMs: LEASE_MS, store, runtime })
-  let lastFencing = 0
-  /** Whether this host held the lease when it was last known who does. */
-  let isHolderInOutage = false
-
   const exchange = createDigestExchange({
     socket,
     ownIp: settings.ip,
@@ -142,6 +134,16 @@
 
   const isStoreUpForPeers = (): boolean => exchange.peers().some(peer => peer.digest.isStoreConnected)
   const follower = followFleet(fleet, { store, format: ports.fleetFormat, log, runtime, signal, isStoreUpForPeers })
+  const duty = createDuty({
+    host: settings.host,
+    store,
+    runtime,
+    log,
+    metrics,
+    peers: exchange.peers,
+    isDraining: () => drainingSinceMs !== undefined,
+    isStoreConnected: follower.isConnected
+  })
   const budget = createRetryBudget({
     ratio: settings.retryRatio,
     extraRepeats: settings.retryExtra,
@@ -188,12 +190,12 @@
   resources.use(await listen(internal, settings.metricsAddress))
   log.emit('processStarted', { address: callers.address, failureDomain: settings.failureDomain })
 
-  registerHost(settings, { store, runtime, signal })
-  findPeers(exchange, { store, runtime, signal })
+  registerHost(settings, { store, runtime, log, signal })
+  findPeers(exchange, { store, runtime, log, signal })
   rescueStreams(parts, { signal, onFinding: exchange.flush })
-  runPlacement({ fleet, suspicions, control, runtime, log, metrics, signal, fencing: mayOrder, onLoaded: exchange.flush })
-  keepLease()
-  pokeNow()
+  runPlacement({ fleet, suspicions, control, runtime, log, metrics, signal, fencing: duty.fencing, onLoaded: exchange.flush })
+  repeatTask(duty.step, { intervalMs: LEASE_STEP_MS, task: 'lease', runtime, log, signal })
+  repeatTask(look, { intervalMs: POKE_MS, task: 'queue', runtime, log, signal })
 
   function dispatcherOf (service: string): Dispatcher<Place> {
     const known = dispatchers.get(service)
@@ -209,7 +211,7 @@
       startedMs,
       statePort: settings.internalAddress.port,
       ...progress(),
-      leaseFencing: mayOrder() ?? 0,
+      leaseFencing: duty.fencing() ?? 0,
       load: occupancy.own(),
       suspicions: suspicions.share(),
       seenLayers: fleet.seenLayers()
@@ -222,7 +224,7 @@
 
   function takeDigest (digest: Digest): void {
     occupancy.setPeer(digest.host, digest.load)
-    lastFencing = Math.max(lastFencing, digest.leaseFencing)
+    duty.learn(digest.leaseFencing)
     digest.suspicions.forEach(suspicions.learn)
     for (const seen of digest.seenLayers) if (!isKnown(seen)) fleet.noteLayers(seen)
   }
@@ -232,49 +234,15 @@
     return target?.layers?.from === seen.layers?.from && target?.layers?.to === seen.layers?.to
   }
 
-  /**
-   * Fencing number while this host may give orders. Without the store nobody can take the lease:
-   * its last holder goes on, or else the first of the hosts that hear each other. Two such hosts
-   * waste effort at worst, since each order names the engine's state that it was planned for.
-   */
-  function mayOrder (): number | undefined {
-    const held = claim.held()
-    if (held !== undefined) return held.fencing
-    if (drainingSinceMs !== undefined || follower.isConnected() || isStoreUpForPeers()) return undefined
-    const peers = exchange.peers()
-    const isLastHolder = isHolderInOutage && !peers.some(peer => peer.digest.leaseFencing > lastFencing)
-    const isFirst = peers.every(peer => peer.digest.leaseFencing === 0 && peer.digest.host > settings.host)
-    return isLastHolder || isFirst ? lastFencing : undefined
-  }
-
   const isReady = (): boolean => drainingSinceMs === undefined && fleet.configuration() !== undefined && fleet.revision() >= 0
 
   const isRotationOver = (): boolean => drainingSinceMs !== undefined && runtime.monotonicMs() - drainingSinceMs > settings.rotationMs
 
-  async function keepLease (): Promise<void> {
-    while (!signal.aborted) {
-      const isHolder = claim.held() !== undefined
-      const holder = exchange.peers().find(peer => peer.digest.leaseFencing > 0 && runtime.monotonicMs() - peer.heardMs < HOLDER_SILENT_MS)
-      if (isHolder || (holder === undefined && drainingSinceMs === undefined)) await claim.step({ fencingAbove: 0 })
-      const held = claim.held()
-      if (held !== undefined && !isHolder) log.emit('leaseAcquired', { fencing: held.fencing })
-      if (held === undefined && isHolder) log.emit('leaseLost', { fencing: lastFencing })
-      lastFencing = held?.fencing ?? lastFencing
-      if (held !== undefined) isHolderInOutage = true
-      else if (follower.isConnected()) isHolderInOutage = false
-      metrics.isLeaseHolder.set(held === undefined ? 0 : 1)
-      await sleep(LEASE_STEP_MS, { runtime, signal })
-    }
-  }
-
-  async function pokeNow (): Promise<void> {
-    while (!signal.aborted) {
-      await sleep(POKE_MS, { runtime, signal })
-      for (const dispatcher of dispatchers.values()) dispatcher.poke()
-      metrics.streams.set(parts.streams.size)
-      metrics.waiting.set([...dispatchers.values()].reduce((sum, dispatcher) => sum + dispatcher.queueLength(), 0))
-      metrics.configurationVersion.set(fleet.configuration()?.version ?? -1)
-    }
+  function look (): void {
+    for (const dispatcher of dispatchers.values()) dispatcher.poke()
+    metrics.streams.set(parts.streams.size)
+    metrics.waiting.set([...dispatchers.values()].reduce((sum, dispatcher) => sum + dispatcher.queueLength(), 0))
+    metrics.configurationVersion.set(fleet.configuration()?.version ?? -1)
   }
 
   return {
--- a/src/path/choosePath/test.ts
+++ b/src/path/choosePath/test.ts
@@ -1,7 +1,8 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { buildEngine, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
-import { choosePath, linkKey, type EngineLoad, type PathOptions } from './index.js'
+import { linkKey } from '../_lib/linkCost.js'
+import { choosePath, type EngineLoad, type PathOptions } from './index.js'
 
 const NO_LOAD: EngineLoad = { tokenLayers: 0, sequences: 0, firstSequences: 0 }
 const SIZE = { promptTokens: 770, outputTokens: 174 }
--- a/src/path/createOccupancy/index.ts
+++ b/src/path/createOccupancy/index.ts
@@ -4,7 +4,8 @@
  */
 import type { Path } from '../../fleet/types.js'
 import type { Runtime } from '../../runtime/types.js'
-import { isSameStage, linkKey, LINK_WINDOW_MS, type EngineLoad, type RequestSize } from '../choosePath/index.js'
+import { linkKey, LINK_WINDOW_MS } from '../_lib/linkCost.js'
+import { isSameStage, type EngineLoad, type RequestSize } from '../choosePath/index.js'
 
 /** Load by target identity, and by link between failure domains. */
 export type LoadByTarget = Record<string, EngineLoad>
--- a/src/path/createOccupancy/test.ts
+++ b/src/path/createOccupancy/test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { buildEngine } from '../../../test/fakes/buildFleet.js'
 import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
-import { LINK_WINDOW_MS, linkKey } from '../choosePath/index.js'
+import { LINK_WINDOW_MS, linkKey } from '../_lib/linkCost.js'
 import { createOccupancy } from './index.js'
 
 const SIZE = { promptTokens: 100, outputTokens: 50 }
--- a/src/placement/runPlacement/index.ts
+++ b/src/placement/runPlacement/index.ts
@@ -6,6 +6,7 @@
 import type { FleetState } from '../../fleet/createFleetState/index.js'
 import type { EngineModel, LayerRange, Target } from '../../fleet/types.js'
 import type { GatewayMetrics } from '../../gateway/createGatewayMetrics/index.js'
+import { repeatTask } from '../../runtime/repeatTask/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import type { Suspicions } from '../../suspicion/createSuspicions/index.js'
@@ -59,9 +60,10 @@
   let knownCount = -1
   let grownMs = runtime.monotonicMs()
 
-  while (!signal.aborted) {
-    await sleep(PLAN_INTERVAL_MS, { runtime, signal })
-    if (fencing() === undefined) continue
+  await repeatTask(planServices, { intervalMs: PLAN_INTERVAL_MS, task: 'placement', runtime, log, signal })
+
+  function planServices (): void {
+    if (fencing() === undefined) return
     for (const service of fleet.configuration()?.services ?? []) {
       if (service.model !== undefined) planService(service.name, service.model)
     }
--- /dev/null
+++ b/src/runtime/repeatTask/test.ts
@@ -0,0 +1,19 @@
+import test from 'ava'
+import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
+import { createTestLog } from '../../../test/fakes/createTestLog.js'
+import { repeatTask } from './index.js'
+
+test('a task goes on after a round that throws, and the failure is logged', async t => {
+  const runtime = createManualRuntime()
+  const log = createTestLog()
+  const controller = new AbortController()
+  let rounds = 0
+  const done = repeatTask(() => {
+    if (++rounds === 2) throw new Error('odd state')
+  }, { intervalMs: 10, task: 'test', runtime, log, signal: controller.signal })
+  await runtime.advance(35)
+  controller.abort()
+  await done
+  t.is(rounds, 4)
+  t.like(log.recent()[0], { name: 'unexpectedError', task: 'test' })
+})
