Never call a stream unrun that may have run on an engine that is gone

Cause: only tries on engines that are still listed counted, so a stream whose engine ran it and left was refused with 503 when no other place was found. The test failed first (503).

--- a/src/gateway/_lib/passStream.ts
+++ b/src/gateway/_lib/passStream.ts
@@ -23,7 +23,10 @@
 export interface Progress {
   lastEventId: number | undefined
   tries: number
+  /** Tries that may have run on an engine that is still there; they count against the route's attempts. */
   arrivals: number
+  /** Whether any try may have run, so that the call must not be called unrun. */
+  mayHaveRun: boolean
   waitedMs: number
   attempts: string[]
   firstEventMs: number | undefined
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -39,14 +39,14 @@
   const { budget, fleet, log, metrics, runtime } = parts
   const size = estimateSize(call)
   const excluded = new Set<string>()
-  const progress: Progress = { lastEventId: facts.lastEventId, tries: 0, arrivals: 0, waitedMs: 0, attempts: [], firstEventMs: undefined, lastEventMs: undefined, longestPauseMs: 0, longestPauseEndMs: 0 }
+  const progress: Progress = { lastEventId: facts.lastEventId, tries: 0, arrivals: 0, mayHaveRun: false, waitedMs: 0, attempts: [], firstEventMs: undefined, lastEventMs: undefined, longestPauseMs: 0, longestPauseEndMs: 0 }
   const details = (): AnswerDetails => ({ attempts: progress.attempts, waitedMs: Math.round(progress.waitedMs), queueLength: parts.dispatcherOf(service.name).queueLength() })
 
   while (!signal.aborted) {
     const outcome = await requestPlace()
     if (outcome.kind === 'aborted') break
     progress.waitedMs += outcome.waitedMs
-    if (outcome.kind === 'refused') return endWithReason(call, parts, progress.arrivals > 0 ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
+    if (outcome.kind === 'refused') return endWithReason(call, parts, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
     using place = outcome.place
     if (signal.aborted) break
     if (progress.tries > 0 && !budget.take(service.name)) return endWithReason(call, parts, 'targetFailed', { ...details(), cause: 'retry budget spent' })
@@ -57,6 +57,7 @@
     progress.attempts.push(`${describePath(place)} ${'cause' in result ? result.cause : result.kind}`)
     if (result.kind === 'complete') return finish()
     if (signal.aborted) break
+    if (result.kind !== 'notRun') progress.mayHaveRun = true
     if (result.kind === 'refusedByTarget') {
       parts.suspicions.note(target.id, 'failedAnswer')
       progress.arrivals++
@@ -76,7 +77,7 @@
       excluded.add(target.id)
     }
     const isSpent = progress.arrivals >= route.maxAttempts || progress.tries >= route.maxAttempts + MOST_REFUSALS
-    if (isSpent) return endWithReason(call, parts, result.kind === 'notRun' && progress.lastEventId === undefined ? 'noPipeline' : 'targetFailed', { ...details(), retryAfterMs: RETRY_AFTER_MS })
+    if (isSpent) return endWithReason(call, parts, !progress.mayHaveRun ? 'noPipeline' : 'targetFailed', { ...details(), retryAfterMs: RETRY_AFTER_MS })
     log.emit('streamResumed', { request: facts.requestId, target: target.id, cause: result.cause, lastEventId: progress.lastEventId, tries: progress.tries })
   }
   if (signal.reason instanceof DeadlineError) {
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -2,7 +2,7 @@
 import type { Target } from '../../src/fleet/types.js'
 import { rescueStreams } from '../../src/gateway/rescueStreams/index.js'
 import { answerOf, chunk, chunksOf, servePlatformEngine, streamHeadOf, STREAM_END, type EngineScript, type PlatformEngineStandin } from '../../standin/platform/servePlatformEngine/index.js'
-import { startTestGateway } from '../fakes/startTestGateway.js'
+import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 /** An engine that holds part of the layers; memory is not at stake here. */
 const engine = (id: string, address: string, from: number, to: number, failureDomain = 'north'): Target => ({
@@ -118,3 +118,16 @@
   await rescue
   t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
 })
+
+test('a stream that may have run on an engine that is gone is not called unrun', async t => {
+  let leave = (): void => {}
+  const reset: EngineScript = (_request, socket) => {
+    leave()
+    socket.resetAndDestroy()
+  }
+  const full: EngineScript = (request, socket) => socket.end(answerOf(request, '', { status: '503 Full', headers: ['Not-Executed: 1'] }))
+  const configuration = { ...TEST_CONFIGURATION, routes: TEST_CONFIGURATION.routes.map(route => ({ ...route, objectiveMs: 50, timeoutMs: 60_000 })) }
+  await using pipelines = await startPipelines(reset, full, { configuration })
+  leave = () => pipelines.gateway.parts.fleet.applyChanges({ revision: 2, changed: [], removedIds: ['i-1'] })
+  t.is((await pipelines.gateway.send('/stream/x', { 'deadline-ms': '60000' })).status, 502)
+})
