Hold a refusal against the engine of the path, not another one at its address

Cause: a refusal names the stage at fault by address. The engine was looked up among all listed targets, and where an earlier or later start was listed at the same address that one was excluded instead: the same path was tried again until the budget of repeats was spent. Ruled out: a stale list alone; the path's own engine was known to the call. Change: the address is looked up in the path that was refused. The new test fails without it.

--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -67,7 +67,7 @@
     }
     if (result.kind === 'notRun') {
       if (call.endMs <= runtime.monotonicMs()) break
-      const faulty = findByAddress(result.faultyAddress) ?? target.id
+      const faulty = findStage(place, result.faultyAddress) ?? target.id
       parts.suspicions.note(faulty, result.isArrival ? 'refused' : 'unreachable')
       excluded.add(faulty)
     } else {
@@ -104,10 +104,6 @@
     })
   }
 
-  function findByAddress (address: string | undefined): string | undefined {
-    return address === undefined ? undefined : fleet.targets().find(target => target.address === address)?.id
-  }
-
   function finish (): void {
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
     log.emit('gatewayAnswered', {
@@ -133,6 +129,11 @@
   }
 }
 
+/** The engine of a place at an address; another one that is listed there may be gone or have come later. */
+function findStage (place: Place, address: string | undefined): string | undefined {
+  return place.path?.find(stage => stage.target.address === address)?.target.id
+}
+
 /** The stages of a place, for the log. */
 function describePath (place: Place): string {
   return place.path === undefined ? place.target.id : place.path.map(stage => `${stage.target.id}:${stage.from}-${stage.to}`).join(',')
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -131,3 +131,16 @@
   leave = () => pipelines.gateway.parts.fleet.applyChanges({ revision: 2, changed: [], removedIds: ['i-1'] })
   t.is((await pipelines.gateway.send('/stream/x', { 'deadline-ms': '60000' })).status, 502)
 })
+
+test('a refusal that names an address of the path counts against the engine of the path there', async t => {
+  const refuse: EngineScript = (request, socket) => socket.end(answerOf(request, '', { status: '503 Service Unavailable', headers: ['Not-Executed: 1', `At-Server: ${/,([^=]+)=/.exec(request.headers['hop-count']!)![1]}`] }))
+  await using pipelines = await startPipelines(refuse)
+  const { fleet } = pipelines.gateway.parts
+  const second = fleet.targets().find(target => target.id === 'i-1h')!
+  const listed = [{ ...second, id: 'i-0', layers: undefined }, ...fleet.targets()]
+  fleet.applySnapshot({ revision: 2, targets: [] })
+  fleet.applySnapshot({ revision: 3, targets: listed })
+  const answer = await pipelines.gateway.send('/stream/x')
+  t.like(answer, { status: 200, isComplete: true })
+  t.is(pipelines.one.arrived.length, 1)
+})
