Let one host of each failure domain read the targets for all

Ruled out: longer waits, which renewed entries end at once; leaving the watch of the configuration to other hosts too, since it has to be in force everywhere in time whoever is cut off. Change: the first host by name of each domain whom the store answers reads the targets; the others wait at it for changes (`/state` with a fingerprint of what they know) and read the store once at their start. Without a reader whom the store answers every host reads. Renewed entries no longer count as changes. Only readers look at the lease.

--- a/src/digest/createDigestExchange/index.ts
+++ b/src/digest/createDigestExchange/index.ts
@@ -6,7 +6,7 @@
 import type { EventLog } from '../../event/types.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
-import { digestSchema, type Digest, type DigestSocket } from '../types.js'
+import { digestSchema, encodeDigest, type Digest, type DigestSocket } from '../types.js'
 
 /** A peer as this host last heard it. */
 export interface Peer {
@@ -25,7 +25,9 @@
   /** This host's digest, but for what the exchange itself adds. */
   buildDigest: () => Omit<Digest, 'sequence' | 'peers'>
   /** How far this host has read the store; part of its digest. */
-  progress: () => Pick<Digest, 'configurationVersion' | 'targetsRevision' | 'isStoreConnected'>
+  progress: () => Pick<Digest, 'configurationVersion' | 'targetsRevision' | 'targetsFingerprint' | 'isStoreConnected'>
+  /** Whether changes reach this host without its peers' digests. */
+  isFollowing: () => boolean
   /** Takes a peer's digest. */
   onDigest: (digest: Digest) => void
   /** Called when a peer was not heard for a while. */
@@ -41,6 +43,8 @@
   peers: () => Peer[]
   /** Hosts heard within a time, this one included. */
   countHosts: (withinMs: number) => number
+  /** Mean age of the peers' digests, in milliseconds. */
+  digestAgeMs: () => number
   /** Sends a digest at once, as when a target is found dead. */
   flush: () => void
 }
@@ -51,6 +55,9 @@
 /** Peers that get each digest; more are taken in turn. */
 const FAN_OUT = 8
 
+/** Addresses told in one digest; all become known over a few. */
+const PEERS_TOLD = 16
+
 /** Silence after which a peer's load no longer counts. */
 const LOST_MS = 1_500
 
@@ -68,10 +75,10 @@
  * @returns The exchange.
  *
  * @example
- * const exchange = createDigestExchange({ socket, ownIp, runtime, log, signal, buildDigest, onDigest, onPeerLost, fetchState })
+ * const exchange = createDigestExchange({ socket, ownIp, runtime, log, signal, buildDigest, progress, isFollowing, onDigest, onPeerLost, fetchState })
  */
 export function createDigestExchange (options: DigestExchangeOptions): DigestExchange {
-  const { socket, ownIp, runtime, log, signal, buildDigest, progress, onDigest, onPeerLost, fetchState } = options
+  const { socket, ownIp, runtime, log, signal, buildDigest, progress, isFollowing, onDigest, onPeerLost, fetchState } = options
   const addressHeardMs = new Map<string, number>()
   const peers = new Map<string, Peer>()
   const aheadSinceMs = new Map<string, number>()
@@ -91,11 +98,17 @@
     return [...due.slice(turn), ...due.slice(0, turn)].slice(0, FAN_OUT)
   }
 
+  function chooseToldPeers (): string[] {
+    const ips = [...peers.values()].map(peer => peer.ip)
+    const first = Math.floor(runtime.random() * ips.length)
+    return [...ips.slice(first), ...ips.slice(0, first)].slice(0, PEERS_TOLD)
+  }
+
   function flush (): void {
     const receivers = chooseReceivers()
     if (receivers.length === 0) return
-    const digest: Digest = { ...buildDigest(), sequence: ++sequence, peers: [...peers.values()].map(peer => peer.ip) }
-    const bytes = Buffer.from(JSON.stringify(digest))
+    const digest: Digest = { ...buildDigest(), sequence: ++sequence, peers: chooseToldPeers() }
+    const bytes = encodeDigest(digest)
     for (const ip of receivers) socket.send(ip, bytes)
   }
 
@@ -119,14 +132,15 @@
 
   function followAhead (ip: string, digest: Digest): void {
     const own = progress()
-    const isAhead = digest.configurationVersion > own.configurationVersion || digest.targetsRevision > own.targetsRevision
+    const knowsOtherTargets = digest.targetsRevision > own.targetsRevision && digest.targetsFingerprint !== own.targetsFingerprint
+    const isAhead = digest.configurationVersion > own.configurationVersion || knowsOtherTargets
     if (!isAhead) {
       aheadSinceMs.delete(ip)
       return
     }
     const sinceMs = aheadSinceMs.get(ip) ?? runtime.monotonicMs()
     aheadSinceMs.set(ip, sinceMs)
-    const isPatient = own.configurationVersion >= 0 && own.targetsRevision >= 0 && own.isStoreConnected
+    const isPatient = own.configurationVersion >= 0 && own.targetsRevision >= 0 && isFollowing()
     if (isFetching || (isPatient && runtime.monotonicMs() - sinceMs < AHEAD_MS)) return
     isFetching = true
     fetchState(`${ip}:${digest.statePort}`).finally(() => { isFetching = false })
@@ -157,6 +171,10 @@
     addAddress,
     peers: () => [...peers.values()],
     countHosts: withinMs => 1 + [...addressHeardMs.values()].filter(heardMs => runtime.monotonicMs() - heardMs < withinMs).length,
+    digestAgeMs () {
+      const nowMs = runtime.monotonicMs()
+      return peers.size === 0 ? 0 : [...peers.values()].reduce((sum, peer) => sum + nowMs - peer.heardMs, 0) / peers.size
+    },
     flush
   }
 }
--- a/src/digest/createDigestExchange/test.ts
+++ b/src/digest/createDigestExchange/test.ts
@@ -11,6 +11,7 @@
   const cut = new Set<string>()
   const controller = new AbortController()
   const host = (ip: string, state: { version: number, isStoreConnected: boolean }) => {
+    const progress = () => ({ configurationVersion: state.version, targetsRevision: 0, targetsFingerprint: '', isStoreConnected: state.isStoreConnected })
     const fetched: string[] = []
     const lost: string[] = []
     const socket: DigestSocket = {
@@ -25,9 +26,10 @@
       log: createTestLog(),
       signal: controller.signal,
       buildDigest: (): Omit<Digest, 'sequence' | 'peers'> => ({
-        host: `host ${ip}`, startedMs: 1, statePort: 80, configurationVersion: state.version, targetsRevision: 0, isStoreConnected: state.isStoreConnected, leaseFencing: 0, load: {}, suspicions: [], seenLayers: []
+        host: `host ${ip}`, failureDomain: 'north', startedMs: 1, statePort: 80, ...progress(), leaseFencing: 0, load: {}, suspicions: [], seenLayers: []
       }),
-      progress: () => ({ configurationVersion: state.version, targetsRevision: 0, isStoreConnected: state.isStoreConnected }),
+      progress,
+      isFollowing: () => state.isStoreConnected,
       onDigest: () => {},
       onPeerLost: name => { lost.push(name) },
       fetchState: async address => { fetched.push(address) }
--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -80,7 +80,8 @@
   orderRefused: { number: 6021, level: 'warn', text: 'order refused by an engine' },
   storeUnavailable: { number: 7001, level: 'warn', text: 'object API not available' },
   storeRecovered: { number: 7002, level: 'info', text: 'object API available again' },
-  watchReplaced: { number: 7003, level: 'warn', text: 'silent watch replaced' }
+  watchReplaced: { number: 7003, level: 'warn', text: 'silent watch replaced' },
+  targetsLeftToReaders: { number: 7004, level: 'info', text: 'watch of the targets ended; other hosts read them for this one' }
 } as const satisfies Record<string, EventDefinition>
 
 /** Name of an event. */
--- a/src/fleet/createFleetState/test.ts
+++ b/src/fleet/createFleetState/test.ts
@@ -61,3 +61,52 @@
   fleet.applyChanges({ revision: 2, changed: [{ ...engine('a'), bornMs: 2 }], removedIds: [] })
   t.is(fleet.targets()[0]!.layers, undefined)
 })
+
+test('entries that only prove that targets live change nothing', t => {
+  const fleet = createFleetState({ runtime: createManualRuntime() })
+  fleet.applySnapshot({ revision: 1, targets: [engine('a'), engine('b')] })
+  const fingerprint = fleet.fingerprint()
+  let calls = 0
+  fleet.onChange(() => { calls++ })
+  fleet.applyChanges({ revision: 2, changed: [engine('a')], removedIds: [] })
+  t.deepEqual([calls, fleet.revision(), fleet.fingerprint()], [0, 2, fingerprint])
+  fleet.applyChanges({ revision: 3, changed: [{ ...engine('a'), layers: { from: 0, to: 4 } }], removedIds: [] })
+  t.is(calls, 1)
+  t.not(fleet.fingerprint(), fingerprint)
+})
+
+test('a host that applies what it lacks knows the same targets, however far behind it is', t => {
+  const changes = fc.record({
+    changed: fc.array(fc.record({ id: fc.constantFrom('a', 'b', 'c', 'd'), to: fc.integer({ min: 1, max: 3 }) }), { maxLength: 3 }),
+    removedIds: fc.array(fc.constantFrom('a', 'b', 'c', 'd'), { maxLength: 2 }),
+    isRead: fc.boolean()
+  })
+  fc.assert(fc.property(fc.array(changes, { maxLength: 150 }), steps => {
+    const [reader, follower] = [createFleetState({ runtime: createManualRuntime() }), createFleetState({ runtime: createManualRuntime() })]
+    const read = (): void => {
+      const { revision, isWhole, changed, removedIds } = reader.updateSince(follower.fingerprint())
+      if (isWhole) follower.applySnapshot({ revision, targets: changed })
+      else follower.applyChanges({ revision, changed, removedIds })
+    }
+    steps.forEach(({ changed, removedIds, isRead }, index) => {
+      const targets = changed.map(({ id, to }) => ({ ...engine(id), layers: { from: 0, to } }))
+      reader.applyChanges({ revision: index, changed: targets, removedIds })
+      if (isRead) read()
+    })
+    read()
+    return follower.fingerprint() === reader.fingerprint()
+  }), { seed: 20261204 })
+  t.pass()
+})
+
+test('a target that a peer only keeps for a while is kept no longer here', async t => {
+  const runtime = createManualRuntime()
+  const [peer, own] = [createFleetState({ runtime }), createFleetState({ runtime })]
+  peer.applySnapshot({ revision: 1, targets: [engine('a'), engine('b')] })
+  peer.applySnapshot({ revision: 2, targets: [engine('b')] }, { keepMissingMs: 1_900 })
+  const { revision, changed, lapsing } = peer.updateSince(own.fingerprint())
+  own.applySnapshot({ revision, targets: changed, lapsing })
+  t.is(own.targets().length, 2)
+  await runtime.advance(1_900)
+  t.deepEqual([peer, own].map(fleet => fleet.targets().map(target => target.id)), [['b'], ['b']])
+})
--- a/src/fleet/followFleet/index.ts
+++ b/src/fleet/followFleet/index.ts
@@ -1,7 +1,8 @@
 /**
  * Follows configuration and targets in the object API by list and watch. Each wait is short
  * enough that a watch gone silent delays a change by less than the time in which it must be in
- * force.
+ * force. Every host watches the configuration; targets change all the time, and a host that has
+ * them from another one leaves their watch to it.
  */
 import type { EventLog } from '../../event/types.js'
 import type { ObjectStore, StoredObject } from '../../objectApi/types.js'
@@ -29,12 +30,16 @@
   signal: AbortSignal
   /** Whether peers reach the store, so that a failure here is not the store's. */
   isStoreUpForPeers: () => boolean
+  /** Whether this host is one of those that read the targets for the others. */
+  isReader: () => boolean
 }
 
 /** State of the connection to the store. */
 export interface FleetFollower {
-  /** Whether the last call of every watch was answered. */
+  /** Whether this host reads the targets and the last call of every watch was answered. */
   isConnected: () => boolean
+  /** Whether the last wait on the configuration was answered. */
+  hasConfigurationWatch: () => boolean
   /** Time since the targets were last confirmed by the store, in milliseconds. */
   targetsAgeMs: () => number
 }
@@ -43,6 +48,9 @@
 const RETRY_FIRST_MS = 100
 const RETRY_LONGEST_MS = 500
 
+/** Interval at which a host that does not read the targets asks whether it should. */
+const ROLE_CHECK_MS = 100
+
 /** How long entries that lapsed during an outage may take to come back; the platform gives about two seconds. */
 const LAPSE_RETURN_MS = 1_900
 
@@ -54,11 +62,13 @@
  * @returns The state of the connection.
  *
  * @example
- * const follower = followFleet(fleet, { store, format, log, runtime, signal, isStoreUpForPeers })
+ * const follower = followFleet(fleet, { store, format, log, runtime, signal, isStoreUpForPeers, isReader })
  */
 export function followFleet (fleet: FleetState, options: FollowOptions): FleetFollower {
-  const { store, format, log, runtime, signal, isStoreUpForPeers } = options
+  const { store, format, log, runtime, signal, isStoreUpForPeers, isReader } = options
   const downSince = new Map<string, number>()
+  /** Prefixes whose failure no peer was free of at some moment. */
+  const downForAll = new Set<string>()
   let outageEndedMs = -Infinity
   let confirmedMs = -Infinity
 
@@ -67,12 +77,20 @@
       const sinceMs = downSince.get(prefix)
       if (sinceMs === undefined) return
       downSince.delete(prefix)
-      if (!isStoreUpForPeers()) outageEndedMs = runtime.monotonicMs()
+      if (downForAll.delete(prefix)) outageEndedMs = runtime.monotonicMs()
       log.emit('storeRecovered', { prefix, afterMs: Math.round(runtime.monotonicMs() - sinceMs) })
-    } else if (!downSince.has(prefix)) {
-      downSince.set(prefix, runtime.monotonicMs())
-      log.emit('storeUnavailable', { prefix, cause })
+      return
     }
+    if (!isStoreUpForPeers()) downForAll.add(prefix)
+    if (downSince.has(prefix)) return
+    downSince.set(prefix, runtime.monotonicMs())
+    log.emit('storeUnavailable', { prefix, cause })
+  }
+
+  /** Ends the watch of the targets while other hosts read them. */
+  function standBack (): void {
+    downSince.delete(format.targetPrefix)
+    downForAll.delete(format.targetPrefix)
   }
 
   /** How much longer a missing entry may be one that lapsed while the store was away. */
@@ -106,17 +124,26 @@
     if (removedIds.length + leavingIds.length > 0) log.emit('targetLeaving', { removedIds, leavingIds, revision })
   }
 
-  follow(configurationPrefix(format), takeConfiguration, objects => takeConfiguration(objects))
-  follow(format.targetPrefix, takeTargets, takeTargetChanges)
+  follow(configurationPrefix(format), () => true, takeConfiguration, objects => takeConfiguration(objects))
+  // A host that knows no targets yet reads them once, whatever its part.
+  follow(format.targetPrefix, () => isReader() || fleet.revision() < 0, takeTargets, takeTargetChanges)
 
   async function follow (
     prefix: string,
+    isNeeded: () => boolean,
     onList: (objects: readonly StoredObject[], revision: number) => void,
     onChanges: (objects: readonly StoredObject[], removedKeys: readonly string[], revision: number) => void
   ): Promise<void> {
     let revision: number | undefined
     let retryMs = RETRY_FIRST_MS
     while (!signal.aborted) {
+      if (!isNeeded()) {
+        if (revision !== undefined) log.emit('targetsLeftToReaders', { revision })
+        revision = undefined
+        standBack()
+        await sleep(ROLE_CHECK_MS, { runtime, signal })
+        continue
+      }
       const cause = await step()
       noteResult(prefix, cause)
       if (cause === undefined) retryMs = RETRY_FIRST_MS
@@ -151,7 +178,8 @@
   }
 
   return {
-    isConnected: () => downSince.size === 0 && confirmedMs > -Infinity,
+    isConnected: () => isReader() && downSince.size === 0 && confirmedMs > -Infinity,
+    hasConfigurationWatch: () => !downSince.has(configurationPrefix(format)),
     targetsAgeMs: () => runtime.monotonicMs() - confirmedMs
   }
 }
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -133,6 +133,23 @@
 /** One version of the configuration, whole. */
 export type FleetConfiguration = z.infer<typeof fleetConfigurationSchema>
 
+/** Targets that differ from what another host knows, or all of them; hosts send it to each other. */
+export const targetUpdateSchema = z.object({
+  /** Highest revision of the store that it includes. */
+  revision: z.number(),
+  /** Fingerprint of the targets once it is applied. */
+  fingerprint: z.string(),
+  /** Whether `changed` lists every target. */
+  isWhole: z.boolean(),
+  changed: z.array(targetSchema),
+  removedIds: z.array(z.string()),
+  /** Targets whose entries are missing, with the time until they are given up. */
+  lapsing: z.array(z.object({ id: z.string(), leftMs: z.number() }))
+})
+
+/** Targets that differ from what another host knows, or all of them. */
+export type TargetUpdate = z.infer<typeof targetUpdateSchema>
+
 /** One stage of a path: a target and the layers that it runs. */
 export interface Stage extends LayerRange {
   target: Target
--- a/src/gateway/_lib/createDuty.ts
+++ b/src/gateway/_lib/createDuty.ts
@@ -18,7 +18,10 @@
   metrics: GatewayMetrics
   peers: () => Peer[]
   isDraining: () => boolean
-  isStoreConnected: () => boolean
+  /** Whether this host is one of those that read the store; only they look at the lease, so that its calls do not grow with the hosts. */
+  isReader: () => boolean
+  /** Whether this host or a peer reaches the store. */
+  isStoreUp: () => boolean
 }
 
 /** This host's part in the duty. */
@@ -39,7 +42,7 @@
 
 /** The duty of a host that holds nothing yet. */
 export function createDuty (options: DutyOptions): Duty {
-  const { host, store, runtime, log, metrics, peers, isDraining, isStoreConnected } = options
+  const { host, store, runtime, log, metrics, peers, isDraining, isReader, isStoreUp } = options
   const claim = createLeaseClaim({ holder: host, durationMs: LEASE_MS, store, runtime })
   let lastFencing = 0
   /** Whether this host held the lease when it was last known who does. */
@@ -48,7 +51,7 @@
   /** Two hosts that act at once in an outage waste effort at worst: each order names the engine's state that it was planned for. */
   function fencingInOutage (): number | undefined {
     const known = peers()
-    if (isDraining() || isStoreConnected() || known.some(peer => peer.digest.isStoreConnected)) return undefined
+    if (isDraining() || isStoreUp()) return undefined
     const isLastHolder = wasHolder && !known.some(peer => peer.digest.leaseFencing > lastFencing)
     const isFirst = known.every(peer => peer.digest.leaseFencing === 0 && peer.digest.host > host)
     return isLastHolder || isFirst ? lastFencing : undefined
@@ -60,14 +63,14 @@
     async step () {
       const isHolder = claim.held() !== undefined
       const hasHolder = peers().some(peer => peer.digest.leaseFencing > 0 && runtime.monotonicMs() - peer.heardMs < HOLDER_SILENT_MS)
-      if (isHolder || (!hasHolder && !isDraining())) await claim.step()
+      if (isHolder || (!hasHolder && !isDraining() && isReader())) await claim.step()
       const held = claim.held()
       if (held !== undefined && !isHolder) log.emit('leaseAcquired', { fencing: held.fencing })
       if (held === undefined && isHolder) log.emit('leaseLost', { fencing: lastFencing })
       if (held !== undefined) {
         lastFencing = held.fencing
         wasHolder = true
-      } else if (isStoreConnected()) {
+      } else if (isStoreUp()) {
         wasHolder = false
       }
       metrics.isLeaseHolder.set(held === undefined ? 0 : 1)
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -8,6 +8,8 @@
 import type { EventLog } from '../../event/types.js'
 import { createFleetState } from '../../fleet/createFleetState/index.js'
 import { followFleet, type FleetFormat } from '../../fleet/followFleet/index.js'
+import { followReaders } from '../../fleet/followReaders/index.js'
+import { isStoreReader } from '../../fleet/isStoreReader/index.js'
 import { createOpenCalls } from '../../http/createOpenCalls/index.js'
 import { listen } from '../../http/listen/index.js'
 import type { ObjectStore } from '../../objectApi/types.js'
@@ -126,14 +128,24 @@
     signal,
     buildDigest,
     progress,
+    isFollowing: () => follower.hasConfigurationWatch() && (follower.isConnected() || readerFollower.isConnected()),
     onDigest: takeDigest,
     onPeerLost: host => occupancy.removePeer(host),
-    fetchState: address => readPeerState(address, { fleet, runtime, log })
+    fetchState: async address => { await readPeerState(address, { fleet, runtime, log }) }
   })
   settings.seedIps.forEach(exchange.addAddress)
 
   const isStoreUpForPeers = (): boolean => exchange.peers().some(peer => peer.digest.isStoreConnected)
-  const follower = followFleet(fleet, { store, format: ports.fleetFormat, log, runtime, signal, isStoreUpForPeers })
+  const isReader = (): boolean => isStoreReader(settings, exchange.peers().map(peer => peer.digest))
+  const follower = followFleet(fleet, { store, format: ports.fleetFormat, log, runtime, signal, isStoreUpForPeers, isReader })
+  const readerFollower = followReaders({
+    ownDomain: settings.failureDomain,
+    isReader,
+    readers: () => exchange.peers().filter(peer => peer.digest.isStoreConnected).map(({ ip, digest }) => ({ address: `${ip}:${digest.statePort}`, failureDomain: digest.failureDomain })),
+    readChanges: address => readPeerState(address, { fleet, runtime, log, isWaiting: true }),
+    runtime,
+    signal
+  })
   const duty = createDuty({
     host: settings.host,
     store,
@@ -142,7 +154,8 @@
     metrics,
     peers: exchange.peers,
     isDraining: () => drainingSinceMs !== undefined,
-    isStoreConnected: follower.isConnected
+    isReader,
+    isStoreUp: () => follower.isConnected() || isStoreUpForPeers()
   })
   const budget = createRetryBudget({
     ratio: settings.retryRatio,
@@ -162,10 +175,11 @@
     runtime,
     log,
     metrics,
+    loadAgeMs: exchange.digestAgeMs,
     checkCoverage: createCoverageCheck({ fleet, suspicions, runtime }),
     dispatcherOf,
     isDraining: () => drainingSinceMs !== undefined,
-    targetsAgeMs: follower.targetsAgeMs
+    targetsAgeMs: () => Math.min(follower.targetsAgeMs(), readerFollower.ageMs())
   }
   fleet.onChange(() => suspicions.retain(new Set(fleet.targets().map(target => target.id))))
 
@@ -185,7 +199,7 @@
     response.writeHead(isReady() ? 200 : 503, { 'content-length': '0' })
     response.end()
   }, settings.readinessAddress))
-  const internal = createInternalHandler({ fleet, metrics })
+  const internal = createInternalHandler({ fleet, metrics, runtime })
   resources.use(await listen(internal, settings.internalAddress))
   resources.use(await listen(internal, settings.metricsAddress))
   log.emit('processStarted', { address: callers.address, failureDomain: settings.failureDomain })
@@ -208,6 +222,7 @@
   function buildDigest (): Omit<Digest, 'sequence' | 'peers'> {
     return {
       host: settings.host,
+      failureDomain: settings.failureDomain,
       startedMs,
       statePort: settings.internalAddress.port,
       ...progress(),
@@ -218,8 +233,8 @@
     }
   }
 
-  function progress (): Pick<Digest, 'configurationVersion' | 'targetsRevision' | 'isStoreConnected'> {
-    return { configurationVersion: fleet.configuration()?.version ?? -1, targetsRevision: fleet.revision(), isStoreConnected: follower.isConnected() }
+  function progress (): Pick<Digest, 'configurationVersion' | 'targetsRevision' | 'targetsFingerprint' | 'isStoreConnected'> {
+    return { configurationVersion: fleet.configuration()?.version ?? -1, targetsRevision: fleet.revision(), targetsFingerprint: fleet.fingerprint(), isStoreConnected: follower.isConnected() && drainingSinceMs === undefined }
   }
 
   function takeDigest (digest: Digest): void {
--- a/src/path/createOccupancy/index.ts
+++ b/src/path/createOccupancy/index.ts
@@ -10,6 +10,8 @@
 /** Load by target identity, and by link between failure domains. */
 export type LoadByTarget = Record<string, EngineLoad>
 
+const NO_LOAD: EngineLoad = { tokenLayers: 0, sequences: 0, firstSequences: 0 }
+
 /** Work on all engines. */
 export interface Occupancy {
   /**
@@ -40,6 +42,24 @@
   const { runtime } = options
   const own = new Map<string, EngineLoad>()
   const peers = new Map<string, LoadByTarget>()
+  /** Sum over the peers, kept up to date as every choice of a path asks for every engine. */
+  const peerSums = new Map<string, EngineLoad>()
+
+  function addPeer (load: LoadByTarget, sign: 1 | -1): void {
+    for (const [targetId, { tokenLayers, sequences, firstSequences }] of Object.entries(load)) {
+      const sum = peerSums.get(targetId) ?? { tokenLayers: 0, sequences: 0, firstSequences: 0 }
+      sum.tokenLayers += sign * tokenLayers
+      sum.sequences += sign * sequences
+      sum.firstSequences += sign * firstSequences
+      if (sum.sequences > 0) peerSums.set(targetId, sum)
+      else peerSums.delete(targetId)
+    }
+  }
+
+  function removePeer (host: string): void {
+    addPeer(peers.get(host) ?? {}, -1)
+    peers.delete(host)
+  }
 
   function add (path: Path, size: RequestSize, sign: 1 | -1): void {
     path.forEach((stage, index) => {
@@ -86,18 +106,19 @@
       }
     },
     loadOf (targetId) {
-      const sum = { ...(own.get(targetId) ?? { tokenLayers: 0, sequences: 0, firstSequences: 0 }) }
-      for (const load of peers.values()) {
-        const part = load[targetId]
-        if (part === undefined) continue
-        sum.tokenLayers += part.tokenLayers
-        sum.sequences += part.sequences
-        sum.firstSequences += part.firstSequences
+      const [ours, theirs] = [own.get(targetId) ?? NO_LOAD, peerSums.get(targetId) ?? NO_LOAD]
+      return {
+        tokenLayers: ours.tokenLayers + theirs.tokenLayers,
+        sequences: ours.sequences + theirs.sequences,
+        firstSequences: ours.firstSequences + theirs.firstSequences
       }
-      return sum
     },
     own: () => Object.fromEntries(own),
-    setPeer: (host, load) => { peers.set(host, load) },
-    removePeer: host => { peers.delete(host) }
+    setPeer (host, load) {
+      removePeer(host)
+      peers.set(host, load)
+      addPeer(load, 1)
+    },
+    removePeer
   }
 }
--- /dev/null
+++ b/test/gateway/internalPort.test.ts
@@ -0,0 +1,54 @@
+import test from 'ava'
+import { createFleetState } from '../../src/fleet/createFleetState/index.js'
+import { createGatewayMetrics } from '../../src/gateway/createGatewayMetrics/index.js'
+import { createInternalHandler, readPeerState } from '../../src/gateway/_lib/internalPort.js'
+import { listen } from '../../src/http/listen/index.js'
+import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
+import { buildEngine } from '../fakes/buildFleet.js'
+import { createTestLog } from '../fakes/createTestLog.js'
+import { TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
+
+const engine = (id: string) => buildEngine(id, 'north', 'small')
+
+async function startPair () {
+  const runtime = createSystemRuntime()
+  const [reader, follower] = [createFleetState({ runtime }), createFleetState({ runtime })]
+  const server = await listen(createInternalHandler({ fleet: reader, metrics: createGatewayMetrics(), runtime }), { address: '127.0.0.1', port: 0 })
+  const read = (isWaiting: boolean): Promise<boolean> => readPeerState(server.address, { fleet: follower, runtime, log: createTestLog(), isWaiting })
+  return { reader, follower, read, [Symbol.asyncDispose]: () => server[Symbol.asyncDispose]() }
+}
+
+test('a host takes over configuration and targets of a peer', async t => {
+  await using pair = await startPair()
+  pair.reader.applyConfiguration(TEST_CONFIGURATION)
+  pair.reader.applySnapshot({ revision: 4, targets: [engine('a'), engine('b')] })
+  t.true(await pair.read(false))
+  t.is(pair.follower.configuration()?.version, TEST_CONFIGURATION.version)
+  t.deepEqual(pair.follower.targets().map(target => target.id), ['a', 'b'])
+})
+
+test('a waiting host is answered when a target changes', async t => {
+  await using pair = await startPair()
+  pair.reader.applySnapshot({ revision: 4, targets: [engine('a'), engine('b')] })
+  await pair.read(true)
+  const answered = pair.read(true)
+  pair.reader.applyChanges({ revision: 5, changed: [engine('a')], removedIds: [] })
+  pair.reader.applyChanges({ revision: 6, changed: [], removedIds: ['b'] })
+  t.true(await answered)
+  t.is(pair.follower.fingerprint(), pair.reader.fingerprint())
+  t.deepEqual(pair.follower.targets().map(target => target.id), ['a'])
+})
+
+test('a peer that is behind changes nothing', async t => {
+  await using pair = await startPair()
+  pair.reader.applySnapshot({ revision: 4, targets: [engine('a')] })
+  pair.follower.applySnapshot({ revision: 9, targets: [engine('b')] })
+  t.true(await pair.read(false))
+  t.deepEqual(pair.follower.targets().map(target => target.id), ['b'])
+})
+
+test('a peer that cannot be read says so', async t => {
+  const pair = await startPair()
+  await pair[Symbol.asyncDispose]()
+  t.false(await pair.read(false))
+})
