Leave streams on engines that refuse others but go on serving

Cause: a refusal takes an engine out for a moment, and streams through an engine that is out were moved. Change: a stream is moved off an engine that is dead or unfit, or that refuses others while this stream itself has paused.

--- a/src/gateway/rescueStreams/index.ts
+++ b/src/gateway/rescueStreams/index.ts
@@ -32,8 +32,11 @@
 /** Largest random surcharge on a link, as a factor: hosts that rescue streams at the same moment share the links between them. */
 const LINK_BIAS = 3
 
+/** What rescuing works with. */
+export type RescueParts = Pick<GatewayParts, 'fleet' | 'suspicions' | 'occupancy' | 'streams' | 'control' | 'runtime' | 'log' | 'metrics'>
+
 /** Rescues streams until the signal aborts. */
-export async function rescueStreams (parts: GatewayParts, options: { signal: AbortSignal, onFinding: () => void }): Promise<void> {
+export async function rescueStreams (parts: RescueParts, options: { signal: AbortSignal, onFinding: () => void }): Promise<void> {
   const { signal, onFinding } = options
   const { runtime, streams, suspicions, control, fleet, log } = parts
   const probedMs = new Map<string, number>()
@@ -73,16 +76,22 @@
     let moves = 0
     for (const stream of streams) {
       if (stream.isBeingMoved) continue
-      const isDown = stream.path.some(stage => suspicions.isDown(stage.target.id))
-      const isLeaving = !isDown && stream.path.slice(1).some(stage => !fleet.isServing(stage.target))
-      if (isDown) move(stream, 'engine down')
+      const isLost = stream.path.some(stage => isLostTo(stream, stage.target))
+      const isLeaving = !isLost && stream.path.slice(1).some(stage => !fleet.isServing(stage.target))
+      if (isLost) move(stream, 'engine down')
       else if (isLeaving && stream.hasStarted && moves++ < MOVES_PER_CHECK) move(stream, 'engine leaving')
     }
   }
 
+  /** An engine that refuses others may only be full: streams that go on through it are not lost. */
+  function isLostTo (stream: ActiveStream, { id }: Target): boolean {
+    const isPaused = runtime.monotonicMs() - stream.progressedMs >= pauseLimitMs(stream)
+    return suspicions.isUnfit(id) || (isPaused && suspicions.isDown(id))
+  }
+
   async function move (stream: ActiveStream, cause: 'engine down' | 'engine leaving'): Promise<void> {
     const first = stream.path[0]!
-    if (suspicions.isDown(first.target.id)) return stream.abandon('first engine down')
+    if (isLostTo(stream, first.target)) return stream.abandon('first engine down')
     const path = choosePathFrom(stream, cause)
     if (path === undefined) return
     stream.isBeingMoved = true
@@ -110,7 +119,12 @@
       biases.set(link, bias)
       return bias
     }
-    const options = { model: service.model!, loadOf: parts.occupancy.loadOf, slownessOf: suspicions.slownessOf, current: path, linkBias, maxCrossings: RESCUE_CROSSINGS }
+    const keptIds = new Set(path.filter(stage => !isLostTo(stream, stage.target)).map(stage => stage.target.id))
+    const slownessOf = (id: string): number => {
+      const slowness = suspicions.slownessOf(id)
+      return keptIds.has(id) && !Number.isFinite(slowness) ? 1 : slowness
+    }
+    const options = { model: service.model!, loadOf: parts.occupancy.loadOf, slownessOf, current: path, linkBias, maxCrossings: RESCUE_CROSSINGS }
     const chosen = choosePath(others, size, options)?.path
     if (cause === 'engine leaving') return chosen !== undefined && countCrossings(chosen) <= countCrossings(path) ? chosen : undefined
     return chosen ?? choosePath(others, size, { ...options, isOvercommitted: true })?.path
