Vary choices of paths by how old the known load is

Load pattern: dozens of hosts learn at about the same time which path is best, all send to it before they hear of each other, its engines overflow and refuse, and all leave it at once. Change: each choice leaves a random reserve on the engines and adds a random surcharge, both in proportion to the mean age of the peers' digests, up to 400 ms. On sites of six or seven hosts that age is about 50 ms and the effect small.

--- a/src/gateway/_lib/choosePlace.ts
+++ b/src/gateway/_lib/choosePlace.ts
@@ -4,6 +4,7 @@
  */
 import type { Service, Target } from '../../fleet/types.js'
 import { choosePath, type RequestSize } from '../../path/choosePath/index.js'
+import { spreadChoice } from '../../path/spreadChoice/index.js'
 import type { GatewayParts, Place } from '../types.js'
 
 /** Weight of a request in progress against a failure domain other than the host's, when targets are compared. */
@@ -18,10 +19,12 @@
 /** A place on engines, or `undefined` while no path has room. */
 export function takePath (service: Service, size: RequestSize, excluded: ReadonlySet<string>, ownDomain: string, parts: GatewayParts): Place | undefined {
   const model = service.model!
-  const { fleet, occupancy, suspicions } = parts
+  const { fleet, occupancy, suspicions, runtime } = parts
   const engines = fleet.serving(service.name).filter(target => !excluded.has(target.id))
-  const options = { model, loadOf: occupancy.loadOf, slownessOf: suspicions.slownessOf, ownDomain }
-  const chosen = choosePath(engines, size, parts.checkCoverage(service).isUsual ? options : { ...options, maxCrossings: ANY_CROSSINGS })
+  const crossings = parts.checkCoverage(service).isUsual ? {} : { maxCrossings: ANY_CROSSINGS }
+  const options = { model, loadOf: occupancy.loadOf, slownessOf: suspicions.slownessOf, ownDomain, ...crossings }
+  const spread = spreadChoice(suspicions.slownessOf, { loadAgeMs: parts.loadAgeMs(), random: runtime.random })
+  const chosen = choosePath(engines, size, { ...options, ...spread }) ?? choosePath(engines, size, options)
   if (chosen === undefined) return undefined
   const claim = occupancy.claim(chosen.path, size)
   return { target: chosen.path[0]!.target, path: chosen.path, [Symbol.dispose]: () => claim[Symbol.dispose]() }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -120,6 +120,8 @@
   runtime: Runtime
   log: EventLog
   metrics: GatewayMetrics
+  /** Mean age of what is known of the other hosts' load, in milliseconds. */
+  loadAgeMs: () => number
   /** Whether the process is shutting down, when answers ask for their connection to be closed. */
   isDraining: () => boolean
   /** Age of what is known of targets, in milliseconds. */
--- a/src/path/choosePath/index.ts
+++ b/src/path/choosePath/index.ts
@@ -28,6 +28,8 @@
   loadOf: (targetId: string) => EngineLoad
   /** Multiplies the expected time of an engine; infinite for one that must not be used. */
   slownessOf: (targetId: string) => number
+  /** Share of an engine's cache that the request may fill it up to; `CACHE_SHARE` by default. */
+  cacheShare?: number
   /** Lets engines be used beyond their memory, where requests wait for each other. */
   isOvercommitted?: boolean
   /** Factor on the cost of a link, by its key; 1 by default. */
@@ -56,7 +58,7 @@
 const STAGE_MS = 1
 
 /** Share of an engine's cache that requests are given; the rest is for answers longer than expected. */
-const CACHE_SHARE = 0.95
+export const CACHE_SHARE = 0.95
 
 /** Use of an engine's cache from which its steps count as slower, since requests begin to wait for each other, and how much. */
 const CROWDED_FILL = 0.8
@@ -172,7 +174,7 @@
     layerMs: prefillMs + stepMs * size.outputTokens,
     layerStepMs: stepMs * size.outputTokens,
     usedTokenLayers: load.tokenLayers,
-    roomTokenLayers: Math.max(1, roomOf(target, to - from, model) * CACHE_SHARE),
+    roomTokenLayers: Math.max(1, roomOf(target, to - from, model) * (options.cacheShare ?? CACHE_SHARE)),
     slowness,
     canBeFirst: load.firstSequences < model.slots
   }
--- /dev/null
+++ b/src/path/spreadChoice/test.ts
@@ -0,0 +1,47 @@
+import test from 'ava'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { buildEngine, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
+import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
+import { choosePath, roomOf } from '../choosePath/index.js'
+import { createOccupancy } from '../createOccupancy/index.js'
+import { spreadChoice } from './index.js'
+
+const SIZE = { promptTokens: 770, outputTokens: 174 }
+const HOSTS = 60
+
+/** One fast cover and three slow ones, each of whole engines that hold 20 layers. */
+const cover = (name: string, kind: string) => [0, 20, 40, 60].map(from => buildEngine(`${name}-${from}`, 'north', kind, { from, to: from + 20 }))
+const ENGINES = [...cover('fast', 'large'), ...cover('one', 'medium'), ...cover('two', 'medium'), ...cover('three', 'medium')]
+const MODEL = { ...TEST_MODEL, layerMb: 500, tokenLayerMb: 0.045 }
+
+/** How full the fast cover gets when every host sends a request on the same knowledge: it was half full. */
+function fillFastCover (loadAgeMs: number): number {
+  const generator = xoroshiro128plus(20261204)
+  const occupancy = createOccupancy({ runtime: createManualRuntime() })
+  const room = roomOf(ENGINES[0]!, 20, MODEL)
+  const known = { tokenLayers: room / 2, sequences: 20, firstSequences: 20 }
+  const loadOf = (id: string) => id.startsWith('fast') ? known : { tokenLayers: 0, sequences: 0, firstSequences: 0 }
+  for (let host = 0; host < HOSTS; host++) {
+    const spread = spreadChoice(() => 1, { loadAgeMs, random: () => uniformFloat64(generator) })
+    const chosen = choosePath(ENGINES, SIZE, { model: MODEL, loadOf, ...spread })!
+    occupancy.claim(chosen.path, SIZE)
+  }
+  return (known.tokenLayers + occupancy.loadOf('fast-0').tokenLayers) / room
+}
+
+test('hosts that know nothing of each other for long do not all choose the best path', t => {
+  t.true(fillFastCover(0) > 1)
+  t.true(fillFastCover(400) < 1)
+})
+
+test('with fresh knowledge the best path is chosen', t => {
+  const { cacheShare, slownessOf } = spreadChoice(() => 2, { loadAgeMs: 0, random: () => 0.9 })
+  t.deepEqual([cacheShare, slownessOf('a')], [0.95, 2])
+})
+
+test('a surcharge stays the same within one choice', t => {
+  let draws = 0
+  const { slownessOf } = spreadChoice(() => 1, { loadAgeMs: 400, random: () => (draws++ % 7) / 7 })
+  t.is(slownessOf('a'), slownessOf('a'))
+})
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -73,6 +73,7 @@
     runtime,
     log,
     metrics: createGatewayMetrics(),
+    loadAgeMs: () => 0,
     checkCoverage: createCoverageCheck({ fleet, suspicions, runtime }),
     dispatcherOf (service) {
       const known = dispatchers.get(service) ?? createDispatcher<Place>({ runtime })
