--- a/src/path/choosePath/index.ts
+++ b/src/path/choosePath/index.ts
@@ -70,6 +70,8 @@
 /** An engine with what its stages cost, worked out once for a request. */
 interface Candidate {
   target: Target
+  /** Index of its failure domain among those of the candidates. */
+  domain: number
   from: number
   to: number
   /** Expected time for each layer that it runs, in milliseconds. */
@@ -92,6 +94,12 @@
   crossings: number
 }
 
+/** Cost of a crossing from each failure domain to each other, `undefined` where the link is full. */
+type CrossingCosts = Array<Array<number | undefined>>
+
+/** Ways to one boundary that end in the same failure domain with as many crossings, cheapest first, each by another engine. */
+const KEPT_STEPS = 3
+
 /**
  * @name roomOf
  * @summary Cache of an engine that holds a number of layers.
@@ -127,23 +135,24 @@
   const fixed = first === undefined ? undefined : describeCandidate(first, size, options)
   if (first !== undefined && fixed === undefined) return undefined
   const candidates = fixed === undefined ? others : [fixed, ...others]
+  const links = describeLinks(candidates, size, options)
   const boundaries = listBoundaries(candidates, model)
-  /** The cheapest way to each boundary by each engine and number of crossings. */
-  const arrivals = new Map<number, Map<string, Step>>(boundaries.map(boundary => [boundary, new Map()]))
+  /** The cheapest ways to each boundary, by the domain in which they end and their crossings. */
+  const arrivals = new Map<number, Step[][]>(boundaries.map(boundary => [boundary, []]))
   for (const position of boundaries.slice(0, -1)) {
-    const steps = position === 0 ? [undefined] : [...arrivals.get(position)!.values()]
+    const steps = position === 0 ? [undefined] : arrivals.get(position)!.flat()
     if (steps.length === 0) continue
     for (const candidate of candidates) {
       if (candidate.from > position || candidate.to <= position) continue
       if (fixed !== undefined && (position === 0) !== (candidate === fixed)) continue
       for (const end of boundaries) {
         if (end <= position || end > candidate.to || (candidate === fixed && end < candidate.to)) continue
-        extend(arrivals.get(end)!, steps, candidate, position, end, size, options)
+        extend(arrivals.get(end)!, steps, candidate, position, end, links, size, options)
       }
     }
   }
   let last: Step | undefined
-  for (const step of arrivals.get(model.layerCount)!.values()) if (last === undefined || step.costMs < last.costMs) last = step
+  for (const step of arrivals.get(model.layerCount)!.flat()) if (last === undefined || step.costMs < last.costMs) last = step
   return last === undefined ? undefined : { path: unwind(last), expectedMs: last.costMs }
 }
 
@@ -169,6 +178,7 @@
   const prefillMs = size.promptTokens / model.prefillTokensPerMs * kind.prefillFactor / model.layerCount
   return {
     target,
+    domain: 0,
     from,
     to: Math.min(to, model.layerCount),
     layerMs: prefillMs + stepMs * size.outputTokens,
@@ -186,24 +196,52 @@
   return [...boundaries].filter(boundary => boundary <= model.layerCount).sort((a, b) => a - b)
 }
 
-function extend (best: Map<string, Step>, steps: ReadonlyArray<Step | undefined>, candidate: Candidate, from: number, to: number, size: RequestSize, options: PathOptions): void {
-  const { failureDomain, id } = candidate.target
+interface Links {
+  costs: CrossingCosts
+  /** The same for a stage that keeps its cache, so that no prompt is sent. */
+  keptCosts: CrossingCosts
+}
+
+/** Numbers the failure domains of the candidates and works the links between them out once. */
+function describeLinks (candidates: readonly Candidate[], size: RequestSize, options: PathOptions): Links {
+  const firsts = [...new Map(candidates.map(candidate => [candidate.target.failureDomain, candidate.target])).values()]
+  for (const candidate of candidates) candidate.domain = firsts.findIndex(first => first.failureDomain === candidate.target.failureDomain)
+  const table = (promptTokens: number): CrossingCosts => firsts.map(from => firsts.map(to => from === to ? 0 : crossingMs(from, to, { ...size, promptTokens }, options)))
+  return { costs: table(size.promptTokens), keptCosts: options.current === undefined ? [] : table(0) }
+}
+
+function extend (arrivals: Step[][], steps: ReadonlyArray<Step | undefined>, candidate: Candidate, from: number, to: number, links: Links, size: RequestSize, options: PathOptions): void {
   const isKept = options.current?.some(stage => isSameStage(stage, { target: candidate.target, from, to })) ?? false
   const stageMs = isKept ? candidate.layerStepMs * (to - from) : expectStageMs(candidate, to - from, size, options, from === 0)
   if (stageMs === undefined) return
+  const costs = isKept ? links.keptCosts : links.costs
+  const mostCrossings = options.maxCrossings ?? USUAL_CROSSINGS
   for (const previous of steps) {
-    if (previous !== undefined && includesTarget(previous, candidate)) continue
-    const isCrossing = previous !== undefined && previous.candidate.target.failureDomain !== failureDomain
+    const isCrossing = previous !== undefined && previous.candidate.domain !== candidate.domain
     const crossings = (previous?.crossings ?? 0) + (isCrossing ? 1 : 0)
-    if (crossings > (options.maxCrossings ?? USUAL_CROSSINGS)) continue
-    const linkMs = isCrossing ? crossingMs(previous.candidate.target, candidate.target, isKept ? { ...size, promptTokens: 0 } : size, options) : 0
+    if (crossings > mostCrossings) continue
+    const linkMs = isCrossing ? costs[previous.candidate.domain]![candidate.domain] : 0
     if (linkMs === undefined) continue
-    const isAway = previous === undefined && options.ownDomain !== undefined && options.ownDomain !== failureDomain
+    const isAway = previous === undefined && options.ownDomain !== undefined && options.ownDomain !== candidate.target.failureDomain
     const costMs = (previous?.costMs ?? 0) + stageMs + linkMs + (isAway ? CROSSING_TOKEN_MS * size.outputTokens : 0)
-    const key = `${id} ${crossings}`
-    const known = best.get(key)
-    if (known === undefined || costMs < known.costMs) best.set(key, { costMs, candidate, from, to, previous, crossings })
+    const slot = candidate.domain * (mostCrossings + 1) + crossings
+    const kept = arrivals[slot] ??= []
+    if (kept.length === KEPT_STEPS && costMs >= kept[KEPT_STEPS - 1]!.costMs) continue
+    if (includesTarget(previous, candidate)) continue
+    keep(kept, { costMs, candidate, from, to, previous, crossings })
+  }
+}
+
+/** Puts a step among the cheapest, at most one for each engine. */
+function keep (kept: Step[], step: Step): void {
+  const known = kept.findIndex(other => other.candidate === step.candidate)
+  if (known >= 0) {
+    if (kept[known]!.costMs <= step.costMs) return
+    kept.splice(known, 1)
   }
+  const index = kept.findIndex(other => other.costMs > step.costMs)
+  kept.splice(index < 0 ? kept.length : index, 0, step)
+  if (kept.length > KEPT_STEPS) kept.pop()
 }
 
 function includesTarget (step: Step | undefined, candidate: Candidate): boolean {
--- a/src/path/choosePath/test.ts
+++ b/src/path/choosePath/test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { buildEngine, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
+import type { Target } from '../../fleet/types.js'
 import { linkKey } from '../_lib/linkCost.js'
 import { choosePath, type EngineLoad, type PathOptions } from './index.js'
 
@@ -76,3 +77,19 @@
   }), { seed: 20261204, numRuns: 300 })
   t.pass()
 })
+
+test('no choice among some of the engines is better than that among all', t => {
+  const kinds = ['large', 'medium', 'small']
+  const engines = fc.array(fc.record({ domain: fc.constantFrom('north', 'east'), kind: fc.constantFrom(...kinds), from: fc.integer({ min: 0, max: 7 }), count: fc.integer({ min: 1, max: 6 }) }), { minLength: 2, maxLength: 7 })
+  const model = { ...TEST_MODEL, layerCount: 8 }
+  fc.assert(fc.property(engines, descriptions => {
+    const targets = descriptions.map(({ domain, kind, from, count }, index) => buildEngine(`i-${index}`, domain, kind, { from, to: Math.min(8, from + count) }))
+    const choose = (some: Target[]) => choosePath(some, { promptTokens: 700, outputTokens: 100 }, { model, loadOf: () => ({ tokenLayers: 0, sequences: 0, firstSequences: 0 }), slownessOf: () => 1 })?.expectedMs ?? Infinity
+    const best = choose(targets)
+    for (let subset = 1; subset < 2 ** targets.length; subset++) {
+      if (choose(targets.filter((_, index) => (subset >> index & 1) === 1)) < best - 1e-9) return false
+    }
+    return true
+  }), { seed: 20261204, numRuns: 200 })
+  t.pass()
+})
