Spend less processor time a host on digests, timers and metrics

Change: the load in a digest is one text; a queue is looked at only while requests wait; gauges are set when they are read, and those that never were (targets by state, repeats left, age of the targets, time in the queue) are; repeated tasks keep one abort listener. The settings and ports of a gateway moved to its types.

--- a/src/digest/createDigestExchange/test.ts
+++ b/src/digest/createDigestExchange/test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
 import { createTestLog } from '../../../test/fakes/createTestLog.js'
-import type { Digest, DigestSocket } from '../types.js'
+import { digestSchema, encodeDigest, type Digest, type DigestSocket } from '../types.js'
 import { createDigestExchange } from './index.js'
 
 /** Hosts on one network; those that are cut neither send nor receive. */
@@ -88,3 +88,13 @@
   t.is(a.exchange.peers().length, 0)
   controller.abort()
 })
+
+test('the load of a digest arrives as it was sent, and a load that cannot be read is refused', t => {
+  const digest: Digest = {
+    host: 'a', failureDomain: 'north', startedMs: 1, sequence: 1, statePort: 80, configurationVersion: 1, targetsRevision: 1, targetsFingerprint: '', isStoreConnected: true, leaseFencing: 0, suspicions: [], seenLayers: [], peers: [], load: { 'i-1': { tokenLayers: 9_440, sequences: 2, firstSequences: 1 }, 'link east north': { tokenLayers: 944, sequences: 1, firstSequences: 0 } }
+  }
+  const sent = JSON.parse(encodeDigest(digest).toString())
+  t.deepEqual(digestSchema.parse(sent), digest)
+  t.deepEqual(digestSchema.parse({ ...sent, load: '' }).load, {})
+  for (const load of ['i-1', 'i-1,2,3', 'i-1,2,3,x', 'i-1,2,3,4;', [['i-1', 1, 2, 3]]]) t.false(digestSchema.safeParse({ ...sent, load }).success)
+})
--- a/src/digest/types.ts
+++ b/src/digest/types.ts
@@ -4,6 +4,11 @@
  */
 import { z } from 'zod'
 import { layerRangeSchema } from '../fleet/types.js'
+import type { LoadByTarget } from '../path/createOccupancy/index.js'
+
+/** Ends of the fields and entries of a load on the wire; names of targets and domains have neither. */
+const FIELD_END = ','
+const ENTRY_END = ';'
 
 /** One host's digest. */
 export const digestSchema = z.object({
@@ -24,9 +29,13 @@
   isStoreConnected: z.boolean(),
   /** Highest fencing number of the control lease that it held itself, 0 if none. */
   leaseFencing: z.number(),
-  /** By target or link; on the wire a list, as the names of its fields would be most of the digest. */
-  load: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])).transform(entries => Object.fromEntries(
-    entries.map(([targetId, tokenLayers, sequences, firstSequences]) => [targetId, { tokenLayers, sequences, firstSequences }]))),
+  /** By target or link; one text on the wire, as hosts read dozens of digests a second and checks of each field would be most of that. */
+  load: z.string().transform((text, context) => {
+    const load = decodeLoad(text)
+    if (load !== undefined) return load
+    context.addIssue({ code: 'custom', message: 'expected targets with three numbers each' })
+    return z.NEVER
+  }),
   suspicions: z.array(z.object({ targetId: z.string(), ageMs: z.number(), leftMs: z.number(), isUnfit: z.boolean() })),
   seenLayers: z.array(z.object({ targetId: z.string(), bornMs: z.number(), layers: layerRangeSchema.nullable() })),
   /** Addresses of some of the hosts that it hears. */
@@ -38,11 +47,23 @@
 
 /** A digest as it is sent. */
 export function encodeDigest (digest: Digest): Buffer {
-  const load = Object.entries(digest.load).map(([targetId, { tokenLayers, sequences, firstSequences }]): [string, number, number, number] => [targetId, tokenLayers, sequences, firstSequences])
-  const encoded: z.input<typeof digestSchema> = { ...digest, load }
+  const load = Object.entries(digest.load).map(([targetId, { tokenLayers, sequences, firstSequences }]) => [targetId, tokenLayers, sequences, firstSequences].join(FIELD_END))
+  const encoded: z.input<typeof digestSchema> = { ...digest, load: load.join(ENTRY_END) }
   return Buffer.from(JSON.stringify(encoded))
 }
 
+/** `undefined` for text that is no load. */
+function decodeLoad (text: string): LoadByTarget | undefined {
+  const load: LoadByTarget = {}
+  for (const entry of text === '' ? [] : text.split(ENTRY_END)) {
+    const [targetId, ...numbers] = entry.split(FIELD_END)
+    const [tokenLayers, sequences, firstSequences] = numbers.map(Number)
+    if (numbers.length !== 3 || [tokenLayers, sequences, firstSequences].some(Number.isNaN)) return undefined
+    load[targetId!] = { tokenLayers: tokenLayers!, sequences: sequences!, firstSequences: firstSequences! }
+  }
+  return load
+}
+
 /** Datagrams between hosts. */
 export interface DigestSocket extends AsyncDisposable {
   send: (ip: string, bytes: Buffer) => void
--- a/src/gateway/_lib/internalPort.ts
+++ b/src/gateway/_lib/internalPort.ts
@@ -33,8 +33,17 @@
 /** How long a peer waits for a change before it answers without one. */
 const CHANGE_WAIT_MS = 2_000
 
+/** What the internal port serves from. */
+export interface InternalPortOptions {
+  fleet: FleetState
+  metrics: GatewayMetrics
+  runtime: Runtime
+  /** Brings the metrics up to date before they are read. */
+  observe: () => void
+}
+
 /** Serves `/state` and `/metrics`. */
-export function createInternalHandler ({ fleet, metrics, runtime }: { fleet: FleetState, metrics: GatewayMetrics, runtime: Runtime }): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
+export function createInternalHandler ({ fleet, metrics, runtime, observe }: InternalPortOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
   /** Resolves once the targets differ from those of the asking host, the wait is over or the connection is. */
   function whenChanged (fingerprint: string, waitMs: number, response: ServerResponse): Promise<void> {
     if (waitMs <= 0 || fleet.fingerprint() !== fingerprint) return Promise.resolve()
@@ -62,6 +71,7 @@
       const state: z.infer<typeof stateSchema> = { configuration: isNewer ? configuration : null, targets: fleet.updateSince(fingerprint) }
       sendJson(response, 200, state)
     } else if (url.pathname === '/metrics') {
+      observe()
       const text = await metrics.registry.metrics()
       response.writeHead(200, { 'content-type': metrics.registry.contentType })
       response.end(text)
--- /dev/null
+++ b/src/gateway/_lib/observeState.ts
@@ -0,0 +1,21 @@
+/**
+ * Sets the metrics that show a state rather than count what happens; called when they are read.
+ */
+import type { GatewayParts } from '../types.js'
+
+/** Milliseconds in a second. */
+const MS_PER_S = 1_000
+
+/** Brings the gauges up to date. */
+export function observeState ({ fleet, suspicions, streams, budget, metrics, queueLengths, targetsAgeMs }: GatewayParts): void {
+  const targets = fleet.targets()
+  const services = fleet.configuration()?.services ?? []
+  metrics.streams.set(streams.size)
+  metrics.waiting.set([...queueLengths().values()].reduce((sum, length) => sum + length, 0))
+  metrics.configurationVersion.set(fleet.configuration()?.version ?? -1)
+  metrics.targetsAgeSeconds.set(targetsAgeMs() / MS_PER_S)
+  metrics.targets.set({ state: 'listed' }, targets.length)
+  metrics.targets.set({ state: 'leaving' }, targets.filter(target => target.isLeaving).length)
+  metrics.targets.set({ state: 'suspected' }, targets.filter(target => suspicions.isDown(target.id)).length)
+  for (const { name } of services) metrics.retryBudgetLeft.set({ service: name }, budget.left(name))
+}
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -22,6 +22,9 @@
 /** Weight of the caller's estimate against the usual output; the estimate is often far off. */
 const HINT_WEIGHT = 0.5
 
+/** Milliseconds in a second. */
+const MS_PER_S = 1_000
+
 /** Wait that callers are told when no place was found, in milliseconds. */
 const RETRY_AFTER_MS = 1_000
 
@@ -46,6 +49,7 @@
     const outcome = await requestPlace()
     if (outcome.kind === 'aborted') break
     progress.waitedMs += outcome.waitedMs
+    metrics.waitSeconds.observe(outcome.waitedMs / MS_PER_S)
     if (outcome.kind === 'refused') return endWithReason(call, parts, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
     using place = outcome.place
     if (signal.aborted) break
--- a/src/gateway/createGatewayMetrics/index.ts
+++ b/src/gateway/createGatewayMetrics/index.ts
@@ -19,7 +19,8 @@
   waiting: Gauge
   targets: Gauge<'state'>
   configurationVersion: Gauge
-  retryBudgetLeft: Gauge
+  retryBudgetLeft: Gauge<'service'>
+  targetsAgeSeconds: Gauge
   isLeaseHolder: Gauge
   droppedLogLines: Counter
 }
@@ -48,7 +49,8 @@
     waiting: new Gauge({ name: 'coltsfootlead_gateway_waiting', help: 'Requests in the queue', registers }),
     targets: new Gauge({ name: 'coltsfootlead_gateway_targets', help: 'Targets by state', labelNames: ['state'], registers }),
     configurationVersion: new Gauge({ name: 'coltsfootlead_gateway_configuration_version', help: 'Configuration in force', registers }),
-    retryBudgetLeft: new Gauge({ name: 'coltsfootlead_gateway_retry_budget_left', help: 'Least repeats left of any service', registers }),
+    retryBudgetLeft: new Gauge({ name: 'coltsfootlead_gateway_retry_budget_left', help: 'Repeats left by service', labelNames: ['service'], registers }),
+    targetsAgeSeconds: new Gauge({ name: 'coltsfootlead_gateway_targets_age_seconds', help: 'Time since the targets were last confirmed by the store or a reader', registers }),
     isLeaseHolder: new Gauge({ name: 'coltsfootlead_gateway_lease_holder', help: '1 on the host that places layers', registers }),
     droppedLogLines: new Counter({ name: 'coltsfootlead_gateway_log_lines_dropped_total', help: 'Log lines dropped by limit or because the reader was slow', registers })
   }
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -4,67 +4,30 @@
  */
 import { setMaxListeners } from 'node:events'
 import { createDigestExchange } from '../../digest/createDigestExchange/index.js'
-import type { Digest, DigestSocket } from '../../digest/types.js'
-import type { EventLog } from '../../event/types.js'
+import type { Digest } from '../../digest/types.js'
 import { createFleetState } from '../../fleet/createFleetState/index.js'
-import { followFleet, type FleetFormat } from '../../fleet/followFleet/index.js'
+import { followFleet } from '../../fleet/followFleet/index.js'
 import { followReaders } from '../../fleet/followReaders/index.js'
 import { isStoreReader } from '../../fleet/isStoreReader/index.js'
 import { createOpenCalls } from '../../http/createOpenCalls/index.js'
 import { listen } from '../../http/listen/index.js'
-import type { ObjectStore } from '../../objectApi/types.js'
 import { createCoverageCheck } from '../../path/createCoverageCheck/index.js'
 import { createOccupancy } from '../../path/createOccupancy/index.js'
 import { runPlacement } from '../../placement/runPlacement/index.js'
-import type { EngineControl } from '../../placement/types.js'
 import { createRetryBudget } from '../../retry/createRetryBudget/index.js'
 import { repeatTask } from '../../runtime/repeatTask/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline } from '../../runtime/withDeadline/index.js'
-import type { Runtime } from '../../runtime/types.js'
 import { createSuspicions } from '../../suspicion/createSuspicions/index.js'
 import { createDispatcher, type Dispatcher } from '../../waiting/createDispatcher/index.js'
 import { createCallHandler } from '../createCallHandler/index.js'
-import type { GatewayMetrics } from '../createGatewayMetrics/index.js'
 import { rescueStreams } from '../rescueStreams/index.js'
 import { findPeers, registerHost } from '../_lib/findPeers.js'
 import { createDuty } from '../_lib/createDuty.js'
 import { createInternalHandler, readPeerState } from '../_lib/internalPort.js'
-import type { CallFormat, GatewayParts, Place } from '../types.js'
-
-/** What a gateway is told at its start. */
-export interface GatewaySettings {
-  host: string
-  ip: string
-  failureDomain: string
-  callerAddress: { address: string, port: number }
-  readinessAddress: { address: string, port: number }
-  /** Where peers read this host's state. */
-  internalAddress: { address: string, port: number }
-  metricsAddress: { address: string, port: number }
-  /** Addresses of hosts to ask first. */
-  seedIps: string[]
-  retryRatio: number
-  retryExtra: number
-  retryWindowMs: number
-  /** Time from the request to stop until the process is killed. */
-  graceMs: number
-  /** Time after the request to stop in which the balancer may still send new connections. */
-  rotationMs: number
-}
-
-/** Edges of a gateway. */
-export interface GatewayPorts {
-  store: ObjectStore
-  control: EngineControl
-  socket: DigestSocket
-  format: CallFormat
-  fleetFormat: FleetFormat
-  runtime: Runtime
-  log: EventLog
-  metrics: GatewayMetrics
-}
+import { observeState } from '../_lib/observeState.js'
+import type { GatewayParts, GatewayPorts, GatewaySettings, Place } from '../types.js'
 
 /** A running gateway. */
 export interface Gateway extends AsyncDisposable {
@@ -90,9 +53,6 @@
 /** How long the budget counts hosts that were heard, in milliseconds; one window of the budget. */
 const HOST_MEMORY_MS = 10_000
 
-/** Interval at which waiting requests are looked at; each look may choose several paths. */
-const POKE_MS = 25
-
 /**
  * @name startGateway
  * @summary Starts a gateway.
@@ -176,6 +136,7 @@
     log,
     metrics,
     loadAgeMs: exchange.digestAgeMs,
+    queueLengths: () => new Map([...dispatchers].map(([service, dispatcher]) => [service, dispatcher.queueLength()])),
     checkCoverage: createCoverageCheck({ fleet, suspicions, runtime }),
     dispatcherOf,
     isDraining: () => drainingSinceMs !== undefined,
@@ -199,7 +160,7 @@
     response.writeHead(isReady() ? 200 : 503, { 'content-length': '0' })
     response.end()
   }, settings.readinessAddress))
-  const internal = createInternalHandler({ fleet, metrics, runtime })
+  const internal = createInternalHandler({ fleet, metrics, runtime, observe: () => observeState(parts) })
   resources.use(await listen(internal, settings.internalAddress))
   resources.use(await listen(internal, settings.metricsAddress))
   log.emit('processStarted', { address: callers.address, failureDomain: settings.failureDomain })
@@ -209,7 +170,6 @@
   rescueStreams(parts, { signal, onFinding: exchange.flush })
   runPlacement({ fleet, suspicions, control, runtime, log, metrics, signal, fencing: duty.fencing, onLoaded: exchange.flush })
   repeatTask(duty.step, { intervalMs: LEASE_STEP_MS, task: 'lease', runtime, log, signal })
-  repeatTask(look, { intervalMs: POKE_MS, task: 'queue', runtime, log, signal })
 
   function dispatcherOf (service: string): Dispatcher<Place> {
     const known = dispatchers.get(service)
@@ -253,13 +213,6 @@
 
   const isRotationOver = (): boolean => drainingSinceMs !== undefined && runtime.monotonicMs() - drainingSinceMs > settings.rotationMs
 
-  function look (): void {
-    for (const dispatcher of dispatchers.values()) dispatcher.poke()
-    metrics.streams.set(parts.streams.size)
-    metrics.waiting.set([...dispatchers.values()].reduce((sum, dispatcher) => sum + dispatcher.queueLength(), 0))
-    metrics.configurationVersion.set(fleet.configuration()?.version ?? -1)
-  }
-
   return {
     async drain () {
       drainingSinceMs = runtime.monotonicMs()
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -3,9 +3,12 @@
  * progress.
  */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import type { DigestSocket } from '../digest/types.js'
 import type { EventLog } from '../event/types.js'
 import type { FleetState } from '../fleet/createFleetState/index.js'
+import type { FleetFormat } from '../fleet/followFleet/index.js'
 import type { Path, Route, Service, Target } from '../fleet/types.js'
+import type { ObjectStore } from '../objectApi/types.js'
 import type { Coverage } from '../path/createCoverageCheck/index.js'
 import type { Occupancy } from '../path/createOccupancy/index.js'
 import type { RequestSize } from '../path/choosePath/index.js'
@@ -122,8 +125,43 @@
   metrics: GatewayMetrics
   /** Mean age of what is known of the other hosts' load, in milliseconds. */
   loadAgeMs: () => number
+  /** Services that have a queue, with the number of requests in it. */
+  queueLengths: () => Map<string, number>
   /** Whether the process is shutting down, when answers ask for their connection to be closed. */
   isDraining: () => boolean
   /** Age of what is known of targets, in milliseconds. */
   targetsAgeMs: () => number
 }
+
+/** What a gateway is told at its start. */
+export interface GatewaySettings {
+  host: string
+  ip: string
+  failureDomain: string
+  callerAddress: { address: string, port: number }
+  readinessAddress: { address: string, port: number }
+  /** Where peers read this host's state. */
+  internalAddress: { address: string, port: number }
+  metricsAddress: { address: string, port: number }
+  /** Addresses of hosts to ask first. */
+  seedIps: string[]
+  retryRatio: number
+  retryExtra: number
+  retryWindowMs: number
+  /** Time from the request to stop until the process is killed. */
+  graceMs: number
+  /** Time after the request to stop in which the balancer may still send new connections. */
+  rotationMs: number
+}
+
+/** Edges of a gateway. */
+export interface GatewayPorts {
+  store: ObjectStore
+  control: EngineControl
+  socket: DigestSocket
+  format: CallFormat
+  fleetFormat: FleetFormat
+  runtime: Runtime
+  log: EventLog
+  metrics: GatewayMetrics
+}
--- a/src/runtime/repeatTask/index.ts
+++ b/src/runtime/repeatTask/index.ts
@@ -2,7 +2,6 @@
  * Background tasks that go on whatever one of their rounds throws.
  */
 import type { EventLog } from '../../event/types.js'
-import { sleep } from '../sleep/index.js'
 import type { Runtime } from '../types.js'
 
 /** How a task is repeated. */
@@ -26,14 +25,35 @@
  * @example
  * await repeatTask(() => claim.step(), { intervalMs: 500, task: 'lease', runtime, log, signal })
  */
-export async function repeatTask (run: () => void | Promise<void>, options: RepeatOptions): Promise<void> {
+export function repeatTask (run: () => void | Promise<void>, options: RepeatOptions): Promise<void> {
   const { intervalMs, task, runtime, log, signal } = options
-  while (!signal.aborted) {
-    try {
-      await run()
-    } catch (error) {
+  return new Promise(resolve => {
+    let timer: Disposable | undefined
+    // Dozens of rounds a second: one listener for all of them costs less than a promise for each wait.
+    signal.addEventListener('abort', () => {
+      if (timer === undefined) return
+      timer[Symbol.dispose]()
+      resolve()
+    }, { once: true })
+    const wait = (): void => {
+      if (signal.aborted) return resolve()
+      timer = runtime.setTimer(intervalMs, startRound)
+    }
+    const fail = (error: unknown): void => {
       log.emit('unexpectedError', { task, cause: error instanceof Error ? error.stack : String(error) })
     }
-    await sleep(intervalMs, { runtime, signal })
-  }
+    startRound()
+
+    function startRound (): void {
+      timer = undefined
+      try {
+        const round = run()
+        if (round === undefined) wait()
+        else round.catch(fail).finally(wait)
+      } catch (error) {
+        fail(error)
+        wait()
+      }
+    }
+  })
 }
--- a/src/runtime/repeatTask/test.ts
+++ b/src/runtime/repeatTask/test.ts
@@ -17,3 +17,19 @@
   t.is(rounds, 4)
   t.like(log.recent()[0], { name: 'unexpectedError', task: 'test' })
 })
+
+test('a round that takes long is followed by the next one after the interval, and by none once aborted', async t => {
+  const runtime = createManualRuntime()
+  const controller = new AbortController()
+  let rounds = 0
+  const done = repeatTask(() => new Promise<void>(resolve => {
+    rounds++
+    runtime.setTimer(30, resolve)
+  }), { intervalMs: 10, task: 'test', runtime, log: createTestLog(), signal: controller.signal })
+  await runtime.advance(75)
+  t.is(rounds, 2)
+  controller.abort()
+  await runtime.advance(100)
+  await done
+  t.is(rounds, 2)
+})
--- a/src/waiting/createDispatcher/index.ts
+++ b/src/waiting/createDispatcher/index.ts
@@ -37,6 +37,9 @@
   queueLength: () => number
 }
 
+/** Interval at which waiting requests are tried; each round may choose several paths. */
+const POKE_MS = 25
+
 /** Requests that wait at most; beyond it the newest is refused. */
 const QUEUE_LIMIT = 300
 
@@ -99,6 +102,19 @@
     finish(entry, { kind: 'refused', waitedMs: waitedMs(entry), queueLength: queue.length })
   }
 
+  let isTimed = false
+
+  /** Tries again after the interval for as long as any request waits. */
+  function pokeLater (): void {
+    if (isTimed) return
+    isTimed = true
+    runtime.setTimer(POKE_MS, () => {
+      isTimed = false
+      poke()
+      if (queue.length > 0) pokeLater()
+    })
+  }
+
   function poke (): void {
     let tries = 0
     for (const entry of orderWaiting(queue, servedByAccount)) {
@@ -148,6 +164,7 @@
         if (wanted.signal.aborted) return abort()
         wanted.signal.addEventListener('abort', abort, { once: true })
         queue.push(entry)
+        pokeLater()
       })
     }
   }
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -74,6 +74,7 @@
     log,
     metrics: createGatewayMetrics(),
     loadAgeMs: () => 0,
+    queueLengths: () => new Map(),
     checkCoverage: createCoverageCheck({ fleet, suspicions, runtime }),
     dispatcherOf (service) {
       const known = dispatchers.get(service) ?? createDispatcher<Place>({ runtime })
