Take peers to claim as much as this host just did

Load pattern: all callers come back within some 70 ms after every host was down. Change: what this host claimed within one interval of digests counts once more for each peer, for as many as hear of it at once; right after the start, when none has been heard, for the most. Plain targets are compared without it.

--- a/src/path/createOccupancy/index.ts
+++ b/src/path/createOccupancy/index.ts
@@ -1,6 +1,8 @@
 /**
  * Work in progress on each engine: that of this host, counted, and that of its peers, as they
- * last reported it.
+ * last reported it. Answers the load pattern in which all callers come back at the same moment
+ * after a common fault: the hosts would fill the best engines and links many times over before they hear of each
+ * other, so what this host has just sent is taken to be sent by its peers as well.
  */
 import type { Path } from '../../fleet/types.js'
 import type { Runtime } from '../../runtime/types.js'
@@ -10,6 +12,15 @@
 /** Load by target identity, and by link between failure domains. */
 export type LoadByTarget = Record<string, EngineLoad>
 
+/** Time after which peers know of a claim, in milliseconds: the interval of digests. */
+const UNSEEN_MS = 100
+
+/** Peers that are assumed to do as this host does at most; as many as get a digest at once. */
+const MOST_GUESSED_PEERS = 8
+
+/** Time from the start within which most peers are heard, in milliseconds; until then there may be any number of them. */
+const PEERS_HEARD_MS = 1_000
+
 const NO_LOAD: EngineLoad = { tokenLayers: 0, sequences: 0, firstSequences: 0 }
 
 /** Work on all engines. */
@@ -40,85 +51,83 @@
  */
 export function createOccupancy (options: { runtime: Runtime }): Occupancy {
   const { runtime } = options
+  const startedMs = runtime.monotonicMs()
   const own = new Map<string, EngineLoad>()
   const peers = new Map<string, LoadByTarget>()
   /** Sum over the peers, kept up to date as every choice of a path asks for every engine. */
   const peerSums = new Map<string, EngineLoad>()
-
-  function addPeer (load: LoadByTarget, sign: 1 | -1): void {
-    for (const [targetId, { tokenLayers, sequences, firstSequences }] of Object.entries(load)) {
-      const sum = peerSums.get(targetId) ?? { tokenLayers: 0, sequences: 0, firstSequences: 0 }
-      sum.tokenLayers += sign * tokenLayers
-      sum.sequences += sign * sequences
-      sum.firstSequences += sign * firstSequences
-      if (sum.sequences > 0) peerSums.set(targetId, sum)
-      else peerSums.delete(targetId)
-    }
-  }
+  /** Own claims of which peers do not know yet. */
+  const unseen = new Map<string, EngineLoad>()
 
   function removePeer (host: string): void {
-    addPeer(peers.get(host) ?? {}, -1)
+    for (const [key, load] of Object.entries(peers.get(host) ?? {})) change(peerSums, key, load, -1)
     peers.delete(host)
   }
 
-  function add (path: Path, size: RequestSize, sign: 1 | -1): void {
-    path.forEach((stage, index) => {
-      const load = own.get(stage.target.id) ?? { tokenLayers: 0, sequences: 0, firstSequences: 0 }
-      load.tokenLayers += sign * (size.promptTokens + size.outputTokens) * (stage.to - stage.from)
-      load.sequences += sign
-      if (index === 0) load.firstSequences += sign
-      if (load.sequences > 0) own.set(stage.target.id, load)
-      else own.delete(stage.target.id)
-    })
-  }
-
-  /** Counts a request's tokens on each link that it crosses, for as long as links are averaged over. */
-  function addTransfers (path: Path, { promptTokens, outputTokens }: RequestSize, before: Path): void {
-    const tokens = promptTokens + outputTokens
-    path.slice(1).forEach((stage, index) => {
-      const domain = path[index]!.target.failureDomain
-      if (domain === stage.target.failureDomain || before.some(kept => isSameStage(kept, stage))) return
-      const key = linkKey(domain, stage.target.failureDomain)
-      changeTransfer(key, tokens, 1)
-      runtime.setTimer(LINK_WINDOW_MS, () => changeTransfer(key, tokens, -1))
-    })
-  }
-
-  function changeTransfer (key: string, tokens: number, sign: 1 | -1): void {
-    const load = own.get(key) ?? { tokenLayers: 0, sequences: 0, firstSequences: 0 }
-    load.tokenLayers += sign * tokens
-    load.sequences += sign
-    if (load.sequences > 0) own.set(key, load)
-    else own.delete(key)
+  /** Peers that may have done as this host did: callers come to all hosts alike. */
+  function countGuessedPeers (): number {
+    const isNew = runtime.monotonicMs() - startedMs < PEERS_HEARD_MS
+    return isNew ? MOST_GUESSED_PEERS : Math.min(peers.size, MOST_GUESSED_PEERS)
   }
 
   return {
     claim (path, size, { before = [] } = {}) {
-      add(path, size, 1)
-      addTransfers(path, size, before)
+      const stages = describeStages(path, size)
+      const transfers = describeTransfers(path, size, before)
+      // Plain targets are compared by their requests alone, where a guess would send every other one elsewhere.
+      const guessed = [...stages, ...transfers].filter(([, load]) => load.tokenLayers > 0)
+      for (const [key, load] of [...stages, ...transfers]) change(own, key, load, 1)
+      for (const [key, load] of guessed) change(unseen, key, load, 1)
+      // Links count for as long as their use is averaged over, engines until the claim is released.
+      runtime.setTimer(LINK_WINDOW_MS, () => { for (const [key, load] of transfers) change(own, key, load, -1) })
+      runtime.setTimer(UNSEEN_MS, () => { for (const [key, load] of guessed) change(unseen, key, load, -1) })
       let isReleased = false
       return {
         [Symbol.dispose] () {
           if (isReleased) return
           isReleased = true
-          add(path, size, -1)
+          for (const [key, load] of stages) change(own, key, load, -1)
         }
       }
     },
     loadOf (targetId) {
-      const [ours, theirs] = [own.get(targetId) ?? NO_LOAD, peerSums.get(targetId) ?? NO_LOAD]
+      const [ours, theirs, guessed] = [own.get(targetId) ?? NO_LOAD, peerSums.get(targetId) ?? NO_LOAD, unseen.get(targetId) ?? NO_LOAD]
+      const factor = guessed === NO_LOAD ? 0 : countGuessedPeers()
       return {
-        tokenLayers: ours.tokenLayers + theirs.tokenLayers,
-        sequences: ours.sequences + theirs.sequences,
-        firstSequences: ours.firstSequences + theirs.firstSequences
+        tokenLayers: ours.tokenLayers + theirs.tokenLayers + guessed.tokenLayers * factor,
+        sequences: ours.sequences + theirs.sequences + guessed.sequences * factor,
+        firstSequences: ours.firstSequences + theirs.firstSequences + guessed.firstSequences * factor
       }
     },
     own: () => Object.fromEntries(own),
     setPeer (host, load) {
       removePeer(host)
       peers.set(host, load)
-      addPeer(load, 1)
+      for (const [key, part] of Object.entries(load)) change(peerSums, key, part, 1)
     },
     removePeer
   }
 }
+
+/** Adds a load to that of a target or link, or takes it off again. */
+function change (loads: Map<string, EngineLoad>, key: string, { tokenLayers, sequences, firstSequences }: EngineLoad, sign: 1 | -1): void {
+  const load = loads.get(key) ?? { ...NO_LOAD }
+  load.tokenLayers += sign * tokenLayers
+  load.sequences += sign * sequences
+  load.firstSequences += sign * firstSequences
+  if (load.sequences > 0) loads.set(key, load)
+  else loads.delete(key)
+}
+
+function describeStages (path: Path, { promptTokens, outputTokens }: RequestSize): Array<[string, EngineLoad]> {
+  return path.map(({ target, from, to }, index) => [target.id, { tokenLayers: (promptTokens + outputTokens) * (to - from), sequences: 1, firstSequences: index === 0 ? 1 : 0 }])
+}
+
+/** A request's tokens on each link that it crosses, but for stages that it had before. */
+function describeTransfers (path: Path, { promptTokens, outputTokens }: RequestSize, before: Path): Array<[string, EngineLoad]> {
+  return path.slice(1).flatMap((stage, index) => {
+    const domain = path[index]!.target.failureDomain
+    if (domain === stage.target.failureDomain || before.some(kept => isSameStage(kept, stage))) return []
+    return [[linkKey(domain, stage.target.failureDomain), { tokenLayers: promptTokens + outputTokens, sequences: 1, firstSequences: 0 }]]
+  })
+}
--- a/src/path/createOccupancy/test.ts
+++ b/src/path/createOccupancy/test.ts
@@ -1,7 +1,8 @@
 import test from 'ava'
-import { buildEngine } from '../../../test/fakes/buildFleet.js'
+import { buildEngine, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
 import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
 import { LINK_WINDOW_MS, linkKey } from '../_lib/linkCost.js'
+import { choosePath } from '../choosePath/index.js'
 import { createOccupancy } from './index.js'
 
 const SIZE = { promptTokens: 100, outputTokens: 50 }
@@ -10,8 +11,10 @@
   { target: buildEngine('b', 'south', 'large'), from: 40, to: 80 }
 ]
 
-test('a claim counts on every stage until it is released, once', t => {
-  const occupancy = createOccupancy({ runtime: createManualRuntime() })
+test('a claim counts on every stage until it is released, once', async t => {
+  const runtime = createManualRuntime()
+  const occupancy = createOccupancy({ runtime })
+  await runtime.advance(2_000)
   const claim = occupancy.claim(PATH, SIZE)
   t.deepEqual(occupancy.loadOf('a'), { tokenLayers: 6_000, sequences: 1, firstSequences: 1 })
   t.deepEqual(occupancy.loadOf('b'), { tokenLayers: 6_000, sequences: 1, firstSequences: 0 })
@@ -23,6 +26,7 @@
 test('a crossing counts on its link for the window alone', async t => {
   const runtime = createManualRuntime()
   const occupancy = createOccupancy({ runtime })
+  await runtime.advance(2_000)
   occupancy.claim(PATH, SIZE)
   t.is(occupancy.loadOf(linkKey('south', 'north')).tokenLayers, 150)
   await runtime.advance(LINK_WINDOW_MS)
@@ -39,3 +43,38 @@
   t.is(occupancy.loadOf('b').sequences, 0)
   t.is(occupancy.loadOf('a').sequences, 0)
 })
+
+test('hosts to which all callers come back at once do not overfill the link before they hear of each other', async t => {
+  const [HOSTS, CALLS_PER_HOST] = [7, 7]
+  const whole = ['north', 'south'].flatMap(domain => [buildEngine(`${domain}-low`, domain, 'small', { from: 0, to: 40 }), buildEngine(`${domain}-high`, domain, 'small', { from: 40, to: 80 })])
+  const express = [buildEngine('fast-low', 'north', 'large', { from: 0, to: 40 }), buildEngine('fast-high', 'south', 'large', { from: 40, to: 80 })]
+  const size = { promptTokens: 770, outputTokens: 174 }
+  const model = { ...TEST_MODEL, layerMb: 100, activationBytes: 42_000, pipeMbps: 11_000 }
+  let crossings = 0
+  for (let host = 0; host < HOSTS; host++) {
+    const occupancy = createOccupancy({ runtime: createManualRuntime() })
+    // All hosts have just started, so that none has heard of another.
+    for (let call = 0; call < CALLS_PER_HOST; call++) {
+      const { path } = choosePath([...whole, ...express], size, { model, loadOf: occupancy.loadOf, slownessOf: () => 1 })!
+      occupancy.claim(path, size)
+      if (path[0]!.target.failureDomain !== path.at(-1)!.target.failureDomain) crossings++
+    }
+  }
+  const transferMs = size.promptTokens * model.activationBytes * 8 / 1_000 / model.pipeMbps
+  t.true(crossings > 0)
+  // The last prompt over the link must be across within the objective of a first event.
+  t.true(crossings * transferMs < 500, `${crossings} prompts over the link`)
+})
+
+test('what a host has just sent is taken to be sent by its peers until they report', async t => {
+  const runtime = createManualRuntime()
+  const occupancy = createOccupancy({ runtime })
+  await runtime.advance(2_000)
+  for (const peer of ['b', 'c']) occupancy.setPeer(peer, {})
+  occupancy.claim(PATH, SIZE)
+  t.is(occupancy.loadOf(linkKey('south', 'north')).tokenLayers, 450)
+  t.deepEqual(occupancy.loadOf('a'), { tokenLayers: 18_000, sequences: 3, firstSequences: 3 })
+  await runtime.advance(100)
+  t.is(occupancy.loadOf(linkKey('south', 'north')).tokenLayers, 150)
+  t.deepEqual(occupancy.loadOf('a'), { tokenLayers: 6_000, sequences: 1, firstSequences: 1 })
+})
--- a/src/path/spreadChoice/test.ts
+++ b/src/path/spreadChoice/test.ts
@@ -27,7 +27,7 @@
     const chosen = choosePath(ENGINES, SIZE, { model: MODEL, loadOf, ...spread })!
     occupancy.claim(chosen.path, SIZE)
   }
-  return (known.tokenLayers + occupancy.loadOf('fast-0').tokenLayers) / room
+  return (known.tokenLayers + (occupancy.own()['fast-0']?.tokenLayers ?? 0)) / room
 }
 
 test('hosts that know nothing of each other for long do not all choose the best path', t => {
