--- a/src/cli/_lib/operatorCommand.ts
+++ b/src/cli/_lib/operatorCommand.ts
@@ -1,8 +1,11 @@
 /**
  * What the operator's commands share: where to ask, with which token, and how to print.
  */
+import { readFile } from 'node:fs/promises'
 import { Command, Option, UsageError } from 'clipanion'
 import { request } from 'undici'
+import { parseLogLines } from '../../event/parseLogLines/index.js'
+import type { LoggedEvent } from '../../event/types.js'
 
 /** Exit codes, the same for every command. */
 export const EXIT = {
@@ -58,6 +61,14 @@
     }
   }
 
+  /** Events of log files, `-` for standard input; tells how many lines could not be read. */
+  protected async readLogs (files: readonly string[]): Promise<LoggedEvent[]> {
+    const logs = await Promise.all(files.map(async file => parseLogLines(await readFile(file === '-' ? '/dev/stdin' : file, 'utf8'))))
+    const unread = logs.reduce((sum, log) => sum + log.unreadLines, 0)
+    if (unread > 0) this.context.stderr.write(`${unread} lines could not be read\n`)
+    return logs.flatMap(log => log.events)
+  }
+
   protected print (line: string): void {
     this.context.stdout.write(`${line}\n`)
   }
--- a/src/cli/commands/read.ts
+++ b/src/cli/commands/read.ts
@@ -2,8 +2,10 @@
  * `coltsfootlead in-force|explain|members`.
  */
 import { Command, Option } from 'clipanion'
+import { explainCall, type CallExplanation } from '../../event/explainCall/index.js'
+import type { LoggedEvent } from '../../event/types.js'
 import type { Member } from '../../member/types.js'
-import { OperatorCommand } from '../_lib/operatorCommand.js'
+import { EXIT, OperatorCommand } from '../_lib/operatorCommand.js'
 
 export class InForceCommand extends OperatorCommand {
   static override paths = [['in-force']]
@@ -22,14 +24,33 @@
 
 export class ExplainCommand extends OperatorCommand {
   static override paths = [['explain']]
-  static override usage = Command.Usage({ description: 'Explain a refusal by its identity.' })
+  static override usage = Command.Usage({
+    description: 'Explain a refusal by its identity, or a call by its request id.',
+    details: 'With log files of gateways (- for standard input) the call is explained from them alone; otherwise the operator port is asked for the refusal.'
+  })
 
   id = Option.String()
+  files = Option.Rest()
 
   async execute (): Promise<number> {
+    if (this.files.length > 0) return this.explain(await this.readLogs(this.files))
     const id = this.id.replace('urn:coltsfootlead:refusal:', '')
     return await this.attempt(async () => this.show(await this.ask(`/v1/explain/${encodeURIComponent(id)}`), (body: object) => JSON.stringify(body, null, 2)))
   }
+
+  private explain (events: LoggedEvent[]): number {
+    const explanation = explainCall(events, this.id)
+    if (explanation === undefined) {
+      this.context.stderr.write(`no event names ${this.id}\n`)
+      return EXIT.refused
+    }
+    this.print(this.json ? JSON.stringify(explanation) : renderExplanation(explanation))
+    return EXIT.ok
+  }
+}
+
+function renderExplanation ({ request, outcome, host, cause, evidence }: CallExplanation): string {
+  return [`${request} at ${host ?? 'an unknown host'}: ${outcome}`, cause, ...evidence.map(line => `  ${line}`)].join('\n')
 }
 
 export class MembersCommand extends OperatorCommand {
--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -1,7 +1,7 @@
 /**
  * `coltsfootlead timeline`: the events of all processes in causal order.
  */
-import { readFile, writeFile } from 'node:fs/promises'
+import { writeFile } from 'node:fs/promises'
 import { Command, Option } from 'clipanion'
 import { describeFields } from '../../event/describeFields/index.js'
 import type { LoggedEvent } from '../../event/types.js'
@@ -25,7 +25,7 @@
   files = Option.Rest()
 
   async execute (): Promise<number> {
-    if (this.files.length > 0) return await this.render(await this.readFiles())
+    if (this.files.length > 0) return await this.render(await this.readLogs(this.files))
     return await this.attempt(async () => await this.render(await this.askMembers(this.filter())))
   }
 
@@ -43,14 +43,6 @@
     return Object.fromEntries(Object.entries({ request, ticket, target, host }).filter((pair): pair is [string, string] => pair[1] !== undefined))
   }
 
-  private async readFiles (): Promise<LoggedEvent[]> {
-    const texts = await Promise.all(this.files.map(file => readFile(file === '-' ? '/dev/stdin' : file, 'utf8')))
-    const parsed = texts.flatMap(text => text.split('\n').map(parseLine))
-    const unread = parsed.filter(event => event === 'unread').length
-    if (unread > 0) this.context.stderr.write(`${unread} lines could not be read\n`)
-    return parsed.filter(event => typeof event === 'object')
-  }
-
   private async askMembers (filter: Record<string, string>): Promise<LoggedEvent[]> {
     const { body } = await this.ask('/v1/members')
     const { members } = body as { members: Member[] }
@@ -64,22 +56,6 @@
   }
 }
 
-/** The event of a log line; `undefined` for a line without JSON. */
-function parseLine (line: string): LoggedEvent | 'unread' | undefined {
-  const start = line.indexOf('{')
-  if (start < 0) return undefined
-  try {
-    const value: unknown = JSON.parse(line.slice(start))
-    return isEvent(value) ? value : 'unread'
-  } catch {
-    return 'unread'
-  }
-}
-
-function isEvent (value: unknown): value is LoggedEvent {
-  return typeof value === 'object' && value !== null && 'wallMs' in value && 'name' in value
-}
-
 /** Title of the page. */
 function describeFilter (filter: Record<string, string>): string {
   const parts = Object.entries(filter).map(([field, value]) => `${field} ${value}`)
--- /dev/null
+++ b/src/event/explainCall/test.ts
@@ -0,0 +1,43 @@
+import test from 'ava'
+import type { LoggedEvent } from '../types.js'
+import { explainCall } from './index.js'
+
+const event = (name: LoggedEvent['name'], wallMs: number, fields: Partial<LoggedEvent> = {}): LoggedEvent =>
+  ({ number: 1, name, text: name, level: 'info', host: 'a', process: 'gateway', wallMs, counter: 0, ...fields })
+
+test('a refusal is explained by its reason and what it waited', t => {
+  const events = [event('gatewayRefused', 1_500, { request: 'r1', reason: 'overloaded', waitedMs: 1_499, queueLength: 6, status: 503, attempts: [] })]
+  t.like(explainCall(events, 'r1'), { outcome: 'refused', host: 'a', cause: 'refused without having run: no path had room within 1499 ms; 6 other calls waited' })
+})
+
+test('a failure is shown with what was found out about its targets and the store, and with nothing else', t => {
+  const explanation = explainCall([
+    event('targetSuspected', 900, { target: 'i-2', host: 'b', cause: 'connect failed after a pause' }),
+    event('targetSuspected', 950, { target: 'i-9', host: 'b' }),
+    event('targetLeaving', 960, { host: 'c', removedIds: ['i-1'] }),
+    event('storeUnavailable', 970, { prefix: 'servers/', cause: 'status 503' }),
+    event('storeUnavailable', 970, { host: 'c', prefix: 'servers/' }),
+    event('streamResumed', 1_000, { request: 'r1', target: 'i-1', cause: 'aborted' }),
+    event('gatewayFailed', 1_200, { request: 'r1', reason: 'targetFailed', cause: 'retry budget spent', attempts: ['i-1:0-40,i-2:40-80 aborted', 'i-3:0-80 status 503'] }),
+    event('targetSuspected', 1_300, { target: 'i-2' })
+  ], 'r1')
+  t.is(explanation?.outcome, 'failed')
+  t.is(explanation?.cause, 'ended without an answer after 2 attempts: retry budget spent')
+  t.deepEqual(explanation?.events.map(({ name, host }) => `${name} ${host}`), ['targetSuspected b', 'targetLeaving c', 'storeUnavailable a', 'streamResumed a', 'gatewayFailed a'])
+})
+
+test('a late answer is put down to a changed path or to busy engines', t => {
+  const answered = event('gatewayAnswered', 4_000, { request: 'r1', firstEventMs: 40, waitedMs: 0, longestPauseMs: 483 })
+  t.regex(explainCall([answered], 'r1')!.cause, /paused for 483 ms while its path stayed the same/)
+  t.regex(explainCall([event('pathReplaced', 3_000, { request: 'r1', cause: 'engine down' }), answered], 'r1')!.cause, /after 1 changes of its path \(engine down\)/)
+  t.regex(explainCall([{ ...answered, waitedMs: 900 }], 'r1')!.cause, /waited 900 ms/)
+  t.regex(explainCall([{ ...answered, firstEventMs: 700 }], 'r1')!.cause, /first event took 700 ms/)
+  t.is(explainCall([{ ...answered, longestPauseMs: 60 }], 'r1')!.cause, 'answered whole and in time')
+})
+
+test('a call whose host ended is told from one whose lines are missing', t => {
+  const resumed = event('streamResumed', 1_000, { request: 'r1', target: 'i-1', cause: 'aborted' })
+  t.regex(explainCall([resumed], 'r1')!.cause, /missing/)
+  t.regex(explainCall([resumed, event('processStarted', 2_500)], 'r1')!.cause, /started again 1500 ms after/)
+  t.is(explainCall([resumed], 'r2'), undefined)
+})
--- /dev/null
+++ b/test/platform/engineControl.test.ts
@@ -0,0 +1,49 @@
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo } from 'node:net'
+import test from 'ava'
+import { createEngineControl } from '../../platform/createEngineControl.js'
+import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
+import { buildEngine } from '../fakes/buildFleet.js'
+import { createManualRuntime } from '../fakes/createManualRuntime.js'
+import { createTestLog } from '../fakes/createTestLog.js'
+
+const engineAt = (address: string) => ({ ...buildEngine('i-1', 'north', 'small'), address })
+
+/** A listening port, and the number of connections that it got. */
+async function startListener () {
+  let connections = 0
+  const server = createServer(socket => {
+    connections++
+    socket.destroy()
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    connections: () => connections,
+    [Symbol.asyncDispose]: () => new Promise<void>(resolve => { server.close(() => resolve()) })
+  }
+}
+
+test('an engine that takes a connection is reachable after one try', async t => {
+  await using listener = await startListener()
+  // No timer runs, so that a second try would need one that was made at once.
+  const control = createEngineControl({ runtime: createManualRuntime(), log: createTestLog() })
+  t.true(await control.isReachable(engineAt(listener.address)))
+  // Connections are accepted in order: once this one is, so is any that was tried before.
+  const [host, port] = listener.address.split(':')
+  await once(connect({ host: host!, port: Number(port) }).resume(), 'close')
+  t.is(listener.connections(), 2)
+})
+
+test('an engine that refuses connections is not reachable', async t => {
+  const listener = await startListener()
+  await listener[Symbol.asyncDispose]()
+  const control = createEngineControl({ runtime: createSystemRuntime(), log: createTestLog() })
+  t.false(await control.isReachable(engineAt(listener.address)))
+})
+
+test('an engine that does not answer is not reachable after the deadline', async t => {
+  const control = createEngineControl({ runtime: createSystemRuntime(), log: createTestLog() })
+  // An address for documentation, where nobody answers.
+  t.false(await control.isReachable(engineAt('192.0.2.1:9')))
+})
