Refuse at once what no repeat is left for, and call it unrun where it is

Ruled out: taking the repeat before the wait, which would spend it on requests that then find no path. Change: without a repeat left the request ends before it waits; the answer is a 503 with a time to come back where no attempt can have run. The new test fails without it.

--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -46,6 +46,7 @@
   const details = (): AnswerDetails => ({ attempts: progress.attempts, waitedMs: Math.round(progress.waitedMs), queueLength: parts.dispatcherOf(service.name).queueLength() })
 
   while (!signal.aborted) {
+    if (progress.tries > 0 && budget.left(service.name) < 1) return endUnserved('retry budget spent')
     const outcome = await requestPlace()
     if (outcome.kind === 'aborted') break
     progress.waitedMs += outcome.waitedMs
@@ -53,7 +54,7 @@
     if (outcome.kind === 'refused') return endWithReason(call, parts, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
     using place = outcome.place
     if (signal.aborted) break
-    if (progress.tries > 0 && !budget.take(service.name)) return endWithReason(call, parts, 'targetFailed', { ...details(), cause: 'retry budget spent' })
+    if (progress.tries > 0 && !budget.take(service.name)) return endUnserved('retry budget spent')
     progress.tries++
     const result = await attemptStream(call, place, size, progress, parts)
     metrics.attempts.inc({ result: result.kind })
@@ -81,7 +82,7 @@
       excluded.add(target.id)
     }
     const isSpent = progress.arrivals >= route.maxAttempts || progress.tries >= route.maxAttempts + MOST_REFUSALS
-    if (isSpent) return endWithReason(call, parts, !progress.mayHaveRun ? 'noPipeline' : 'targetFailed', { ...details(), retryAfterMs: RETRY_AFTER_MS })
+    if (isSpent) return endUnserved('attempts spent')
     log.emit('streamResumed', { request: facts.requestId, target: target.id, cause: result.cause, lastEventId: progress.lastEventId, tries: progress.tries })
   }
   if (signal.reason instanceof DeadlineError) {
@@ -108,6 +109,10 @@
     })
   }
 
+  function endUnserved (cause: string): void {
+    endWithReason(call, parts, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, retryAfterMs: RETRY_AFTER_MS })
+  }
+
   function finish (): void {
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
     log.emit('gatewayAnswered', {
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -144,3 +144,20 @@
   t.like(answer, { status: 200, isComplete: true })
   t.is(pipelines.one.arrived.length, 1)
 })
+
+test('a stream that was refused unrun is called unrun at once when the budget of repeats is spent', async t => {
+  const refuse: EngineScript = (request, socket) => socket.end(answerOf(request, '', { status: '503 Service Unavailable', headers: ['Not-Executed: 1'] }))
+  await using pipelines = await startPipelines(refuse, refuse)
+  const { parts } = pipelines.gateway
+  let places = 0
+  const { dispatcherOf } = parts
+  parts.dispatcherOf = service => {
+    const dispatcher = dispatcherOf(service)
+    return { ...dispatcher, request: wanted => dispatcher.request({ ...wanted, tryPlace: () => { places++; return wanted.tryPlace() } }) }
+  }
+  parts.budget = { ...parts.budget, left: () => 0, take: () => false }
+  const answer = await pipelines.gateway.send('/stream/x')
+  t.is(answer.status, 503)
+  t.truthy(answer.headers['retry-after'])
+  t.is(places, 1)
+})
