Leave a reader that is behind what a host knows

Cause: a host that had newer targets from elsewhere, as from a digest while its reader was cut off silently, asked that reader again and again: their fingerprints differed, so each request was answered at once, and the older state was not taken. Ruled out: asking with the revision alone, which every renewed entry raises. The test of a peer that is behind now expects that instead of a plain answer; it is as strict on the state. Functions of the fleet's state that keep and tell changes have names that say so.

--- a/src/fleet/createFleetState/index.ts
+++ b/src/fleet/createFleetState/index.ts
@@ -95,16 +95,17 @@
   /** Targets that were changed or removed at each state, by the fingerprint before it. */
   let history: Array<{ fingerprint: string, ids: string[] }> = []
 
-  const changed = (): void => {
+  const notify = (): void => {
     listed = undefined
     for (const listener of [...listeners]) listener()
   }
 
-  function changedTargets (ids: string[]): void {
+  /** Keeps which targets differ from before, and tells the listeners. */
+  function recordChange (ids: string[]): void {
     if (ids.length === 0) return
     history = [...history, { fingerprint, ids }].slice(-KEPT_CHANGES)
     fingerprint = fingerprintOf(targets.values())
-    changed()
+    notify()
   }
 
   /** Removes targets, or keeps them for a while; says which are gone. */
@@ -125,7 +126,7 @@
   }
 
   /** Takes over how much longer a peer keeps targets that are missing. */
-  function dropLater (lapsing: TargetUpdate['lapsing']): string[] {
+  function dropLapsing (lapsing: TargetUpdate['lapsing']): string[] {
     return lapsing.flatMap(({ id, leftMs }) => drop([id], leftMs))
   }
 
@@ -135,7 +136,7 @@
 
   function expire (): void {
     const expired = [...missing].filter(([, untilMs]) => untilMs <= runtime.monotonicMs()).map(([id]) => id)
-    changedTargets(drop(expired, 0))
+    recordChange(drop(expired, 0))
   }
 
   /** Takes targets in; says which differ from what was known, as most entries only prove that a target lives. */
@@ -171,7 +172,7 @@
     applyConfiguration (next) {
       if (configuration !== undefined && next.version <= configuration.version) return false
       configuration = next
-      changed()
+      notify()
       return true
     },
     targets: listTargets,
@@ -195,20 +196,20 @@
       revision = snapshot.revision
       const listed = new Set(snapshot.targets.map(target => target.id))
       const dropped = drop([...targets.keys()].filter(id => !listed.has(id)), keepMissingMs)
-      changedTargets([...dropped, ...put(snapshot.targets), ...dropLater(snapshot.lapsing ?? [])])
+      recordChange([...dropped, ...put(snapshot.targets), ...dropLapsing(snapshot.lapsing ?? [])])
       return true
     },
     applyChanges ({ revision: next, changed, removedIds, lapsing = [] }, { keepMissingMs = 0 } = {}) {
       if (next < revision) return
       revision = next
-      changedTargets([...drop(removedIds, keepMissingMs), ...put(changed), ...dropLater(lapsing)])
+      recordChange([...drop(removedIds, keepMissingMs), ...put(changed), ...dropLapsing(lapsing)])
     },
     noteLayers (seen) {
       const known = targets.get(seen.targetId)
       if (known === undefined || known.bornMs !== seen.bornMs) return
       sightings.set(seen.targetId, { ...seen, seenMs: runtime.monotonicMs() })
       runtime.setTimer(SIGHTING_MS + 1, () => { listed = undefined })
-      changed()
+      notify()
     },
     seenLayers: () => [...sightings.values()]
       .filter(sighting => runtime.monotonicMs() - sighting.seenMs <= SIGHTING_MS && !isShown(sighting, targets.get(sighting.targetId)))
--- a/src/fleet/followReaders/index.ts
+++ b/src/fleet/followReaders/index.ts
@@ -1,6 +1,7 @@
 /**
  * Follows the targets through a host that reads them from the store: one request at a time, which
- * that host answers as soon as a target changes. A reader that fails is left for another one.
+ * that host answers as soon as a target changes. A reader that fails, or is behind what this host
+ * knows, is left for another one: asked again at once it would answer at once, with nothing new.
  */
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
@@ -19,7 +20,7 @@
   isReader: () => boolean
   /** Readers whom the store answers. */
   readers: () => Reader[]
-  /** Waits for changes at a reader and applies them; says whether it answered. */
+  /** Waits for changes at a reader and applies them; says whether it answered and is not behind. */
   readChanges: (address: string) => Promise<boolean>
   runtime: Runtime
   signal: AbortSignal
--- a/src/gateway/_lib/internalPort.ts
+++ b/src/gateway/_lib/internalPort.ts
@@ -90,7 +90,7 @@
   isWaiting?: boolean
 }
 
-/** Reads the state of a peer and takes over what is newer; says whether the peer answered. */
+/** Reads the state of a peer and takes over what is newer; says whether the peer answered and is not behind. */
 export async function readPeerState (address: string, options: PeerStateOptions): Promise<boolean> {
   const { fleet, runtime, log, isWaiting = false } = options
   const waitMs = isWaiting ? CHANGE_WAIT_MS : 0
@@ -102,19 +102,18 @@
     if (configuration !== null && fleet.applyConfiguration(configuration)) {
       log.emit('fleetConfigurationInForce', { version: configuration.version, source: address })
     }
-    applyTargets(targets)
-    return true
+    return applyTargets(targets)
   } catch (error) {
     log.emit('peerUnavailable', { address, cause: error instanceof Error ? error.message : String(error) })
     return false
   }
 
-  function applyTargets ({ revision, isWhole, changed, removedIds, lapsing }: z.infer<typeof targetUpdateSchema>): void {
-    if (revision < fleet.revision()) return
+  function applyTargets ({ revision, fingerprint, isWhole, changed, removedIds, lapsing }: z.infer<typeof targetUpdateSchema>): boolean {
+    if (revision < fleet.revision() && fingerprint !== fleet.fingerprint()) return false
     const before = fleet.fingerprint()
     if (isWhole) fleet.applySnapshot({ revision, targets: changed, lapsing })
     else fleet.applyChanges({ revision, changed, removedIds, lapsing })
-    if (fleet.fingerprint() === before) return
-    log.emit('peerStateRead', { address, revision, isWhole, changedIds: isWhole ? [] : changed.map(target => target.id), removedIds })
+    if (fleet.fingerprint() !== before) log.emit('peerStateRead', { address, revision, isWhole, changedIds: isWhole ? [] : changed.map(target => target.id), removedIds })
+    return true
   }
 }
--- a/test/gateway/internalPort.test.ts
+++ b/test/gateway/internalPort.test.ts
@@ -39,14 +39,21 @@
   t.deepEqual(pair.follower.targets().map(target => target.id), ['a'])
 })
 
-test('a peer that is behind changes nothing', async t => {
+test('a peer that is behind changes nothing, and is not waited at again at once', async t => {
   await using pair = await startPair()
   pair.reader.applySnapshot({ revision: 4, targets: [engine('a')] })
   pair.follower.applySnapshot({ revision: 9, targets: [engine('b')] })
-  t.true(await pair.read(false))
+  t.false(await pair.read(true))
   t.deepEqual(pair.follower.targets().map(target => target.id), ['b'])
 })
 
+test('a peer that confirmed the same targets earlier is as good as any', async t => {
+  await using pair = await startPair()
+  pair.reader.applySnapshot({ revision: 4, targets: [engine('a')] })
+  pair.follower.applySnapshot({ revision: 9, targets: [engine('a')] })
+  t.true(await pair.read(false))
+})
+
 test('a peer that cannot be read says so', async t => {
   const pair = await startPair()
   await pair[Symbol.asyncDispose]()
