--- a/soak/_lib/checkRecords.ts
+++ b/soak/_lib/checkRecords.ts
@@ -2,7 +2,7 @@
  * Checks of what callers saw against what targets ran. Each finding is one broken promise.
  */
 import { isCleanBeginning, isWholeStream, type CallRecord } from './startCallers.js'
-import type { LedgerEntry } from './startTargets.js'
+import type { LedgerEntry } from './createTargetHandler.js'
 
 /** Statuses that promise that a request has not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
--- a/soak/_lib/startCallers.ts
+++ b/soak/_lib/startCallers.ts
@@ -3,7 +3,7 @@
  * request after the other and checks what it gets: one final answer in time, whole, and true.
  */
 import http from 'node:http'
-import { countEvents } from './startTargets.js'
+import { countEvents } from './createTargetHandler.js'
 import type { SoakHost } from './startHosts.js'
 
 /** What a caller saw of one request. */
--- a/soak/test.ts
+++ b/soak/test.ts
@@ -2,7 +2,7 @@
 import test from 'ava'
 import type { SoakHost } from './_lib/startHosts.js'
 import { checkRecords, type Evidence } from './_lib/checkRecords.js'
-import { countEvents, type LedgerEntry } from './_lib/startTargets.js'
+import { countEvents, type LedgerEntry } from './_lib/createTargetHandler.js'
 import type { CallRecord } from './_lib/startCallers.js'
 import { runSoak } from './runSoak/index.js'
 
