Check the platform's settings and configuration objects offline

`coltsfootlead check` tells these kinds of files by their fields and names each fault by file, line and field. The deploy file is not checked: no reader of its format is among the project's libraries.

--- a/src/bin/coltsfootlead.ts
+++ b/src/bin/coltsfootlead.ts
@@ -3,14 +3,15 @@
  * The operator's command line.
  */
 import { Builtins, Cli } from 'clipanion'
-import { CheckCommand, TokenCommand } from '../cli/commands/check.js'
+import { PlatformCheckCommand } from '../../platform/checkCommand.js'
+import { TokenCommand } from '../cli/commands/check.js'
 import { ExplainCommand, InForceCommand, MembersCommand } from '../cli/commands/read.js'
 import { TicketListCommand, TicketShowCommand, TicketSubmitCommand } from '../cli/commands/ticket.js'
 import { TimelineCommand } from '../cli/commands/timeline.js'
 
 const cli = new Cli({ binaryName: 'coltsfootlead', binaryLabel: 'coltsfootlead operator command line', binaryVersion: '0.1.0' })
 const commands = [
-  Builtins.HelpCommand, Builtins.VersionCommand, CheckCommand, TokenCommand, TicketSubmitCommand, TicketShowCommand,
+  Builtins.HelpCommand, Builtins.VersionCommand, PlatformCheckCommand, TokenCommand, TicketSubmitCommand, TicketShowCommand,
   TicketListCommand, InForceCommand, ExplainCommand, MembersCommand, TimelineCommand
 ]
 for (const command of commands) cli.register(command)
--- a/src/cli/commands/check.ts
+++ b/src/cli/commands/check.ts
@@ -15,13 +15,26 @@
 const SALT_BYTES = 16
 const SECRET_BYTES = 24
 
+/** A kind of file that can be checked. */
+export interface FileKind {
+  recognizes: (value: object) => boolean
+  check: (text: string, options: { file: string }) => ParseResult<unknown>
+}
+
+const TICKET: FileKind = { recognizes: value => 'scopes' in value || 'number' in value, check: checkTicketText }
+
+const SETTINGS: FileKind = { recognizes: () => true, check: (text, options) => parseJsonc(text, daemonSettingsSchema, options) }
+
 export class CheckCommand extends Command {
   static override paths = [['check']]
   static override usage = Command.Usage({
-    description: 'Check a settings or ticket file offline.',
-    details: 'A file with "scopes" is taken for a ticket, any other for settings. Exit code 0: it holds. 1: it does not; each fault is printed with file, line and field.'
+    description: 'Check a settings, ticket or configuration file offline.',
+    details: 'The kind of the file is told by its fields; one that is not recognized is taken for settings of the product\'s daemons. Exit code 0: it holds. 1: it does not; each fault is printed with file, line and field.'
   })
 
+  /** Kinds beside the product's own. */
+  protected readonly kinds: readonly FileKind[] = []
+
   file = Option.String()
   json = Option.Boolean('--json', false, { description: 'Print the faults as JSON' })
 
@@ -45,8 +58,9 @@
       return { kind: 'invalid', faults: [{ file, line: 1, field: '', message: `cannot be read: ${(error as Error).message}` }] }
     }
     const value = parse(text) as unknown
-    const isTicket = value !== null && typeof value === 'object' && ('scopes' in value || 'number' in value)
-    return isTicket ? checkTicketText(text, { file }) : parseJsonc(text, daemonSettingsSchema, { file })
+    const fields = value !== null && typeof value === 'object' ? value : {}
+    const kind = [...this.kinds, TICKET, SETTINGS].find(candidate => candidate.recognizes(fields))!
+    return kind.check(text, { file })
   }
 }
 
