--- a/src/fleet/isStoreReader/index.ts
+++ b/src/fleet/isStoreReader/index.ts
@@ -12,7 +12,7 @@
   isStoreConnected: boolean
 }
 
-/** Hosts of a domain, by name, that read even while hosts elsewhere do. */
+/** Hosts of a domain, by name, that try to read even while hosts elsewhere do: the first, and two for when the store turns it away. */
 const CANDIDATES_PER_DOMAIN = 3
 
 /**
--- a/src/gateway/_lib/internalPort.ts
+++ b/src/gateway/_lib/internalPort.ts
@@ -30,7 +30,7 @@
 /** Deadline of reading a peer's state beyond its wait; a megabyte takes about 10 ms. */
 const STATE_TIMEOUT_MS = 500
 
-/** How long a peer waits for a change before it answers without one. */
+/** How long a peer waits for a change before it answers without one, in milliseconds; half as long as a watch at the store, since a silent peer is found by this wait. */
 const CHANGE_WAIT_MS = 2_000
 
 /** What the internal port serves from. */
--- a/src/path/spreadChoice/index.ts
+++ b/src/path/spreadChoice/index.ts
@@ -17,10 +17,10 @@
 /** Age of the load from which choices vary the most, in milliseconds; requests last a few times as long. */
 const FULL_SPREAD_MS = 400
 
-/** Largest part of an engine's cache that a request leaves for those that other hosts may have sent meanwhile. */
+/** Largest part of an engine's cache that a request leaves for others; what dozens of hosts send within that age fills most of a fast engine. */
 const LARGEST_RESERVE = 0.8
 
-/** Largest surcharge on an engine, as a share of its expected time. */
+/** Largest surcharge on an engine, as a share of its expected time; engines of one kind differ by about as much with their load. */
 const LARGEST_SURCHARGE = 0.3
 
 /**
