--- a/src/waiting/createDispatcher/index.ts
+++ b/src/waiting/createDispatcher/index.ts
@@ -104,7 +104,7 @@
 
   let isTimed = false
 
-  /** Tries again after the interval for as long as any request waits. */
+  /** Tries again after the interval, and so on while requests wait. */
   function pokeLater (): void {
     if (isTimed) return
     isTimed = true
