--- a/src/path/spreadChoice/index.ts
+++ b/src/path/spreadChoice/index.ts
@@ -4,7 +4,8 @@
  * before any of them hears of the others' requests: the path overflows and its engines refuse,
  * then all hosts leave it at once.
  */
-import { CACHE_SHARE, type PathOptions } from '../choosePath/index.js'
+import { CACHE_SHARE } from '../_lib/stageCost.js'
+import type { PathOptions } from '../choosePath/index.js'
 
 /** How a choice is varied. */
 export interface SpreadOptions {
