Keep an answer that has begun until it is whole or can no longer be

What callers saw: a stream was closed in the middle of the answer, seconds before its deadline, although engines could have gone on with it. A request that had been accepted was lost.

Cause: serveStream ended a begun answer by the limits of a new request: tries, the retry budget of this host, the longest wait for a place, the queue's limits, an expected reload of layers, and each engine that had refused it once was excluded for good. A new request can be refused truthfully and come back; a begun answer can only be cut.

The new tests of stream.test.ts fail on the code before: the answer is incomplete in each.

Change: a begun answer goes first in the queue and waits there until it has a place or its caller leaves; it waits for the retry budget, ahead of requests that can be refused; refusals are not counted as tries of it, but followed by a growing pause, and an engine that refused it may take it later. It still ends by the deadline and by the attempts of its route.

--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -22,8 +22,6 @@
 export interface CallProgress {
   lastEventId: number | undefined
   tries: number
-  /** Tries that count against the route's attempts: those that may have run on an engine that is still listed. */
-  countedAttempts: number
   /** Whether any try may have run, so that the call must not be reported as not run. */
   mayHaveRun: boolean
   waitedMs: number
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -1,24 +1,34 @@
 /**
  * Serves streams from engines. An interrupted stream resumes on another path after the last
  * event that the caller received; the caller sees one answer without gaps or repeats.
+ *
+ * Until the first event is sent, a request that cannot be served soon is refused. An answer that
+ * has begun can only be cut off, so it waits for capacity and for the retry budget until its
+ * deadline or until the caller leaves; it ends early only when its runs have used up the attempts
+ * of the route.
  */
 import type { RequestSize } from '../../path/choosePath/index.js'
 import { endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
 import { reservePath, reserveTarget } from './reserveCapacity.js'
 import { openExchange, type Exchange } from './openExchange.js'
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
+import { sleep } from '../../runtime/sleep/index.js'
 import { DeadlineError } from '../../runtime/withDeadline/index.js'
 import type { ActiveStream, Call, GatewayContext, Reservation } from '../types.js'
 
-/** Longest useful wait for a reservation, as a multiple of the route's latency objective; callers give up on a silent stream after four. */
+/** Longest useful wait of a new request for a reservation, as a multiple of the route's latency objective; callers give up on a silent stream after four. */
 const MAX_WAIT_OBJECTIVES = 3
 
 /** Time in which lost layers are likely to be loaded again, in milliseconds, counted from when engines last covered the whole model. */
 const RELOAD_WINDOW_MS = 2_500
 
-/** Tries of one call beyond the route's attempts, for engines that refused it without running it or left meanwhile. */
+/** Tries of a call that has not begun beyond the route's attempts, for engines that refused it without running it or left meanwhile. */
 const MAX_EXTRA_TRIES = 2
 
+/** Pause before an answer that has begun is tried again after a refusal, in milliseconds; doubled with each further refusal in a row. */
+const REFUSAL_PAUSE_MS = 25
+const MAX_REFUSAL_PAUSE_MS = 400
+
 /** Weight of the caller's estimate against the usual output; the estimate is often inaccurate. */
 const HINT_WEIGHT = 0.5
 
@@ -41,12 +51,25 @@
   const { route, service, signal, facts } = call
   const { budget, fleet, log, metrics, runtime } = context
   const size = estimateRequestSize(call)
-  const excluded = new Set<string>()
-  const progress: CallProgress = { lastEventId: facts.lastEventId, tries: 0, countedAttempts: 0, mayHaveRun: false, waitedMs: 0, attempts: [], firstEventMs: undefined, lastEventMs: undefined, longestPauseMs: 0, longestPauseEndMs: 0 }
+  /** Engines that failed the call, and engines that did not run it. */
+  const failedIds = new Set<string>()
+  const notRunIds = new Set<string>()
+  /** Runs that count against the attempts: those on engines that were still listed when they ended. */
+  let countedRuns = 0
+  let refusalsInRow = 0
+  const progress: CallProgress = { lastEventId: facts.lastEventId, tries: 0, mayHaveRun: false, waitedMs: 0, attempts: [], firstEventMs: undefined, lastEventMs: undefined, longestPauseMs: 0, longestPauseEndMs: 0 }
   const details = (): LogDetails => ({ attempts: progress.attempts, waitedMs: Math.round(progress.waitedMs), queueLength: context.dispatcherOf(service.name).queueLength() })
 
+  const hasBegun = (): boolean => call.response.headersSent
+  const areRunsExhausted = (): boolean => countedRuns >= route.maxAttempts
+
   while (!signal.aborted) {
-    if (progress.tries > 0 && budget.left(service.name) < 1) return endWithoutAnswer('retry budget spent')
+    if (progress.tries > 0) {
+      if (hasBegun()) {
+        if (refusalsInRow > 0) await sleep(Math.min(MAX_REFUSAL_PAUSE_MS, REFUSAL_PAUSE_MS * 2 ** (refusalsInRow - 1)), { runtime, signal })
+        if (!await budget.spendWhenLeft(service.name, signal)) break
+      } else if (budget.left(service.name) < 1) return endWithoutAnswer('retry budget spent')
+    }
     const outcome = await requestReservation()
     if (outcome.kind === 'aborted') break
     progress.waitedMs += outcome.waitedMs
@@ -54,7 +77,7 @@
     if (outcome.kind === 'refused') return endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
     using reservation = outcome.place
     if (signal.aborted) break
-    if (progress.tries > 0 && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent')
+    if (progress.tries > 0 && !hasBegun() && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent')
     progress.tries++
     const result = await attemptStream(call, reservation, size, progress, context)
     metrics.attempts.inc({ result: result.kind })
@@ -62,27 +85,26 @@
     progress.attempts.push(`${describePath(reservation)} ${'cause' in result ? result.cause : result.kind}`)
     if (result.kind === 'complete') return recordAnswer()
     if (signal.aborted) break
-    if (result.kind !== 'notRun') progress.mayHaveRun = true
-    if (result.kind === 'refusedByTarget') {
-      context.suspicions.note(target.id, 'failedAnswer')
-      progress.countedAttempts++
-      excluded.add(target.id)
-      if (progress.countedAttempts < route.maxAttempts && route.isResumable) continue
-      return relayFailure(result)
-    }
     if (result.kind === 'notRun') {
       if (call.deadlineAtMs <= runtime.monotonicMs()) break
       const faultyId = findTargetAt(reservation, result.faultyAddress) ?? target.id
       context.suspicions.note(faultyId, result.hasReachedTarget ? 'refused' : 'unreachable')
-      excluded.add(faultyId)
+      notRunIds.add(faultyId)
+      refusalsInRow++
     } else {
+      progress.mayHaveRun = true
+      refusalsInRow = 0
+      if (fleet.isServing(target)) countedRuns++
+      failedIds.add(target.id)
+      context.suspicions.note(target.id, result.kind === 'refusedByTarget' ? 'failedAnswer' : 'lostAnswer')
+      if (result.kind === 'refusedByTarget') {
+        if (route.isResumable && !areRunsExhausted()) continue
+        return relayFailure(result)
+      }
       if (!route.isResumable) return endWithReason(call, context, 'targetFailed', details())
-      context.suspicions.note(target.id, 'lostAnswer')
-      if (fleet.isServing(target)) progress.countedAttempts++
-      excluded.add(target.id)
     }
-    const areAttemptsExhausted = progress.countedAttempts >= route.maxAttempts || progress.tries >= route.maxAttempts + MAX_EXTRA_TRIES
-    if (areAttemptsExhausted) return endWithoutAnswer('attempts spent')
+    const areTriesExhausted = !hasBegun() && progress.tries >= route.maxAttempts + MAX_EXTRA_TRIES
+    if (areTriesExhausted || areRunsExhausted()) return endWithoutAnswer('attempts spent')
     log.emit('streamResumed', { request: facts.requestId, target: target.id, cause: result.cause, lastEventId: progress.lastEventId, tries: progress.tries })
   }
   if (signal.reason instanceof DeadlineError) {
@@ -98,8 +120,13 @@
     return context.dispatcherOf(service.name).request({
       rank: call.rank,
       account: call.account ?? '',
+      hasBegun: hasBegun(),
       maxWaitMs: Math.min(MAX_WAIT_OBJECTIVES * route.objectiveMs - (progress.tries === 0 ? elapsedMs : 0), call.deadlineAtMs - runtime.monotonicMs()),
-      tryReservePlace: () => model === undefined ? reserveTarget(service, excluded, ownDomain, context) : reservePath(service, size, excluded, ownDomain, context),
+      tryReservePlace () {
+        // Engines that refused an answer that has begun may take it later; until then the suspicion of them keeps it away.
+        const excluded = hasBegun() ? failedIds : new Set([...failedIds, ...notRunIds])
+        return model === undefined ? reserveTarget(service, excluded, ownDomain, context) : reservePath(service, size, excluded, ownDomain, context)
+      },
       isPlaceExpected () {
         if (model === undefined) return fleet.servingTargets(service.name).length > 0
         if (context.checkCoverage(service).isWhole) lastCoveredMs = runtime.monotonicMs()
--- a/src/retry/createRetryBudget/test.ts
+++ b/src/retry/createRetryBudget/test.ts
@@ -29,3 +29,30 @@
   while (budget.trySpend('a'));
   t.true(budget.trySpend('b'))
 })
+
+test('those that wait for a retry get the next ones, ahead of others', async t => {
+  const runtime = createManualRuntime()
+  const budget = createRetryBudget({ ratio: 0, extraRetries: 5, windowMs: 10_000, runtime, hostCount: () => 1 })
+  while (budget.trySpend('a'));
+  const served: string[] = []
+  const gone = new AbortController()
+  budget.spendWhenLeft('a', gone.signal).then(isSpent => served.push(`gone ${isSpent}`))
+  budget.spendWhenLeft('a', new AbortController().signal).then(isSpent => served.push(`stays ${isSpent}`))
+  gone.abort()
+  await runtime.advance(9_000)
+  t.deepEqual(served, ['gone false'])
+  await runtime.advance(1_000)
+  t.deepEqual(served, ['gone false', 'stays true'])
+  t.is(budget.left('a'), 2)
+})
+
+test('a retry that is waited for is not left for others', async t => {
+  const runtime = createManualRuntime()
+  const budget = createRetryBudget({ ratio: 0, extraRetries: 2, windowMs: 1_000, runtime, hostCount: () => 1 })
+  while (budget.trySpend('a'));
+  budget.spendWhenLeft('a', new AbortController().signal)
+  await runtime.advance(999)
+  t.false(budget.trySpend('a'))
+  await runtime.advance(1)
+  t.false(budget.trySpend('a'))
+})
--- a/src/waiting/createDispatcher/index.ts
+++ b/src/waiting/createDispatcher/index.ts
@@ -7,6 +7,9 @@
  * account had served, then by arrival. A request is refused on arrival if the requests ahead of
  * it would take longer than its maximum wait, estimated from the rate at which places were
  * assigned recently.
+ *
+ * A request whose answer has begun can no longer be refused, only cut off. It therefore goes before
+ * all others and waits until it has a place or is aborted.
  */
 import type { Runtime } from '../../runtime/types.js'
 
@@ -16,11 +19,13 @@
   rank: number
   /** Client account; among requests of equal rank, the account that was served least goes first. */
   account: string
-  /** Longest time to wait for a place, in milliseconds; at 0 or less the request is never queued. */
+  /** Whether the caller already has a part of the answer. */
+  hasBegun: boolean
+  /** Longest time to wait for a place, in milliseconds; at 0 or less the request is never queued. Has no effect once the answer has begun. */
   maxWaitMs: number
   /** Reserves a place and returns it, or returns `undefined` if none is free. */
   tryReservePlace: () => Place | undefined
-  /** Whether a place may still become free; if not, the request is refused instead of queued. */
+  /** Whether a place may still become free; if not, the request is refused instead of queued, unless its answer has begun. */
   isPlaceExpected: () => boolean
   /** Aborts when the caller goes away. */
   signal: AbortSignal
@@ -124,16 +129,19 @@
   }
 
   function dispatch (): void {
-    let failedTries = 0
+    // Counted apart, as a begun request may only fail because it excludes the targets that failed it.
+    const failedTries = { begun: 0, new: 0 }
     for (const entry of sortQueue(queue, servedByAccount)) {
-      if (!entry.placeRequest.isPlaceExpected()) {
+      const { hasBegun } = entry.placeRequest
+      if (!hasBegun && !entry.placeRequest.isPlaceExpected()) {
         refuse(entry)
         continue
       }
-      if (failedTries >= MAX_FAILED_TRIES_PER_ROUND) continue
+      const group = hasBegun ? 'begun' : 'new'
+      if (failedTries[group] >= MAX_FAILED_TRIES_PER_ROUND) continue
       const place = entry.placeRequest.tryReservePlace()
       if (place === undefined) {
-        failedTries++
+        failedTries[group]++
         continue
       }
       const { account } = entry.placeRequest
@@ -147,6 +155,7 @@
     dispatch,
     queueLength: () => queue.length,
     request (placeRequest) {
+      const { hasBegun, maxWaitMs, signal } = placeRequest
       if (queue.length === 0) {
         const place = placeRequest.tryReservePlace()
         if (place !== undefined) {
@@ -154,7 +163,7 @@
           return Promise.resolve({ kind: 'placed', place, waitedMs: 0 })
         }
       }
-      if (queue.length >= MAX_QUEUE_LENGTH || placeRequest.maxWaitMs <= 0 || estimateWaitMs() > placeRequest.maxWaitMs || !placeRequest.isPlaceExpected()) {
+      if (!hasBegun && (queue.length >= MAX_QUEUE_LENGTH || maxWaitMs <= 0 || estimateWaitMs() > maxWaitMs || !placeRequest.isPlaceExpected())) {
         return Promise.resolve({ kind: 'refused', waitedMs: 0, queueLength: queue.length })
       }
       return new Promise(resolve => {
@@ -162,15 +171,15 @@
           placeRequest,
           arrivedMs: runtime.monotonicMs(),
           settle (outcome) {
-            timer[Symbol.dispose]()
-            placeRequest.signal.removeEventListener('abort', abort)
+            timer?.[Symbol.dispose]()
+            signal.removeEventListener('abort', abort)
             resolve(outcome)
           }
         }
         const abort = (): void => removeAndSettle(entry, { kind: 'aborted' })
-        const timer = runtime.setTimer(placeRequest.maxWaitMs, () => refuse(entry))
-        if (placeRequest.signal.aborted) return abort()
-        placeRequest.signal.addEventListener('abort', abort, { once: true })
+        const timer = hasBegun ? undefined : runtime.setTimer(maxWaitMs, () => refuse(entry))
+        if (signal.aborted) return abort()
+        signal.addEventListener('abort', abort, { once: true })
         queue.push(entry)
         scheduleDispatch()
       })
@@ -178,8 +187,8 @@
   }
 }
 
-/** Queued requests by rank, then by how often their account was served, then by arrival. */
+/** Queued requests: those that have begun first, then by rank, then by how often their account was served, then by arrival. */
 function sortQueue<Place> (queue: ReadonlyArray<QueueEntry<Place>>, servedByAccount: ReadonlyMap<string, number>): Array<QueueEntry<Place>> {
   const servedCount = (entry: QueueEntry<Place>): number => servedByAccount.get(entry.placeRequest.account) ?? 0
-  return [...queue].sort((a, b) => a.placeRequest.rank - b.placeRequest.rank || servedCount(a) - servedCount(b) || a.arrivedMs - b.arrivedMs)
+  return [...queue].sort((a, b) => Number(b.placeRequest.hasBegun) - Number(a.placeRequest.hasBegun) || a.placeRequest.rank - b.placeRequest.rank || servedCount(a) - servedCount(b) || a.arrivedMs - b.arrivedMs)
 }
--- a/src/waiting/createDispatcher/test.ts
+++ b/src/waiting/createDispatcher/test.ts
@@ -12,6 +12,7 @@
   const requestPlace = (name: string, options: Partial<PlaceRequest<string>> = {}): Promise<PlaceOutcome<string>> => dispatcher.request({
     rank: 1,
     account: 'one',
+    hasBegun: false,
     maxWaitMs: 1_000,
     tryReservePlace: () => places.pop(),
     isPlaceExpected: () => state.isExpected,
@@ -97,3 +98,28 @@
   await runtime.settle()
   t.deepEqual(order, [])
 })
+
+test('a request whose answer has begun goes first and is never refused', async t => {
+  const { runtime, dispatcher, places, state, order, requestPlace } = setUp()
+  requestPlace('urgent', { rank: 0 })
+  state.isExpected = false
+  requestPlace('begun', { rank: 2, maxWaitMs: 0, hasBegun: true })
+  await runtime.advance(60_000)
+  t.deepEqual(order, ['urgent refused'])
+  state.isExpected = true
+  requestPlace('next', { rank: 0, maxWaitMs: 1_000 })
+  places.push('p')
+  dispatcher.dispatch()
+  await runtime.settle()
+  t.deepEqual(order, ['urgent refused', 'begun placed'])
+})
+
+test('requests that have begun and find no place do not keep others from one', async t => {
+  const { runtime, dispatcher, places, order, requestPlace } = setUp()
+  for (const name of ['begun1', 'begun2', 'begun3']) requestPlace(name, { hasBegun: true, tryReservePlace: () => undefined })
+  requestPlace('new')
+  places.push('p')
+  dispatcher.dispatch()
+  await runtime.settle()
+  t.deepEqual(order, ['new placed'])
+})
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import type { Target } from '../../src/fleet/types.js'
 import { rerouteStreams } from '../../src/gateway/rerouteStreams/index.js'
+import { createRetryBudget } from '../../src/retry/createRetryBudget/index.js'
 import { buildAnswer, encodeChunk, encodeEvents, servePlatformEngine, buildStreamHead, STREAM_END, type EngineScript, type PlatformEngineStandin } from '../../standin/platform/servePlatformEngine/index.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
@@ -163,3 +164,55 @@
   t.truthy(answer.headers['retry-after'])
   t.is(placeRequests, 1)
 })
+
+/** Streams two events and breaks off. */
+const BREAKS_OFF: EngineScript = (request, socket) => { socket.write(buildStreamHead(request) + encodeEvents([1, 2]), () => socket.destroy()) }
+
+/** Refuses a number of requests without running them, then behaves as `next`. */
+function refusing (count: number, next: EngineScript): EngineScript {
+  let refusals = 0
+  return (request, socket) => {
+    if (refusals++ >= count) return next(request, socket)
+    socket.end(buildAnswer(request, '', { status: '503 Full', headers: ['Not-Executed: 1'] }))
+  }
+}
+
+/** Routes with so short an objective that a new request hardly waits for capacity. */
+const IMPATIENT_CONFIGURATION = { ...TEST_CONFIGURATION, routes: TEST_CONFIGURATION.routes.map(route => ({ ...route, objectiveMs: 20, timeoutMs: 60_000 })) }
+
+test('an answer that has begun is not cut when engines refuse to resume it', async t => {
+  await using pipelines = await startPipelines(BREAKS_OFF, refusing(2, WHOLE_STREAM), { configuration: IMPATIENT_CONFIGURATION })
+  const answer = await pipelines.gateway.send('/stream/x', { 'deadline-ms': '60000' })
+  t.true(answer.isComplete)
+  t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+  t.is(pipelines.second.received.length, 3)
+})
+
+test('an answer that has begun is not cut while the retry budget is spent', async t => {
+  await using pipelines = await startPipelines(BREAKS_OFF)
+  const { parts: context } = pipelines.gateway
+  context.budget = createRetryBudget({ ratio: 0, extraRetries: 2, windowMs: 300, runtime: context.runtime, hostCount: () => 1 })
+  context.budget.trySpend('model')
+  const answer = await pipelines.gateway.send('/stream/x')
+  t.true(answer.isComplete)
+  t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+})
+
+test('an answer that has begun is not cut while no engine has capacity to resume it', async t => {
+  let leave = (): void => {}
+  const breakOffAndLeave: EngineScript = (request, socket) => {
+    leave()
+    BREAKS_OFF(request, socket)
+  }
+  await using pipelines = await startPipelines(breakOffAndLeave, WHOLE_STREAM, { configuration: IMPATIENT_CONFIGURATION })
+  const { fleet, runtime } = pipelines.gateway.parts
+  const targets = fleet.targets()
+  leave = () => {
+    fleet.applySnapshot({ revision: 2, targets: [] })
+    // Longer than a new request waits, and than layers take to be loaded again.
+    runtime.setTimer(3_000, () => { fleet.applySnapshot({ revision: 3, targets }) })
+  }
+  const answer = await pipelines.gateway.send('/stream/x', { 'deadline-ms': '60000' })
+  t.true(answer.isComplete)
+  t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+})
