Do not count runs on engines that have ended when a stream resumes

What callers saw: a stream was cut after two engines had crashed under it, although the route allows two runs and neither engine existed any more.

Cause: a run counted if its engine was still listed when it broke off. The platform lists a crashed engine for up to three heartbeats, so a crash always counted.

The test 'runs on engines that have left since do not end an answer that has begun' fails on the code before.

Change: the runs are counted when a decision needs them, over engines that are listed then.

--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -8,6 +8,7 @@
  * of the route.
  */
 import type { RequestSize } from '../../path/choosePath/index.js'
+import type { Target } from '../../fleet/types.js'
 import { endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
 import { reservePath, reserveTarget } from './reserveCapacity.js'
 import { openExchange, type Exchange } from './openExchange.js'
@@ -54,14 +55,15 @@
   /** Engines that failed the call, and engines that did not run it. */
   const failedIds = new Set<string>()
   const notRunIds = new Set<string>()
-  /** Runs that count against the attempts: those on engines that were still listed when they ended. */
-  let countedRuns = 0
+  /** Engines that have run the call. */
+  const ranOn: Target[] = []
   let refusalsInRow = 0
   const progress: CallProgress = { lastEventId: facts.lastEventId, tries: 0, mayHaveRun: false, waitedMs: 0, attempts: [], firstEventMs: undefined, lastEventMs: undefined, longestPauseMs: 0, longestPauseEndMs: 0 }
   const details = (): LogDetails => ({ attempts: progress.attempts, waitedMs: Math.round(progress.waitedMs), queueLength: context.dispatcherOf(service.name).queueLength() })
 
   const hasBegun = (): boolean => call.response.headersSent
-  const areRunsExhausted = (): boolean => countedRuns >= route.maxAttempts
+  /** Whether the runs use up the attempts; those on engines that have ended since no longer count. */
+  const areRunsExhausted = (): boolean => ranOn.filter(fleet.isServing).length >= route.maxAttempts
 
   while (!signal.aborted) {
     if (progress.tries > 0) {
@@ -94,7 +96,7 @@
     } else {
       progress.mayHaveRun = true
       refusalsInRow = 0
-      if (fleet.isServing(target)) countedRuns++
+      ranOn.push(target)
       failedIds.add(target.id)
       context.suspicions.note(target.id, result.kind === 'refusedByTarget' ? 'failedAnswer' : 'lostAnswer')
       if (result.kind === 'refusedByTarget') {
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -216,3 +216,21 @@
   t.true(answer.isComplete)
   t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
 })
+
+test('runs on engines that have left since do not end an answer that has begun', async t => {
+  await using third = await servePlatformEngine(WHOLE_STREAM)
+  const ranOn: string[] = []
+  let noteRun = (_id: string): void => {}
+  const breakOff = (id: string): EngineScript => (request, socket) => {
+    noteRun(id)
+    socket.write(buildStreamHead(request) + encodeEvents([Number(request.headers['last-event-id'] ?? 0) + 1]), () => socket.destroy())
+  }
+  await using pipelines = await startPipelines(breakOff('i-1'), breakOff('i-2'))
+  noteRun = id => {
+    ranOn.push(id)
+    if (ranOn.length === 2) pipelines.gateway.parts.fleet.applyChanges({ revision: 2, changed: [engine('i-3', third.address, 0, 30)], removedIds: [ranOn[0]!] })
+  }
+  const answer = await pipelines.gateway.send('/stream/x')
+  t.true(answer.isComplete)
+  t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+})
