Leave a begun stream to its engine when it could not go on elsewhere

What callers saw: a stream was cut in the middle of the answer while its first engine was at work or only silent.

Cause: when a path could not be replaced, or a probe of the first engine failed, the exchange was closed so that the call would resume elsewhere, also when the attempts of the route were used up and the only thing left to do was to cut the answer.

The test 'a stream that could not go on elsewhere is left to its engine' fails on the code before: the stream is interrupted.

Change: a stream is interrupted only if its call may try again. Otherwise the old path stays and another one is ordered again after a pause; the engine finishes, or drops the work itself.

--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -63,7 +63,7 @@
 
   const hasBegun = (): boolean => call.response.headersSent
   /** Whether the runs use up the attempts; those on engines that have ended since no longer count. */
-  const areRunsExhausted = (): boolean => ranOn.filter(fleet.isServing).length >= route.maxAttempts
+  const areRunsExhausted = (runs: readonly Target[] = ranOn): boolean => runs.filter(fleet.isServing).length >= route.maxAttempts
 
   while (!signal.aborted) {
     if (progress.tries > 0) {
@@ -81,7 +81,8 @@
     if (signal.aborted) break
     if (progress.tries > 0 && !hasBegun() && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent')
     progress.tries++
-    const result = await attemptStream(call, reservation, size, progress, context)
+    const mayInterrupt = (): boolean => !hasBegun() || (route.isResumable && !areRunsExhausted([...ranOn, reservation.target]))
+    const result = await attemptStream(call, reservation, size, progress, mayInterrupt, context)
     metrics.attempts.inc({ result: result.kind })
     const { target } = reservation
     progress.attempts.push(`${describePath(reservation)} ${'cause' in result ? result.cause : result.kind}`)
@@ -178,7 +179,7 @@
 }
 
 /** Runs one try, from sending the request to the end of the engine's stream. */
-async function attemptStream (call: Call, reservation: Reservation, size: RequestSize, progress: CallProgress, context: GatewayContext): Promise<StreamResult> {
+async function attemptStream (call: Call, reservation: Reservation, size: RequestSize, progress: CallProgress, mayInterrupt: () => boolean, context: GatewayContext): Promise<StreamResult> {
   const { request, body, facts, account, signal } = call
   const { format, runtime } = context
   const leftMs = Math.floor(call.deadlineAtMs - runtime.monotonicMs())
@@ -193,7 +194,7 @@
   })
   const closeExchange = (): void => exchange.close('call ended')
   signal.addEventListener('abort', closeExchange, { once: true })
-  using stream = reservation.path === undefined ? undefined : registerStream(call, reservation, size, exchange, context)
+  using stream = reservation.path === undefined ? undefined : registerStream(call, reservation, size, exchange, mayInterrupt, context)
   try {
     const result = await exchange.result
     if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, hasReachedTarget: false }
@@ -209,7 +210,7 @@
   active: ActiveStream
 }
 
-function registerStream (call: Call, reservation: Reservation, size: RequestSize, exchange: Exchange, context: GatewayContext): RegisteredStream {
+function registerStream (call: Call, reservation: Reservation, size: RequestSize, exchange: Exchange, mayInterrupt: () => boolean, context: GatewayContext): RegisteredStream {
   const { loadTracker, streams, runtime } = context
   let reroutedClaim: Disposable | undefined
   const active: ActiveStream = {
@@ -227,6 +228,7 @@
       reroutedClaim = loadTracker.claim(path, size, { previousPath: active.path })
       active.path = path
     },
+    mayInterrupt,
     interrupt: cause => exchange.close(cause)
   }
   streams.add(active)
--- a/src/gateway/rerouteStreams/index.ts
+++ b/src/gateway/rerouteStreams/index.ts
@@ -6,6 +6,7 @@
  */
 import type { Path, Target } from '../../fleet/types.js'
 import { choosePath } from '../../path/choosePath/index.js'
+import { sleep } from '../../runtime/sleep/index.js'
 import { repeatTask } from '../../runtime/repeatTask/index.js'
 import type { ActiveStream, GatewayContext } from '../types.js'
 
@@ -23,6 +24,9 @@
 /** Shortest time between two probes of one engine, in milliseconds. */
 const PROBE_INTERVAL_MS = 400
 
+/** Pause before another path is ordered for a stream that may not be interrupted, in milliseconds; an engine drops work that depends on a dead one after seconds. */
+const REPATH_INTERVAL_MS = 250
+
 /** Streams moved off leaving engines in one check; limited because each move processes the stream's tokens again. */
 const MOVES_PER_CHECK = 4
 
@@ -91,7 +95,10 @@
 
   async function reroute (stream: ActiveStream, cause: 'engine down' | 'engine leaving'): Promise<void> {
     const first = stream.path[0]!
-    if (isLostFor(stream, first.target)) return stream.interrupt('first engine down')
+    if (isLostFor(stream, first.target)) {
+      if (stream.mayInterrupt()) stream.interrupt('first engine down')
+      return
+    }
     const path = chooseNewPath(stream, cause)
     if (path === undefined) return
     stream.isRerouting = true
@@ -102,7 +109,11 @@
     context.metrics.orders.inc({ operation: 'repath', result: result.kind })
     if (result.kind === 'done' || result.kind === 'begun') stream.lastProgressMs = runtime.monotonicMs()
     else if (cause === 'engine leaving') stream.assignPath(previousPath)
-    else stream.interrupt(`path could not be replaced: ${result.kind}`)
+    else if (stream.mayInterrupt()) stream.interrupt(`path could not be replaced: ${result.kind}`)
+    else {
+      stream.assignPath(previousPath)
+      await sleep(REPATH_INTERVAL_MS, { runtime, signal })
+    }
     stream.isRerouting = false
   }
 
--- a/src/gateway/rerouteStreams/test.ts
+++ b/src/gateway/rerouteStreams/test.ts
@@ -6,13 +6,14 @@
 import { createLoadTracker } from '../../path/createLoadTracker/index.js'
 import { createSuspicions } from '../../suspicion/createSuspicions/index.js'
 import { createGatewayMetrics } from '../createGatewayMetrics/index.js'
+import type { OrderResult } from '../../placement/types.js'
 import type { ActiveStream } from '../types.js'
 import { rerouteStreams } from './index.js'
 
 const ENGINES = ['a', 'b'].flatMap(set => [[0, 40], [40, 80]].map(([from, to]) => buildEngine(`${set}-${from}`, 'north', 'large', { from: from!, to: to! })))
 
 /** A stream over the first of two sets of engines that each cover the model. */
-function start () {
+function start ({ mayInterrupt = true, repathResult = { kind: 'done' } }: { mayInterrupt?: boolean, repathResult?: OrderResult } = {}) {
   const runtime = createManualRuntime()
   const fleet = createFleetState({ runtime })
   fleet.applySnapshot({ revision: 1, targets: ENGINES })
@@ -29,6 +30,7 @@
     meanPauseMs: 10,
     isRerouting: false,
     assignPath (path) { stream.path = path },
+    mayInterrupt: () => mayInterrupt,
     interrupt: cause => { abandoned.push(cause) }
   }
   const controller = new AbortController()
@@ -43,7 +45,7 @@
       isReachable: async () => true,
       async repath (_target, _requestId, path) {
         moves.push(path.map(stage => stage.target.id).join(' '))
-        return { kind: 'done' }
+        return repathResult
       }
     },
     runtime,
@@ -86,3 +88,14 @@
   t.deepEqual([moves, abandoned], [['a-0 b-40'], []])
   t.is(stream.path[0]!.target.id, 'a-0')
 })
+
+test('a stream that could not go on elsewhere is left to its engine', async t => {
+  const { runtime, suspicions, moves, abandoned, controller, sendEventsFor } = start({ mayInterrupt: false, repathResult: { kind: 'refused', status: 409, faultyAddress: undefined } })
+  await sendEventsFor(50)
+  suspicions.note('a-40', 'unreachable')
+  await runtime.advance(400)
+  suspicions.note('a-0', 'unreachable')
+  await runtime.advance(400)
+  controller.abort()
+  t.deepEqual([moves, abandoned], [['a-0 b-40', 'a-0 b-40'], []])
+})
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -105,6 +105,8 @@
   isRerouting: boolean
   /** Makes a path the stream's current one and moves its claim on capacity there. */
   assignPath: (path: Path) => void
+  /** Whether the call may go on elsewhere after an interruption; if not, its engine is left to finish or to fail. */
+  mayInterrupt: () => boolean
   /** Closes the exchange with its engine, so that the call resumes the stream on another path. */
   interrupt: (cause: string) => void
 }
