Let servers report the connections that they destroy

listen swallowed the error of a handler that rejects, and destroyed a connection with a response in progress without a word when malformed bytes followed its request.

listen calls onHandlerError and onResponseCut before it destroys the connection, the second only for errors that Node raises itself, as those of the connection mean that the caller has left. createOpenCalls lists the calls in flight and tracks more fields than its own.

--- a/src/http/createOpenCalls/index.ts
+++ b/src/http/createOpenCalls/index.ts
@@ -17,18 +17,20 @@
   mayHaveRun: boolean
 }
 
-/** The calls in flight. */
-export interface OpenCalls {
+/** The calls in flight; callers may track more than the fields of `OpenCall`. */
+export interface OpenCalls<Tracked extends OpenCall = OpenCall> {
   /** Counts a call as in flight until its task has ended and its response is closed. */
-  track: (call: OpenCall, task: Promise<void>) => void
+  track: (call: Tracked, task: Promise<void>) => void
   /** Counts a task without a caller as in flight until it has ended. */
   keep: (task: Promise<void>) => void
+  /** Calls whose response is not closed, oldest first. */
+  list: () => Tracked[]
   /** Number of calls and tasks in flight. */
   size: () => number
   /** Resolves when nothing is in flight, or when the signal aborts. */
   whenIdle: (signal: AbortSignal) => Promise<void>
   /** Ends every call whose response is not complete with the refusal that `refuse` creates for it. */
-  endAll: (refuse: (call: OpenCall) => Refusal) => Promise<void>
+  endAll: (refuse: (call: Tracked) => Refusal) => Promise<void>
 }
 
 /** Time limit for callers to receive the last bytes of their responses, in milliseconds. */
@@ -47,8 +49,8 @@
  * const calls = createOpenCalls({ runtime })
  * calls.track({ request, response, mayHaveRun: false }, handler(request, response))
  */
-export function createOpenCalls (options: { runtime: Runtime }): OpenCalls {
-  const calls = new Set<OpenCall>()
+export function createOpenCalls<Tracked extends OpenCall = OpenCall> (options: { runtime: Runtime }): OpenCalls<Tracked> {
+  const calls = new Set<Tracked>()
   const tasks = new Set<Promise<unknown>>()
   const waiters = new Set<() => void>()
 
@@ -71,6 +73,7 @@
       addTask(Promise.allSettled([task, closed]))
     },
     keep: task => addTask(Promise.allSettled([task])),
+    list: () => [...calls],
     size: () => tasks.size,
     async whenIdle (signal) {
       if (tasks.size === 0 || signal.aborted) return
@@ -92,7 +95,7 @@
   }
 }
 
-async function endCall (call: OpenCall, refuse: (call: OpenCall) => Refusal): Promise<void> {
+async function endCall<Tracked extends OpenCall> (call: Tracked, refuse: (call: Tracked) => Refusal): Promise<void> {
   const { response } = call
   if (response.writableEnded || response.destroyed) return
   const problem = JSON.stringify(toProblem(refuse(call)))
--- a/src/http/listen/index.ts
+++ b/src/http/listen/index.ts
@@ -18,6 +18,9 @@
   ERR_HTTP_REQUEST_TIMEOUT: 'senderTooSlow'
 }
 
+/** Codes of errors that Node raises itself; those of the connection mean that the caller has left. */
+const PROTOCOL_ERROR_CODE = /^(HPE|ERR_HTTP)_/
+
 /** A listening server. Disposal closes it and all its connections. */
 export interface ListeningServer extends AsyncDisposable {
   /** `ip:port`. */
@@ -46,6 +49,10 @@
   refuseMalformed?: (reason: MalformedReason) => Refusal
   /** `true`: the handler answers `Expect: 100-continue`; otherwise Node sends `100 Continue` before it calls the handler. */
   isContinueSentByHandler?: boolean
+  /** Called before a connection is destroyed because its handler rejected. */
+  onHandlerError?: (error: unknown) => void
+  /** Called before a connection with a response in progress is destroyed because what follows on it is malformed or too slow. */
+  onResponseCut?: (error: Error & { code?: string }, response: http.ServerResponse) => void
 }
 
 /**
@@ -62,7 +69,7 @@
   handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
   options: ListenOptions
 ): Promise<ListeningServer> {
-  const { address, port, headerSizeBytes, requestDeadlineMs, idleTimeoutMs, refuseMalformed, isContinueSentByHandler = false } = options
+  const { address, port, headerSizeBytes, requestDeadlineMs, idleTimeoutMs, refuseMalformed, isContinueSentByHandler = false, onHandlerError, onResponseCut } = options
   const server = http.createServer({
     ...(headerSizeBytes === undefined ? {} : { maxHeaderSize: headerSizeBytes }),
     ...(requestDeadlineMs === undefined
@@ -74,11 +81,14 @@
     noDelay: true
   })
   const handleRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
-    handler(request, response).catch(() => response.destroy())
+    handler(request, response).catch(error => {
+      onHandlerError?.(error)
+      response.destroy()
+    })
   }
   server.on('request', handleRequest)
   if (isContinueSentByHandler) server.on('checkContinue', handleRequest)
-  server.on('clientError', (error, socket) => refuseOnSocket(error, socket as Socket, refuseMalformed))
+  server.on('clientError', (error, socket) => refuseOnSocket(error, socket as Socket, { createRefusal: refuseMalformed, onResponseCut }))
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, address, resolve)
@@ -98,9 +108,10 @@
  * Writes a refusal to the socket and closes it, as there is no response object for a request that was
  * not parsed. The socket is destroyed instead if a response to an earlier request is in progress on it.
  */
-function refuseOnSocket (error: Error & { code?: string }, socket: Socket, createRefusal?: (reason: MalformedReason) => Refusal): void {
-  const isResponding = (socket as Socket & { _httpMessage?: unknown })._httpMessage != null
-  if (createRefusal === undefined || isResponding || !socket.writable || error.code === 'ECONNRESET') {
+function refuseOnSocket (error: Error & { code?: string }, socket: Socket, { createRefusal, onResponseCut }: { createRefusal: ListenOptions['refuseMalformed'], onResponseCut: ListenOptions['onResponseCut'] }): void {
+  const response = (socket as Socket & { _httpMessage?: http.ServerResponse | null })._httpMessage ?? undefined
+  if (response !== undefined && PROTOCOL_ERROR_CODE.test(error.code ?? '')) onResponseCut?.(error, response)
+  if (createRefusal === undefined || response !== undefined || !socket.writable || error.code === 'ECONNRESET') {
     socket.destroy()
     return
   }
