Log and count the answers that the gateway cuts

Lines and metrics could not tell an answer cut after its header from a refused one: both were logged with a status, a shutdown logged only a count, and the error of a handler that throws was lost.

answerCut (3206) stands beside gatewayFailed for each answer cut after its header, requestUnanswered (3207) for each connection closed at the end of the grace period, after a handler that throws or that ends without an answer, or because of malformed bytes behind the request. Both have the cause, tries, last event, time left, age of the configuration and time since the shutdown began; the metric answers_cut_total counts them by cause. gatewayFailed has isCut and no status for them, and a cut answer is never logged as gatewayRefused. The final line of a request is now logged after its answer was written, so that one that cannot be written still gets exactly one.

--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -50,6 +50,8 @@
   callerGone: { number: 3203, level: 'info', text: 'caller disconnected before the end of its answer' },
   streamResumed: { number: 3204, level: 'warn', text: 'stream resumed on another path' },
   pathReplaced: { number: 3205, level: 'warn', text: 'path of a stream in progress replaced' },
+  answerCut: { number: 3206, level: 'warn', text: 'answer that had begun cut by the gateway' },
+  requestUnanswered: { number: 3207, level: 'warn', text: 'connection of a request closed by the gateway before its answer was complete' },
   boundChanged: { number: 3100, level: 'info', text: 'throughput bound of a model changed' },
   bookingIntended: { number: 4001, level: 'info', text: 'booking intent recorded' },
   bookingSent: { number: 4002, level: 'info', text: 'booking sent to the service' },
--- a/src/fleet/createFleetState/index.ts
+++ b/src/fleet/createFleetState/index.ts
@@ -34,6 +34,8 @@
 /** Configuration and targets as this host knows them. */
 export interface FleetState {
   configuration: () => FleetConfiguration | undefined
+  /** Time since the configuration came into force on this host, in milliseconds. */
+  configurationAgeMs: () => number | undefined
   /** Replaces the configuration if the version is higher; returns whether it did. */
   applyConfiguration: (configuration: FleetConfiguration) => boolean
   /** Every listed target. */
@@ -85,6 +87,7 @@
 export function createFleetState (options: { runtime: Runtime }): FleetState {
   const { runtime } = options
   let configuration: FleetConfiguration | undefined
+  let configuredMs: number | undefined
   let revision = -1
   const targets = new Map<string, Target>()
   /** Targets kept although their entries are missing, with the monotonic time at which they are removed. */
@@ -171,9 +174,11 @@
 
   return {
     configuration: () => configuration,
+    configurationAgeMs: () => configuredMs === undefined ? undefined : Math.round(runtime.monotonicMs() - configuredMs),
     applyConfiguration (next) {
       if (configuration !== undefined && next.version <= configuration.version) return false
       configuration = next
+      configuredMs = runtime.monotonicMs()
       notify()
       return true
     },
--- a/src/gateway/_lib/answerCaller.ts
+++ b/src/gateway/_lib/answerCaller.ts
@@ -3,7 +3,8 @@
  * gateway itself.
  */
 import { REASONS, type ReasonName } from '../../verdict/reasons.js'
-import type { Call, GatewayContext } from '../types.js'
+import type { Call, CutCause, GatewayContext } from '../types.js'
+import { reportCutAnswer } from './reportCut.js'
 
 /** Additional fields for the log line of an answer. */
 export type LogDetails = Record<string, unknown>
@@ -37,30 +38,36 @@
   response.end(answer.body)
 }
 
+/** Details of `endWithReason`: `cutCause` is what ended an answer that had begun, if the reason does not tell. */
+type EndDetails = LogDetails & { retryAfterMs?: number, cutCause?: CutCause }
+
 /** Ends a call with a status of the gateway itself, or destroys the connection if an answer has already begun. */
-export function endWithReason (call: Call, context: GatewayContext, reason: ReasonName, details: LogDetails & { retryAfterMs?: number }): void {
+export function endWithReason (call: Call, context: GatewayContext, reason: ReasonName, { cutCause = causeOf(reason), ...details }: EndDetails): void {
   const { response, facts, route, account, startedMs } = call
   const { log, metrics, runtime, fleet } = context
   const { status } = REASONS[reason]
-  const isRefusal = status < 500 || status === 503
+  const isCut = response.headersSent && !response.destroyed
+  const isRefusal = !isCut && (status < 500 || status === 503)
+  if (isCut) response.destroy()
+  else if (!response.destroyed) writeRefusal(call, context, status, details.retryAfterMs)
   log.emit(isRefusal ? 'gatewayRefused' : 'gatewayFailed', {
     request: facts.requestId,
     route: route.name,
     ...(account === undefined ? {} : { account }),
     reason,
-    status,
+    ...(isCut ? { isCut } : { status }),
     tookMs: Math.round(runtime.monotonicMs() - startedMs),
     version: fleet.configuration()?.version,
     targetsAgeMs: Math.round(context.targetsAgeMs()),
     ...details
   })
   metrics.calls.inc({ kind: route.kind, outcome: reason })
-  if (response.destroyed) return
-  if (response.headersSent) {
-    response.destroy()
-    return
-  }
-  writeRefusal(call, context, status, details.retryAfterMs)
+  if (isCut) reportCutAnswer(call, context, { reason, cause: cutCause })
+}
+
+function causeOf (reason: ReasonName): CutCause {
+  if (reason === 'deadlinePassed') return 'deadline'
+  return reason === 'overloaded' ? 'noCapacity' : 'targetFailed'
 }
 
 function writeRefusal (call: Call, context: GatewayContext, status: number, retryAfterMs: number | undefined): void {
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -5,7 +5,7 @@
 import { withConnectionClose, type BufferedAnswer } from './answerCaller.js'
 import { createEventSplitter } from './createEventSplitter.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
-import type { ActiveStream, Call, GatewayContext } from '../types.js'
+import type { ActiveStream, Call, GatewayContext, TryProgress } from '../types.js'
 
 /** Weight of the latest pause in the moving average of a stream's pauses. */
 const PAUSE_WEIGHT = 0.2
@@ -19,9 +19,7 @@
   | { kind: 'brokenOff', cause: string }
 
 /** State of a call across all its tries. */
-export interface CallProgress {
-  lastEventId: number | undefined
-  tries: number
+export interface CallProgress extends TryProgress {
   /** Tries that count against the route's attempts: those that may have run on an engine that is still listed. */
   countedAttempts: number
   /** Whether any try may have run, so that the call must not be reported as not run. */
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -40,6 +40,7 @@
     using reservation = reserveTarget(service, excluded, ownDomain, context)
     if (reservation === undefined) break
     if (countedAttempts > 0 && (countedAttempts >= route.maxAttempts || !budget.trySpend(service.name))) break
+    call.progress.tries++
     const result = await attemptCall(call, reservation, context)
     metrics.attempts.inc({ result: result.kind })
     attempts.push(`${reservation.target.id} ${result.kind === 'whole' ? result.status : result.cause}`)
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -8,7 +8,7 @@
 import { openExchange, type Exchange } from './openExchange.js'
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 import { DeadlineError } from '../../runtime/withDeadline/index.js'
-import type { ActiveStream, Call, GatewayContext, Reservation } from '../types.js'
+import type { ActiveStream, Call, CutCause, GatewayContext, Reservation } from '../types.js'
 
 /** Longest useful wait for a reservation, as a multiple of the route's latency objective; callers give up on a silent stream after four. */
 const MAX_WAIT_OBJECTIVES = 3
@@ -43,18 +43,19 @@
   const size = estimateRequestSize(call)
   const excluded = new Set<string>()
   const progress: CallProgress = { lastEventId: facts.lastEventId, tries: 0, countedAttempts: 0, mayHaveRun: false, waitedMs: 0, attempts: [], firstEventMs: undefined, lastEventMs: undefined, longestPauseMs: 0, longestPauseEndMs: 0 }
+  call.progress = progress
   const details = (): LogDetails => ({ attempts: progress.attempts, waitedMs: Math.round(progress.waitedMs), queueLength: context.dispatcherOf(service.name).queueLength() })
 
   while (!signal.aborted) {
-    if (progress.tries > 0 && budget.left(service.name) < 1) return endWithoutAnswer('retry budget spent')
+    if (progress.tries > 0 && budget.left(service.name) < 1) return endWithoutAnswer('retry budget spent', 'retryBudget')
     const outcome = await requestReservation()
     if (outcome.kind === 'aborted') break
     progress.waitedMs += outcome.waitedMs
     metrics.waitSeconds.observe(outcome.waitedMs / MS_PER_S)
-    if (outcome.kind === 'refused') return endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
+    if (outcome.kind === 'refused') return endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS, cutCause: 'noCapacity' })
     using reservation = outcome.place
     if (signal.aborted) break
-    if (progress.tries > 0 && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent')
+    if (progress.tries > 0 && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent', 'retryBudget')
     progress.tries++
     const result = await attemptStream(call, reservation, size, progress, context)
     metrics.attempts.inc({ result: result.kind })
@@ -82,11 +83,11 @@
       excluded.add(target.id)
     }
     const areAttemptsExhausted = progress.countedAttempts >= route.maxAttempts || progress.tries >= route.maxAttempts + MAX_EXTRA_TRIES
-    if (areAttemptsExhausted) return endWithoutAnswer('attempts spent')
+    if (areAttemptsExhausted) return endWithoutAnswer('attempts spent', 'attempts')
     log.emit('streamResumed', { request: facts.requestId, target: target.id, cause: result.cause, lastEventId: progress.lastEventId, tries: progress.tries })
   }
   if (signal.reason instanceof DeadlineError) {
-    return endWithReason(call, context, progress.tries > 0 ? 'deadlinePassed' : 'overloaded', details())
+    return endWithReason(call, context, progress.tries > 0 ? 'deadlinePassed' : 'overloaded', { ...details(), cutCause: 'deadline' })
   }
   log.emit('callerGone', { request: facts.requestId, route: route.name, tookMs: Math.round(runtime.monotonicMs() - call.startedMs), lastEventId: progress.lastEventId, ...details() })
   metrics.calls.inc({ kind: route.kind, outcome: 'callerGone' })
@@ -109,8 +110,8 @@
     })
   }
 
-  function endWithoutAnswer (cause: string): void {
-    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, retryAfterMs: RETRY_AFTER_MS })
+  function endWithoutAnswer (cause: string, cutCause: CutCause): void {
+    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, retryAfterMs: RETRY_AFTER_MS, cutCause })
   }
 
   function recordAnswer (): void {
--- a/src/gateway/createCallHandler/index.ts
+++ b/src/gateway/createCallHandler/index.ts
@@ -12,7 +12,7 @@
 import { serveStream } from '../_lib/serveStream.js'
 import { matchRoute } from '../matchRoute/index.js'
 import { withDeadline } from '../../runtime/withDeadline/index.js'
-import type { Call, CallFacts, GatewayContext } from '../types.js'
+import type { Call, CallFacts, GatewayContext, OpenRequest } from '../types.js'
 
 /** Retry delay sent to callers while no configuration is known, in milliseconds. */
 const NOT_READY_RETRY_MS = 500
@@ -32,7 +32,7 @@
  * @summary Creates the handler of callers' requests.
  * @param context - State and dependencies shared by all calls.
  * @param options - The host's failure domain, and whether new streams are still accepted.
- * @returns A handler that resolves when the call has ended.
+ * @returns A handler that resolves when the call has ended; it enters the request's id and call in `open`, if given.
  *
  * @example
  * const handler = createCallHandler(context, { ownDomain: 'north', isAcceptingStreams: () => true })
@@ -40,22 +40,24 @@
 export function createCallHandler (
   context: GatewayContext,
   options: { ownDomain: string, isAcceptingStreams: () => boolean }
-): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
+): (request: IncomingMessage, response: ServerResponse, open?: OpenRequest) => Promise<void> {
   const { fleet, format, runtime, log, metrics, budget } = context
 
   function refuse (response: ServerResponse, facts: CallFacts, reason: ReasonName, details: { retryAfterMs?: number, [name: string]: unknown } = {}): void {
     const { status } = REASONS[reason]
+    if (!response.headersSent && !response.destroyed) {
+      const headers = format.buildRefusalHeaders({ requestId: facts.requestId, retryAfterMs: details.retryAfterMs })
+      response.writeHead(status, withConnectionClose(context, [...headers, 'Content-Length', '0']))
+      response.end()
+    }
     log.emit('gatewayRefused', { request: facts.requestId, reason, status, version: fleet.configuration()?.version, ...details })
     metrics.calls.inc({ kind: 'none', outcome: reason })
-    if (response.headersSent || response.destroyed) return
-    const headers = format.buildRefusalHeaders({ requestId: facts.requestId, retryAfterMs: details.retryAfterMs })
-    response.writeHead(status, withConnectionClose(context, [...headers, 'Content-Length', '0']))
-    response.end()
   }
 
-  return async (request, response) => {
+  return async (request, response, open) => {
     const startedMs = runtime.monotonicMs()
     const facts = format.readFacts(request)
+    if (open !== undefined) open.request = facts.requestId
     const configuration = fleet.configuration()
     if (configuration === undefined) return refuse(response, facts, 'notReady', { retryAfterMs: NOT_READY_RETRY_MS })
     const resolved = resolveCall(configuration, request, facts, runtime.random())
@@ -69,7 +71,8 @@
     const endMs = startedMs + Math.min(facts.deadlineMs, route.timeoutMs)
     using deadline = withDeadline(endMs - runtime.monotonicMs(), { runtime })
     response.once('close', () => deadline.abort())
-    const call: Call = { request, response, body: read.body, facts, ...resolved, startedMs, deadlineAtMs: endMs, signal: deadline.signal }
+    const call: Call = { request, response, body: read.body, facts, ...resolved, startedMs, deadlineAtMs: endMs, signal: deadline.signal, progress: { tries: 0, lastEventId: facts.lastEventId } }
+    if (open !== undefined) open.call = call
     budget.countRequest(service.name)
     if (response.destroyed) return
     if (route.kind === 'stream') await serveStream(call, options.ownDomain, context)
--- a/src/gateway/createGatewayMetrics/index.ts
+++ b/src/gateway/createGatewayMetrics/index.ts
@@ -10,6 +10,7 @@
 export interface GatewayMetrics {
   registry: Registry
   calls: Counter<'kind' | 'outcome'>
+  answersCut: Counter<'cause'>
   attempts: Counter<'result'>
   firstEventSeconds: Histogram
   waitSeconds: Histogram
@@ -40,6 +41,7 @@
   return {
     registry,
     calls: new Counter({ name: 'coltsfootlead_gateway_calls_total', help: 'Calls by kind of route and outcome', labelNames: ['kind', 'outcome'], registers }),
+    answersCut: new Counter({ name: 'coltsfootlead_gateway_answers_cut_total', help: 'Answers and connections that the gateway ended before the answer was complete', labelNames: ['cause'], registers }),
     attempts: new Counter({ name: 'coltsfootlead_gateway_attempts_total', help: 'Requests sent to targets by result', labelNames: ['result'], registers }),
     firstEventSeconds: new Histogram({ name: 'coltsfootlead_gateway_first_event_seconds', help: 'Time from arrival to the first event of a stream', buckets: TIME_BUCKETS_S, registers }),
     waitSeconds: new Histogram({ name: 'coltsfootlead_gateway_wait_seconds', help: 'Time in the queue', buckets: TIME_BUCKETS_S, registers }),
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -5,6 +5,7 @@
 import { setMaxListeners } from 'node:events'
 import { createDigestExchange } from '../../digest/createDigestExchange/index.js'
 import type { Digest } from '../../digest/types.js'
+import type { EventFields } from '../../event/types.js'
 import { createFleetState } from '../../fleet/createFleetState/index.js'
 import { followFleet } from '../../fleet/followFleet/index.js'
 import { followStoreReaders } from '../../fleet/followStoreReaders/index.js'
@@ -26,8 +27,9 @@
 import { discoverPeers, registerHost } from '../_lib/discoverPeers.js'
 import { createLeaderElection } from '../_lib/createLeaderElection.js'
 import { createInternalHandler, readPeerState } from '../_lib/internalPort.js'
+import { isUnanswered, reportUnanswered } from '../_lib/reportCut.js'
 import { updateGauges } from '../_lib/updateGauges.js'
-import type { GatewayContext, GatewayPorts, GatewaySettings, Reservation } from '../types.js'
+import type { GatewayContext, GatewayPorts, GatewaySettings, OpenRequest, Reservation } from '../types.js'
 
 /** A running gateway. */
 export interface Gateway extends AsyncDisposable {
@@ -50,6 +52,9 @@
 /** Part of the grace period reserved for process exit, in milliseconds. */
 const EXIT_RESERVE_MS = 400
 
+/** Calls cut by the shutdown that get a line each; the others are only counted. */
+const MAX_CUT_LINES = 20
+
 /** The retry budget counts the hosts heard from within this time, in milliseconds; one window of the budget. */
 const HOST_COUNT_WINDOW_MS = 10_000
 
@@ -73,7 +78,7 @@
   const fleet = createFleetState({ runtime })
   const loadTracker = createLoadTracker({ runtime })
   const suspicions = createSuspicions({ runtime })
-  const calls = createOpenCalls({ runtime })
+  const calls = createOpenCalls<OpenRequest>({ runtime })
   const dispatchers = new Map<string, Dispatcher<Reservation>>()
   const startedMs = runtime.nowMs()
   let drainingSinceMs: number | undefined
@@ -140,29 +145,43 @@
     checkCoverage: createCoverageCheck({ fleet, suspicions, runtime }),
     dispatcherOf,
     isDraining: () => drainingSinceMs !== undefined,
+    drainingForMs: () => drainingSinceMs === undefined ? undefined : Math.round(runtime.monotonicMs() - drainingSinceMs),
     targetsAgeMs: () => Math.min(follower.targetsAgeMs(), readerFollower.ageMs())
   }
   fleet.onChange(() => suspicions.retain(new Set(fleet.targets().map(target => target.id))))
 
+  const logError = (error: unknown, fields: EventFields = {}): void => log.emit('unexpectedError', { ...fields, cause: error instanceof Error ? error.stack : String(error) })
   const handler = createCallHandler(context, { ownDomain: settings.failureDomain, isAcceptingStreams: () => !hasBalancerLagPassed() })
   const callers = resources.use(await listen(async (request, response) => {
-    const task = handler(request, response)
-    calls.track({ request: '', response, mayHaveRun: false }, task)
-    await task
+    const open: OpenRequest = { request: '', response, mayHaveRun: false }
+    const task = handler(request, response, open)
+    calls.track(open, task)
+    await task.catch(error => {
+      if (isUnanswered(open)) reportUnanswered(open, context, { cause: 'error', error, hasFinalLine: response.writableEnded })
+      else logError(error, { request: open.request })
+      throw error
+    })
+    const isForgotten = open.call !== undefined && !response.writableEnded && isUnanswered(open)
+    if (isForgotten) reportUnanswered(open, context, { cause: 'error', error: 'call ended without an answer', hasFinalLine: true })
   }, {
     ...settings.callerAddress,
     headerSizeBytes: HEADER_SIZE_BYTES,
     requestDeadlineMs: REQUEST_DEADLINE_MS,
     idleTimeoutMs: IDLE_TIMEOUT_MS,
-    isContinueSentByHandler: false
+    isContinueSentByHandler: false,
+    onResponseCut (error, response) {
+      const open = calls.list().find(candidate => candidate.response === response)
+      // The call ends as if its caller had left, which the call itself logs.
+      if (open?.call !== undefined && isUnanswered(open)) reportUnanswered(open, context, { cause: 'error', error: error.code ?? error.message, hasFinalLine: true })
+    }
   }))
   resources.use(await listen(async (_request, response) => {
     response.writeHead(isReady() ? 200 : 503, { 'content-length': '0' })
     response.end()
-  }, settings.readinessAddress))
+  }, { ...settings.readinessAddress, onHandlerError: logError }))
   const internal = createInternalHandler({ fleet, metrics, runtime, updateMetrics: () => updateGauges(context) })
-  resources.use(await listen(internal, settings.internalAddress))
-  resources.use(await listen(internal, settings.metricsAddress))
+  resources.use(await listen(internal, { ...settings.internalAddress, onHandlerError: logError }))
+  resources.use(await listen(internal, { ...settings.metricsAddress, onHandlerError: logError }))
   log.emit('processStarted', { address: callers.address, failureDomain: settings.failureDomain })
 
   registerHost(settings, { store, runtime, log, signal })
@@ -171,6 +190,16 @@
   runPlacement({ fleet, suspicions, control, runtime, log, metrics, signal, fencing: election.fencing, onLoaded: exchange.sendNow })
   repeatTask(election.step, { intervalMs: LEASE_RENEWAL_MS, task: 'lease', runtime, log, signal })
 
+  /** Logs the calls that the end of the grace period cuts. */
+  function reportOpenCalls (): void {
+    if (calls.size() === 0) return
+    const unanswered = calls.list().filter(isUnanswered)
+    const listed = unanswered.slice(0, MAX_CUT_LINES)
+    log.emit('drainCut', { openCalls: calls.size(), unanswered: unanswered.length, notListed: unanswered.length - listed.length })
+    for (const open of listed) reportUnanswered(open, context, { cause: 'shutdown', hasFinalLine: open.response.writableEnded })
+    metrics.answersCut.inc({ cause: 'shutdown' }, unanswered.length - listed.length)
+  }
+
   function dispatcherOf (service: string): Dispatcher<Reservation> {
     const known = dispatchers.get(service)
     if (known !== undefined) return known
@@ -221,7 +250,7 @@
       callers.stopAccepting()
       using drainDeadline = withDeadline(settings.graceMs - settings.balancerLagMs - EXIT_RESERVE_MS, { runtime })
       await calls.whenIdle(drainDeadline.signal)
-      if (calls.size() > 0) log.emit('drainCut', { openCalls: calls.size() })
+      reportOpenCalls()
       log.emit('processStopped')
     },
     async [Symbol.asyncDispose] () {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -8,6 +8,7 @@
 import type { FleetState } from '../fleet/createFleetState/index.js'
 import type { FleetFormat } from '../fleet/followFleet/index.js'
 import type { Path, Route, Service, Target } from '../fleet/types.js'
+import type { OpenCall } from '../http/createOpenCalls/index.js'
 import type { ObjectStore } from '../objectApi/types.js'
 import type { Coverage } from '../path/createCoverageCheck/index.js'
 import type { LoadTracker } from '../path/createLoadTracker/index.js'
@@ -83,8 +84,26 @@
   deadlineAtMs: number
   /** Aborts when the caller disconnects, or with a `DeadlineError` at `deadlineAtMs`. */
   signal: AbortSignal
+  progress: TryProgress
 }
 
+/** How far the tries of a call have come. */
+export interface TryProgress {
+  /** Requests sent to targets, with the one in progress. */
+  tries: number
+  /** Id of the last event that the caller received. */
+  lastEventId: number | undefined
+}
+
+/** A request from its arrival until its connection is free again. */
+export interface OpenRequest extends OpenCall {
+  /** Absent until the request was read completely, and for one that was refused before. */
+  call?: Call
+}
+
+/** What makes the gateway end a connection before the answer on it is complete. */
+export type CutCause = 'attempts' | 'retryBudget' | 'noCapacity' | 'deadline' | 'targetFailed' | 'shutdown' | 'error'
+
 /** Capacity held for a request until disposed of: a path of engines, or one target of a plain service. */
 export interface Reservation extends Disposable {
   target: Target
@@ -129,6 +148,8 @@
   queueLengths: () => Map<string, number>
   /** Whether the process is shutting down; answers then ask the caller to close its connection. */
   isDraining: () => boolean
+  /** Time since the shutdown was requested, in milliseconds. */
+  drainingForMs: () => number | undefined
   /** Time since the list of targets was last confirmed, in milliseconds. */
   targetsAgeMs: () => number
 }
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -82,6 +82,7 @@
       return known
     },
     isDraining: () => false,
+    drainingForMs: () => undefined,
     targetsAgeMs: () => 0
   }
   const server = await listen(createCallHandler(context, { ownDomain: 'north', isAcceptingStreams: () => true }), { address: '127.0.0.1', port: 0 })
--- a/test/gateway/startGateway.test.ts
+++ b/test/gateway/startGateway.test.ts
@@ -1,12 +1,15 @@
 import http from 'node:http'
+import { connect } from 'node:net'
 import test from 'ava'
 import { request } from 'undici'
 import { createPlatformStore } from '../../platform/createPlatformStore.js'
 import { createFleetFormat } from '../../platform/decode.js'
 import { platformHeaders } from '../../platform/headers.js'
 import type { DigestSocket } from '../../src/digest/types.js'
+import type { EventLog, LoggedEvent } from '../../src/event/types.js'
 import { createGatewayMetrics } from '../../src/gateway/createGatewayMetrics/index.js'
 import { startGateway } from '../../src/gateway/startGateway/index.js'
+import type { CallFormat } from '../../src/gateway/types.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 import { buildAnswer, servePlatformEngine, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
 import { servePlatformStore } from '../../standin/platform/servePlatformStore/index.js'
@@ -25,7 +28,8 @@
 }
 
 /** A whole gateway in front of one target, with a store that has no configuration and no target until `configure`. */
-async function startConfigurableGateway (script: EngineScript) {
+async function startConfigurableGateway (script: EngineScript, options: { graceMs?: number, format?: CallFormat } = {}) {
+  const { graceMs = 60_000, format = platformHeaders } = options
   const [store, target] = [await servePlatformStore(), await servePlatformEngine(script)]
   const runtime = createSystemRuntime()
   const log = createTestLog()
@@ -43,13 +47,13 @@
     retryRatio: 0.2,
     retryExtra: 196,
     retryWindowMs: 10_000,
-    graceMs: 60_000,
+    graceMs,
     balancerLagMs: 50
   }, {
     store: createPlatformStore({ address: store.address, callTimeoutMs: 60_000, watchWaitMs: 100, watchGraceMs: 60_000, runtime, onCall: () => {} }),
     control: { report: async () => undefined, place: async () => ({ kind: 'begun' }), repath: async () => ({ kind: 'done' }), isReachable: async () => true },
     socket: NO_PEERS,
-    format: platformHeaders,
+    format,
     fleetFormat: createFleetFormat(log),
     runtime,
     log,
@@ -60,6 +64,7 @@
     store,
     target,
     gateway,
+    log,
     isReady,
     callerAddress: `${address}:${caller}`,
     metricsUrl: `http://${address}:${metrics}/metrics`,
@@ -126,3 +131,58 @@
   t.like(await call(running.callerAddress), { status: 200, body: 'done' })
   await drained
 })
+
+/** Events of one request, without those of the others. */
+const eventsOf = (log: EventLog, request: string): LoggedEvent[] => log.recent().filter(event => event.request === request)
+
+test('calls that the end of the grace period cuts are logged with their ids, up to a limit', async t => {
+  let arrivals = 0
+  let noteArrivals = (): void => {}
+  const arrived = new Promise<void>(resolve => { noteArrivals = resolve })
+  await using running = await startConfigurableGateway(() => { if (++arrivals === 22) noteArrivals() }, { graceMs: 500 })
+  running.configure()
+  await waitFor(running.isReady, 200)
+  const answers = Array.from({ length: 22 }, (_, index) => sendCall(running.callerAddress, '/unsafe/x', { 'deadline-ms': '60000', 'request-id': `r${index}` }, '').catch(() => 'cut'))
+  await arrived
+  await running.gateway.drain()
+  t.like(running.log.recent().find(({ name }) => name === 'drainCut'), { openCalls: 22, unanswered: 22, notListed: 2 })
+  const listed = running.log.recent().filter(({ name }) => name === 'requestUnanswered')
+  t.is(new Set(listed.map(({ request }) => request)).size, 20)
+  for (const event of listed) {
+    t.like(event, { cause: 'shutdown', route: 'r', tries: 1, isRead: true, isBegun: false, isWritten: false, isDraining: true, version: 1 })
+    t.true(Number(event.drainingForMs) >= 50)
+    t.like(eventsOf(running.log, event.request!), [{ name: 'gatewayFailed', reason: 'draining', isCut: true, status: undefined }])
+  }
+  t.regex(await (await request(running.metricsUrl)).body.text(), /coltsfootlead_gateway_answers_cut_total\{cause="shutdown"\} 22/)
+  await running[Symbol.asyncDispose]()
+  await Promise.all(answers)
+})
+
+test('a call whose handler throws is logged with the error', async t => {
+  const format: CallFormat = { ...platformHeaders, buildHeaders () { throw new Error('headers cannot be built') } }
+  await using running = await startConfigurableGateway((request, socket) => socket.end(buildAnswer(request, 'done')), { format })
+  running.configure()
+  await waitFor(running.isReady, 200)
+  await t.throwsAsync(call(running.callerAddress))
+  const events = eventsOf(running.log, 'r1')
+  t.deepEqual(events.map(({ name }) => name), ['gatewayFailed', 'requestUnanswered'])
+  t.like(events[0], { reason: 'internalError', isCut: true, status: undefined })
+  t.like(events[1], { cause: 'error', route: 'r', tries: 1, isRead: true, isBegun: false, isDraining: false })
+  t.regex(String(events[1]!.error), /headers cannot be built/)
+})
+
+test('an answer lost because malformed bytes follow its request is not only logged as a caller that left', async t => {
+  let noteArrival = (): void => {}
+  const arrived = new Promise<void>(resolve => { noteArrival = resolve })
+  await using running = await startConfigurableGateway(() => noteArrival())
+  running.configure()
+  await waitFor(running.isReady, 200)
+  const [host, port] = running.callerAddress.split(':')
+  const caller = connect(Number(port), host)
+  caller.write('POST /unsafe/x HTTP/1.1\r\nHost: studio.example\r\nAuthorization: Token secret\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n')
+  await arrived
+  caller.write('no request\r\n\r\n')
+  await new Promise(resolve => { caller.once('close', resolve).resume() })
+  await waitFor(async () => eventsOf(running.log, 'r1').length, 2)
+  t.like(eventsOf(running.log, 'r1'), [{ name: 'requestUnanswered', cause: 'error', tries: 1, error: 'HPE_INVALID_METHOD' }, { name: 'callerGone' }])
+})
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import type { Target } from '../../src/fleet/types.js'
+import type { Route, Target } from '../../src/fleet/types.js'
 import { rerouteStreams } from '../../src/gateway/rerouteStreams/index.js'
 import { buildAnswer, encodeChunk, encodeEvents, servePlatformEngine, buildStreamHead, STREAM_END, type EngineScript, type PlatformEngineStandin } from '../../standin/platform/servePlatformEngine/index.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
@@ -72,6 +72,45 @@
   t.false((await pipelines.gateway.send('/stream/x')).isComplete)
 })
 
+/** The routes with the given fields of the stream's route replaced. */
+const withStreamRoute = (fields: Partial<Route>): typeof TEST_CONFIGURATION => ({ ...TEST_CONFIGURATION, routes: TEST_CONFIGURATION.routes.map(route => route.kind === 'stream' ? { ...route, ...fields } : route) })
+
+test('an answer that is cut after it had begun is logged as failed with its cause, and never with a status', async t => {
+  const broken: EngineScript = (request, socket) => { socket.write(buildStreamHead(request) + encodeEvents([Number(request.headers['last-event-id'] ?? 0) + 1]), () => socket.destroy()) }
+  const silent: EngineScript = (request, socket) => { socket.write(buildStreamHead(request) + encodeEvents([1])) }
+  const full: EngineScript = (request, socket) => socket.end(buildAnswer(request, '', { status: '503 Full', headers: ['Not-Executed: 1'] }))
+  const error: EngineScript = (request, socket) => socket.end(buildAnswer(request, 'no', { status: '500 Failed' }))
+  const cases: Array<{ scripts: [EngineScript, EngineScript], cause: string, reason?: string, route?: Partial<Route>, tries: number, lastEventId: number, budgetLeft?: number, deadlineMs?: number }> = [
+    { scripts: [broken, broken], cause: 'attempts', tries: 2, lastEventId: 2 },
+    { scripts: [broken, error], cause: 'targetFailed', tries: 2, lastEventId: 1 },
+    { scripts: [broken, broken], cause: 'targetFailed', route: { isResumable: false }, tries: 1, lastEventId: 1 },
+    { scripts: [broken, broken], cause: 'retryBudget', tries: 1, lastEventId: 1, budgetLeft: 0 },
+    { scripts: [broken, full], cause: 'noCapacity', route: { objectiveMs: 20 }, tries: 2, lastEventId: 1 },
+    { scripts: [silent, silent], cause: 'deadline', reason: 'deadlinePassed', tries: 1, lastEventId: 1, deadlineMs: 300 }
+  ]
+  for (const { scripts, cause, reason = 'targetFailed', route = {}, tries, lastEventId, budgetLeft, deadlineMs = 4_000 } of cases) {
+    await using pipelines = await startPipelines(...scripts, { configuration: withStreamRoute(route) })
+    const { parts: context } = pipelines.gateway
+    if (budgetLeft !== undefined) context.budget = { ...context.budget, left: () => budgetLeft }
+    t.false((await pipelines.gateway.send('/stream/x', { 'deadline-ms': String(deadlineMs) })).isComplete)
+    const events = context.log.recent()
+    const ends = events.filter(({ number }) => number >= 3200 && number <= 3203)
+    t.deepEqual(ends.map(({ name, reason, isCut, status }) => ({ name, reason, isCut, status })), [{ name: 'gatewayFailed', reason, isCut: true, status: undefined }], cause)
+    const cut = events.find(({ name }) => name === 'answerCut')
+    t.like(cut, { request: 'r1', route: 'stream', account: 'studio', reason, cause, tries, lastEventId, isDraining: false, version: 3 }, cause)
+    for (const field of ['leftMs', 'tookMs', 'versionAgeMs']) t.is(typeof cut?.[field], 'number', field)
+    t.deepEqual((await context.metrics.answersCut.get()).values.map(({ labels, value }) => [labels.cause, value]), [[cause, 1]])
+  }
+})
+
+test('a stream refused before its answer began is not logged as cut', async t => {
+  await using gateway = await startTestGateway([engine('i-1', '127.0.0.1:1', 0, 40)])
+  await gateway.send('/stream/x', { 'deadline-ms': '1' })
+  const events = gateway.parts.log.recent()
+  t.like(events.find(({ name }) => name === 'gatewayRefused'), { status: 503, isCut: undefined })
+  t.false(events.some(({ name }) => name === 'answerCut'))
+})
+
 test('an engine that refuses without running the request is excluded, and so is a stage that it names', async t => {
   await using pipelines = await startPipelines((request, socket) => socket.end(buildAnswer(request, '', { status: '503 Full', headers: ['Not-Executed: 1'] })))
   t.deepEqual(idsOf((await pipelines.gateway.send('/stream/x')).body), [1, 2, 3, 4])
