--- a/src/event/explainCall/index.ts
+++ b/src/event/explainCall/index.ts
@@ -67,7 +67,7 @@
     request,
     outcome: finalEvent === undefined ? 'unknown' : OUTCOME_BY_FINAL_EVENT[finalEvent.name]!,
     host,
-    cause: finalEvent === undefined ? describeMissingEnd(events, callEvents) : describeCause(finalEvent, callEvents),
+    cause: `${finalEvent === undefined ? describeMissingEnd(events, callEvents) : describeCause(finalEvent, callEvents)}${describeCut(callEvents)}`,
     evidence: allEvents.map(event => describeEvidence(event, allEvents[0]!.wallMs)),
     events: allEvents
   }
@@ -95,14 +95,23 @@
 function describeCause (finalEvent: LoggedEvent, callEvents: readonly LoggedEvent[]): string {
   if (finalEvent.name === 'gatewayRefused') return `refused without having run: ${REFUSAL_CAUSES[String(finalEvent.reason)]?.(finalEvent) ?? String(finalEvent.reason)}`
   if (finalEvent.name === 'callerGone') return `the caller disconnected after ${formatValue(finalEvent.tookMs)} ms`
-  const attempts = Array.isArray(finalEvent.attempts) ? finalEvent.attempts.map(String) : []
+  const tries = Array.isArray(finalEvent.attempts) ? finalEvent.attempts.length : finalEvent.tries ?? 0
   if (finalEvent.name === 'gatewayFailed') {
     const cause = finalEvent.reason === 'deadlinePassed' ? 'its deadline passed' : finalEvent.cause === undefined ? 'its attempts were used up' : String(finalEvent.cause)
-    return `ended without an answer after ${attempts.length} attempts: ${cause}`
+    return `ended without ${finalEvent.isCut === true ? 'a complete' : 'an'} answer after ${formatValue(tries)} attempts: ${cause}`
   }
   return describeAnswer(finalEvent, callEvents)
 }
 
+/** Sentence on an answer that the gateway cut, or on a connection that it closed; empty without either. */
+function describeCut (callEvents: readonly LoggedEvent[]): string {
+  const event = callEvents.findLast(({ name }) => name === 'answerCut' || name === 'requestUnanswered')
+  if (event === undefined) return ''
+  const hasBegun = event.name === 'answerCut' || event.isBegun === true
+  const position = !hasBegun ? 'before its answer began' : event.lastEventId === undefined ? 'after its answer had begun' : `after event ${formatValue(event.lastEventId)} of its answer`
+  return `; the gateway closed its connection ${position} (${formatValue(event.cause)})`
+}
+
 function describeAnswer (finalEvent: LoggedEvent, callEvents: readonly LoggedEvent[]): string {
   const pathChanges = callEvents.filter(event => event.name === 'pathReplaced' || event.name === 'streamResumed')
   if (Number(finalEvent.waitedMs) > LATE_FIRST_EVENT_MS) return `answered late: it waited ${formatValue(finalEvent.waitedMs)} ms for capacity`
@@ -120,7 +129,7 @@
 }
 
 function describeEvidence (event: LoggedEvent, startMs: number): string {
-  const details = ['reason', 'cause', 'status', 'result', 'attempts', 'target', 'removedIds', 'leavingIds', 'waitedMs', 'firstEventMs', 'longestPauseMs', 'targetsAgeMs', 'version', 'prefix']
+  const details = ['reason', 'cause', 'status', 'result', 'attempts', 'target', 'removedIds', 'leavingIds', 'waitedMs', 'firstEventMs', 'longestPauseMs', 'leftMs', 'targetsAgeMs', 'version', 'versionAgeMs', 'drainingForMs', 'error', 'prefix']
     .filter(field => event[field] !== undefined)
     .map(field => `${field} ${formatValue(event[field])}`)
   return `+${event.wallMs - startMs} ms ${event.host}: ${event.text}${details.length === 0 ? '' : ` (${details.join(', ')})`}`
--- a/src/event/explainCall/test.ts
+++ b/src/event/explainCall/test.ts
@@ -26,6 +26,15 @@
   t.deepEqual(explanation?.events.map(({ name, host }) => `${name} ${host}`), ['targetSuspected b', 'targetLeaving c', 'storeUnavailable a', 'streamResumed a', 'gatewayFailed a'])
 })
 
+test('an answer that was cut is explained by its position and cause', t => {
+  const failed = event('gatewayFailed', 1_200, { request: 'r1', reason: 'targetFailed', cause: 'attempts spent', isCut: true, attempts: ['i-1:0-80 aborted', 'i-2:0-80 aborted'] })
+  const cut = event('answerCut', 1_201, { request: 'r1', reason: 'targetFailed', cause: 'attempts', tries: 2, lastEventId: 7 })
+  t.like(explainCall([failed, cut], 'r1'), { outcome: 'failed', cause: 'ended without a complete answer after 2 attempts: attempts spent; the gateway closed its connection after event 7 of its answer (attempts)' })
+  const left = event('callerGone', 1_200, { request: 'r2', attempts: [], tookMs: 90 })
+  const unanswered = event('requestUnanswered', 1_199, { request: 'r2', cause: 'error', isBegun: false, error: 'HPE_INVALID_METHOD' })
+  t.regex(explainCall([unanswered, left], 'r2')!.cause, /the gateway closed its connection before its answer began \(error\)$/)
+})
+
 test('a late answer is explained by a changed path or by busy engines', t => {
   const answered = event('gatewayAnswered', 4_000, { request: 'r1', firstEventMs: 40, waitedMs: 0, longestPauseMs: 483 })
   t.regex(explainCall([answered], 'r1')!.cause, /paused for 483 ms while its path stayed the same/)
