--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -15,7 +15,7 @@
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { DeadlineError } from '../../runtime/withDeadline/index.js'
-import type { ActiveStream, Call, GatewayContext, Reservation } from '../types.js'
+import type { ActiveStream, Call, CutCause, GatewayContext, Reservation } from '../types.js'
 
 /** Longest useful wait of a new request for a reservation, as a multiple of the route's latency objective; callers give up on a silent stream after four. */
 const MAX_WAIT_OBJECTIVES = 3
@@ -59,6 +59,7 @@
   const ranOn: Target[] = []
   let refusalsInRow = 0
   const progress: CallProgress = { lastEventId: facts.lastEventId, tries: 0, mayHaveRun: false, waitedMs: 0, attempts: [], firstEventMs: undefined, lastEventMs: undefined, longestPauseMs: 0, longestPauseEndMs: 0 }
+  call.progress = progress
   const details = (): LogDetails => ({ attempts: progress.attempts, waitedMs: Math.round(progress.waitedMs), queueLength: context.dispatcherOf(service.name).queueLength() })
 
   const hasBegun = (): boolean => call.response.headersSent
@@ -70,16 +71,16 @@
       if (hasBegun()) {
         if (refusalsInRow > 0) await sleep(Math.min(MAX_REFUSAL_PAUSE_MS, REFUSAL_PAUSE_MS * 2 ** (refusalsInRow - 1)), { runtime, signal })
         if (!await budget.spendWhenLeft(service.name, signal)) break
-      } else if (budget.left(service.name) < 1) return endWithoutAnswer('retry budget spent')
+      } else if (budget.left(service.name) < 1) return endWithoutAnswer('retry budget spent', 'retryBudget')
     }
     const outcome = await requestReservation()
     if (outcome.kind === 'aborted') break
     progress.waitedMs += outcome.waitedMs
     metrics.waitSeconds.observe(outcome.waitedMs / MS_PER_S)
-    if (outcome.kind === 'refused') return endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
+    if (outcome.kind === 'refused') return endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS, cutCause: 'noCapacity' })
     using reservation = outcome.place
     if (signal.aborted) break
-    if (progress.tries > 0 && !hasBegun() && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent')
+    if (progress.tries > 0 && !hasBegun() && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent', 'retryBudget')
     progress.tries++
     const mayInterrupt = (): boolean => !hasBegun() || (route.isResumable && !areRunsExhausted([...ranOn, reservation.target]))
     const result = await attemptStream(call, reservation, size, progress, mayInterrupt, context)
@@ -107,11 +108,11 @@
       if (!route.isResumable) return endWithReason(call, context, 'targetFailed', details())
     }
     const areTriesExhausted = !hasBegun() && progress.tries >= route.maxAttempts + MAX_EXTRA_TRIES
-    if (areTriesExhausted || areRunsExhausted()) return endWithoutAnswer('attempts spent')
+    if (areTriesExhausted || areRunsExhausted()) return endWithoutAnswer('attempts spent', 'attempts')
     log.emit('streamResumed', { request: facts.requestId, target: target.id, cause: result.cause, lastEventId: progress.lastEventId, tries: progress.tries })
   }
   if (signal.reason instanceof DeadlineError) {
-    return endWithReason(call, context, progress.tries > 0 ? 'deadlinePassed' : 'overloaded', details())
+    return endWithReason(call, context, progress.tries > 0 ? 'deadlinePassed' : 'overloaded', { ...details(), cutCause: 'deadline' })
   }
   log.emit('callerGone', { request: facts.requestId, route: route.name, tookMs: Math.round(runtime.monotonicMs() - call.startedMs), lastEventId: progress.lastEventId, ...details() })
   metrics.calls.inc({ kind: route.kind, outcome: 'callerGone' })
@@ -139,8 +140,8 @@
     })
   }
 
-  function endWithoutAnswer (cause: string): void {
-    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, retryAfterMs: RETRY_AFTER_MS })
+  function endWithoutAnswer (cause: string, cutCause: CutCause): void {
+    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, retryAfterMs: RETRY_AFTER_MS, cutCause })
   }
 
   function recordAnswer (): void {
