Answer a stream whose deadline passed before its timer fired

What callers saw: no answer at all, until they gave up. The log said that the caller had left.

Cause: serveStream left its loop when the clock had passed the deadline after a refusal, but took the signal as the only sign of the deadline. In a busy process sockets are handled before the timer fires; then the call was logged as one whose caller had left, and its response was neither ended nor destroyed.

The new test moves the clock past the deadline while the engine refuses the connection; on the code before there is no answer after 3 s, now a 504.

Why it works: the loop ends without an abort only when the deadline has passed.

--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -111,7 +111,8 @@
     if (areTriesExhausted || areRunsExhausted()) return endWithoutAnswer('attempts spent', 'attempts')
     log.emit('streamResumed', { request: facts.requestId, target: target.id, cause: result.cause, lastEventId: progress.lastEventId, tries: progress.tries })
   }
-  if (signal.reason instanceof DeadlineError) {
+  // A busy process can see that the deadline has passed before the timer of the signal fires.
+  if (!signal.aborted || signal.reason instanceof DeadlineError) {
     return endWithReason(call, context, progress.tries > 0 ? 'deadlinePassed' : 'overloaded', { ...details(), cutCause: 'deadline' })
   }
   log.emit('callerGone', { request: facts.requestId, route: route.name, tookMs: Math.round(runtime.monotonicMs() - call.startedMs), lastEventId: progress.lastEventId, ...details() })
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -2,6 +2,7 @@
 import type { Route, Target } from '../../src/fleet/types.js'
 import { rerouteStreams } from '../../src/gateway/rerouteStreams/index.js'
 import { createRetryBudget } from '../../src/retry/createRetryBudget/index.js'
+import { platformHeaders } from '../../platform/headers.js'
 import { buildAnswer, encodeChunk, encodeEvents, servePlatformEngine, buildStreamHead, STREAM_END, type EngineScript, type PlatformEngineStandin } from '../../standin/platform/servePlatformEngine/index.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
@@ -273,3 +274,20 @@
   t.true(answer.isComplete)
   t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
 })
+
+test('a stream whose deadline has passed is answered even if its timer has not fired yet', async t => {
+  await using gateway = await startTestGateway([engine('i-1', '127.0.0.1:1', 0, 30), engine('i-1h', '127.0.0.1:1', 30, 60), engine('i-1t', '127.0.0.1:1', 60, 80)])
+  const { parts } = gateway
+  const { monotonicMs } = parts.runtime
+  let skippedMs = 0
+  parts.runtime.monotonicMs = () => monotonicMs() + skippedMs
+  parts.format = {
+    ...parts.format,
+    buildHeaders (...inputs) {
+      skippedMs = 60_000
+      return platformHeaders.buildHeaders(...inputs)
+    }
+  }
+  const answer = await Promise.race([gateway.send('/stream/x'), new Promise(resolve => { setTimeout(resolve, 3_000, 'no answer') })])
+  t.like(answer, { status: 504 })
+})
