Close kept connections once their answers end after the port was closed

Callers whose stream began before SIGTERM kept its connection: its header said keep-alive, and Node's server.close() closes only connections that are idle at that moment. A connection whose answer ended later stayed open, took further requests and, at the end of the grace period, process.exit cut those that had been passed on.

An experiment on the same listener sent a second request on that connection after stopAccepting and got it served.

The listener now counts the incomplete responses of each connection, and after stopAccepting closes it when the last one is complete and flushed, so that no idle connection outlives the answer for which it was spared.

--- a/src/http/listen/index.ts
+++ b/src/http/listen/index.ts
@@ -22,7 +22,7 @@
 export interface ListeningServer extends AsyncDisposable {
   /** `ip:port`. */
   address: string
-  /** Accepts no more connections and closes the idle ones; requests in progress continue. */
+  /** Accepts no more connections and closes the idle ones; requests in progress continue, and their connections close after the answers. */
   stopAccepting: () => void
 }
 
@@ -73,7 +73,26 @@
     ...(idleTimeoutMs === undefined ? {} : { keepAliveTimeout: idleTimeoutMs }),
     noDelay: true
   })
+  /** Open connections that have had a request, with the number of their incomplete responses. */
+  const responseCounts = new Map<Socket, number>()
+  let isAccepting = true
+
+  function trackResponse (socket: Socket, response: http.ServerResponse): void {
+    if (!responseCounts.has(socket)) socket.once('close', () => responseCounts.delete(socket))
+    responseCounts.set(socket, (responseCounts.get(socket) ?? 0) + 1)
+    response.once('close', () => {
+      if (!responseCounts.has(socket)) return
+      responseCounts.set(socket, responseCounts.get(socket)! - 1)
+      if (!isAccepting) closeIfIdle(socket)
+    })
+  }
+
+  function closeIfIdle (socket: Socket): void {
+    if (responseCounts.get(socket) === 0) socket.destroySoon()
+  }
+
   const handleRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+    trackResponse(request.socket, response)
     handler(request, response).catch(() => response.destroy())
   }
   server.on('request', handleRequest)
@@ -86,7 +105,10 @@
   const boundAddress = server.address() as AddressInfo
   return {
     address: `${address}:${boundAddress.port}`,
-    stopAccepting: () => { server.close() },
+    stopAccepting () {
+      isAccepting = false
+      server.close()
+    },
     [Symbol.asyncDispose]: () => new Promise(resolve => {
       server.close(() => resolve())
       server.closeAllConnections()
--- /dev/null
+++ b/src/http/listen/test.ts
@@ -0,0 +1,39 @@
+import net from 'node:net'
+import test from 'ava'
+import { listen } from './index.js'
+
+const GET = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
+
+/** Idle connections outlast every test, so only the server's shutdown closes them. */
+const OPTIONS = { address: '127.0.0.1', port: 0, idleTimeoutMs: 600_000 }
+
+/** Connects to a server and sends bytes; `received` resolves with all that came when the connection has closed. */
+function connect (address: string, bytes: string) {
+  const [host, port] = address.split(':')
+  const socket = net.connect(Number(port), host)
+  const chunks: Buffer[] = []
+  socket.on('data', chunk => { chunks.push(chunk) })
+  socket.on('error', () => {})
+  socket.write(bytes)
+  return { socket, received: new Promise<string>(resolve => { socket.once('close', () => resolve(Buffer.concat(chunks).toString('latin1'))) }) }
+}
+
+/** A value that is awaited before it is known. */
+function defer<T> () {
+  let resolve: (value: T) => void = () => {}
+  const promise = new Promise<T>(_resolve => { resolve = _resolve })
+  return { promise, resolve }
+}
+
+test('a connection whose answer ends after the port was closed is closed and takes no further request', async t => {
+  const begun = defer<() => void>()
+  await using server = await listen(async (_request, response) => {
+    response.write('begun')
+    begun.resolve(() => response.end('ended'))
+  }, OPTIONS)
+  const { received } = connect(server.address, GET)
+  const end = await begun.promise
+  server.stopAccepting()
+  end()
+  t.regex(await received, /begun[^]*ended\r\n0\r\n\r\n$/)
+})
