Spare answers that are not flushed when the port is closed

Callers that read slowly got part of an answer: http.Server.close() destroys each connection whose response was ended, also while its bytes still wait to be sent (closeIdleConnections looks only at whether end() was called, as Node 20.20.2 shows). At SIGTERM plus the balancer's lag, answers of engines that were complete were cut.

The port is closed by net.Server's close, which leaves connections alone, and the listener closes those without incomplete responses itself. Node's check for requests that arrive too slowly also goes on during the drain, which http.Server.close() ends. Connections that never had a request stay open until their first answer, as before.

--- a/src/http/listen/index.ts
+++ b/src/http/listen/index.ts
@@ -2,7 +2,7 @@
  * HTTP servers that are closed by disposal.
  */
 import http from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import { PROBLEM_CONTENT_TYPE, toProblem } from '../../verdict/toProblem/index.js'
 import type { Refusal } from '../../verdict/types.js'
 
@@ -107,7 +107,9 @@
     address: `${address}:${boundAddress.port}`,
     stopAccepting () {
       isAccepting = false
-      server.close()
+      // Unlike http.Server, net.Server does not destroy connections whose last response is not flushed yet.
+      NetServer.prototype.close.call(server)
+      for (const socket of responseCounts.keys()) closeIfIdle(socket)
     },
     [Symbol.asyncDispose]: () => new Promise(resolve => {
       server.close(() => resolve())
--- a/src/http/listen/test.ts
+++ b/src/http/listen/test.ts
@@ -4,6 +4,9 @@
 
 const GET = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
 
+/** More than the buffers of a connection on the loopback interface hold. */
+const LARGE_BODY_BYTES = 32 * 1024 * 1024
+
 /** Idle connections outlast every test, so only the server's shutdown closes them. */
 const OPTIONS = { address: '127.0.0.1', port: 0, idleTimeoutMs: 600_000 }
 
@@ -37,3 +40,17 @@
   end()
   t.regex(await received, /begun[^]*ended\r\n0\r\n\r\n$/)
 })
+
+test('closing the port does not cut an answer that a slow caller still reads', async t => {
+  const ended = defer<void>()
+  await using server = await listen(async (_request, response) => {
+    response.end(Buffer.alloc(LARGE_BODY_BYTES))
+    ended.resolve()
+  }, OPTIONS)
+  const { socket, received } = connect(server.address, GET)
+  socket.pause()
+  await ended.promise
+  server.stopAccepting()
+  socket.resume()
+  t.true((await received).length > LARGE_BODY_BYTES)
+})
