Keep stray bytes on a connection from cutting its answer

A caller whose request was whole and had been passed on got a closed connection if bytes that are no request followed it: a malformed or stalled next request, or bytes beyond its body. Node reports these as clientError, and the listener destroyed the connection because an answer was in progress.

While an answer to a complete request is due, the connection now stays and closes after it. The open responses of a connection, which the listener counts anyway, replace the private _httpMessage. A request whose own body is malformed is handled as before.

--- a/src/http/listen/index.ts
+++ b/src/http/listen/index.ts
@@ -73,22 +73,31 @@
     ...(idleTimeoutMs === undefined ? {} : { keepAliveTimeout: idleTimeoutMs }),
     noDelay: true
   })
-  /** Open connections that have had a request, with the number of their incomplete responses. */
-  const responseCounts = new Map<Socket, number>()
+  /** Open connections that have had a request, with their incomplete responses. */
+  const openResponses = new Map<Socket, Set<http.ServerResponse>>()
+  /** Connections with bytes that are no request; they close after their answers. */
+  const brokenConnections = new WeakSet<Socket>()
   let isAccepting = true
 
   function trackResponse (socket: Socket, response: http.ServerResponse): void {
-    if (!responseCounts.has(socket)) socket.once('close', () => responseCounts.delete(socket))
-    responseCounts.set(socket, (responseCounts.get(socket) ?? 0) + 1)
+    const responses = openResponses.get(socket) ?? new Set()
+    if (!openResponses.has(socket)) socket.once('close', () => openResponses.delete(socket))
+    openResponses.set(socket, responses.add(response))
     response.once('close', () => {
-      if (!responseCounts.has(socket)) return
-      responseCounts.set(socket, responseCounts.get(socket)! - 1)
-      if (!isAccepting) closeIfIdle(socket)
+      responses.delete(response)
+      if (!isAccepting || brokenConnections.has(socket)) closeIfIdle(socket)
     })
   }
 
   function closeIfIdle (socket: Socket): void {
-    if (responseCounts.get(socket) === 0) socket.destroySoon()
+    if (openResponses.get(socket)?.size === 0) socket.destroySoon()
+  }
+
+  function handleClientError (error: Error & { code?: string }, socket: Socket): void {
+    const responses = [...openResponses.get(socket) ?? []]
+    const isAnswerDue = responses.some(({ req }) => req.complete) && error.code !== 'ECONNRESET'
+    if (isAnswerDue) brokenConnections.add(socket)
+    else refuseOnSocket(error, socket, { isResponding: responses.length > 0, createRefusal: refuseMalformed })
   }
 
   const handleRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
@@ -97,7 +106,7 @@
   }
   server.on('request', handleRequest)
   if (isContinueSentByHandler) server.on('checkContinue', handleRequest)
-  server.on('clientError', (error, socket) => refuseOnSocket(error, socket as Socket, refuseMalformed))
+  server.on('clientError', (error, socket) => handleClientError(error, socket as Socket))
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, address, resolve)
@@ -109,7 +118,7 @@
       isAccepting = false
       // Unlike http.Server, net.Server does not destroy connections whose last response is not flushed yet.
       NetServer.prototype.close.call(server)
-      for (const socket of responseCounts.keys()) closeIfIdle(socket)
+      for (const socket of openResponses.keys()) closeIfIdle(socket)
     },
     [Symbol.asyncDispose]: () => new Promise(resolve => {
       server.close(() => resolve())
@@ -120,10 +129,14 @@
 
 /**
  * Writes a refusal to the socket and closes it, as there is no response object for a request that was
- * not parsed. The socket is destroyed instead if a response to an earlier request is in progress on it.
+ * not parsed. The socket is destroyed instead if the request whose body is malformed has a response object.
  */
-function refuseOnSocket (error: Error & { code?: string }, socket: Socket, createRefusal?: (reason: MalformedReason) => Refusal): void {
-  const isResponding = (socket as Socket & { _httpMessage?: unknown })._httpMessage != null
+function refuseOnSocket (
+  error: Error & { code?: string },
+  socket: Socket,
+  options: { isResponding: boolean, createRefusal: ((reason: MalformedReason) => Refusal) | undefined }
+): void {
+  const { isResponding, createRefusal } = options
   if (createRefusal === undefined || isResponding || !socket.writable || error.code === 'ECONNRESET') {
     socket.destroy()
     return
--- a/src/http/listen/test.ts
+++ b/src/http/listen/test.ts
@@ -54,3 +54,16 @@
   socket.resume()
   t.true((await received).length > LARGE_BODY_BYTES)
 })
+
+for (const [name, bytes] of [['stray bytes', '\0stray'], ['a malformed request', 'GET\r\n\r\n']] as const) {
+  test(`an answer survives ${name} on its connection`, async t => {
+    const arrived = defer<() => void>()
+    await using server = await listen(async (_request, response) => { arrived.resolve(() => response.end('whole')) }, OPTIONS)
+    const { socket, received } = connect(server.address, GET)
+    const answer = await arrived.promise
+    await new Promise(resolve => { socket.write(bytes, resolve) })
+    await new Promise(resolve => { setTimeout(resolve, 50) })
+    answer()
+    t.regex(await received, /whole$/)
+  })
+}
