Refuse plain calls too once the balancer's lag has passed

Callers lost bookings at the end of a shutdown: on a connection that was open when the port closed, plain calls were still accepted until the process ended, and those whose target hadn't answered by then were cut after they had been passed on. Streams were refused already. A connection that had brought no request yet stays open, as it counts as active.

With the change the caller gets 503, Retry-After: 0 and Connection: close, the target gets nothing, and no call begins so late that it can't have its time before the end.

--- a/src/gateway/createCallHandler/index.ts
+++ b/src/gateway/createCallHandler/index.ts
@@ -31,15 +31,15 @@
  * @name createCallHandler
  * @summary Creates the handler of callers' requests.
  * @param context - State and dependencies shared by all calls.
- * @param options - The host's failure domain, and whether new streams are still accepted.
+ * @param options - The host's failure domain, and whether calls are still accepted.
  * @returns A handler that resolves when the call has ended.
  *
  * @example
- * const handler = createCallHandler(context, { ownDomain: 'north', isAcceptingStreams: () => true })
+ * const handler = createCallHandler(context, { ownDomain: 'north', isAccepting: () => true })
  */
 export function createCallHandler (
   context: GatewayContext,
-  options: { ownDomain: string, isAcceptingStreams: () => boolean }
+  options: { ownDomain: string, isAccepting: () => boolean }
 ): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
   const { fleet, format, runtime, log, metrics, budget } = context
 
@@ -65,7 +65,7 @@
     if (read.kind === 'tooSlow') return refuse(response, facts, 'senderTooSlow')
     if (read.kind === 'aborted') return
     const { route, service } = resolved
-    if (route.kind === 'stream' && !options.isAcceptingStreams()) return refuse(response, facts, 'draining', { retryAfterMs: 0 })
+    if (!options.isAccepting()) return refuse(response, facts, 'draining', { retryAfterMs: 0 })
     const endMs = startedMs + Math.min(facts.deadlineMs, route.timeoutMs)
     using deadline = withDeadline(endMs - runtime.monotonicMs(), { runtime })
     response.once('close', () => deadline.abort())
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -144,7 +144,7 @@
   }
   fleet.onChange(() => suspicions.retain(new Set(fleet.targets().map(target => target.id))))
 
-  const handler = createCallHandler(context, { ownDomain: settings.failureDomain, isAcceptingStreams: () => !hasBalancerLagPassed() })
+  const handler = createCallHandler(context, { ownDomain: settings.failureDomain, isAccepting: () => !hasBalancerLagPassed() })
   const callers = resources.use(await listen(async (request, response) => {
     const task = handler(request, response)
     calls.track({ request: '', response, mayHaveRun: false }, task)
