Answer the calls that are open when the grace period ends

Callers whose call waited, for capacity or for a silent target, or whose body was still arriving when the process ended got a closed connection although they could have been told the truth: drain() gave up waiting and the process exited.

At that moment all calls now end as at their deadline, by a signal that is the parent of theirs: 503 if no target got the call, 504 if one may have run it, 503 for a body that isn't whole. Only a stream that has begun is broken off. drain() then waits for callers to receive these answers, at most 200 of the 400 ms that were reserved.

--- a/src/gateway/createCallHandler/index.ts
+++ b/src/gateway/createCallHandler/index.ts
@@ -31,17 +31,18 @@
  * @name createCallHandler
  * @summary Creates the handler of callers' requests.
  * @param context - State and dependencies shared by all calls.
- * @param options - The host's failure domain, and whether calls are still accepted.
+ * @param options - The host's failure domain, whether calls are still accepted, and a signal that aborts with a `DeadlineError` when every open call must end.
  * @returns A handler that resolves when the call has ended.
  *
  * @example
- * const handler = createCallHandler(context, { ownDomain: 'north', isAccepting: () => true })
+ * const handler = createCallHandler(context, { ownDomain: 'north', isAccepting: () => true, endSignal })
  */
 export function createCallHandler (
   context: GatewayContext,
-  options: { ownDomain: string, isAccepting: () => boolean }
+  options: { ownDomain: string, isAccepting: () => boolean, endSignal: AbortSignal }
 ): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
   const { fleet, format, runtime, log, metrics, budget } = context
+  const { endSignal } = options
 
   function refuse (response: ServerResponse, facts: CallFacts, reason: ReasonName, details: { retryAfterMs?: number, [name: string]: unknown } = {}): void {
     const { status } = REASONS[reason]
@@ -60,14 +61,14 @@
     if (configuration === undefined) return refuse(response, facts, 'notReady', { retryAfterMs: NOT_READY_RETRY_MS })
     const resolved = resolveCall(configuration, request, facts, runtime.random())
     if (typeof resolved === 'string') return refuse(response, facts, resolved, { host: request.headers.host, path: request.url })
-    const read = await readBody(request, { sizeBytes: configuration.limits.bodyBytes, deadlineMs: Math.min(facts.deadlineMs, resolved.route.timeoutMs), runtime })
+    const read = await readBody(request, { sizeBytes: configuration.limits.bodyBytes, deadlineMs: Math.min(facts.deadlineMs, resolved.route.timeoutMs), runtime, signal: endSignal })
     if (read.kind === 'tooLarge') return refuse(response, facts, 'bodyTooLarge')
     if (read.kind === 'tooSlow') return refuse(response, facts, 'senderTooSlow')
-    if (read.kind === 'aborted') return
+    if (read.kind === 'aborted' && !endSignal.aborted) return
+    if (read.kind === 'aborted' || !options.isAccepting()) return refuse(response, facts, 'draining', { retryAfterMs: 0 })
     const { route, service } = resolved
-    if (!options.isAccepting()) return refuse(response, facts, 'draining', { retryAfterMs: 0 })
     const endMs = startedMs + Math.min(facts.deadlineMs, route.timeoutMs)
-    using deadline = withDeadline(endMs - runtime.monotonicMs(), { runtime })
+    using deadline = withDeadline(endMs - runtime.monotonicMs(), { runtime, parent: endSignal })
     response.once('close', () => deadline.abort())
     const call: Call = { request, response, body: read.body, facts, ...resolved, startedMs, deadlineAtMs: endMs, signal: deadline.signal }
     budget.countRequest(service.name)
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -18,7 +18,7 @@
 import { repeatTask } from '../../runtime/repeatTask/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
-import { withDeadline } from '../../runtime/withDeadline/index.js'
+import { DeadlineError, withDeadline } from '../../runtime/withDeadline/index.js'
 import { createSuspicions } from '../../suspicion/createSuspicions/index.js'
 import { createDispatcher, type Dispatcher } from '../../waiting/createDispatcher/index.js'
 import { createCallHandler } from '../createCallHandler/index.js'
@@ -47,9 +47,12 @@
 /** Limit on the size of a request's headers; the limit in the configuration is lower. */
 const HEADER_SIZE_BYTES = 65_536
 
-/** Part of the grace period reserved for process exit, in milliseconds. */
+/** Part of the grace period reserved for ending the open calls and for process exit, in milliseconds. */
 const EXIT_RESERVE_MS = 400
 
+/** Time limit for callers to receive the last answers, in milliseconds. */
+const FLUSH_TIMEOUT_MS = 200
+
 /** The retry budget counts the hosts heard from within this time, in milliseconds; one window of the budget. */
 const HOST_COUNT_WINDOW_MS = 10_000
 
@@ -70,6 +73,9 @@
   const { signal } = controller
   // Every watch and background loop listens to this signal: lift the limit that triggers Node's leak warning.
   setMaxListeners(0, signal)
+  /** Aborts when the calls that are still open have to end. */
+  const callsController = new AbortController()
+  setMaxListeners(0, callsController.signal)
   const fleet = createFleetState({ runtime })
   const loadTracker = createLoadTracker({ runtime })
   const suspicions = createSuspicions({ runtime })
@@ -144,7 +150,7 @@
   }
   fleet.onChange(() => suspicions.retain(new Set(fleet.targets().map(target => target.id))))
 
-  const handler = createCallHandler(context, { ownDomain: settings.failureDomain, isAccepting: () => !hasBalancerLagPassed() })
+  const handler = createCallHandler(context, { ownDomain: settings.failureDomain, isAccepting: () => !hasBalancerLagPassed(), endSignal: callsController.signal })
   const callers = resources.use(await listen(async (request, response) => {
     const task = handler(request, response)
     calls.track({ request: '', response, mayHaveRun: false }, task)
@@ -213,6 +219,14 @@
 
   const hasBalancerLagPassed = (): boolean => drainingSinceMs !== undefined && runtime.monotonicMs() - drainingSinceMs > settings.balancerLagMs
 
+  /** Ends the open calls, each with the answer that is true of it as at its deadline, and waits for callers to receive them. */
+  async function endCalls (): Promise<void> {
+    log.emit('drainCut', { openCalls: calls.size() })
+    callsController.abort(new DeadlineError(settings.graceMs))
+    using flushDeadline = withDeadline(FLUSH_TIMEOUT_MS, { runtime })
+    await calls.whenIdle(flushDeadline.signal)
+  }
+
   return {
     async drain () {
       drainingSinceMs = runtime.monotonicMs()
@@ -221,7 +235,7 @@
       callers.stopAccepting()
       using drainDeadline = withDeadline(settings.graceMs - settings.balancerLagMs - EXIT_RESERVE_MS, { runtime })
       await calls.whenIdle(drainDeadline.signal)
-      if (calls.size() > 0) log.emit('drainCut', { openCalls: calls.size() })
+      if (calls.size() > 0) await endCalls()
       log.emit('processStopped')
     },
     async [Symbol.asyncDispose] () {
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -52,8 +52,8 @@
 }
 
 /** Starts the handler; `control` replaces methods of the client for orders to engines. */
-export async function startTestGateway (targets: readonly Target[], options: { configuration?: FleetConfiguration | undefined, control?: Partial<EngineControl> } = {}) {
-  const { control = {} } = options
+export async function startTestGateway (targets: readonly Target[], options: { configuration?: FleetConfiguration | undefined, control?: Partial<EngineControl>, endSignal?: AbortSignal } = {}) {
+  const { control = {}, endSignal = new AbortController().signal } = options
   const runtime = createSystemRuntime()
   const fleet = createFleetState({ runtime })
   const configuration = 'configuration' in options ? options.configuration : TEST_CONFIGURATION
@@ -84,7 +84,7 @@
     isDraining: () => false,
     targetsAgeMs: () => 0
   }
-  const server = await listen(createCallHandler(context, { ownDomain: 'north', isAccepting: () => true }), { address: '127.0.0.1', port: 0 })
+  const server = await listen(createCallHandler(context, { ownDomain: 'north', isAccepting: () => true, endSignal }), { address: '127.0.0.1', port: 0 })
   return {
     parts: context,
     address: server.address,
--- a/test/gateway/plain.test.ts
+++ b/test/gateway/plain.test.ts
@@ -1,7 +1,9 @@
+import { once } from 'node:events'
 import { connect } from 'node:net'
 import test from 'ava'
 import type { Target } from '../../src/fleet/types.js'
 import { buildAnswer, servePlatformEngine, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
+import { DeadlineError } from '../../src/runtime/withDeadline/index.js'
 import { startTestGateway, type CallerResult } from '../fakes/startTestGateway.js'
 
 const target = (id: string, address: string): Target => ({ id, service: 'orders', address, failureDomain: 'north', bornMs: 1, isLeaving: false, slots: 6 })
@@ -145,3 +147,15 @@
   await closed
   t.is(pair.second.received.length, 0)
 })
+
+test('a call whose body has not arrived when all calls must end is refused', async t => {
+  const end = new AbortController()
+  await using gateway = await startTestGateway([], { endSignal: end.signal })
+  const [host, port] = gateway.address.split(':')
+  const caller = connect(Number(port), host)
+  caller.write('POST /unsafe/x HTTP/1.1\r\nHost: studio.example\r\nAuthorization: Token secret\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\nha')
+  t.regex(String((await once(caller, 'data'))[0]), /^HTTP\/1.1 100 /)
+  end.abort(new DeadlineError(0))
+  t.regex(String((await once(caller, 'data'))[0]), /^HTTP\/1.1 503 /)
+  caller.destroy()
+})
--- a/test/gateway/startGateway.test.ts
+++ b/test/gateway/startGateway.test.ts
@@ -142,3 +142,13 @@
   t.regex(String(answer), /^HTTP\/1.1 503 [^]*Retry-After: 0\r\n[^]*Connection: close/)
   t.is(running.target.received.length, 0)
 })
+
+test('a call that is still open when the grace period ends gets an answer', async t => {
+  await using running = await startConfigurableGateway(() => {}, { graceMs: 600 })
+  running.configure()
+  await waitFor(running.isReady, 200)
+  const answer = call(running.callerAddress)
+  await waitFor(async () => running.target.received.length, 1)
+  await running.gateway.drain()
+  t.like(await answer, { status: 504, isComplete: true })
+})
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import type { Target } from '../../src/fleet/types.js'
 import { rerouteStreams } from '../../src/gateway/rerouteStreams/index.js'
+import { DeadlineError } from '../../src/runtime/withDeadline/index.js'
 import { buildAnswer, encodeChunk, encodeEvents, servePlatformEngine, buildStreamHead, STREAM_END, type EngineScript, type PlatformEngineStandin } from '../../standin/platform/servePlatformEngine/index.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
@@ -163,3 +164,13 @@
   t.truthy(answer.headers['retry-after'])
   t.is(placeRequests, 1)
 })
+
+test('a stream that still waits for capacity when all calls must end is refused', async t => {
+  const end = new AbortController()
+  await using gateway = await startTestGateway([engine('i-1', '127.0.0.1:9', 0, 30)], { endSignal: end.signal })
+  const answer = gateway.send('/stream/x')
+  while (gateway.parts.dispatcherOf('model').queueLength() === 0) await new Promise(resolve => { setImmediate(resolve) })
+  end.abort(new DeadlineError(0))
+  t.like(await answer, { status: 503, isComplete: true })
+  t.is(gateway.parts.dispatcherOf('model').queueLength(), 0)
+})
