--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -5,7 +5,7 @@
  */
 import { openExchange } from './openExchange.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
-import { endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
+import { endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
 import { reserveTarget } from './reserveCapacity.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
 import type { Call, GatewayContext, Reservation } from '../types.js'
@@ -72,7 +72,7 @@
     return
   }
   if (lastFailure !== undefined) return finishWithAnswer(lastFailure)
-  if (signal.aborted) return endWithReason(call, context, mayHaveRun ? 'deadlinePassed' : 'targetUnreachable', { attempts })
+  if (signal.aborted) return endStopped(call, context, { mayHaveRun, notRunReason: 'targetUnreachable', attempts })
   if (mayHaveRun) return endWithReason(call, context, 'targetFailed', { attempts })
   endWithReason(call, context, 'targetUnreachable', { attempts, retryAfterMs: RETRY_AFTER_MS })
 
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -9,13 +9,13 @@
  */
 import type { RequestSize } from '../../path/choosePath/index.js'
 import type { Target } from '../../fleet/types.js'
-import { endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
+import { endStopped, endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
 import { reservePath, reserveTarget } from './reserveCapacity.js'
 import { openExchange, type Exchange } from './openExchange.js'
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { DeadlineError } from '../../runtime/withDeadline/index.js'
-import type { ActiveStream, Call, CutCause, GatewayContext, Reservation } from '../types.js'
+import type { ActiveStream, Call, GatewayContext, Reservation } from '../types.js'
 
 /** Longest useful wait of a new request for a reservation, as a multiple of the route's latency objective; callers give up on a silent stream after four. */
 const MAX_WAIT_OBJECTIVES = 3
@@ -71,16 +71,16 @@
       if (hasBegun()) {
         if (refusalsInRow > 0) await sleep(Math.min(MAX_REFUSAL_PAUSE_MS, REFUSAL_PAUSE_MS * 2 ** (refusalsInRow - 1)), { runtime, signal })
         if (!await budget.spendWhenLeft(service.name, signal)) break
-      } else if (budget.left(service.name) < 1) return endWithoutAnswer('retry budget spent', 'retryBudget')
+      } else if (budget.left(service.name) < 1) return endWithoutAnswer('retry budget spent')
     }
     const outcome = await requestReservation()
     if (outcome.kind === 'aborted') break
     progress.waitedMs += outcome.waitedMs
     metrics.waitSeconds.observe(outcome.waitedMs / MS_PER_S)
-    if (outcome.kind === 'refused') return endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS, cutCause: 'noCapacity' })
+    if (outcome.kind === 'refused') return endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
     using reservation = outcome.place
     if (signal.aborted) break
-    if (progress.tries > 0 && !hasBegun() && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent', 'retryBudget')
+    if (progress.tries > 0 && !hasBegun() && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent')
     progress.tries++
     const mayInterrupt = (): boolean => !hasBegun() || (route.isResumable && !areRunsExhausted([...ranOn, reservation.target]))
     const result = await attemptStream(call, reservation, size, progress, mayInterrupt, context)
@@ -108,12 +108,12 @@
       if (!route.isResumable) return endWithReason(call, context, 'targetFailed', details())
     }
     const areTriesExhausted = !hasBegun() && progress.tries >= route.maxAttempts + MAX_EXTRA_TRIES
-    if (areTriesExhausted || areRunsExhausted()) return endWithoutAnswer('attempts spent', 'attempts')
+    if (areTriesExhausted || areRunsExhausted()) return endWithoutAnswer('attempts spent')
     log.emit('streamResumed', { request: facts.requestId, target: target.id, cause: result.cause, lastEventId: progress.lastEventId, tries: progress.tries })
   }
   // A busy process can see that the deadline has passed before the timer of the signal fires.
   if (!signal.aborted || signal.reason instanceof DeadlineError) {
-    return endWithReason(call, context, progress.tries > 0 ? 'deadlinePassed' : 'overloaded', { ...details(), cutCause: 'deadline' })
+    return endStopped(call, context, { mayHaveRun: progress.tries > 0, notRunReason: 'overloaded', ...details() })
   }
   log.emit('callerGone', { request: facts.requestId, route: route.name, tookMs: Math.round(runtime.monotonicMs() - call.startedMs), lastEventId: progress.lastEventId, ...details() })
   metrics.calls.inc({ kind: route.kind, outcome: 'callerGone' })
@@ -141,8 +141,8 @@
     })
   }
 
-  function endWithoutAnswer (cause: string, cutCause: CutCause): void {
-    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, retryAfterMs: RETRY_AFTER_MS, cutCause })
+  function endWithoutAnswer (cause: 'retry budget spent' | 'attempts spent'): void {
+    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, retryAfterMs: RETRY_AFTER_MS, cutCause: 'attempts' })
   }
 
   function recordAnswer (): void {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -102,7 +102,7 @@
 }
 
 /** What makes the gateway end a connection before the answer on it is complete. */
-export type CutCause = 'attempts' | 'retryBudget' | 'noCapacity' | 'deadline' | 'targetFailed' | 'shutdown' | 'error'
+export type CutCause = 'attempts' | 'deadline' | 'targetFailed' | 'shutdown' | 'error'
 
 /** Capacity held for a request until disposed of: a path of engines, or one target of a plain service. */
 export interface Reservation extends Disposable {
--- a/src/verdict/reasons.ts
+++ b/src/verdict/reasons.ts
@@ -50,6 +50,7 @@
   draining: { number: 602, status: 503, title: 'This host is shutting down.' },
   storeUnavailable: { number: 603, status: 503, title: 'The object API is not available.' },
   staleConfiguration: { number: 604, status: 503, title: 'This host is cut off and may not have the newest configuration.' },
+  interrupted: { number: 605, status: 504, title: 'This host shut down before the request had an answer.' },
   internalError: { number: 690, status: 500, title: 'The system failed in an unexpected way.' }
 } as const satisfies Record<string, ReasonDefinition>
 
