Count the grace period from SIGTERM also when the lag's timer is late

On a host whose timers are late the drain outlasted the grace period: it was counted from the end of the balancer's lag as it was noticed, so the process was killed before it had ended its calls.

The new test delays that timer by 1.5 s. It fails on the parent commit: the drain takes longer than the grace period of 2.5 s ('Value is not true'). The deadline is now set when the drain begins.

--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -231,9 +231,9 @@
     async drain () {
       drainingSinceMs = runtime.monotonicMs()
       log.emit('processDraining', { openCalls: calls.size() })
+      using drainDeadline = withDeadline(settings.graceMs - EXIT_RESERVE_MS, { runtime })
       await sleep(settings.balancerLagMs, { runtime })
       callers.stopAccepting()
-      using drainDeadline = withDeadline(settings.graceMs - settings.balancerLagMs - EXIT_RESERVE_MS, { runtime })
       await calls.whenIdle(drainDeadline.signal)
       if (calls.size() > 0) await endCalls()
       log.emit('processStopped')
--- a/test/gateway/startGateway.test.ts
+++ b/test/gateway/startGateway.test.ts
@@ -10,6 +10,7 @@
 import { createGatewayMetrics } from '../../src/gateway/createGatewayMetrics/index.js'
 import { startGateway } from '../../src/gateway/startGateway/index.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
+import type { Runtime } from '../../src/runtime/types.js'
 import { buildAnswer, servePlatformEngine, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
 import { servePlatformStore } from '../../standin/platform/servePlatformStore/index.js'
 import { createTestLog } from '../fakes/createTestLog.js'
@@ -26,10 +27,11 @@
   return port
 }
 
-/** A whole gateway in front of one target, with a store that has no configuration and no target until `configure`. */
-async function startConfigurableGateway (script: EngineScript, { graceMs = 60_000, balancerLagMs = 50 }: { graceMs?: number, balancerLagMs?: number } = {}) {
+/** A whole gateway in front of one target, with a store that has no configuration and no target until `configure`; the end of its balancer lag is noticed `lateMs` late. */
+async function startConfigurableGateway (script: EngineScript, { graceMs = 60_000, balancerLagMs = 50, lateMs = 0 }: { graceMs?: number, balancerLagMs?: number, lateMs?: number } = {}) {
   const [store, target] = [await servePlatformStore(), await servePlatformEngine(script)]
-  const runtime = createSystemRuntime()
+  const systemRuntime = createSystemRuntime()
+  const runtime: Runtime = { ...systemRuntime, setTimer: (delayMs, run) => systemRuntime.setTimer(delayMs === balancerLagMs ? delayMs + lateMs : delayMs, run) }
   const log = createTestLog()
   const [caller, readiness, internal, metrics] = [await findFreePort(), await findFreePort(), await findFreePort(), await findFreePort()]
   const address = '127.0.0.1'
@@ -152,3 +154,16 @@
   await running.gateway.drain()
   t.like(await answer, { status: 504, isComplete: true })
 })
+
+test('a late timer does not prolong the shutdown beyond the grace period', async t => {
+  const graceMs = 2_500
+  await using running = await startConfigurableGateway(() => {}, { graceMs, lateMs: 1_500 })
+  running.configure()
+  await waitFor(running.isReady, 200)
+  const answer = call(running.callerAddress)
+  await waitFor(async () => running.target.received.length, 1)
+  const startedMs = performance.now()
+  await running.gateway.drain()
+  t.true(performance.now() - startedMs < graceMs)
+  t.is((await answer).status, 504)
+})
