--- a/test/gateway/startGateway.test.ts
+++ b/test/gateway/startGateway.test.ts
@@ -12,6 +12,7 @@
 import { startGateway } from '../../src/gateway/startGateway/index.js'
 import type { CallFormat } from '../../src/gateway/types.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
+import type { Runtime } from '../../src/runtime/types.js'
 import { buildAnswer, servePlatformEngine, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
 import { servePlatformStore } from '../../standin/platform/servePlatformStore/index.js'
 import { createTestLog } from '../fakes/createTestLog.js'
@@ -28,11 +29,12 @@
   return port
 }
 
-/** A whole gateway in front of one target, with a store that has no configuration and no target until `configure`. */
-async function startConfigurableGateway (script: EngineScript, options: { graceMs?: number, balancerLagMs?: number, format?: CallFormat } = {}) {
-  const { graceMs = 60_000, balancerLagMs = 50, format = platformHeaders } = options
+/** A whole gateway in front of one target, with a store that has no configuration and no target until `configure`; the end of its balancer lag is noticed `lateMs` late. */
+async function startConfigurableGateway (script: EngineScript, options: { graceMs?: number, balancerLagMs?: number, lateMs?: number, format?: CallFormat } = {}) {
+  const { graceMs = 60_000, balancerLagMs = 50, lateMs = 0, format = platformHeaders } = options
   const [store, target] = [await servePlatformStore(), await servePlatformEngine(script)]
-  const runtime = createSystemRuntime()
+  const systemRuntime = createSystemRuntime()
+  const runtime: Runtime = { ...systemRuntime, setTimer: (delayMs, run) => systemRuntime.setTimer(delayMs === balancerLagMs ? delayMs + lateMs : delayMs, run) }
   const log = createTestLog()
   const [caller, readiness, internal, metrics] = [await findFreePort(), await findFreePort(), await findFreePort(), await findFreePort()]
   const address = '127.0.0.1'
@@ -200,3 +202,13 @@
   t.like(await answer, { status: 504, isComplete: true })
   t.like(eventsOf(running.log, 'r1'), [{ name: 'gatewayFailed', reason: 'interrupted', status: 504 }])
 })
+
+test('a late timer does not prolong the shutdown beyond the grace period', async t => {
+  await using running = await startConfigurableGateway(() => {}, { graceMs: 600, lateMs: 600_000 })
+  running.configure()
+  await waitFor(running.isReady, 200)
+  const answer = call(running.callerAddress)
+  await waitFor(async () => running.target.received.length, 1)
+  await running.gateway.drain()
+  t.is((await answer).status, 504)
+})
