Run periodic tasks of a host in one wake-up

Digests, placement and the check for readers each woke a host ten times a second at different moments; rounds now start at multiples of their interval. Datagrams are sent without the resolver, and a digest is compared without working out whether this host is a reader.

--- a/src/digest/createDigestExchange/index.ts
+++ b/src/digest/createDigestExchange/index.ts
@@ -4,7 +4,7 @@
  * that peer.
  */
 import type { EventLog } from '../../event/types.js'
-import { sleep } from '../../runtime/sleep/index.js'
+import { repeatTask } from '../../runtime/repeatTask/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import { digestSchema, encodeDigest, type Digest, type DigestSocket } from '../types.js'
 
@@ -24,8 +24,8 @@
   signal: AbortSignal
   /** Builds this host's digest, without the fields that the exchange itself adds. */
   buildDigest: () => Omit<Digest, 'sequence' | 'peers'>
-  /** How far this host has followed the store; part of its digest. */
-  storeProgress: () => Pick<Digest, 'configurationVersion' | 'targetsRevision' | 'targetsFingerprint' | 'isStoreConnected'>
+  /** How far this host has followed the store; compared with each digest of a peer. */
+  storeProgress: () => Pick<Digest, 'configurationVersion' | 'targetsRevision' | 'targetsFingerprint'>
   /** Whether changes reach this host by watches, so that it need not rely on digests. */
   isFollowingStore: () => boolean
   /** Called with each new digest of a peer. */
@@ -156,17 +156,14 @@
     }
   }
 
-  socket.onMessage(receive)
-  run()
-
-  async function run (): Promise<void> {
-    while (!signal.aborted) {
-      sendNow()
-      removeLostPeers()
-      await sleep(INTERVAL_MS, { runtime, signal })
-    }
+  function runRound (): void {
+    sendNow()
+    removeLostPeers()
   }
 
+  socket.onMessage(receive)
+  repeatTask(runRound, { intervalMs: INTERVAL_MS, task: 'digests', runtime, log, signal })
+
   return {
     addAddress,
     peers: () => [...peers.values()],
--- a/src/digest/createDigestSocket/index.ts
+++ b/src/digest/createDigestSocket/index.ts
@@ -15,7 +15,8 @@
  */
 export async function createDigestSocket (options: { address: string, port: number, onError: (error: Error) => void }): Promise<DigestSocket> {
   const { address, port, onError } = options
-  const socket = createSocket({ type: 'udp4', reuseAddr: true })
+  // Peers are named by their IP, so the resolver and its callback on a later tick are skipped.
+  const socket = createSocket({ type: 'udp4', reuseAddr: true, lookup: (ip, _options, callback) => callback(null, ip, 4) })
   await new Promise<void>((resolve, reject) => {
     socket.once('error', reject)
     socket.bind(port, address, () => {
--- a/src/fleet/followFleet/index.ts
+++ b/src/fleet/followFleet/index.ts
@@ -6,6 +6,7 @@
  */
 import type { EventLog } from '../../event/types.js'
 import type { ObjectStore, StoredObject } from '../../objectApi/types.js'
+import { delayToNextRound } from '../../runtime/delayToNextRound/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import type { FleetState } from '../createFleetState/index.js'
@@ -145,7 +146,7 @@
         if (revision !== undefined) log.emit('targetsLeftToReaders', { revision })
         revision = undefined
         forgetTargetFailures()
-        await sleep(READER_CHECK_MS, { runtime, signal })
+        await sleep(delayToNextRound(READER_CHECK_MS, runtime.monotonicMs()), { runtime, signal })
         continue
       }
       const cause = await listOrWatch()
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -186,6 +186,7 @@
       startedMs,
       statePort: settings.internalAddress.port,
       ...storeProgress(),
+      isStoreConnected: follower.isConnected() && drainingSinceMs === undefined,
       leaseFencing: election.fencing() ?? 0,
       load: loadTracker.own(),
       suspicions: suspicions.share(),
@@ -193,8 +194,8 @@
     }
   }
 
-  function storeProgress (): Pick<Digest, 'configurationVersion' | 'targetsRevision' | 'targetsFingerprint' | 'isStoreConnected'> {
-    return { configurationVersion: fleet.configuration()?.version ?? -1, targetsRevision: fleet.revision(), targetsFingerprint: fleet.fingerprint(), isStoreConnected: follower.isConnected() && drainingSinceMs === undefined }
+  function storeProgress (): Pick<Digest, 'configurationVersion' | 'targetsRevision' | 'targetsFingerprint'> {
+    return { configurationVersion: fleet.configuration()?.version ?? -1, targetsRevision: fleet.revision(), targetsFingerprint: fleet.fingerprint() }
   }
 
   function applyDigest (digest: Digest): void {
--- a/src/runtime/repeatTask/index.ts
+++ b/src/runtime/repeatTask/index.ts
@@ -2,11 +2,12 @@
  * Repeats background tasks; a round that throws does not end the task.
  */
 import type { EventLog } from '../../event/types.js'
+import { delayToNextRound } from '../delayToNextRound/index.js'
 import type { Runtime } from '../types.js'
 
 /** How a task is repeated. */
 export interface RepeatOptions {
-  /** Wait between the end of one round and the start of the next, in milliseconds. */
+  /** Interval of the rounds, in milliseconds. The next one starts at a multiple of it, at least half an interval after the end of the last. */
   intervalMs: number
   /** Name of the task in the log. */
   task: string
@@ -37,7 +38,7 @@
     }, { once: true })
     const scheduleNextRound = (): void => {
       if (signal.aborted) return resolve()
-      timer = runtime.setTimer(intervalMs, startRound)
+      timer = runtime.setTimer(delayToNextRound(intervalMs, runtime.monotonicMs()), startRound)
     }
     const logError = (error: unknown): void => {
       log.emit('unexpectedError', { task, cause: error instanceof Error ? error.stack : String(error) })
