--- a/src/path/createCoverageCheck/index.ts
+++ b/src/path/createCoverageCheck/index.ts
@@ -1,10 +1,10 @@
 /**
- * Checks whether the engines of a service hold every layer of its model, and caches the result
- * briefly. While layers are missing, hundreds of waiting requests each ask for it many times a
- * second; choosing a path for each of them would take processor time from the streams.
+ * Checks whether the engines of a service hold every layer of its model. While layers are missing,
+ * hundreds of waiting requests each ask for it many times a second, so the result is cached briefly,
+ * and for as long as the engines and their layers stay the same.
  */
 import type { FleetState } from '../../fleet/createFleetState/index.js'
-import type { Service } from '../../fleet/types.js'
+import type { EngineModel, Service, Target } from '../../fleet/types.js'
 import type { Runtime } from '../../runtime/types.js'
 import type { Suspicions } from '../../suspicion/createSuspicions/index.js'
 import { choosePath, type EngineLoad } from '../choosePath/index.js'
@@ -17,14 +17,14 @@
   isWithinCrossingLimit: boolean
 }
 
-/** How long a result is cached, in milliseconds; short beside the time that it takes to load missing layers again. */
+/** How long a result is cached without a look at the engines, in milliseconds; short beside the time that it takes to load missing layers again. */
 const CACHE_MS = 100
 
 const NO_LOAD: EngineLoad = { tokenLayers: 0, sequences: 0, firstSequences: 0 }
 
 /**
  * @name createCoverageCheck
- * @summary Creates a check that computes the coverage at most ten times a second for each service.
+ * @summary Creates a check that looks at the engines of each service at most ten times a second, and computes the coverage when they have changed.
  * @param options - Fleet, suspicions and runtime.
  * @returns The check.
  *
@@ -34,11 +34,9 @@
  */
 export function createCoverageCheck (options: { fleet: FleetState, suspicions: Suspicions, runtime: Runtime }): (service: Service) => Coverage {
   const { fleet, suspicions, runtime } = options
-  const cache = new Map<string, { coverage: Coverage, untilMs: number }>()
+  const cache = new Map<string, { coverage: Coverage, model: EngineModel, engines: readonly Target[], untilMs: number }>()
 
-  function computeCoverage (service: Service): Coverage {
-    const model = service.model!
-    const engines = fleet.servingTargets(service.name).filter(target => !suspicions.isDown(target.id))
+  function computeCoverage (engines: readonly Target[], model: EngineModel): Coverage {
     const ranges = engines.flatMap(target => target.layers ?? []).sort((a, b) => a.from - b.from)
     let covered = 0
     for (const { from, to } of ranges) if (from <= covered) covered = Math.max(covered, to)
@@ -51,8 +49,11 @@
   return service => {
     const cached = cache.get(service.name)
     if (cached !== undefined && cached.untilMs > runtime.monotonicMs()) return cached.coverage
-    const coverage = computeCoverage(service)
-    cache.set(service.name, { coverage, untilMs: runtime.monotonicMs() + CACHE_MS })
+    const model = service.model!
+    const engines = fleet.servingTargets(service.name).filter(target => !suspicions.isDown(target.id))
+    const isUnchanged = cached?.model === model && cached.engines.length === engines.length && engines.every((engine, index) => engine === cached.engines[index])
+    const coverage = isUnchanged ? cached.coverage : computeCoverage(engines, model)
+    cache.set(service.name, { coverage, model, engines, untilMs: runtime.monotonicMs() + CACHE_MS })
     return coverage
   }
 }
--- a/src/path/createCoverageCheck/test.ts
+++ b/src/path/createCoverageCheck/test.ts
@@ -20,3 +20,18 @@
   await runtime.advance(100)
   t.deepEqual(check(service), { isWhole: false, isWithinCrossingLimit: false })
 })
+
+test('a layer that an engine has dropped is missed although the engines are the same', async t => {
+  const runtime = createManualRuntime()
+  const fleet = createFleetState({ runtime })
+  const check = createCoverageCheck({ fleet, suspicions: createSuspicions({ runtime }), runtime })
+  const service = { name: 'model', model: TEST_MODEL }
+  const engine = buildEngine('b', 'south', 'large', { from: 40, to: 80 })
+  fleet.applySnapshot({ revision: 1, targets: [buildEngine('a', 'north', 'large', { from: 0, to: 40 }), engine] })
+  t.true(check(service).isWhole)
+  await runtime.advance(100)
+  t.true(check(service).isWhole)
+  fleet.recordSeenLayers({ targetId: 'b', bornMs: engine.bornMs, layers: { from: 41, to: 80 } })
+  await runtime.advance(100)
+  t.false(check(service).isWhole)
+})
