--- a/src/gateway/rerouteStreams/index.ts
+++ b/src/gateway/rerouteStreams/index.ts
@@ -6,16 +6,13 @@
  */
 import type { Path, Target } from '../../fleet/types.js'
 import { choosePath } from '../../path/choosePath/index.js'
-import { createTaskScheduler } from '../../runtime/createTaskScheduler/index.js'
+import { repeatTask } from '../../runtime/repeatTask/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { ActiveStream, GatewayContext } from '../types.js'
 
-/** Interval between checks while a stream is paused or a target has changed, in milliseconds; shorter than the shortest pause that counts as a stall. */
+/** Interval between checks, in milliseconds; shorter than the shortest pause that counts as a stall. */
 const CHECK_INTERVAL_MS = 25
 
-/** Longest interval between checks, in milliseconds: a stream that has started since the last check may pause before the next. */
-const MAX_CHECK_INTERVAL_MS = 100
-
 /** Pause of a running stream after which its engines are probed: a multiple of its mean pause, clamped to bounds in milliseconds. */
 const PAUSE_FACTOR = 4
 const PAUSE_MIN_MS = 40
@@ -43,31 +40,17 @@
 export type RerouteContext = Pick<GatewayContext, 'fleet' | 'suspicions' | 'loadTracker' | 'streams' | 'control' | 'runtime' | 'log' | 'metrics'>
 
 /** Checks the active streams until the signal aborts; `onSuspicion` is called when a target is found unreachable. */
-export function rerouteStreams (context: RerouteContext, options: { signal: AbortSignal, onSuspicion: () => void }): void {
+export async function rerouteStreams (context: RerouteContext, options: { signal: AbortSignal, onSuspicion: () => void }): Promise<void> {
   const { signal, onSuspicion } = options
   const { runtime, streams, suspicions, control, fleet, log } = context
   const lastProbedMs = new Map<string, number>()
 
-  const scheduler = createTaskScheduler(check, { task: 'rescue', runtime, log, signal })
-  suspicions.onWorse(() => scheduler.runWithin(CHECK_INTERVAL_MS))
-  const subscription = fleet.onChange(() => scheduler.runWithin(CHECK_INTERVAL_MS))
-  signal.addEventListener('abort', () => subscription[Symbol.dispose](), { once: true })
-  scheduler.runWithin(0)
+  await repeatTask(check, { intervalMs: CHECK_INTERVAL_MS, task: 'rescue', runtime, log, signal })
 
-  /** Returns the time until the next check, in milliseconds. */
-  function check (): number {
+  function check (): void {
     const targetsToProbe = listTargetsToProbe()
     for (const target of targetsToProbe) probe(target)
-    const hasAffected = rerouteAffected()
-    return hasAffected ? CHECK_INTERVAL_MS : untilNextPauseMs()
-  }
-
-  /** Time until the first stream may count as paused if none progresses, in milliseconds, within the bounds of the interval. */
-  function untilNextPauseMs (): number {
-    const nowMs = runtime.monotonicMs()
-    let delayMs = MAX_CHECK_INTERVAL_MS
-    for (const stream of streams) delayMs = Math.min(delayMs, stream.lastProgressMs + pauseLimitMs(stream) - nowMs)
-    return Math.max(CHECK_INTERVAL_MS, delayMs)
+    rerouteAffected()
   }
 
   function listTargetsToProbe (): Target[] {
@@ -93,19 +76,15 @@
     rerouteAffected()
   }
 
-  /** Reroutes streams through lost or leaving engines; returns whether there are any. */
-  function rerouteAffected (): boolean {
+  function rerouteAffected (): void {
     let moves = 0
-    let hasAffected = false
     for (const stream of streams) {
       if (stream.isRerouting) continue
       const isLost = stream.path.some(stage => isLostFor(stream, stage.target))
       const isLeaving = !isLost && stream.path.slice(1).some(stage => !fleet.isServing(stage.target))
-      hasAffected ||= isLost || isLeaving
       if (isLost) reroute(stream, 'engine down')
       else if (isLeaving && stream.hasStarted && moves++ < MOVES_PER_CHECK) reroute(stream, 'engine leaving')
     }
-    return hasAffected
   }
 
   /** An engine that refuses new requests may only be full: streams that still progress through it are not lost. */
--- a/src/suspicion/createSuspicions/index.ts
+++ b/src/suspicion/createSuspicions/index.ts
@@ -41,8 +41,6 @@
   share: () => SharedSuspicion[]
   /** Applies a peer's suspicion, unless work passed through the target after the peer's observation. */
   applyPeerSuspicion: (suspicion: SharedSuspicion) => void
-  /** Calls the listener when a target goes down or becomes unfit. */
-  onWorse: (listener: () => void) => void
   /** Deletes the records of all targets except those given. */
   retain: (targetIds: ReadonlySet<string>) => void
 }
@@ -97,7 +95,6 @@
 export function createSuspicions (options: { runtime: Runtime }): Suspicions {
   const { runtime } = options
   const records = new Map<string, TargetRecord>()
-  const listeners: Array<() => void> = []
 
   function getOrCreateRecord (targetId: string): TargetRecord {
     const known = records.get(targetId)
@@ -119,46 +116,34 @@
     return record !== undefined && isDown(targetId) && (record.refusals >= UNFIT_REFUSALS || record.isUnfitByPeer)
   }
 
-  /** Applies an update to a target's record and notifies the listeners if the target went down or became unfit. */
-  function updateAndNotify (targetId: string, update: () => void): void {
-    const [wasDown, wasUnfit] = [isDown(targetId), isUnfit(targetId)]
-    update()
-    if ((!wasDown && isDown(targetId)) || (!wasUnfit && isUnfit(targetId))) for (const listener of listeners) listener()
-  }
-
-  function applyObservation (targetId: string, observation: Observation): void {
-    const record = getOrCreateRecord(targetId)
-    const nowMs = runtime.monotonicMs()
-    if (observation === 'progressed') {
-      record.progressedMs = nowMs
-      record.refusals = 0
-      return
-    }
-    const rate = decayedFailureRate(record)
-    record.failureRate = rate + RESULT_WEIGHT * (FAILURE_BY_OBSERVATION[observation] - rate)
-    record.updatedMs = nowMs
-    if (observation === 'unreachable') {
-      record.downUntilMs = nowMs + UNREACHABLE_DOWN_MS
-      record.observedDownMs = nowMs
-      record.refusals = UNFIT_REFUSALS
-    }
-    if (observation === 'refused') {
-      record.downUntilMs = Math.max(record.downUntilMs, nowMs + Math.min(UNREACHABLE_DOWN_MS, REFUSED_DOWN_MS * 2 ** record.refusals))
-      record.observedDownMs = nowMs
-      record.refusals++
-    }
-    if (observation === 'answered') {
-      record.downUntilMs = -Infinity
-      record.observedDownMs = undefined
-      record.refusals = 0
-      record.isUnfitByPeer = false
-    }
-  }
-
   return {
     note (targetId, observation) {
-      if (observation === 'unreachable' || observation === 'refused') updateAndNotify(targetId, () => applyObservation(targetId, observation))
-      else applyObservation(targetId, observation)
+      const record = getOrCreateRecord(targetId)
+      const nowMs = runtime.monotonicMs()
+      if (observation === 'progressed') {
+        record.progressedMs = nowMs
+        record.refusals = 0
+        return
+      }
+      const rate = decayedFailureRate(record)
+      record.failureRate = rate + RESULT_WEIGHT * (FAILURE_BY_OBSERVATION[observation] - rate)
+      record.updatedMs = nowMs
+      if (observation === 'unreachable') {
+        record.downUntilMs = nowMs + UNREACHABLE_DOWN_MS
+        record.observedDownMs = nowMs
+        record.refusals = UNFIT_REFUSALS
+      }
+      if (observation === 'refused') {
+        record.downUntilMs = Math.max(record.downUntilMs, nowMs + Math.min(UNREACHABLE_DOWN_MS, REFUSED_DOWN_MS * 2 ** record.refusals))
+        record.observedDownMs = nowMs
+        record.refusals++
+      }
+      if (observation === 'answered') {
+        record.downUntilMs = -Infinity
+        record.observedDownMs = undefined
+        record.refusals = 0
+        record.isUnfitByPeer = false
+      }
     },
     isDown,
     isUnfit,
@@ -180,12 +165,9 @@
       const record = getOrCreateRecord(suspicion.targetId)
       const nowMs = runtime.monotonicMs()
       if (record.progressedMs > nowMs - suspicion.ageMs) return
-      updateAndNotify(suspicion.targetId, () => {
-        record.downUntilMs = Math.max(record.downUntilMs, nowMs + suspicion.leftMs)
-        record.isUnfitByPeer = suspicion.isUnfit
-      })
+      record.downUntilMs = Math.max(record.downUntilMs, nowMs + suspicion.leftMs)
+      record.isUnfitByPeer = suspicion.isUnfit
     },
-    onWorse: listener => { listeners.push(listener) },
     retain (targetIds) {
       for (const id of records.keys()) if (!targetIds.has(id)) records.delete(id)
     }
