Let the soak test see answers that are cut or missing around planned work

Cause: a host counted as disturbed once its process had exited, so calls around a SIGTERM were never checked, and a stream that was cut off was no finding at all. Change: callers note when a request's last byte was sent, send bodies in parts, keep some connections idle for longer and open streams that last longer than the grace period. Targets note how each try ended. Rolling restarts, series of SIGHUPs and of configuration changes, and targets that break off streams or shed are new faults. An answer that is cut or missing around planned work is a finding unless the target broke off the last try, the deadline was reached, or the target was at work late in the grace period. Measured: the new unit test fails without the check.

--- a/soak/_lib/checkRecords.ts
+++ b/soak/_lib/checkRecords.ts
@@ -3,6 +3,7 @@
  */
 import { hasConsecutiveEvents, hasAllEvents, type CallRecord } from './startCallers.js'
 import type { LedgerEntry } from './createTargetHandler.js'
+import { GRACE_MS } from './startHosts.js'
 
 /** Statuses that guarantee that a request has not run. */
 const NOT_EXECUTED_STATUSES = new Set([408, 421, 429, 503])
@@ -23,11 +24,26 @@
 /** Time within which a change of keys must take effect, in milliseconds; the platform's bound on revocations. */
 const KEY_PROPAGATION_MS = 5_000
 
+/** Time after a configuration change or a reload in which it counts as planned work, in milliseconds. */
+const CHANGE_WINDOW_MS = 4_000
+
+/** Time after the grace period in which a stop counts as planned work, in milliseconds. */
+const STOP_WINDOW_TAIL_MS = 1_000
+
+/** A request that was not passed on is lost if its connection ends later than this after its last byte, in milliseconds. */
+const LOSS_SLACK_MS = 200
+
+/** Requests sent up to this time after SIGTERM may be cut while a target is at work in the last part of the grace period, in milliseconds. */
+const LATE_WORK_SENT_MS = 3_000
+const LATE_WORK_FROM_MS = GRACE_MS * 5 / 6
+
 /** Input of the checks. */
 export interface Evidence {
   records: readonly CallRecord[]
   ledger: readonly LedgerEntry[]
   keys: ReadonlyMap<string, KeyValidity>
+  /** Monotonic times of the configuration changes, in milliseconds. */
+  configurationsMs: readonly number[]
   /** Monotonic time at which the store last came back after an outage for all hosts, in milliseconds. */
   storeRecoveredMs: number
   /** Duration of the run in windows of the retry budget. */
@@ -39,10 +55,11 @@
 
 /** Checks all ended calls; returns one line for each finding. */
 export function checkRecords (evidence: Evidence, isUndisturbed: IsUndisturbed): string[] {
-  const runs = new Map<string, LedgerEntry[]>()
-  for (const entry of evidence.ledger) if (entry.hasRun) runs.set(entry.requestId, [...runs.get(entry.requestId) ?? [], entry])
+  const tries = new Map<string, LedgerEntry[]>()
+  for (const entry of evidence.ledger) tries.set(entry.requestId, [...tries.get(entry.requestId) ?? [], entry])
   const findings = evidence.records.flatMap(record => {
-    const problems = [...checkAnswer(record, isUndisturbed(record)), ...checkRuns(record, runs.get(record.requestId) ?? []), ...checkKey(record, evidence)]
+    const ownTries = tries.get(record.requestId) ?? []
+    const problems = [...checkAnswer(record, isUndisturbed(record)), ...checkLoss(record, ownTries, evidence), ...checkRuns(record, ownTries.filter(entry => entry.hasRun)), ...checkKey(record, evidence)]
     return problems.map(problem => `${record.requestId} (${record.kind} at ${record.host.name}, sent at ${Math.round(record.sentMs)} ms, status ${record.status}): ${problem}`)
   })
   return [...findings, ...checkRetries(evidence)]
@@ -62,6 +79,24 @@
   return problems
 }
 
+/** Checks that a request that was read completely is answered completely around planned work. */
+function checkLoss (record: CallRecord, tries: readonly LedgerEntry[], { configurationsMs }: Evidence): string[] {
+  const { plannedWork: { stoppedMs = Infinity, reloadsMs }, sentMs, lastByteMs, endedMs, deadlineMs } = record
+  if ((record.status > 0 && record.isComplete) || lastByteMs === undefined || !record.isSound) return []
+  const isStopping = endedMs >= stoppedMs && endedMs <= stoppedMs + GRACE_MS + STOP_WINDOW_TAIL_MS
+  const isReloading = reloadsMs.some(atMs => endedMs >= atMs && sentMs <= atMs + CHANGE_WINDOW_MS)
+  const isReconfiguring = configurationsMs.some(atMs => endedMs >= atMs && endedMs <= atMs + CHANGE_WINDOW_MS)
+  if (!isStopping && !isReloading && !isReconfiguring) return []
+  const lastTry = tries.at(-1)
+  if (lastTry === undefined && endedMs <= lastByteMs + LOSS_SLACK_MS) return []
+  if (endedMs >= sentMs + deadlineMs || lastTry?.outcome === 'brokenOff') return []
+  const isLateWork = lastTry !== undefined && lastTry.hasRun && lastTry.endedMs >= stoppedMs + LATE_WORK_FROM_MS
+  if (isLateWork && sentMs <= stoppedMs + LATE_WORK_SENT_MS) return []
+  const work = [...isStopping ? [`${Math.round(endedMs - stoppedMs)} ms after SIGTERM`] : [], ...isReloading ? ['after SIGHUP'] : [], ...isReconfiguring ? ['after a configuration change'] : []]
+  const path = tries.map(({ targetId, outcome, atMs }) => `${targetId} ${outcome} +${Math.round(atMs - sentMs)}`).join(', ')
+  return [`lost ${work.join(' and ')}, ${Math.round(endedMs - lastByteMs)} ms after its last byte, tries: ${path}`]
+}
+
 function checkRuns ({ kind, status }: CallRecord, runs: readonly LedgerEntry[]): string[] {
   const problems: string[] = []
   if (kind === 'unsafe' && runs.length > 1) problems.push(`ran ${runs.length} times, at ${runs.map(run => run.targetId).join(', ')}`)
--- a/soak/_lib/createTargetHandler.ts
+++ b/soak/_lib/createTargetHandler.ts
@@ -12,6 +12,10 @@
   atMs: number
   /** Whether the target began to work on it. */
   hasRun: boolean
+  /** How it ended; `closed` if the gateway closed the connection while the target was at work. */
+  outcome: 'running' | 'answered' | 'shed' | 'brokenOff' | 'closed'
+  /** Monotonic time of its end, in milliseconds. */
+  endedMs: number
 }
 
 /** State of one target. */
@@ -25,6 +29,10 @@
   isBusy: boolean
   isUp: boolean
   leavingSinceMs: number | undefined
+  /** Whether the target is full and refuses requests without running them. */
+  isShedding: boolean
+  /** Number of times the target broke off all its streams. */
+  breakOffCount: number
   renewalCount: number
   /** Current path of each stream by request id. */
   pathsByRequest: Map<string, string>
@@ -49,13 +57,17 @@
 /** Number of different stream lengths; a stream has 5 to 44 events. */
 const STREAM_LENGTHS = 40
 
+/** Beginning of the id of a request with a long stream, and its number of events; it lasts longer than the hosts' grace period. */
+export const LONG_STREAM_PREFIX = 'long'
+const LONG_STREAM_EVENTS = 750
+
 /** Ratios of plain requests that fail, and of those whose connection is destroyed after they ran. */
 const FAILURE_RATIO = 0.03
 const ABORT_RATIO = 0.02
 
 /** Number of events in the whole answer to a request; the same at every engine. */
 export function countEvents (requestId: string): number {
-  return 5 + [...requestId].reduce((sum, character) => sum + character.charCodeAt(0), 0) % STREAM_LENGTHS
+  return requestId.startsWith(LONG_STREAM_PREFIX) ? LONG_STREAM_EVENTS : 5 + [...requestId].reduce((sum, character) => sum + character.charCodeAt(0), 0) % STREAM_LENGTHS
 }
 
 /** Creates the request handler of one target. */
@@ -72,30 +84,44 @@
     if (request.url === '/report') return sendJson(response, 200, { born: state.bornMs, sequence: state.orders, busy: state.isBusy, layers: state.layers ?? { from: 0, to: 0 } })
     if (request.url === '/order') return handleOrder(request, response, JSON.parse(body))
     const requestId = String(request.headers['request-id'])
-    const recordRequest = (hasRun: boolean): void => { ledger.push({ requestId, targetId: state.id, service, atMs: performance.now(), hasRun }) }
+    const recordRequest = (hasRun: boolean): LedgerEntry => {
+      const entry: LedgerEntry = { requestId, targetId: state.id, service, atMs: performance.now(), hasRun, outcome: hasRun ? 'running' : 'shed', endedMs: Infinity }
+      const { bornMs } = state
+      ledger.push(entry)
+      response.once('close', () => {
+        entry.endedMs = performance.now()
+        if (entry.outcome !== 'running') return
+        const path = state.pathsByRequest.get(requestId)
+        const hasFailed = !state.isUp || state.bornMs !== bornMs || (path !== undefined && findFaultyStage(path) !== undefined)
+        entry.outcome = response.writableFinished ? 'answered' : hasFailed ? 'brokenOff' : 'closed'
+      })
+      return entry
+    }
     const refuseRequest = (status: number, faultyAddress?: string): void => {
       recordRequest(false)
       response.writeHead(status, { 'Request-Id': requestId, 'Not-Executed': '1', ...(faultyAddress === undefined ? {} : { 'At-Server': faultyAddress }), 'Content-Length': 0 }).end()
     }
     if (request.headers['expect-instance'] !== state.id) return refuseRequest(421)
-    if (state.leavingSinceMs !== undefined && service === 'model') return refuseRequest(503)
+    if (state.isShedding || (state.leavingSinceMs !== undefined && service === 'model')) return refuseRequest(503)
     if (service !== 'model') {
-      recordRequest(true)
-      setTimeout(() => sendPlainAnswer(requestId, response), WORK_MS)
+      const entry = recordRequest(true)
+      setTimeout(() => sendPlainAnswer(entry, response), WORK_MS)
       return
     }
     const path = String(request.headers['hop-count'])
     const faultyAddress = findFaultyStage(path)
     if (faultyAddress !== undefined) return refuseRequest(503, faultyAddress)
-    recordRequest(true)
+    const entry = recordRequest(true)
     state.pathsByRequest.set(requestId, path)
     response.writeHead(200, { 'Request-Id': requestId, 'Server-Seal': 's', 'Content-Type': 'text/event-stream' })
-    sendEvents(requestId, Number(request.headers['last-event-id'] ?? 0), response)
+    sendEvents(entry, Number(request.headers['last-event-id'] ?? 0), response)
   }
 
-  function sendPlainAnswer (requestId: string, response: ServerResponse): void {
+  function sendPlainAnswer (entry: LedgerEntry, response: ServerResponse): void {
+    const { requestId } = entry
     const sample = random()
     if (!state.isUp || sample < ABORT_RATIO) {
+      entry.outcome = 'brokenOff'
       response.destroy()
       return
     }
@@ -104,13 +130,16 @@
   }
 
   /** Sends events while every stage of the path is up; while one is down, the stream pauses until it gets another path. */
-  function sendEvents (requestId: string, lastEventId: number, response: ServerResponse): void {
-    const startedMs = state.bornMs
+  function sendEvents (entry: LedgerEntry, lastEventId: number, response: ServerResponse): void {
+    const { requestId } = entry
+    const { bornMs: startedMs, breakOffCount } = state
     let nextEventId = lastEventId + 1
     const timer = setInterval(() => {
       const path = state.pathsByRequest.get(requestId)
-      if (!state.isUp || state.bornMs !== startedMs || path === undefined || response.destroyed) {
+      if (state.breakOffCount !== breakOffCount && !response.destroyed) entry.outcome = 'brokenOff'
+      if (entry.outcome === 'brokenOff' || !state.isUp || state.bornMs !== startedMs || path === undefined || response.destroyed) {
         clearInterval(timer)
+        state.pathsByRequest.delete(requestId)
         response.destroy()
         return
       }
--- a/soak/_lib/faults.ts
+++ b/soak/_lib/faults.ts
@@ -16,6 +16,9 @@
 /** Longest delay on a connection, in milliseconds. */
 const MAX_DELAY_MS = 250
 
+/** Longest time between two parts of a series, in milliseconds. */
+const MAX_SERIES_INTERVAL_MS = 600
+
 /** All kinds of faults by name. */
 export const FAULTS: Record<string, Fault> = {
   async hostKilled (context) {
@@ -34,9 +37,15 @@
   async hostStopped (context) {
     const host = pickRunningHost(context)
     if (host === undefined) return
-    const problem = await host.stop()
-    if (problem !== undefined) context.report(`${host.name} ${problem}`)
-    host.start({ atNewAddress: context.random() < 0.4 })
+    await restartHost(host, context)
+  },
+  async rollingRestart (context) {
+    const restarts: Array<Promise<void>> = []
+    for (const host of context.hosts.filter(candidate => candidate.isUp())) {
+      if (host.isUp()) restarts.push(restartHost(host, context))
+      await context.pauseRandomly(2 * MAX_SERIES_INTERVAL_MS)
+    }
+    await Promise.all(restarts)
   },
   async hostPaused (context) {
     await pickRunningHost(context)?.pause(context.random() * MAX_PAUSE_MS)
@@ -44,18 +53,24 @@
   async settingsReloaded (context) {
     pickRunningHost(context)?.signal('SIGHUP')
   },
+  async settingsReloadedInSeries (context) {
+    for (const host of [...context.hosts, ...context.hosts]) {
+      if (host.isUp()) host.signal('SIGHUP')
+      await context.pauseRandomly(MAX_SERIES_INTERVAL_MS / 3)
+    }
+  },
   async clockStepped (context) {
     pickRunningHost(context)?.signal('SIGUSR2')
   },
-  async hostCutFromStore (context) {
+  hostCutFromStore: unplanned(async context => {
     const { storeProxy } = context.hosts[context.randomInt(context.hosts.length)]!
     const direction = (['up', 'down', 'both'] as const)[context.randomInt(3)]!
     const fault = [{ kind: 'reset' } as const, { kind: 'silence', direction } as const, { kind: 'delay', delayMs: context.random() * MAX_DELAY_MS } as const][context.randomInt(3)]!
     storeProxy.setFault(fault)
     await context.pauseRandomly(3_000)
     storeProxy.setFault({ kind: 'none' })
-  },
-  async storeDown (context) {
+  }),
+  storeDown: unplanned(async context => {
     const { faults } = context.store
     if (context.random() < 0.5) faults.status = context.random() < 0.5 ? 503 : 429
     else faults.isSilent = true
@@ -63,14 +78,29 @@
     delete faults.status
     delete faults.isSilent
     context.recordStoreRecovery()
-  },
-  async storeForgets (context) {
+  }),
+  storeForgets: unplanned(async context => {
     if (context.random() < 0.5) context.store.faults.losesNextWriteAnswer = true
     else context.store.faults.expiresNextWatch = true
-  },
+  }),
   async configurationChanged (context) {
     context.changeConfiguration()
   },
+  async configurationChangedInSeries (context) {
+    for (let count = 2 + context.randomInt(4); count > 0; count--) {
+      context.changeConfiguration()
+      await context.pauseRandomly(MAX_SERIES_INTERVAL_MS)
+    }
+  },
+  async targetShedding (context) {
+    await shed(context.targets.targets.filter(() => context.random() < 0.7), context)
+  },
+  async targetBreaksOff (context) {
+    const target = pickRunningTarget(context)
+    if (target === undefined) return
+    target.breakOff()
+    await shed(context.targets.targets.filter(other => other !== target && context.random() < 0.9), context)
+  },
   async targetCrashed (context) {
     const target = pickRunningTarget(context)
     if (target === undefined) return
@@ -86,22 +116,43 @@
     target.crash('reset')
     target.restart({ keepsIdentity: false })
   },
-  async targetSlow (context) {
+  targetSlow: unplanned(async context => {
     const target = pickRunningTarget(context)
     if (target === undefined) return
     target.proxy.setFault({ kind: 'delay', delayMs: context.random() * MAX_DELAY_MS })
     await context.pauseRandomly(2_000)
     if (target.isUp()) target.proxy.setFault({ kind: 'none' })
-  },
-  async targetCutOneWay (context) {
+  }),
+  targetCutOneWay: unplanned(async context => {
     const target = pickRunningTarget(context)
     if (target === undefined) return
     target.proxy.setFault({ kind: 'silence', direction: context.random() < 0.5 ? 'up' : 'down' })
     await context.pauseRandomly(1_500)
     if (target.isUp()) target.proxy.setFault({ kind: 'none' })
+  })
+}
+
+/** Marks all hosts as affected by an unplanned fault while a fault of the store or of links lasts. */
+function unplanned (fault: Fault): Fault {
+  return async context => {
+    const ends = context.hosts.map(host => host.beginUnplanned())
+    await fault(context)
+    for (const end of ends) end()
   }
 }
 
+async function restartHost (host: SoakHost, context: FaultContext): Promise<void> {
+  const problem = await host.stop()
+  if (problem !== undefined) context.report(`${host.name} ${problem}`)
+  host.start({ atNewAddress: context.random() < 0.4 })
+}
+
+async function shed (targets: readonly SoakTarget[], context: FaultContext): Promise<void> {
+  for (const target of targets) target.setShedding(true)
+  await context.pauseRandomly(2 * MAX_SERIES_INTERVAL_MS)
+  for (const target of targets) target.setShedding(false)
+}
+
 /** Picks a running host at random; `undefined` if there is none. */
 function pickRunningHost (context: FaultContext): SoakHost | undefined {
   const running = context.hosts.filter(host => host.isUp())
--- a/soak/_lib/startCallers.ts
+++ b/soak/_lib/startCallers.ts
@@ -3,8 +3,8 @@
  * one request after the other and records what it receives for the checks.
  */
 import http from 'node:http'
-import { countEvents } from './createTargetHandler.js'
-import type { SoakHost } from './startHosts.js'
+import { countEvents, LONG_STREAM_PREFIX } from './createTargetHandler.js'
+import type { PlannedWork, SoakHost } from './startHosts.js'
 
 /** What a caller received for one request. */
 export interface CallRecord {
@@ -13,8 +13,14 @@
   host: SoakHost
   /** `startCount` of the host when the request was sent. */
   startCount: number
+  /** Planned work on the host's process, until the end of the run. */
+  plannedWork: PlannedWork
+  /** Whether there was no unplanned fault from a moment before the call until its end. */
+  isSound: boolean
   key: string
   sentMs: number
+  /** Monotonic time at which the request's last byte was sent, in milliseconds; `undefined` if it never was. */
+  lastByteMs: number | undefined
   endedMs: number
   deadlineMs: number
   /** Status of the answer; 0 without an answer. */
@@ -32,8 +38,18 @@
   stop: () => Promise<void>
 }
 
-/** Deadline of a request, in milliseconds. */
+/** Deadline of a request and of one with a long stream, in milliseconds. */
 const DEADLINE_MS = 4_000
+const LONG_DEADLINE_MS = 14_000
+
+/** Ratios of streams that are long, of bodies that are sent in parts, and of connections that stay idle for longer. */
+const LONG_RATIO = 0.08
+const IN_PARTS_RATIO = 0.2
+const IDLE_RATIO = 0.05
+
+/** Longest pause between two parts of a body and longest time for which a connection stays idle, in milliseconds. */
+const MAX_PART_PAUSE_MS = 500
+const MAX_IDLE_MS = 2_000
 
 /** Longest pause of a caller between two requests, in milliseconds. */
 const MAX_PAUSE_MS = 60
@@ -63,7 +79,7 @@
         const record = await call(host, agent)
         records.push(record)
         isUsable = record.status > 0 && record.isComplete && random() > 0.05
-        await pause(random() * MAX_PAUSE_MS)
+        await pause(random() * (random() < IDLE_RATIO ? MAX_IDLE_MS : MAX_PAUSE_MS))
       }
       agent.destroy()
     }
@@ -71,13 +87,17 @@
 
   function call (host: SoakHost, agent: http.Agent): Promise<CallRecord> {
     const kind = KINDS[Math.floor(random() * KINDS.length)]!
-    const requestId = `r${++requestCount}`
-    const record: CallRecord = { requestId, kind, host, startCount: host.startCount(), key: pickKey(), sentMs: performance.now(), endedMs: 0, deadlineMs: DEADLINE_MS, status: 0, retryAfter: undefined, body: '', isComplete: false }
+    const isLong = kind === 'stream' && random() < LONG_RATIO
+    const isInParts = kind !== 'safe' && random() < IN_PARTS_RATIO
+    const requestId = `${isLong ? LONG_STREAM_PREFIX : 'r'}${++requestCount}`
+    const deadlineMs = isLong ? LONG_DEADLINE_MS : DEADLINE_MS
+    const record: CallRecord = { requestId, kind, host, startCount: host.startCount(), plannedWork: host.plannedWork(), isSound: false, key: pickKey(), sentMs: performance.now(), lastByteMs: undefined, endedMs: 0, deadlineMs, status: 0, retryAfter: undefined, body: '', isComplete: false }
     const [address, port] = host.address().split(':')
     return new Promise(resolve => {
       const finish = (): void => {
         clearTimeout(timeout)
         record.endedMs = performance.now()
+        record.isSound = host.isSoundSince(record.sentMs)
         resolve(record)
       }
       const request = http.request({
@@ -86,7 +106,7 @@
         agent,
         method: kind === 'safe' ? 'GET' : 'POST',
         path: `/${kind}/x`,
-        headers: { host: 'soak.example', authorization: `Token ${record.key}`, 'request-id': requestId, 'deadline-ms': DEADLINE_MS, 'token-usage': '100,60' }
+        headers: { host: 'soak.example', authorization: `Token ${record.key}`, 'request-id': requestId, 'deadline-ms': deadlineMs, 'token-usage': '100,60' }
       }, response => {
         record.status = response.statusCode ?? 0
         record.retryAfter = response.headers['retry-after']
@@ -97,9 +117,15 @@
           finish()
         })
       })
-      const timeout = setTimeout(() => request.destroy(), DEADLINE_MS + GIVE_UP_AFTER_DEADLINE_MS)
+      const timeout = setTimeout(() => request.destroy(), deadlineMs + GIVE_UP_AFTER_DEADLINE_MS)
       request.on('error', finish)
-      request.end(kind === 'safe' ? undefined : 'body')
+      request.on('finish', () => { record.lastByteMs = performance.now() })
+      if (!isInParts) {
+        request.end(kind === 'safe' ? undefined : 'body')
+        return
+      }
+      request.write('bo')
+      setTimeout(() => request.end('dy'), random() * MAX_PART_PAUSE_MS)
     })
   }
 
--- a/soak/_lib/startHosts.ts
+++ b/soak/_lib/startHosts.ts
@@ -8,6 +8,14 @@
 import { join } from 'node:path'
 import { startProxy, type Proxy } from './startProxy.js'
 
+/** Planned work on one process of a host, in monotonic milliseconds. */
+export interface PlannedWork {
+  /** Time of its SIGTERM. */
+  stoppedMs: number | undefined
+  /** Times of its SIGHUPs. */
+  reloadsMs: number[]
+}
+
 /** A host under the control of the soak test. */
 export interface SoakHost extends AsyncDisposable {
   name: string
@@ -15,6 +23,12 @@
   storeProxy: Proxy
   /** Number of times the process was started. */
   startCount: () => number
+  /** Planned work on the current process. */
+  plannedWork: () => PlannedWork
+  /** Starts an unplanned fault of the host, its links or the store; the returned function ends it. */
+  beginUnplanned: () => () => void
+  /** Whether there was no unplanned fault from a moment before a monotonic time in milliseconds until now. */
+  isSoundSince: (sinceMs: number) => boolean
   /** Whether calls to the host may fail now, because it is paused or its process has ended. */
   isDisturbed: () => boolean
   /** Monotonic time until which calls to the host may fail, in milliseconds; calls sent later must succeed. */
@@ -44,9 +58,12 @@
 }
 
 /** Grace period for a stop, and how much longer it may take on a busy machine, in milliseconds. */
-const GRACE_MS = 8_000
+export const GRACE_MS = 8_000
 const STOP_TOLERANCE_MS = 1_500
 
+/** How long before a call an unplanned fault must have ended for the call to be unaffected, in milliseconds. */
+const STABILITY_MS = 1_000
+
 /** How long after a disturbance calls may still fail because of it, in milliseconds. */
 const DISTURBANCE_TAIL_MS = 300
 
@@ -63,7 +80,17 @@
   let isExpectedToExit = false
   let isPaused = false
   let lastDisturbedMs = -Infinity
+  let work: PlannedWork = { stoppedMs: undefined, reloadsMs: [] }
+  let unplannedCount = 0
+  let lastUnplannedMs = -Infinity
   const markDisturbed = (): void => { lastDisturbedMs = performance.now() + DISTURBANCE_TAIL_MS }
+  const beginUnplanned = (): () => void => {
+    unplannedCount++
+    return () => {
+      unplannedCount--
+      lastUnplannedMs = performance.now()
+    }
+  }
   start()
 
   function start ({ atNewAddress } = { atNewAddress: false }): void {
@@ -86,10 +113,12 @@
     closeSync(log)
     child = started
     startCount++
+    work = { stoppedMs: undefined, reloadsMs: [] }
     isExpectedToExit = false
     exited = new Promise(resolve => {
       started.once('exit', (code, signal) => {
         markDisturbed()
+        if (!isExpectedToExit && child === started) lastUnplannedMs = performance.now()
         if (!isExpectedToExit && child === started) onUnexpectedExit(`exit code ${code}, signal ${signal}`)
         if (child === started) child = undefined
         resolve({ code, signal })
@@ -100,6 +129,7 @@
   async function kill (): Promise<void> {
     isExpectedToExit = true
     markDisturbed()
+    lastUnplannedMs = performance.now()
     child?.kill('SIGKILL')
     await exited
   }
@@ -111,6 +141,9 @@
     readinessUrl: () => `http://${ip}:${PORTS.readiness}/`,
     storeProxy,
     startCount: () => startCount,
+    plannedWork: () => work,
+    beginUnplanned,
+    isSoundSince: sinceMs => unplannedCount === 0 && lastUnplannedMs + STABILITY_MS < sinceMs,
     isUp: () => child !== undefined && !isExpectedToExit,
     isDisturbed: () => isPaused || child === undefined,
     lastDisturbedMs: () => isPaused || child === undefined ? performance.now() : lastDisturbedMs,
@@ -126,6 +159,7 @@
         isTimedOut = true
         stopping.kill('SIGKILL')
       }, GRACE_MS + STOP_TOLERANCE_MS)
+      work.stoppedMs = performance.now()
       stopping.kill('SIGTERM')
       const { code } = await exited
       clearTimeout(killTimer)
@@ -135,6 +169,7 @@
     start,
     async pause (forMs) {
       const paused = child
+      const endUnplanned = beginUnplanned()
       isPaused = true
       markDisturbed()
       paused?.kill('SIGSTOP')
@@ -142,8 +177,14 @@
       paused?.kill('SIGCONT')
       isPaused = false
       markDisturbed()
+      endUnplanned()
+    },
+    signal (signal) {
+      if (child === undefined || !catchesSignal(child, signal)) return
+      if (signal === 'SIGHUP') work.reloadsMs.push(performance.now())
+      else beginUnplanned()()
+      child.kill(signal)
     },
-    signal (signal) { if (child !== undefined && catchesSignal(child, signal)) child.kill(signal) },
     async [Symbol.asyncDispose] () {
       await kill()
       await storeProxy[Symbol.asyncDispose]()
--- a/soak/_lib/startTargets.ts
+++ b/soak/_lib/startTargets.ts
@@ -19,6 +19,10 @@
   restart: (options: { keepsIdentity: boolean }) => void
   /** Announces that the target leaves; requests that are running may end. */
   leave: () => void
+  /** Breaks off all streams at once. */
+  breakOff: () => void
+  /** Refuses all requests without running them, or no longer does. */
+  setShedding: (isShedding: boolean) => void
   /** Monotonic time at which the target announced that it leaves, in milliseconds. */
   leavingSinceMs: () => number | undefined
   isUp: () => boolean
@@ -47,7 +51,7 @@
   const targets = await Promise.all(targetPlans.map(({ failureDomain, service }) => startTarget(failureDomain, service)))
 
   async function startTarget (failureDomain: string, service: string): Promise<SoakTarget> {
-    const state: TargetState = { id: '', bornMs: 0, layers: undefined, orders: 0, isBusy: false, isUp: true, leavingSinceMs: undefined, renewalCount: 0, pathsByRequest: new Map() }
+    const state: TargetState = { id: '', bornMs: 0, layers: undefined, orders: 0, isBusy: false, isUp: true, leavingSinceMs: undefined, isShedding: false, breakOffCount: 0, renewalCount: 0, pathsByRequest: new Map() }
     const server = http.createServer((request, response) => { serve(request, response) })
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
     const proxy = await startProxy(`127.0.0.1:${(server.address() as AddressInfo).port}`)
@@ -101,6 +105,8 @@
         state.leavingSinceMs = performance.now()
         renewEntry()
       },
+      breakOff () { state.breakOffCount++ },
+      setShedding (isShedding) { state.isShedding = isShedding },
       async [Symbol.asyncDispose] () {
         clearInterval(renewalTimer)
         clearTimeout(expiryTimer)
--- a/soak/runSoak/index.ts
+++ b/soak/runSoak/index.ts
@@ -60,6 +60,9 @@
 /** Key that is never revoked. */
 const PERMANENT_KEY = 'steady'
 
+/** Callers use the permanent key or one of this many last ones. */
+const RECENT_KEYS = 4
+
 /** Longest wait until hosts are ready, and wait until the effects of the last faults are over, in milliseconds. */
 const READY_TIMEOUT_MS = 15_000
 const SETTLE_MS = 4_000
@@ -92,6 +95,7 @@
   const nextIp = (): string => `${network}.${1 + addressCount++ % 250}`
   await using store = await servePlatformStore()
   const keys = new Map<string, KeyValidity>()
+  const configurationsMs: number[] = []
   let version = 0
   let storeRecoveredMs = 0
   changeConfiguration()
@@ -119,7 +123,7 @@
   if (!await areAllReady(soakHosts)) report('hosts did not become ready')
   const controller = new AbortController()
   const versionsWatched = watchVersions(soakHosts, { signal: controller.signal, report })
-  const pickKey = (): string => random() < 0.5 ? PERMANENT_KEY : [...keys.keys()][Math.floor(random() * keys.size)]!
+  const pickKey = (): string => random() < 0.5 ? PERMANENT_KEY : [...keys.keys()].at(-1 - Math.floor(random() * Math.min(keys.size, RECENT_KEYS)))!
   const callers = startCallers({ hosts: soakHosts, count: CALLERS_PER_HOST * hostCount, key: pickKey, random })
   const startedMs = performance.now()
   const runningFaults: Array<Promise<void>> = []
@@ -139,7 +143,7 @@
   await versionsWatched
   const { records } = callers
   const budgetWindows = Math.ceil((performance.now() - startedMs) / BUDGET_WINDOW_MS)
-  findings.push(...checkRecords({ records, ledger: targets.ledger, keys, storeRecoveredMs, budgetWindows }, isCallUndisturbed), ...checkRecovery(records, settledMs))
+  findings.push(...checkRecords({ records, ledger: targets.ledger, keys, configurationsMs, storeRecoveredMs, budgetWindows }, isCallUndisturbed), ...checkRecovery(records, settledMs))
   if (findings.length === 0) await rm(folder, { recursive: true, force: true })
   return { findings, calls: records.length, statuses: countStatuses(records), faults }
 
@@ -149,6 +153,7 @@
     for (const validity of keys.values()) validity.revokedMs = Math.min(validity.revokedMs, nowMs)
     const key = `key-${++version}`
     keys.set(key, { addedMs: nowMs, revokedMs: Infinity })
+    configurationsMs.push(nowMs)
     store.put('config', 'main', buildConfiguration(version, [PERMANENT_KEY, key]))
   }
 }
@@ -207,13 +212,14 @@
 }
 
 function buildConfiguration (version: number, keys: string[]): unknown {
-  const route = { host: 'soak.example', timeout_ms: 4_000, target_latency_ms: 500, priority: 1, max_attempts: 2, public: false }
+  // Time-outs differ by version, but no route's is below the deadline of its requests.
+  const route = { host: 'soak.example', timeout_ms: 4_000 + version % 3 * 1_000, target_latency_ms: 500, priority: 1, max_attempts: 2, public: false }
   return {
     version,
     routes: [
       { ...route, name: 'safe', path_prefix: '/safe/', kind: 'safe', service: 'orders' },
       { ...route, name: 'unsafe', path_prefix: '/unsafe/', kind: 'unsafe', service: 'orders', max_attempts: 1 },
-      { ...route, name: 'stream', path_prefix: '/stream/', kind: 'streaming', service: 'model', resumable: true, target_gap_ms: 250 }
+      { ...route, name: 'stream', path_prefix: '/stream/', kind: 'streaming', service: 'model', resumable: true, timeout_ms: 14_000 + version % 3 * 1_000, target_gap_ms: 250 }
     ],
     services: [{ name: 'orders' }, {
       name: 'model',
@@ -221,7 +227,7 @@
         slots: 32, kv_token_bytes: 12_000, step_ms: 5, per_seq_ms: 0.01, context_per_k: 0.01, read_per_s: 100_000, loads_at_once: 4, models: [{ load_time_s: 0.3 }], usual: { prompt: 100, answer: 60 }, layers: 12, layer_mb: 1_000, activation_bytes: 10_000, pipe_mbps: 10_000, kinds: [{ name: 'small', megabytes: 8_000, pace: 1, read_factor: 1 }]
       }
     }],
-    limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+    limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3_000, idle_timeout_ms: 5_000 + version % 4 * 5_000 },
     tenants: [{ name: 'studio', api_keys: keys }]
   }
 }
--- a/soak/test.ts
+++ b/soak/test.ts
@@ -9,14 +9,14 @@
 const HOST = { name: 'host-0' } as SoakHost
 
 const record = (change: Partial<CallRecord>): CallRecord => ({
-  requestId: 'r1', kind: 'unsafe', host: HOST, startCount: 1, key: 'steady', sentMs: 0, endedMs: 100, deadlineMs: 4_000, status: 200, retryAfter: undefined, body: 'answer to r1', isComplete: true, ...change
+  requestId: 'r1', kind: 'unsafe', host: HOST, startCount: 1, plannedWork: { stoppedMs: undefined, reloadsMs: [] }, isSound: true, key: 'steady', sentMs: 0, lastByteMs: 1, endedMs: 100, deadlineMs: 4_000, status: 200, retryAfter: undefined, body: 'answer to r1', isComplete: true, ...change
 })
-const run = (change: Partial<LedgerEntry> = {}): LedgerEntry => ({ requestId: 'r1', targetId: 'orders-1', service: 'orders', atMs: 50, hasRun: true, ...change })
+const run = (change: Partial<LedgerEntry> = {}): LedgerEntry => ({ requestId: 'r1', targetId: 'orders-1', service: 'orders', atMs: 50, hasRun: true, outcome: 'answered', endedMs: 80, ...change })
 const events = (ids: number[]): string => ids.map(id => `id: ${id}\ndata: piece ${id}\n\n`).join('')
 const wholeStream = Array.from({ length: countEvents('r1') }, (_, index) => index + 1)
 
 function check (call: CallRecord, ledger: LedgerEntry[], change: Partial<Evidence> = {}, isUndisturbed = true): string[] {
-  return checkRecords({ records: [call], ledger, keys: new Map(), storeRecoveredMs: 0, budgetWindows: 1, ...change }, () => isUndisturbed)
+  return checkRecords({ records: [call], ledger, keys: new Map(), configurationsMs: [], storeRecoveredMs: 0, budgetWindows: 1, ...change }, () => isUndisturbed)
 }
 
 test('a call that is answered once, completely and in time is no finding', t => {
@@ -52,6 +52,37 @@
   t.deepEqual(check(record({ status: 0, isComplete: false }), [run()], {}, false), [])
 })
 
+test('an answer that is cut or missing around planned work is a finding', t => {
+  const stopped = { plannedWork: { stoppedMs: 0, reloadsMs: [] } }
+  const missing: Partial<CallRecord> = { status: 0, isComplete: false, body: '' }
+  const cut: Partial<CallRecord> = { kind: 'stream', isComplete: false, body: events([1, 2]) }
+  const closed = run({ outcome: 'closed' })
+  const shed = run({ hasRun: false, outcome: 'shed' })
+  const changed = { configurationsMs: [0] }
+  const losses: Array<[Partial<CallRecord>, LedgerEntry[], Partial<Evidence>]> = [
+    [{ ...missing, ...stopped }, [closed], {}],
+    [{ ...missing, ...stopped, endedMs: 300 }, [], {}],
+    [{ ...cut, ...stopped }, [closed], {}],
+    [{ ...cut, plannedWork: { stoppedMs: undefined, reloadsMs: [0] } }, [run()], {}],
+    [cut, [run({ outcome: 'brokenOff' }), shed], changed],
+    [{ ...cut, ...stopped, sentMs: 3_500, endedMs: 7_400 }, [run({ outcome: 'closed', endedMs: 7_400 })], {}]
+  ]
+  for (const [change, ledger, evidence] of losses) t.regex(check(record(change), ledger, evidence, false).join('\n'), /lost/)
+  const exceptions: typeof losses = [
+    [{ ...cut, ...stopped }, [run({ outcome: 'brokenOff' })], {}],
+    [cut, [shed, run({ outcome: 'brokenOff' })], changed],
+    [{ ...cut, ...stopped, endedMs: 4_000 }, [closed], {}],
+    [{ ...cut, ...stopped, sentMs: 2_900, endedMs: 6_800 }, [run({ outcome: 'closed', endedMs: 6_800 })], {}],
+    [{ ...missing, ...stopped }, [], {}],
+    [{ ...missing, ...stopped, lastByteMs: undefined, endedMs: 300 }, [], {}],
+    [{ ...cut, ...stopped, isSound: false }, [closed], {}],
+    [cut, [closed], {}],
+    [{ ...cut, sentMs: 9_000, endedMs: 9_100 }, [closed], changed],
+    [{ kind: 'stream', body: events(wholeStream), ...stopped }, [run()], {}]
+  ]
+  for (const [change, ledger, evidence] of exceptions) t.deepEqual(check(record(change), ledger, evidence, false), [])
+})
+
 test('a short run with real processes has no findings', async t => {
   execFileSync('npm', ['run', '--silent', 'gateway'])
   const { findings, calls } = await runSoak({ seed: 20261204, durationMs: 5_000, hostCount: 3, folder: 'target/soak' })
