--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava'
-import type { Target } from '../../src/fleet/types.js'
+import type { Route, Target } from '../../src/fleet/types.js'
 import { rerouteStreams } from '../../src/gateway/rerouteStreams/index.js'
+import { createRetryBudget } from '../../src/retry/createRetryBudget/index.js'
+import { platformHeaders } from '../../platform/headers.js'
 import { buildAnswer, encodeChunk, encodeEvents, servePlatformEngine, buildStreamHead, STREAM_END, type EngineScript, type PlatformEngineStandin } from '../../standin/platform/servePlatformEngine/index.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
@@ -72,6 +74,45 @@
   t.false((await pipelines.gateway.send('/stream/x')).isComplete)
 })
 
+/** The routes with the given fields of the stream's route replaced. */
+const withStreamRoute = (fields: Partial<Route>): typeof TEST_CONFIGURATION => ({ ...TEST_CONFIGURATION, routes: TEST_CONFIGURATION.routes.map(route => route.kind === 'stream' ? { ...route, ...fields } : route) })
+
+test('an answer that is cut after it had begun is logged as failed with its cause, and never with a status', async t => {
+  const broken: EngineScript = (request, socket) => { socket.write(buildStreamHead(request) + encodeEvents([Number(request.headers['last-event-id'] ?? 0) + 1]), () => socket.destroy()) }
+  const silent: EngineScript = (request, socket) => { socket.write(buildStreamHead(request) + encodeEvents([1])) }
+  const full: EngineScript = (request, socket) => socket.end(buildAnswer(request, '', { status: '503 Full', headers: ['Not-Executed: 1'] }))
+  const error: EngineScript = (request, socket) => socket.end(buildAnswer(request, 'no', { status: '500 Failed' }))
+  const cases: Array<{ scripts: [EngineScript, EngineScript], cause: string, reason?: string, route?: Partial<Route>, tries: number, lastEventId: number, budgetLeft?: number, deadlineMs?: number }> = [
+    { scripts: [broken, broken], cause: 'attempts', tries: 2, lastEventId: 2 },
+    { scripts: [broken, error], cause: 'targetFailed', tries: 2, lastEventId: 1 },
+    { scripts: [broken, broken], cause: 'targetFailed', route: { isResumable: false }, tries: 1, lastEventId: 1 },
+    { scripts: [broken, broken], cause: 'retryBudget', tries: 1, lastEventId: 1, budgetLeft: 0 },
+    { scripts: [broken, full], cause: 'noCapacity', route: { objectiveMs: 20 }, tries: 2, lastEventId: 1 },
+    { scripts: [silent, silent], cause: 'deadline', reason: 'deadlinePassed', tries: 1, lastEventId: 1, deadlineMs: 300 }
+  ]
+  for (const { scripts, cause, reason = 'targetFailed', route = {}, tries, lastEventId, budgetLeft, deadlineMs = 4_000 } of cases) {
+    await using pipelines = await startPipelines(...scripts, { configuration: withStreamRoute(route) })
+    const { parts: context } = pipelines.gateway
+    if (budgetLeft !== undefined) context.budget = { ...context.budget, left: () => budgetLeft }
+    t.false((await pipelines.gateway.send('/stream/x', { 'deadline-ms': String(deadlineMs) })).isComplete)
+    const events = context.log.recent()
+    const ends = events.filter(({ number }) => number >= 3200 && number <= 3203)
+    t.deepEqual(ends.map(({ name, reason, isCut, status }) => ({ name, reason, isCut, status })), [{ name: 'gatewayFailed', reason, isCut: true, status: undefined }], cause)
+    const cut = events.find(({ name }) => name === 'answerCut')
+    t.like(cut, { request: 'r1', route: 'stream', account: 'studio', reason, cause, tries, lastEventId, isDraining: false, version: 3 }, cause)
+    for (const field of ['leftMs', 'tookMs', 'versionAgeMs']) t.is(typeof cut?.[field], 'number', field)
+    t.deepEqual((await context.metrics.answersCut.get()).values.map(({ labels, value }) => [labels.cause, value]), [[cause, 1]])
+  }
+})
+
+test('a stream refused before its answer began is not logged as cut', async t => {
+  await using gateway = await startTestGateway([engine('i-1', '127.0.0.1:1', 0, 40)])
+  await gateway.send('/stream/x', { 'deadline-ms': '1' })
+  const events = gateway.parts.log.recent()
+  t.like(events.find(({ name }) => name === 'gatewayRefused'), { status: 503, isCut: undefined })
+  t.false(events.some(({ name }) => name === 'answerCut'))
+})
+
 test('an engine that refuses without running the request is excluded, and so is a stage that it names', async t => {
   await using pipelines = await startPipelines((request, socket) => socket.end(buildAnswer(request, '', { status: '503 Full', headers: ['Not-Executed: 1'] })))
   t.deepEqual(idsOf((await pipelines.gateway.send('/stream/x')).body), [1, 2, 3, 4])
@@ -163,3 +204,90 @@
   t.truthy(answer.headers['retry-after'])
   t.is(placeRequests, 1)
 })
+
+/** Streams two events and breaks off. */
+const BREAKS_OFF: EngineScript = (request, socket) => { socket.write(buildStreamHead(request) + encodeEvents([1, 2]), () => socket.destroy()) }
+
+/** Refuses a number of requests without running them, then behaves as `next`. */
+function refusing (count: number, next: EngineScript): EngineScript {
+  let refusals = 0
+  return (request, socket) => {
+    if (refusals++ >= count) return next(request, socket)
+    socket.end(buildAnswer(request, '', { status: '503 Full', headers: ['Not-Executed: 1'] }))
+  }
+}
+
+/** Routes with so short an objective that a new request hardly waits for capacity. */
+const IMPATIENT_CONFIGURATION = { ...TEST_CONFIGURATION, routes: TEST_CONFIGURATION.routes.map(route => ({ ...route, objectiveMs: 20, timeoutMs: 60_000 })) }
+
+test('an answer that has begun is not cut when engines refuse to resume it', async t => {
+  await using pipelines = await startPipelines(BREAKS_OFF, refusing(2, WHOLE_STREAM), { configuration: IMPATIENT_CONFIGURATION })
+  const answer = await pipelines.gateway.send('/stream/x', { 'deadline-ms': '60000' })
+  t.true(answer.isComplete)
+  t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+  t.is(pipelines.second.received.length, 3)
+})
+
+test('an answer that has begun is not cut while the retry budget is spent', async t => {
+  await using pipelines = await startPipelines(BREAKS_OFF)
+  const { parts: context } = pipelines.gateway
+  context.budget = createRetryBudget({ ratio: 0, extraRetries: 2, windowMs: 300, runtime: context.runtime, hostCount: () => 1 })
+  context.budget.trySpend('model')
+  const answer = await pipelines.gateway.send('/stream/x')
+  t.true(answer.isComplete)
+  t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+})
+
+test('an answer that has begun is not cut while no engine has capacity to resume it', async t => {
+  let leave = (): void => {}
+  const breakOffAndLeave: EngineScript = (request, socket) => {
+    leave()
+    BREAKS_OFF(request, socket)
+  }
+  await using pipelines = await startPipelines(breakOffAndLeave, WHOLE_STREAM, { configuration: IMPATIENT_CONFIGURATION })
+  const { fleet, runtime } = pipelines.gateway.parts
+  const targets = fleet.targets()
+  leave = () => {
+    fleet.applySnapshot({ revision: 2, targets: [] })
+    // Longer than a new request waits, and than layers take to be loaded again.
+    runtime.setTimer(3_000, () => { fleet.applySnapshot({ revision: 3, targets }) })
+  }
+  const answer = await pipelines.gateway.send('/stream/x', { 'deadline-ms': '60000' })
+  t.true(answer.isComplete)
+  t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+})
+
+test('runs on engines that have left since do not end an answer that has begun', async t => {
+  await using third = await servePlatformEngine(WHOLE_STREAM)
+  const ranOn: string[] = []
+  let noteRun = (_id: string): void => {}
+  const breakOff = (id: string): EngineScript => (request, socket) => {
+    noteRun(id)
+    socket.write(buildStreamHead(request) + encodeEvents([Number(request.headers['last-event-id'] ?? 0) + 1]), () => socket.destroy())
+  }
+  await using pipelines = await startPipelines(breakOff('i-1'), breakOff('i-2'))
+  noteRun = id => {
+    ranOn.push(id)
+    if (ranOn.length === 2) pipelines.gateway.parts.fleet.applyChanges({ revision: 2, changed: [engine('i-3', third.address, 0, 30)], removedIds: [ranOn[0]!] })
+  }
+  const answer = await pipelines.gateway.send('/stream/x')
+  t.true(answer.isComplete)
+  t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+})
+
+test('a stream whose deadline has passed is answered even if its timer has not fired yet', async t => {
+  await using gateway = await startTestGateway([engine('i-1', '127.0.0.1:1', 0, 30), engine('i-1h', '127.0.0.1:1', 30, 60), engine('i-1t', '127.0.0.1:1', 60, 80)])
+  const { parts } = gateway
+  const { monotonicMs } = parts.runtime
+  let skippedMs = 0
+  parts.runtime.monotonicMs = () => monotonicMs() + skippedMs
+  parts.format = {
+    ...parts.format,
+    buildHeaders (...inputs) {
+      skippedMs = 60_000
+      return platformHeaders.buildHeaders(...inputs)
+    }
+  }
+  const answer = await Promise.race([gateway.send('/stream/x'), new Promise(resolve => { setTimeout(resolve, 3_000, 'no answer') })])
+  t.like(answer, { status: 504 })
+})
