--- a/src/gateway/_lib/answerCaller.ts
+++ b/src/gateway/_lib/answerCaller.ts
@@ -38,11 +38,11 @@
   response.end(answer.body)
 }
 
-/** Details of `endWithReason`: `cutCause` is what ended an answer that had begun, if the reason does not tell. */
+/** Details of `endWithReason`: `cutCause` is what ended an answer that had begun; a target's failure by default. */
 type EndDetails = LogDetails & { retryAfterMs?: number, cutCause?: CutCause }
 
 /** Ends a call with a status of the gateway itself, or destroys the connection if an answer has already begun. */
-export function endWithReason (call: Call, context: GatewayContext, reason: ReasonName, { cutCause = causeOf(reason), ...details }: EndDetails): void {
+export function endWithReason (call: Call, context: GatewayContext, reason: ReasonName, { cutCause = 'targetFailed', ...details }: EndDetails): void {
   const { response, facts, route, account, startedMs } = call
   const { log, metrics, runtime, fleet } = context
   const { status } = REASONS[reason]
@@ -65,9 +65,11 @@
   if (isCut) reportCutAnswer(call, context, { reason, cause: cutCause })
 }
 
-function causeOf (reason: ReasonName): CutCause {
-  if (reason === 'deadlinePassed') return 'deadline'
-  return reason === 'overloaded' ? 'noCapacity' : 'targetFailed'
+/** Ends a call that its deadline has stopped, or before that the end of the grace period; `notRunReason` holds at the deadline if no target ran the call. */
+export function endStopped (call: Call, context: GatewayContext, { mayHaveRun, notRunReason, ...details }: LogDetails & { mayHaveRun: boolean, notRunReason: ReasonName }): void {
+  const isDeadlinePassed = call.deadlineAtMs <= context.runtime.monotonicMs()
+  if (!isDeadlinePassed && context.isDraining()) return endWithReason(call, context, mayHaveRun ? 'interrupted' : 'draining', { ...details, cutCause: 'shutdown', retryAfterMs: 0 })
+  endWithReason(call, context, mayHaveRun ? 'deadlinePassed' : notRunReason, { ...details, cutCause: 'deadline' })
 }
 
 function writeRefusal (call: Call, context: GatewayContext, status: number, retryAfterMs: number | undefined): void {
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -19,7 +19,7 @@
 import { repeatTask } from '../../runtime/repeatTask/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
-import { withDeadline } from '../../runtime/withDeadline/index.js'
+import { DeadlineError, withDeadline } from '../../runtime/withDeadline/index.js'
 import { createSuspicions } from '../../suspicion/createSuspicions/index.js'
 import { createDispatcher, type Dispatcher } from '../../waiting/createDispatcher/index.js'
 import { createCallHandler } from '../createCallHandler/index.js'
@@ -49,12 +49,15 @@
 /** Limit on the size of a request's headers; the limit in the configuration is lower. */
 const HEADER_SIZE_BYTES = 65_536
 
-/** Part of the grace period reserved for process exit, in milliseconds. */
+/** Part of the grace period reserved for ending the open calls and for process exit, in milliseconds. */
 const EXIT_RESERVE_MS = 400
 
 /** Calls cut by the shutdown that get a line each; the others are only counted. */
 const MAX_CUT_LINES = 20
 
+/** Time limit for callers to receive the last answers, in milliseconds. */
+const FLUSH_TIMEOUT_MS = 200
+
 /** The retry budget counts the hosts heard from within this time, in milliseconds; one window of the budget. */
 const HOST_COUNT_WINDOW_MS = 10_000
 
@@ -75,6 +78,9 @@
   const { signal } = controller
   // Every watch and background loop listens to this signal: lift the limit that triggers Node's leak warning.
   setMaxListeners(0, signal)
+  /** Aborts when the calls that are still open have to end. */
+  const callsController = new AbortController()
+  setMaxListeners(0, callsController.signal)
   const fleet = createFleetState({ runtime })
   const loadTracker = createLoadTracker({ runtime })
   const suspicions = createSuspicions({ runtime })
@@ -151,7 +157,7 @@
   fleet.onChange(() => suspicions.retain(new Set(fleet.targets().map(target => target.id))))
 
   const logError = (error: unknown, fields: EventFields = {}): void => log.emit('unexpectedError', { ...fields, cause: error instanceof Error ? error.stack : String(error) })
-  const handler = createCallHandler(context, { ownDomain: settings.failureDomain, isAcceptingStreams: () => !hasBalancerLagPassed() })
+  const handler = createCallHandler(context, { ownDomain: settings.failureDomain, isAccepting: () => !hasBalancerLagPassed(), endSignal: callsController.signal })
   const callers = resources.use(await listen(async (request, response) => {
     const open: OpenRequest = { request: '', response, mayHaveRun: false }
     const task = handler(request, response, open)
@@ -168,12 +174,7 @@
     headerSizeBytes: HEADER_SIZE_BYTES,
     requestDeadlineMs: REQUEST_DEADLINE_MS,
     idleTimeoutMs: IDLE_TIMEOUT_MS,
-    isContinueSentByHandler: false,
-    onResponseCut (error, response) {
-      const open = calls.list().find(candidate => candidate.response === response)
-      // The call ends as if its caller had left, which the call itself logs.
-      if (open?.call !== undefined && isUnanswered(open)) reportUnanswered(open, context, { cause: 'error', error: error.code ?? error.message, hasFinalLine: true })
-    }
+    isContinueSentByHandler: false
   }))
   resources.use(await listen(async (_request, response) => {
     response.writeHead(isReady() ? 200 : 503, { 'content-length': '0' })
@@ -190,16 +191,6 @@
   runPlacement({ fleet, suspicions, control, runtime, log, metrics, signal, fencing: election.fencing, onLoaded: exchange.sendNow })
   repeatTask(election.step, { intervalMs: LEASE_RENEWAL_MS, task: 'lease', runtime, log, signal })
 
-  /** Logs the calls that the end of the grace period cuts. */
-  function reportOpenCalls (): void {
-    if (calls.size() === 0) return
-    const unanswered = calls.list().filter(isUnanswered)
-    const listed = unanswered.slice(0, MAX_CUT_LINES)
-    log.emit('drainCut', { openCalls: calls.size(), unanswered: unanswered.length, notListed: unanswered.length - listed.length })
-    for (const open of listed) reportUnanswered(open, context, { cause: 'shutdown', hasFinalLine: open.response.writableEnded })
-    metrics.answersCut.inc({ cause: 'shutdown' }, unanswered.length - listed.length)
-  }
-
   function dispatcherOf (service: string): Dispatcher<Reservation> {
     const known = dispatchers.get(service)
     if (known !== undefined) return known
@@ -242,15 +233,31 @@
 
   const hasBalancerLagPassed = (): boolean => drainingSinceMs !== undefined && runtime.monotonicMs() - drainingSinceMs > settings.balancerLagMs
 
+  /**
+   * Ends the open calls, each with the answer that is true of it, and gives callers some time to
+   * receive them. Logs the calls that are cut all the same.
+   */
+  async function endOpenCalls (): Promise<void> {
+    const openCalls = calls.size()
+    callsController.abort(new DeadlineError(settings.graceMs))
+    using flushDeadline = withDeadline(FLUSH_TIMEOUT_MS, { runtime })
+    await calls.whenIdle(flushDeadline.signal)
+    const unanswered = calls.list().filter(isUnanswered)
+    const listed = unanswered.slice(0, MAX_CUT_LINES)
+    log.emit('drainCut', { openCalls, unanswered: unanswered.length, notListed: unanswered.length - listed.length })
+    for (const open of listed) reportUnanswered(open, context, { cause: 'shutdown', hasFinalLine: open.response.writableEnded })
+    metrics.answersCut.inc({ cause: 'shutdown' }, unanswered.length - listed.length)
+  }
+
   return {
     async drain () {
       drainingSinceMs = runtime.monotonicMs()
       log.emit('processDraining', { openCalls: calls.size() })
-      await sleep(settings.balancerLagMs, { runtime })
+      using drainDeadline = withDeadline(settings.graceMs - EXIT_RESERVE_MS, { runtime })
+      await sleep(settings.balancerLagMs, { runtime, signal: drainDeadline.signal })
       callers.stopAccepting()
-      using drainDeadline = withDeadline(settings.graceMs - settings.balancerLagMs - EXIT_RESERVE_MS, { runtime })
       await calls.whenIdle(drainDeadline.signal)
-      reportOpenCalls()
+      if (calls.size() > 0) await endOpenCalls()
       log.emit('processStopped')
     },
     async [Symbol.asyncDispose] () {
--- a/src/http/listen/index.ts
+++ b/src/http/listen/index.ts
@@ -2,7 +2,7 @@
  * HTTP servers that are closed by disposal.
  */
 import http from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import { PROBLEM_CONTENT_TYPE, toProblem } from '../../verdict/toProblem/index.js'
 import type { Refusal } from '../../verdict/types.js'
 
@@ -18,14 +18,11 @@
   ERR_HTTP_REQUEST_TIMEOUT: 'senderTooSlow'
 }
 
-/** Codes of errors that Node raises itself; those of the connection mean that the caller has left. */
-const PROTOCOL_ERROR_CODE = /^(HPE|ERR_HTTP)_/
-
 /** A listening server. Disposal closes it and all its connections. */
 export interface ListeningServer extends AsyncDisposable {
   /** `ip:port`. */
   address: string
-  /** Accepts no more connections and closes the idle ones; requests in progress continue. */
+  /** Accepts no more connections and closes the idle ones; requests in progress continue, and their connections close after the answers. */
   stopAccepting: () => void
 }
 
@@ -51,8 +48,6 @@
   isContinueSentByHandler?: boolean
   /** Called before a connection is destroyed because its handler rejected. */
   onHandlerError?: (error: unknown) => void
-  /** Called before a connection with a response in progress is destroyed because what follows on it is malformed or too slow. */
-  onResponseCut?: (error: Error & { code?: string }, response: http.ServerResponse) => void
 }
 
 /**
@@ -69,7 +64,7 @@
   handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
   options: ListenOptions
 ): Promise<ListeningServer> {
-  const { address, port, headerSizeBytes, requestDeadlineMs, idleTimeoutMs, refuseMalformed, isContinueSentByHandler = false, onHandlerError, onResponseCut } = options
+  const { address, port, headerSizeBytes, requestDeadlineMs, idleTimeoutMs, refuseMalformed, isContinueSentByHandler = false, onHandlerError } = options
   const server = http.createServer({
     ...(headerSizeBytes === undefined ? {} : { maxHeaderSize: headerSizeBytes }),
     ...(requestDeadlineMs === undefined
@@ -80,7 +75,35 @@
     ...(idleTimeoutMs === undefined ? {} : { keepAliveTimeout: idleTimeoutMs }),
     noDelay: true
   })
+  /** Open connections that have had a request, with their incomplete responses. */
+  const openResponses = new Map<Socket, Set<http.ServerResponse>>()
+  /** Connections with bytes that are no request; they close after their answers. */
+  const brokenConnections = new WeakSet<Socket>()
+  let isAccepting = true
+
+  function trackResponse (socket: Socket, response: http.ServerResponse): void {
+    const responses = openResponses.get(socket) ?? new Set()
+    if (!openResponses.has(socket)) socket.once('close', () => openResponses.delete(socket))
+    openResponses.set(socket, responses.add(response))
+    response.once('close', () => {
+      responses.delete(response)
+      if (!isAccepting || brokenConnections.has(socket)) closeIfIdle(socket)
+    })
+  }
+
+  function closeIfIdle (socket: Socket): void {
+    if (openResponses.get(socket)?.size === 0) socket.destroySoon()
+  }
+
+  function handleClientError (error: Error & { code?: string }, socket: Socket): void {
+    const responses = [...openResponses.get(socket) ?? []]
+    const isAnswerDue = responses.some(({ req }) => req.complete) && error.code !== 'ECONNRESET'
+    if (isAnswerDue) brokenConnections.add(socket)
+    else refuseOnSocket(error, socket, { isResponding: responses.length > 0, createRefusal: refuseMalformed })
+  }
+
   const handleRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+    trackResponse(request.socket, response)
     handler(request, response).catch(error => {
       onHandlerError?.(error)
       response.destroy()
@@ -88,7 +111,7 @@
   }
   server.on('request', handleRequest)
   if (isContinueSentByHandler) server.on('checkContinue', handleRequest)
-  server.on('clientError', (error, socket) => refuseOnSocket(error, socket as Socket, { createRefusal: refuseMalformed, onResponseCut }))
+  server.on('clientError', (error, socket) => handleClientError(error, socket as Socket))
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, address, resolve)
@@ -96,7 +119,12 @@
   const boundAddress = server.address() as AddressInfo
   return {
     address: `${address}:${boundAddress.port}`,
-    stopAccepting: () => { server.close() },
+    stopAccepting () {
+      isAccepting = false
+      // Unlike http.Server, net.Server does not destroy connections whose last response is not flushed yet.
+      NetServer.prototype.close.call(server)
+      for (const socket of openResponses.keys()) closeIfIdle(socket)
+    },
     [Symbol.asyncDispose]: () => new Promise(resolve => {
       server.close(() => resolve())
       server.closeAllConnections()
@@ -106,12 +134,15 @@
 
 /**
  * Writes a refusal to the socket and closes it, as there is no response object for a request that was
- * not parsed. The socket is destroyed instead if a response to an earlier request is in progress on it.
+ * not parsed. The socket is destroyed instead if the request whose body is malformed has a response object.
  */
-function refuseOnSocket (error: Error & { code?: string }, socket: Socket, { createRefusal, onResponseCut }: { createRefusal: ListenOptions['refuseMalformed'], onResponseCut: ListenOptions['onResponseCut'] }): void {
-  const response = (socket as Socket & { _httpMessage?: http.ServerResponse | null })._httpMessage ?? undefined
-  if (response !== undefined && PROTOCOL_ERROR_CODE.test(error.code ?? '')) onResponseCut?.(error, response)
-  if (createRefusal === undefined || response !== undefined || !socket.writable || error.code === 'ECONNRESET') {
+function refuseOnSocket (
+  error: Error & { code?: string },
+  socket: Socket,
+  options: { isResponding: boolean, createRefusal: ListenOptions['refuseMalformed'] }
+): void {
+  const { isResponding, createRefusal } = options
+  if (createRefusal === undefined || isResponding || !socket.writable || error.code === 'ECONNRESET') {
     socket.destroy()
     return
   }
