Let a regression seed of the soak test name its kinds of faults

Cause: the stream that was cut by its attempts or the retry budget is found by targets that shed while the configuration changes; among all kinds of faults it is rare. Change: entries of the regression file may list kinds.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -14,7 +14,7 @@
 /** File with the seeds that have failed before, each with its cause. */
 const REGRESSIONS_FILE = 'soak/regressions.json'
 
-const regressionsSchema = z.array(z.object({ seed: z.number(), seconds: z.number(), cause: z.string() }))
+const regressionsSchema = z.array(z.object({ seed: z.number(), seconds: z.number(), kinds: z.array(z.string()).optional(), cause: z.string() }))
 
 /** Seeds taken from the clock are below this limit. */
 const CLOCK_SEED_LIMIT = 1_000_000
@@ -36,14 +36,14 @@
   override async execute (): Promise<number> {
     const [seeds, seconds, hostCount, jobs] = [this.seeds, this.seconds, this.hosts, this.jobs].map(text => countSchema.parse(text)) as [number, number, number, number]
     const first = this.from === undefined ? Date.now() % CLOCK_SEED_LIMIT : countSchema.parse(this.from)
-    const fresh = Array.from({ length: seeds }, (_, index) => ({ seed: first + index, seconds }))
+    const fresh: z.infer<typeof regressionsSchema> = Array.from({ length: seeds }, (_, index) => ({ seed: first + index, seconds, kinds: this.kinds, cause: '' }))
     const queue = this.regressions ? regressionsSchema.parse(JSON.parse(readFileSync(REGRESSIONS_FILE, 'utf8'))) : fresh
     const total = queue.length
     let failed = 0
     const runQueue = async (): Promise<void> => {
       for (let run = queue.shift(); run !== undefined; run = queue.shift()) {
         const { seed } = run
-        const { findings, calls, statuses, faults, longestStallMs } = await runSoak({ seed, durationMs: run.seconds * 1_000, hostCount, folder: FOLDER, ...(this.kinds === undefined ? {} : { kinds: this.kinds }) })
+        const { findings, calls, statuses, faults, longestStallMs } = await runSoak({ seed, durationMs: run.seconds * 1_000, hostCount, folder: FOLDER, ...(run.kinds === undefined ? {} : { kinds: run.kinds }) })
         this.context.stdout.write(`seed ${seed}: ${findings.length} findings, ${calls} calls, by status ${JSON.stringify(statuses)}, ${faults.length} faults, longest stall ${longestStallMs} ms\n`)
         if (findings.length === 0) continue
         failed++
