Leave streams on first engines that only refuse other requests

What callers saw: a stream was cut, or paused and resumed elsewhere, while its engine was at work on it and only refused new requests because it was full.

Cause: two rules took such an engine for lost. A peer's report that it is unfit outlived the progress of a stream through it, so that one refusal made it unfit again at once; and a pause of 40 to 110 ms, usual at a full engine, was enough to interrupt the exchange. Each interruption cost an attempt and a retry, until the answer was cut.

Both new tests fail on the code before.

Change: progress clears what a peer reported earlier, as it clears this host's own refusals; a first engine that is reachable and refuses is left only after 400 ms without an event, as before the first one. An unreachable engine is left at once, as before.

--- a/src/gateway/rerouteStreams/index.ts
+++ b/src/gateway/rerouteStreams/index.ts
@@ -21,6 +21,9 @@
 /** The same before the first event, while the engines process the prompt. */
 const FIRST_EVENT_PAUSE_MS = 400
 
+/** Pause after which a stream leaves a first engine that is reachable but refuses requests, in milliseconds: interrupting it costs an attempt, and a full engine is slow. */
+const FIRST_ENGINE_PAUSE_MS = 400
+
 /** Shortest time between two probes of one engine, in milliseconds. */
 const PROBE_INTERVAL_MS = 400
 
@@ -89,7 +92,9 @@
 
   /** An engine that refuses new requests may only be full: streams that still progress through it are not lost. */
   function isLostFor (stream: ActiveStream, { id }: Target): boolean {
-    const isPaused = runtime.monotonicMs() - stream.lastProgressMs >= pauseLimitMs(stream)
+    const isFirst = id === stream.path[0]!.target.id
+    const limitMs = isFirst ? FIRST_ENGINE_PAUSE_MS : pauseLimitMs(stream)
+    const isPaused = runtime.monotonicMs() - stream.lastProgressMs >= limitMs
     return suspicions.isUnfit(id) || (isPaused && suspicions.isDown(id))
   }
 
--- a/src/gateway/rerouteStreams/test.ts
+++ b/src/gateway/rerouteStreams/test.ts
@@ -99,3 +99,23 @@
   controller.abort()
   t.deepEqual([moves, abandoned], [['a-0 b-40', 'a-0 b-40'], []])
 })
+
+test('a short pause does not interrupt a stream whose first engine refuses other requests', async t => {
+  const { runtime, suspicions, abandoned, controller, sendEventsFor } = start()
+  await sendEventsFor(50)
+  suspicions.note('a-0', 'refused')
+  await runtime.advance(240)
+  controller.abort()
+  t.deepEqual(abandoned, [])
+})
+
+test('a stream that progresses is not interrupted for what a peer reported of its engine before', async t => {
+  const { suspicions, abandoned, controller, sendEventsFor } = start()
+  suspicions.applyPeerSuspicion({ targetId: 'a-0', ageMs: 0, leftMs: 50, isUnfit: true })
+  suspicions.note('a-0', 'progressed')
+  await sendEventsFor(20)
+  suspicions.note('a-0', 'refused')
+  await sendEventsFor(200)
+  controller.abort()
+  t.deepEqual(abandoned, [])
+})
--- a/src/suspicion/createSuspicions/index.ts
+++ b/src/suspicion/createSuspicions/index.ts
@@ -123,6 +123,7 @@
       if (observation === 'progressed') {
         record.progressedMs = nowMs
         record.refusals = 0
+        record.isUnfitByPeer = false
         return
       }
       const rate = decayedFailureRate(record)
