Keep begun requests that wait from refusing or blocking others

What callers saw: new requests refused although a place was free, and begun streams that never got one, behind others that could not be placed.

Cause: the queue's forecast counted begun requests, which wait without limit, and two of them that exclude the free engines were tried in every round, so that nothing behind them was.

Evidence: review of the change; both new tests fail on the code before.

Change: the forecast and the limit count requests that can be refused; begun ones take turns.

--- a/src/waiting/createDispatcher/index.ts
+++ b/src/waiting/createDispatcher/index.ts
@@ -70,6 +70,8 @@
   placeRequest: PlaceRequest<Place>
   /** Monotonic time of arrival, in milliseconds. */
   arrivedMs: number
+  /** Monotonic time of the last try, or of arrival, in milliseconds. */
+  triedMs: number
   /** Releases the timer and the abort listener, and resolves the promise of the request. */
   settle: (outcome: PlaceOutcome<Place>) => void
 }
@@ -102,11 +104,14 @@
     assignmentTimesMs.push(runtime.monotonicMs())
   }
 
+  /** Number of queued requests that can still be refused. */
+  const newLength = (): number => queue.filter(entry => !entry.placeRequest.hasBegun).length
+
   /** Estimated time until a request at the end of the queue gets a place, in milliseconds. */
   function estimateWaitMs (): number {
     assignmentTimesMs = assignmentTimesMs.filter(atMs => runtime.monotonicMs() - atMs < RATE_WINDOW_MS)
     const ratePerS = Math.max(MIN_RATE_PER_S, assignmentTimesMs.length * MS_PER_S / RATE_WINDOW_MS)
-    return queue.length / ratePerS * MS_PER_S
+    return newLength() / ratePerS * MS_PER_S
   }
 
   const waitedMs = (entry: QueueEntry<Place>): number => runtime.monotonicMs() - entry.arrivedMs
@@ -129,7 +134,7 @@
   }
 
   function dispatch (): void {
-    // Counted apart, as a begun request may only fail because it excludes the targets that failed it.
+    // Counted apart, as a begun request may only fail because it excludes the targets that failed it; begun ones take turns.
     const failedTries = { begun: 0, new: 0 }
     for (const entry of sortQueue(queue, servedByAccount)) {
       const { hasBegun } = entry.placeRequest
@@ -139,6 +144,7 @@
       }
       const group = hasBegun ? 'begun' : 'new'
       if (failedTries[group] >= MAX_FAILED_TRIES_PER_ROUND) continue
+      entry.triedMs = runtime.monotonicMs()
       const place = entry.placeRequest.tryReservePlace()
       if (place === undefined) {
         failedTries[group]++
@@ -163,13 +169,14 @@
           return Promise.resolve({ kind: 'placed', place, waitedMs: 0 })
         }
       }
-      if (!hasBegun && (queue.length >= MAX_QUEUE_LENGTH || maxWaitMs <= 0 || estimateWaitMs() > maxWaitMs || !placeRequest.isPlaceExpected())) {
+      if (!hasBegun && (newLength() >= MAX_QUEUE_LENGTH || maxWaitMs <= 0 || estimateWaitMs() > maxWaitMs || !placeRequest.isPlaceExpected())) {
         return Promise.resolve({ kind: 'refused', waitedMs: 0, queueLength: queue.length })
       }
       return new Promise(resolve => {
         const entry: QueueEntry<Place> = {
           placeRequest,
           arrivedMs: runtime.monotonicMs(),
+          triedMs: runtime.monotonicMs(),
           settle (outcome) {
             timer?.[Symbol.dispose]()
             signal.removeEventListener('abort', abort)
@@ -187,8 +194,10 @@
   }
 }
 
-/** Queued requests: those that have begun first, then by rank, then by how often their account was served, then by arrival. */
+/** Queued requests: first those that have begun, by their last try; then the others by rank, by how often their account was served, and by arrival. */
 function sortQueue<Place> (queue: ReadonlyArray<QueueEntry<Place>>, servedByAccount: ReadonlyMap<string, number>): Array<QueueEntry<Place>> {
   const servedCount = (entry: QueueEntry<Place>): number => servedByAccount.get(entry.placeRequest.account) ?? 0
-  return [...queue].sort((a, b) => Number(b.placeRequest.hasBegun) - Number(a.placeRequest.hasBegun) || a.placeRequest.rank - b.placeRequest.rank || servedCount(a) - servedCount(b) || a.arrivedMs - b.arrivedMs)
+  const begun = queue.filter(entry => entry.placeRequest.hasBegun).sort((a, b) => a.triedMs - b.triedMs)
+  const others = queue.filter(entry => !entry.placeRequest.hasBegun)
+  return [...begun, ...others.sort((a, b) => a.placeRequest.rank - b.placeRequest.rank || servedCount(a) - servedCount(b) || a.arrivedMs - b.arrivedMs)]
 }
--- a/src/waiting/createDispatcher/test.ts
+++ b/src/waiting/createDispatcher/test.ts
@@ -123,3 +123,21 @@
   await runtime.settle()
   t.deepEqual(order, ['new placed'])
 })
+
+test('requests that have begun and find no place do not keep other begun ones from one', async t => {
+  const { runtime, places, order, requestPlace } = setUp()
+  for (const name of ['begun1', 'begun2']) requestPlace(name, { hasBegun: true, tryReservePlace: () => undefined })
+  requestPlace('begun3', { hasBegun: true })
+  places.push('p')
+  await runtime.advance(200)
+  t.deepEqual(order, ['begun3 placed'])
+})
+
+test('requests that have begun and wait do not let new ones be refused', async t => {
+  const { runtime, places, order, requestPlace } = setUp()
+  for (let index = 0; index < 5; index++) requestPlace(`begun${index}`, { hasBegun: true, tryReservePlace: () => undefined })
+  places.push('p')
+  requestPlace('new')
+  await runtime.advance(100)
+  t.deepEqual(order, ['new placed'])
+})
