Count runs on leaving engines as attempts

A begun stream could run on more engines than its route allows: runs counted only while their engine was serving, and a leaving one has not ended. Found in review, by reading. Runs now count while the engine is listed with the same start.

--- a/src/fleet/createFleetState/index.ts
+++ b/src/fleet/createFleetState/index.ts
@@ -42,6 +42,8 @@
   targets: () => Target[]
   /** Listed targets of a service that are not leaving. */
   servingTargets: (service: string) => Target[]
+  /** Whether the target is listed with the same start time. */
+  isListed: (target: Target) => boolean
   /** Whether the target is listed with the same start time and is not leaving. */
   isServing: (target: Target) => boolean
   revision: () => number
@@ -167,6 +169,8 @@
     return { ...target, layers: sighting.layers ?? undefined }
   }
 
+  const isListed = (target: Target): boolean => targets.get(target.id)?.bornMs === target.bornMs
+
   const listTargets = (): Target[] => {
     targetList ??= [...targets.values()].map(withSeenLayers)
     return targetList
@@ -184,10 +188,8 @@
     },
     targets: listTargets,
     servingTargets: service => listTargets().filter(target => target.service === service && !target.isLeaving),
-    isServing (target) {
-      const known = targets.get(target.id)
-      return known !== undefined && known.bornMs === target.bornMs && !known.isLeaving
-    },
+    isListed,
+    isServing: target => isListed(target) && !targets.get(target.id)!.isLeaving,
     revision: () => revision,
     fingerprint: () => fingerprint,
     updateSince (known) {
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -64,7 +64,7 @@
 
   const hasBegun = (): boolean => call.response.headersSent
   /** Whether the runs use up the attempts; those on engines that have ended since no longer count. */
-  const areRunsExhausted = (runs: readonly Target[] = ranOn): boolean => runs.filter(fleet.isServing).length >= route.maxAttempts
+  const areRunsExhausted = (runs: readonly Target[] = ranOn): boolean => runs.filter(fleet.isListed).length >= route.maxAttempts
 
   while (!signal.aborted) {
     if (progress.tries > 0) {
