Release the load of a path that could not be ordered in time

What callers saw: requests refused for engines that looked full.

Cause: when the order for another path failed after its stream had ended, the old path was claimed again and nothing released the claim; peers learnt of the load by digests.

Evidence: found in review.

--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -225,6 +225,8 @@
     meanPauseMs: 0,
     isRerouting: false,
     assignPath (path) {
+      // An order for another path can fail after its stream has ended; nothing would release the claim.
+      if (!streams.has(active)) return
       reservation[Symbol.dispose]()
       reroutedClaim?.[Symbol.dispose]()
       reroutedClaim = loadTracker.claim(path, size, { previousPath: active.path })
