Interrupt only streams that are paused and may go on elsewhere

What callers saw: streams that progressed were broken off and had to go on elsewhere, or were cut; streams that cannot be resumed got a 502 while their engine was at work.

Cause: one failed connect or a peer's report between two events was enough, as no pause was required; and a stream that had not begun was interrupted even if its route allows no second run.

Evidence: found in review; 'a failed connect between two events ...', 'a stream that cannot be resumed is left ...' and 'a stream on its last attempt ...' fail with the respective condition taken out. The test of refused resumptions now needs more refusals than the limit of tries for new requests, so that it fails with that limit.

--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -82,7 +82,7 @@
     if (signal.aborted) break
     if (progress.tries > 0 && !hasBegun() && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent')
     progress.tries++
-    const mayInterrupt = (): boolean => !hasBegun() || (route.isResumable && !areRunsExhausted([...ranOn, reservation.target]))
+    const mayInterrupt = (): boolean => route.isResumable && (!hasBegun() || !areRunsExhausted([...ranOn, reservation.target]))
     const result = await attemptStream(call, reservation, size, progress, mayInterrupt, context)
     metrics.attempts.inc({ result: result.kind })
     const { target } = reservation
--- a/src/gateway/rerouteStreams/index.ts
+++ b/src/gateway/rerouteStreams/index.ts
@@ -101,7 +101,9 @@
   async function reroute (stream: ActiveStream, cause: 'engine down' | 'engine leaving'): Promise<void> {
     const first = stream.path[0]!
     if (isLostFor(stream, first.target)) {
-      if (stream.mayInterrupt()) stream.interrupt('first engine down')
+      // An engine that still sends events is not down, whatever a connect or a peer says.
+      const isProgressing = stream.hasStarted && runtime.monotonicMs() - stream.lastProgressMs < pauseLimitMs(stream)
+      if (!isProgressing && stream.mayInterrupt()) stream.interrupt('first engine down')
       return
     }
     const path = chooseNewPath(stream, cause)
--- a/src/gateway/rerouteStreams/test.ts
+++ b/src/gateway/rerouteStreams/test.ts
@@ -119,3 +119,12 @@
   controller.abort()
   t.deepEqual(abandoned, [])
 })
+
+test('a failed connect between two events does not interrupt a stream that progresses', async t => {
+  const { suspicions, abandoned, controller, sendEventsFor } = start()
+  await sendEventsFor(50)
+  suspicions.note('a-0', 'unreachable')
+  await sendEventsFor(200)
+  controller.abort()
+  t.deepEqual(abandoned, [])
+})
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -221,11 +221,11 @@
 const IMPATIENT_CONFIGURATION = { ...TEST_CONFIGURATION, routes: TEST_CONFIGURATION.routes.map(route => ({ ...route, objectiveMs: 20, timeoutMs: 60_000 })) }
 
 test('an answer that has begun is not cut when engines refuse to resume it', async t => {
-  await using pipelines = await startPipelines(BREAKS_OFF, refusing(2, WHOLE_STREAM), { configuration: IMPATIENT_CONFIGURATION })
+  await using pipelines = await startPipelines(BREAKS_OFF, refusing(3, WHOLE_STREAM), { configuration: IMPATIENT_CONFIGURATION })
   const answer = await pipelines.gateway.send('/stream/x', { 'deadline-ms': '60000' })
   t.true(answer.isComplete)
   t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
-  t.is(pipelines.second.received.length, 3)
+  t.is(pipelines.second.received.length, 4)
 })
 
 test('an answer that has begun is not cut while the retry budget is spent', async t => {
@@ -301,3 +301,64 @@
   t.like(await answer, { status: 503, isComplete: true })
   t.is(gateway.parts.dispatcherOf('model').queueLength(), 0)
 })
+
+test('an order for another path that fails after its stream has ended leaves no load', async t => {
+  let finish = (): void => {}
+  const held: EngineScript = (request, socket) => {
+    socket.write(buildStreamHead(request) + encodeEvents([1, 2]))
+    finish = () => socket.end(encodeEvents([3, 4]) + STREAM_END)
+  }
+  let refuse = (): void => {}
+  const refused = new Promise<void>(resolve => { refuse = resolve })
+  const control = {
+    isReachable: async (target: Target) => target.id !== 'i-1h',
+    async repath () {
+      finish()
+      await refused
+      return { kind: 'refused' as const, status: 409, faultyAddress: undefined }
+    }
+  }
+  await using pipelines = await startPipelines(held, WHOLE_STREAM, { control, configuration: withStreamRoute({ isResumable: false }) })
+  const { parts } = pipelines.gateway
+  const controller = new AbortController()
+  const rerouting = rerouteStreams(parts, { signal: controller.signal, onSuspicion: () => {} })
+  t.true((await pipelines.gateway.send('/stream/x')).isComplete)
+  while (parts.streams.size > 0) await new Promise(resolve => { setImmediate(resolve) })
+  refuse()
+  await new Promise(resolve => { setTimeout(resolve, 50) })
+  controller.abort()
+  await rerouting
+  t.deepEqual(Object.keys(parts.loadTracker.own()).filter(id => id.startsWith('i-')), [])
+})
+
+test('a stream on its last attempt is not interrupted for what a peer says of its engine', async t => {
+  const script: EngineScript = (request, socket) => {
+    if (request.headers['last-event-id'] === undefined) return BREAKS_OFF(request, socket)
+    socket.write(buildStreamHead(request) + encodeEvents([3]))
+    setTimeout(() => socket.end(encodeEvents([4]) + STREAM_END), 600)
+  }
+  await using pipelines = await startPipelines(script, script)
+  const { parts } = pipelines.gateway
+  const controller = new AbortController()
+  const rerouting = rerouteStreams(parts, { signal: controller.signal, onSuspicion: () => {} })
+  const answer = pipelines.gateway.send('/stream/x')
+  while (pipelines.first.received.length + pipelines.second.received.length < 2) await new Promise(resolve => { setImmediate(resolve) })
+  for (const id of ['i-1', 'i-2']) parts.suspicions.applyPeerSuspicion({ targetId: id, ageMs: 0, leftMs: 2_000, isUnfit: true })
+  t.deepEqual(idsOf((await answer).body), [1, 2, 3, 4])
+  controller.abort()
+  await rerouting
+})
+
+test('a stream that cannot be resumed is left to an engine that a peer reports as unfit', async t => {
+  const slow: EngineScript = (request, socket) => { setTimeout(() => WHOLE_STREAM(request, socket), 600) }
+  await using pipelines = await startPipelines(slow, slow, { configuration: withStreamRoute({ isResumable: false }) })
+  const { parts } = pipelines.gateway
+  const controller = new AbortController()
+  const rerouting = rerouteStreams(parts, { signal: controller.signal, onSuspicion: () => {} })
+  const answer = pipelines.gateway.send('/stream/x')
+  while (pipelines.first.received.length + pipelines.second.received.length === 0) await new Promise(resolve => { setImmediate(resolve) })
+  for (const id of ['i-1', 'i-2']) parts.suspicions.applyPeerSuspicion({ targetId: id, ageMs: 0, leftMs: 2_000, isUnfit: true })
+  t.is((await answer).status, 200)
+  controller.abort()
+  await rerouting
+})
