Handle pipelined requests one after the other

What callers saw: of two pipelined bookings, the second was passed on and ran, and its connection closed after the first answer, which carries Connection: close during a shutdown. When the caller left, the engine of the second went on working.

Cause: the server's handler ran for a request while the answer before it was open. A response that is queued behind another gets neither the connection nor its close event.

The three new tests of listen fail on the code before.

Change: a request is handled once the answers before it have ended, if its connection still is writable. A request that crosses the close has then not been passed on.

--- a/src/http/listen/index.ts
+++ b/src/http/listen/index.ts
@@ -102,12 +102,19 @@
     else refuseOnSocket(error, socket, { isResponding: responses.length > 0, createRefusal: refuseMalformed })
   }
 
-  const handleRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
-    trackResponse(request.socket, response)
-    handler(request, response).catch(error => {
+  const handleRequest = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
+    const { socket } = request
+    const earlier = [...openResponses.get(socket) ?? []]
+    trackResponse(socket, response)
+    // A pipelined request waits for the answers before it, as the connection may close after any of them.
+    await Promise.all(earlier.map(waitForClose))
+    if (!socket.writable) return
+    try {
+      await handler(request, response)
+    } catch (error) {
       onHandlerError?.(error)
       response.destroy()
-    })
+    }
   }
   server.on('request', handleRequest)
   if (isContinueSentByHandler) server.on('checkContinue', handleRequest)
@@ -132,6 +139,13 @@
   }
 }
 
+function waitForClose (response: http.ServerResponse): Promise<void> {
+  return new Promise(resolve => {
+    if (response.closed) resolve()
+    else response.once('close', resolve)
+  })
+}
+
 /**
  * Writes a refusal to the socket and closes it, as there is no response object for a request that was
  * not parsed. The socket is destroyed instead if the request whose body is malformed has a response object.
--- a/src/http/listen/test.ts
+++ b/src/http/listen/test.ts
@@ -67,3 +67,47 @@
     t.regex(await received, /whole$/)
   })
 }
+
+test('a pipelined request is not handled before the answer ahead of it has ended', async t => {
+  const handled: string[] = []
+  const arrived = defer<() => void>()
+  await using server = await listen(async (request, response) => {
+    handled.push(request.url!)
+    if (request.url === '/first') arrived.resolve(() => response.end('first'))
+    else response.end('second')
+  }, OPTIONS)
+  const { socket, received } = connect(server.address, 'GET /first HTTP/1.1\r\nhost: a\r\n\r\nGET /second HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n')
+  const answer = await arrived.promise
+  await new Promise(resolve => { setTimeout(resolve, 50) })
+  t.deepEqual(handled, ['/first'])
+  answer()
+  t.regex(await received, /first[^]*second/)
+  socket.destroy()
+})
+
+test('a pipelined request behind an answer that closes the connection is never handled', async t => {
+  const handled: string[] = []
+  await using server = await listen(async (request, response) => {
+    handled.push(request.url!)
+    response.writeHead(200, { connection: 'close' }).end('first')
+  }, OPTIONS)
+  const { received } = connect(server.address, 'POST /first HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\nPOST /second HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n')
+  t.regex(await received, /first/)
+  t.deepEqual(handled, ['/first'])
+})
+
+test('a pipelined request whose caller leaves is never handled', async t => {
+  const handled: string[] = []
+  const arrived = defer<() => void>()
+  await using server = await listen(async (request, response) => {
+    handled.push(request.url!)
+    arrived.resolve(() => response.destroy())
+  }, OPTIONS)
+  const { socket, received } = connect(server.address, `${GET}${GET}`)
+  const cut = await arrived.promise
+  socket.destroy()
+  await received
+  cut()
+  await new Promise(resolve => { setTimeout(resolve, 50) })
+  t.is(handled.length, 1)
+})
