--- a/soak/_lib/checkRecords.ts
+++ b/soak/_lib/checkRecords.ts
@@ -68,7 +68,7 @@
 function checkAnswer (record: CallRecord, isUndisturbed: boolean): string[] {
   const problems: string[] = []
   const tookMs = record.endedMs - record.sentMs
-  if (isUndisturbed && record.status === 0) problems.push('no answer')
+  if (isUndisturbed && record.status === 0) problems.push(`no answer${record.errorCode === undefined ? '' : `, ${record.errorCode}`}`)
   if (isUndisturbed && record.status > 0 && !record.isComplete && record.kind !== 'stream') problems.push('answer was cut off')
   if (isUndisturbed && tookMs > record.deadlineMs + DEADLINE_TOLERANCE_MS) problems.push(`took ${Math.round(tookMs)} ms`)
   if (record.status === 503 && record.retryAfter === undefined) problems.push('no Retry-After')
--- a/soak/_lib/startCallers.ts
+++ b/soak/_lib/startCallers.ts
@@ -23,6 +23,8 @@
   lastByteMs: number | undefined
   endedMs: number
   deadlineMs: number
+  /** Error code of the connection, if it failed. */
+  errorCode: string | undefined
   /** Status of the answer; 0 without an answer. */
   status: number
   retryAfter: string | undefined
@@ -91,7 +93,7 @@
     const isInParts = kind !== 'safe' && random() < IN_PARTS_RATIO
     const requestId = `${isLong ? LONG_STREAM_PREFIX : 'r'}${++requestCount}`
     const deadlineMs = isLong ? LONG_DEADLINE_MS : DEADLINE_MS
-    const record: CallRecord = { requestId, kind, host, startCount: host.startCount(), plannedWork: host.plannedWork(), isSound: false, key: pickKey(), sentMs: performance.now(), lastByteMs: undefined, endedMs: 0, deadlineMs, status: 0, retryAfter: undefined, body: '', isComplete: false }
+    const record: CallRecord = { requestId, kind, host, startCount: host.startCount(), plannedWork: host.plannedWork(), isSound: false, key: pickKey(), sentMs: performance.now(), lastByteMs: undefined, endedMs: 0, deadlineMs, errorCode: undefined, status: 0, retryAfter: undefined, body: '', isComplete: false }
     const [address, port] = host.address().split(':')
     return new Promise(resolve => {
       const finish = (): void => {
@@ -118,7 +120,10 @@
         })
       })
       const timeout = setTimeout(() => request.destroy(), deadlineMs + GIVE_UP_AFTER_DEADLINE_MS)
-      request.on('error', finish)
+      request.on('error', (error: NodeJS.ErrnoException) => {
+        record.errorCode = error.code
+        finish()
+      })
       request.on('finish', () => { record.lastByteMs = performance.now() })
       if (!isInParts) {
         request.end(kind === 'safe' ? undefined : 'body')
--- a/soak/test.ts
+++ b/soak/test.ts
@@ -9,7 +9,7 @@
 const HOST = { name: 'host-0' } as SoakHost
 
 const record = (change: Partial<CallRecord>): CallRecord => ({
-  requestId: 'r1', kind: 'unsafe', host: HOST, startCount: 1, plannedWork: { stoppedMs: undefined, reloadsMs: [] }, isSound: true, key: 'steady', sentMs: 0, lastByteMs: 1, endedMs: 100, deadlineMs: 4_000, status: 200, retryAfter: undefined, body: 'answer to r1', isComplete: true, ...change
+  requestId: 'r1', kind: 'unsafe', host: HOST, startCount: 1, plannedWork: { stoppedMs: undefined, reloadsMs: [] }, isSound: true, key: 'steady', sentMs: 0, lastByteMs: 1, endedMs: 100, deadlineMs: 4_000, errorCode: undefined, status: 200, retryAfter: undefined, body: 'answer to r1', isComplete: true, ...change
 })
 const run = (change: Partial<LedgerEntry> = {}): LedgerEntry => ({ requestId: 'r1', targetId: 'orders-1', service: 'orders', atMs: 50, hasRun: true, outcome: 'answered', endedMs: 80, ...change })
 const events = (ids: number[]): string => ids.map(id => `id: ${id}\ndata: piece ${id}\n\n`).join('')
