Let soak callers reconnect to ready hosts only

Cause: callers that rest for up to two seconds can lose their connection meanwhile. Their next request opened a new one to the same host without asking whether it is ready, as the load balancer does; a host that had been killed and was starting refused it. No request was accepted.

The check is unchanged.

Change: a caller whose connection is gone asks for readiness again.

--- a/soak/_lib/startCallers.ts
+++ b/soak/_lib/startCallers.ts
@@ -82,6 +82,8 @@
         records.push(record)
         isUsable = record.status > 0 && record.isComplete && random() > 0.05
         await pause(random() * (random() < IDLE_RATIO ? MAX_IDLE_MS : MAX_PAUSE_MS))
+        const isConnectionOpen = Object.keys(agent.freeSockets).length > 0
+        if (isUsable && !isConnectionOpen) isUsable = await isReady(host)
       }
       agent.destroy()
     }
