--- a/src/digest/createDigestExchange/index.ts
+++ b/src/digest/createDigestExchange/index.ts
@@ -1,186 +1,407 @@
 /**
- * Exchanges digests with the other hosts. The store may reject one host while it serves the
- * others, so a host that stays behind a peer for longer than a watch takes reads the state from
- * that peer.
+ * Exchanges digests with the neighboring hosts of the tree that `planNeighbors` describes. A digest
+ * carries the summed load of all hosts behind its sender, seen from the receiver: a child reports
+ * its subtree, a root reports its subtree to the other roots, and a parent tells each child the
+ * rest of the fleet. Load passes from host to host within tenths of a second, and a host's work
+ * does not grow with the fleet.
+ *
+ * Only a host that precedes another one in the order of the tree takes its report, and nothing
+ * that was told downwards is reported upwards. No load can therefore run in a circle, even while
+ * hosts disagree on who is alive.
+ *
+ * The store may reject one host while it serves the others, so a host that stays behind a neighbor
+ * for longer than a watch takes reads the state from that neighbor.
  */
 import type { EventLog } from '../../event/types.js'
+import type { LoadByKey } from '../../path/hashLoadKey/index.js'
 import { repeatTask } from '../../runtime/repeatTask/index.js'
 import type { Runtime } from '../../runtime/types.js'
-import { digestSchema, encodeDigest, type Digest, type DigestSocket } from '../types.js'
+import { createMemberView, type ReportOptions } from '../createMemberView/index.js'
+import { createNoticeRelay } from '../_lib/createNoticeRelay.js'
+import { firstReader, type ConnectedReader } from '../../fleet/isStoreReader/index.js'
+import { isBefore, planNeighbors, type NeighborPlan } from '../planNeighbors/index.js'
+import { decodeDigest, encodeDigest, type Digest, type DigestRole, type DigestSocket, type HostState, type Notices } from '../types.js'
 
-/** A peer with its latest digest. */
+/** A neighbor with its latest digest. */
 export interface Peer {
   ip: string
   digest: Digest
   lastHeardMs: number
 }
 
+/** Load of the neighbors, by their addresses. */
+export interface LoadExchange {
+  /** Load of this host and of all hosts behind the given neighbors. */
+  sumWith: (neighbors: Iterable<string>) => LoadByKey
+  /** Replaces the load behind a neighbor; returns whether it differs. */
+  setNeighborLoad: (neighbor: string, load: LoadByKey) => boolean
+  removeNeighbor: (neighbor: string) => void
+  /** Calls the listener when this host's own load changes. */
+  onOwnChange: (listener: () => void) => void
+}
+
 /** Dependencies and callbacks of the exchange. */
 export interface DigestExchangeOptions {
   socket: DigestSocket
   ownIp: string
+  ownDomain: string
   runtime: Runtime
   log: EventLog
   signal: AbortSignal
-  /** Builds this host's digest, without the fields that the exchange itself adds. */
-  buildDigest: () => Omit<Digest, 'sequence' | 'peers'>
-  /** How far this host has followed the store; compared with each digest of a peer. */
-  storeProgress: () => Pick<Digest, 'configurationVersion' | 'targetsRevision' | 'targetsFingerprint'>
-  /** Whether changes reach this host by watches, so that it need not rely on digests. */
+  load: LoadExchange
+  /** Builds this host's own state. */
+  buildState: () => HostState
+  /** This host's own observations of targets, which the others get. */
+  ownNotices: () => Notices
+  /** Called with observations of other hosts, each once. */
+  onNotices: (notices: Notices) => void
+  /** Whether changes reach this host by other ways, so that it need not rely on digests. */
   isFollowingStore: () => boolean
-  /** Called with each new digest of a peer. */
+  /** Called with each new digest of a neighbor. */
   onDigest: (digest: Digest) => void
-  /** Called when no digest of a peer has arrived for a while. */
-  onPeerLost: (host: string) => void
-  /** Reads the state of a peer that is ahead; resolves when it is applied or the read has failed. */
+  /** Reads the state of a neighbor that is ahead; resolves when it is applied or the read has failed. */
   fetchState: (address: string) => Promise<void>
 }
 
-/** The peers of this host and the sending of digests. */
+/** The neighbors of this host, what is known through them, and the sending of digests. */
 export interface DigestExchange {
   addAddress: (ip: string) => void
-  /** Peers heard from recently. */
+  /** Neighbors heard from recently. */
   peers: () => Peer[]
-  /** Number of hosts heard from within a time in milliseconds, this one included. */
-  countHosts: (withinMs: number) => number
-  /** Mean age of the peers' digests, in milliseconds. */
-  digestAgeMs: () => number
-  /** Sends a digest at once, for example when a target is found dead. */
+  /** The parent of this host; `undefined` at a root, or while the parent has not been heard. */
+  parent: () => Peer | undefined
+  /** Whether this host is a root of the tree. */
+  isRoot: () => boolean
+  /** Number of hosts, this one included. */
+  hostCount: () => number
+  /** Largest number of hosts in the last `HOST_COUNT_WINDOW_MS`. */
+  recentHostCount: () => number
+  /** Mean age of what is known of the other hosts' load, in milliseconds. */
+  loadAgeMs: () => number
+  /** Number of hosts between this one and the roots. */
+  depth: () => number
+  /** The other roots that are heard, if this host is one. */
+  otherRoots: () => Peer[]
+  /** Hosts that were connected to the store shortly before: the first behind each neighbor. */
+  readers: () => ConnectedReader[]
+  /** Sends digests at once, for example when a target is found dead. */
   sendNow: () => void
 }
 
-/** Interval between digests, in milliseconds; a suspicion reaches the other hosts within it. */
+/** Interval of digests to other roots and to the parent, and of roots' digests to their children, in milliseconds. */
 const INTERVAL_MS = 100
 
-/** Number of peers that get each digest; if there are more, they take turns. */
-const FANOUT = 8
+/** Least time between two reports of changes, in milliseconds. */
+const REPORT_SPACING_MS = 50
 
-/** Number of addresses in one digest; a few digests make all of them known. */
-const ADVERTISED_PEERS = 16
+/** Time after which a host passes on what it knows to its children although its parent is silent, in milliseconds. */
+const RELAY_TIMEOUT_MS = 150
 
-/** Time without a digest after which a peer counts as lost and its load is ignored, in milliseconds. */
-const PEER_TIMEOUT_MS = 1_500
+/** Time without a digest after which a host does without its parent, or another root, in milliseconds. */
+const PLANNED_TIMEOUT_MS = 600
 
-/** Time without a digest after which an address only gets some of the digests, in milliseconds, and the probability of each. */
-const SILENT_AFTER_MS = 10_000
-const SILENT_SEND_PROBABILITY = 0.05
+/** Time without a digest after which the load of a neighbor is dropped, in milliseconds. */
+const NEIGHBOR_TIMEOUT_MS = 1_000
 
-/** How long a peer must be ahead before its state is read, in milliseconds; a working watch on the store is faster. */
+/** Number of members in one digest, and in one that answers a contact. */
+const REPORTED_MEMBERS = 12
+const ANSWERED_MEMBERS = 40
+
+/** Least time between two contacts to an address, or two answers to one, in milliseconds; the first while this host has no neighbors. */
+const FIRST_CONTACT_INTERVAL_MS = 200
+const CONTACT_INTERVAL_MS = 500
+
+/** How long a neighbor must be ahead before its state is read, in milliseconds; a working watch or poll is faster. */
 const AHEAD_GRACE_MS = 300
 
+/** Age up to which another host's connection to the store counts, in milliseconds. */
+const READER_AGE_MS = 1_500
+
+/** Window of `recentHostCount`, in milliseconds; hosts that stopped within it may have spent a part of what all share. */
+const HOST_COUNT_WINDOW_MS = 10_000
+
+/** Key of the load that the parent tells, whichever host that is. */
+const UPSTREAM = 'upstream'
+
+/** Role of a digest that carries load. */
+type NeighborRole = Exclude<DigestRole, 'contact' | 'members'>
+
+interface Neighbor extends Peer {
+  /** What this host is to the neighbor: its parent (`up`), its child (`down`) or another root. */
+  role: NeighborRole
+  /** Since when it has been ahead of this host. */
+  aheadSinceMs: number | undefined
+}
+
+const listPlanned = ({ parent, otherRoots }: NeighborPlan): string[] => parent === undefined ? otherRoots : [parent]
+
+const isLoadRole = (role: DigestRole): role is NeighborRole => role !== 'contact' && role !== 'members'
+
 /**
  * @name createDigestExchange
  * @summary Exchanges digests until the signal aborts.
- * @param options - Socket, runtime, own digest and callbacks.
+ * @param options - Socket, runtime, own state, load and callbacks.
  * @returns The exchange.
  *
  * @example
- * const exchange = createDigestExchange({ socket, ownIp, runtime, log, signal, buildDigest, storeProgress, isFollowingStore, onDigest, onPeerLost, fetchState })
+ * const exchange = createDigestExchange({ socket, ownIp, ownDomain, runtime, log, signal, load, buildState, ownNotices, onNotices, isFollowingStore, onDigest, fetchState })
  */
 export function createDigestExchange (options: DigestExchangeOptions): DigestExchange {
-  const { socket, ownIp, runtime, log, signal, buildDigest, storeProgress, isFollowingStore, onDigest, onPeerLost, fetchState } = options
-  const addressHeardMs = new Map<string, number>()
-  const peers = new Map<string, Peer>()
-  const aheadSinceMs = new Map<string, number>()
+  const { socket, ownIp, ownDomain, runtime, log, signal, load, buildState, ownNotices, onNotices, isFollowingStore, onDigest, fetchState } = options
+  const view = createMemberView({ ownIp, ownDomain, runtime })
+  const relay = createNoticeRelay({ runtime })
+  const neighbors = new Map<string, Neighbor>()
+  const contactedMs = new Map<string, number>()
+  let plan: NeighborPlan = { isRoot: true, depth: 0, parent: undefined, otherRoots: [], roots: [] }
+  /** Since when each planned neighbor has been one. */
+  let plannedSinceMs = new Map<string, number>()
   let sequence = 0
-  let nextReceiver = 0
+  let reportedMs = -Infinity
+  let relayedMs = -Infinity
+  let silentContactedMs = -Infinity
+  let reportTimer: Disposable | undefined
   let isFetching = false
+  let hostCounts: Array<{ atMs: number, count: number }> = []
 
-  function addAddress (ip: string): void {
-    if (ip !== ownIp && !addressHeardMs.has(ip)) addressHeardMs.set(ip, runtime.monotonicMs())
+  const sinceMs = (atMs: number): number => runtime.monotonicMs() - atMs
+  const listNeighbors = (role: NeighborRole): Neighbor[] => [...neighbors.values()].filter(neighbor => neighbor.role === role)
+  const listChildren = (): Neighbor[] => listNeighbors('up')
+  /** The neighbor whose digests cover the rest of the fleet; a former parent until the new one is heard. */
+  const upstream = (): Neighbor | undefined => listNeighbors('down').sort((a, b) => b.lastHeardMs - a.lastHeardMs)[0]
+
+  /** Neighbors behind which there are hosts that the receiver does not know through others. */
+  function sourcesFor (role: DigestRole, receiver: string): Neighbor[] {
+    if (!isLoadRole(role)) return []
+    const children = listChildren().filter(child => child.ip !== receiver)
+    if (role !== 'down') return children
+    const above = plan.isRoot ? listNeighbors('mesh') : [upstream()].filter(neighbor => neighbor !== undefined)
+    return [...children, ...above]
+  }
+
+  const loadKeyOf = (neighbor: Neighbor): string => neighbor.role === 'down' ? UPSTREAM : neighbor.ip
+
+  function send (ip: string, role: DigestRole): void {
+    const sources = sourcesFor(role, ip)
+    const state = buildState()
+    const hostCount = sources.reduce((sum, { digest }) => sum + digest.hostCount, 1)
+    const digest: Digest = {
+      ...state,
+      sequence: ++sequence,
+      role,
+      hostCount,
+      loadAgeMs: Math.round(sources.reduce((sum, source) => sum + knowledgeAgeMs(source) * source.digest.hostCount, 0) / hostCount),
+      reader: state.isStoreConnected ? firstReader([{ ip: ownIp, depth: plan.depth, ageMs: 0 }, ...knownReaders(sources)]) : firstReader(knownReaders(sources)),
+      notices: isLoadRole(role) ? relay.noticesFor(ip, role) : { suspicions: [], seenLayers: [] },
+      members: view.takeReport(ip, reportOptions(role)),
+      load: isLoadRole(role) ? load.sumWith(sources.map(loadKeyOf)) : new Map()
+    }
+    socket.send(ip, encodeDigest(digest))
+  }
+
+  /** A parent gets only what it cannot know from others; a host that may be out of place gets the roots. */
+  function reportOptions (role: DigestRole): ReportOptions {
+    if (role === 'up') return { count: REPORTED_MEMBERS, isReportedFrom: reporter => neighbors.get(reporter)?.role === 'up' }
+    if (role === 'down') return { count: REPORTED_MEMBERS }
+    return { count: role === 'mesh' ? REPORTED_MEMBERS : ANSWERED_MEMBERS, always: plan.roots.map(root => root.ip) }
   }
 
-  function chooseReceivers (): string[] {
-    const nowMs = runtime.monotonicMs()
-    const due = [...addressHeardMs].filter(([, heardMs]) => nowMs - heardMs < SILENT_AFTER_MS || runtime.random() < SILENT_SEND_PROBABILITY).map(([ip]) => ip)
-    if (due.length <= FANOUT) return due
-    nextReceiver = (nextReceiver + FANOUT) % due.length
-    return [...due.slice(nextReceiver), ...due.slice(0, nextReceiver)].slice(0, FANOUT)
+  const knowledgeAgeMs = ({ digest, lastHeardMs }: Neighbor): number => digest.loadAgeMs + sinceMs(lastHeardMs)
+
+  /** Hosts that were connected to the store lately: the first behind each neighbor. */
+  function knownReaders (sources: readonly Neighbor[]): ConnectedReader[] {
+    return sources.flatMap(({ digest: { reader }, lastHeardMs }) => {
+      if (reader === null || reader.ip === ownIp) return []
+      const ageMs = Math.round(reader.ageMs + sinceMs(lastHeardMs))
+      return ageMs < READER_AGE_MS ? [{ ...reader, ageMs }] : []
+    })
+  }
+
+  /** Tells the parent, or the other roots, the load of the subtree. */
+  function report (): void {
+    reportTimer?.[Symbol.dispose]()
+    reportTimer = undefined
+    reportedMs = runtime.monotonicMs()
+    if (plan.parent !== undefined) send(plan.parent, 'up')
+    for (const ip of plan.otherRoots) send(ip, 'mesh')
   }
 
-  function chooseAdvertisedPeers (): string[] {
-    const ips = [...peers.values()].map(peer => peer.ip)
-    const first = Math.floor(runtime.random() * ips.length)
-    return [...ips.slice(first), ...ips.slice(0, first)].slice(0, ADVERTISED_PEERS)
+  function sendToChildren (): void {
+    relayedMs = runtime.monotonicMs()
+    for (const { ip } of listChildren()) send(ip, 'down')
+  }
+
+  /** Reports a change soon. A root without children sends in its rounds only: in a small fleet all are such roots. */
+  function requestReport (): void {
+    const isLeafRoot = plan.isRoot && listChildren().length === 0
+    if (isLeafRoot || reportTimer !== undefined || signal.aborted) return
+    reportTimer = runtime.setTimer(Math.max(0, REPORT_SPACING_MS - sinceMs(reportedMs)), report)
   }
 
   function sendNow (): void {
-    const receivers = chooseReceivers()
-    if (receivers.length === 0) return
-    const digest: Digest = { ...buildDigest(), sequence: ++sequence, peers: chooseAdvertisedPeers() }
-    const bytes = encodeDigest(digest)
-    for (const ip of receivers) socket.send(ip, bytes)
+    relay.addOwn(ownNotices())
+    report()
+    sendToChildren()
+  }
+
+  /** Sends a digest without load, unless one was sent shortly before. */
+  function contact (ip: string, role: 'contact' | 'members', intervalMs: number): void {
+    if (sinceMs(contactedMs.get(ip) ?? -Infinity) < intervalMs) return
+    contactedMs.set(ip, runtime.monotonicMs())
+    send(ip, role)
   }
 
-  function isStale (digest: Digest): boolean {
-    const known = peers.get(digest.host)?.digest
-    if (known === undefined) return false
+  /** Looks for hosts that this one does not hear: all addresses while it has no neighbors, later one at a time. */
+  function contactSilentAddress (): void {
+    const silent = view.silentAddresses().filter(ip => !neighbors.has(ip))
+    if (neighbors.size === 0) {
+      for (const ip of silent) contact(ip, 'contact', FIRST_CONTACT_INTERVAL_MS)
+    } else if (silent.length > 0 && sinceMs(silentContactedMs) >= CONTACT_INTERVAL_MS) {
+      silentContactedMs = runtime.monotonicMs()
+      contact(silent[Math.floor(runtime.random() * silent.length)]!, 'contact', CONTACT_INTERVAL_MS)
+    }
+    for (const [ip, atMs] of contactedMs) if (sinceMs(atMs) > CONTACT_INTERVAL_MS) contactedMs.delete(ip)
+  }
+
+  function isStale (digest: Digest, known: Digest | undefined): boolean {
+    if (known === undefined || digest.host !== known.host) return false
     return digest.startedMs < known.startedMs || (digest.startedMs === known.startedMs && digest.sequence <= known.sequence)
   }
 
   function receive (ip: string, bytes: Buffer): void {
-    const digest = readDigest(bytes)
+    const digest = decodeDigest(bytes)
     if (digest === undefined) return log.emit('peerMessageInvalid', { ip, sizeBytes: bytes.length })
-    addressHeardMs.set(ip, runtime.monotonicMs())
-    digest.peers.forEach(addAddress)
-    if (isStale(digest)) return
-    if (!peers.has(digest.host)) log.emit('memberJoined', { member: digest.host, ip })
-    peers.set(digest.host, { ip, digest, lastHeardMs: runtime.monotonicMs() })
+    const known = neighbors.get(ip)
+    if (isStale(digest, known?.digest)) return
+    view.recordHeard(ip, digest.failureDomain)
+    view.recordReported(digest.members, ip)
+    const role = acceptedRole(ip, digest.role)
+    if (role === undefined) {
+      if (known !== undefined && digest.role !== 'contact') removeNeighbor(known)
+      if (digest.role !== 'members' && digest.role !== 'down') contact(ip, 'members', CONTACT_INTERVAL_MS)
+      if (neighbors.size === 0) updatePlan()
+    } else {
+      if (known === undefined) log.emit('memberJoined', { member: digest.host, ip })
+      else if (known.role !== role) dropLoad(known)
+      takeNeighbor({ ip, digest, lastHeardMs: runtime.monotonicMs(), role, aheadSinceMs: known?.aheadSinceMs })
+      // A root that this host does not count among the roots knows other members.
+      if (role === 'mesh' && !isPlanned(ip)) contact(ip, 'members', CONTACT_INTERVAL_MS)
+    }
     onDigest(digest)
     fetchIfAhead(ip, digest)
   }
 
+  /** The role of a sender as a neighbor; `undefined` if it sent no load, or the order of the tree or its place forbids the role. */
+  function acceptedRole (ip: string, role: DigestRole): NeighborRole | undefined {
+    if (role === 'up') return isBefore(ownIp, ip) ? 'up' : undefined
+    if (role === 'down') return ip === plan.parent ? 'down' : undefined
+    if (role === 'mesh') return plan.isRoot ? 'mesh' : undefined
+    return undefined
+  }
+
+  const isPlanned = (ip: string): boolean => plannedSinceMs.has(ip)
+
+  function takeNeighbor (neighbor: Neighbor): void {
+    const { ip, digest, role } = neighbor
+    neighbors.set(ip, neighbor)
+    const isLoadChanged = load.setNeighborLoad(loadKeyOf(neighbor), digest.load)
+    const news = relay.addReceived(digest.notices, ip, role)
+    if (news !== undefined) onNotices(news)
+    if (role === 'down') {
+      for (const former of listNeighbors('down')) if (former !== neighbor) neighbors.delete(former.ip)
+      sendToChildren()
+    } else if (news !== undefined || (isLoadChanged && role === 'up')) {
+      requestReport()
+    }
+  }
+
+  /** Drops what a neighbor reported. What a parent told is kept until another neighbor replaces it. */
+  function dropLoad (neighbor: Neighbor): void {
+    if (neighbor.role !== 'down') load.removeNeighbor(neighbor.ip)
+  }
+
+  function removeNeighbor (neighbor: Neighbor): void {
+    neighbors.delete(neighbor.ip)
+    dropLoad(neighbor)
+    log.emit('memberLost', { member: neighbor.digest.host, ip: neighbor.ip })
+  }
+
   function fetchIfAhead (ip: string, digest: Digest): void {
-    const own = storeProgress()
+    const own = buildState()
     const knowsOtherTargets = digest.targetsRevision > own.targetsRevision && digest.targetsFingerprint !== own.targetsFingerprint
     const isAhead = digest.configurationVersion > own.configurationVersion || knowsOtherTargets
-    if (!isAhead) {
-      aheadSinceMs.delete(ip)
-      return
-    }
-    const sinceMs = aheadSinceMs.get(ip) ?? runtime.monotonicMs()
-    aheadSinceMs.set(ip, sinceMs)
+    const neighbor = neighbors.get(ip)
+    const aheadSinceMs = neighbor?.aheadSinceMs ?? runtime.monotonicMs()
+    if (neighbor !== undefined) neighbor.aheadSinceMs = isAhead ? aheadSinceMs : undefined
+    if (!isAhead) return
     const canWait = own.configurationVersion >= 0 && own.targetsRevision >= 0 && isFollowingStore()
-    if (isFetching || (canWait && runtime.monotonicMs() - sinceMs < AHEAD_GRACE_MS)) return
+    if (isFetching || (canWait && sinceMs(aheadSinceMs) < AHEAD_GRACE_MS)) return
     isFetching = true
     fetchState(`${ip}:${digest.statePort}`).finally(() => { isFetching = false })
   }
 
-  function removeLostPeers (): void {
-    for (const [host, peer] of peers) {
-      if (runtime.monotonicMs() - peer.lastHeardMs < PEER_TIMEOUT_MS) continue
-      peers.delete(host)
-      aheadSinceMs.delete(peer.ip)
-      log.emit('memberLost', { member: host, ip: peer.ip })
-      onPeerLost(host)
+  function removeLostNeighbors (): void {
+    for (const [ip, atMs] of plannedSinceMs) {
+      if (sinceMs(Math.max(atMs, neighbors.get(ip)?.lastHeardMs ?? -Infinity)) > PLANNED_TIMEOUT_MS) view.recordSilent(ip)
     }
+    for (const neighbor of neighbors.values()) {
+      if (sinceMs(neighbor.lastHeardMs) < NEIGHBOR_TIMEOUT_MS) continue
+      removeNeighbor(neighbor)
+      view.recordSilent(neighbor.ip)
+    }
+    const isUpstreamLost = plan.parent !== undefined && upstream() === undefined && sinceMs(plannedSinceMs.get(plan.parent)!) > NEIGHBOR_TIMEOUT_MS
+    if (isUpstreamLost) load.removeNeighbor(UPSTREAM)
+  }
+
+  function updatePlan (): void {
+    const former = plan
+    plan = planNeighbors({ ip: ownIp, failureDomain: ownDomain }, view.alive())
+    plannedSinceMs = new Map(listPlanned(plan).map(ip => [ip, plannedSinceMs.get(ip) ?? runtime.monotonicMs()]))
+    // Tells former neighbors that this host's load reaches them another way.
+    for (const ip of listPlanned(former)) if (!isPlanned(ip)) send(ip, 'members')
+    if (plan.isRoot === former.isRoot) return
+    for (const neighbor of listNeighbors(plan.isRoot ? 'down' : 'mesh')) removeNeighbor(neighbor)
+    if (plan.isRoot) load.removeNeighbor(UPSTREAM)
   }
 
   function runRound (): void {
-    sendNow()
-    removeLostPeers()
+    removeLostNeighbors()
+    updatePlan()
+    recordHostCount()
+    relay.addOwn(ownNotices())
+    contactSilentAddress()
+    if (plan.isRoot || sinceMs(reportedMs) >= REPORT_SPACING_MS) report()
+    if (plan.isRoot || sinceMs(relayedMs) >= RELAY_TIMEOUT_MS) sendToChildren()
+  }
+
+  /** Neighbors through which every other host is known once. */
+  const allSources = (): Neighbor[] => [...listChildren(), ...listNeighbors('mesh'), ...[upstream()].filter(neighbor => neighbor !== undefined)]
+
+  const countHosts = (): number => Math.max(1 + view.alive().length, allSources().reduce((sum, { digest }) => sum + digest.hostCount, 1))
+
+  function recordHostCount (): void {
+    hostCounts = hostCounts.filter(({ atMs }) => sinceMs(atMs) < HOST_COUNT_WINDOW_MS)
+    hostCounts.push({ atMs: runtime.monotonicMs(), count: countHosts() })
   }
 
   socket.onMessage(receive)
+  load.onOwnChange(requestReport)
   repeatTask(runRound, { intervalMs: INTERVAL_MS, task: 'digests', runtime, log, signal })
 
   return {
-    addAddress,
-    peers: () => [...peers.values()],
-    countHosts: withinMs => 1 + [...addressHeardMs.values()].filter(heardMs => runtime.monotonicMs() - heardMs < withinMs).length,
-    digestAgeMs () {
-      const nowMs = runtime.monotonicMs()
-      return peers.size === 0 ? 0 : [...peers.values()].reduce((sum, peer) => sum + nowMs - peer.lastHeardMs, 0) / peers.size
+    addAddress: view.addAddress,
+    peers: () => [...neighbors.values()],
+    parent: () => plan.parent === undefined ? undefined : neighbors.get(plan.parent),
+    isRoot: () => plan.isRoot,
+    hostCount: countHosts,
+    recentHostCount: () => hostCounts.reduce((most, { count }) => Math.max(most, count), countHosts()),
+    loadAgeMs () {
+      const sources = allSources()
+      const hostCount = sources.reduce((sum, { digest }) => sum + digest.hostCount, 0)
+      return hostCount === 0 ? 0 : sources.reduce((sum, source) => sum + knowledgeAgeMs(source) * source.digest.hostCount, 0) / hostCount
     },
+    depth: () => plan.depth,
+    otherRoots: () => listNeighbors('mesh'),
+    readers: () => knownReaders([...neighbors.values()]),
     sendNow
   }
 }
-
-function readDigest (bytes: Buffer): Digest | undefined {
-  try {
-    const parsed = digestSchema.safeParse(JSON.parse(bytes.toString('utf8')))
-    return parsed.success ? parsed.data : undefined
-  } catch {
-    return undefined
-  }
-}
--- a/src/digest/createDigestExchange/test.ts
+++ b/src/digest/createDigestExchange/test.ts
@@ -1,100 +1,92 @@
 import test from 'ava'
-import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
-import { createTestLog } from '../../../test/fakes/createTestLog.js'
-import { digestSchema, encodeDigest, type Digest, type DigestSocket } from '../types.js'
-import { createDigestExchange } from './index.js'
+import { createSimulatedHosts, type SimulatedHost } from '../../../test/fakes/createSimulatedHosts.js'
+import { buildEngine } from '../../../test/fakes/buildFleet.js'
+import { hashLoadKey } from '../../path/hashLoadKey/index.js'
+import { decodeDigest, encodeDigest, type Digest } from '../types.js'
 
-/** Creates hosts on one in-memory network; those in `cut` neither send nor receive. */
-function createNetwork () {
-  const runtime = createManualRuntime()
-  const listeners = new Map<string, (ip: string, bytes: Buffer) => void>()
+const SIZE = { promptTokens: 100, outputTokens: 50 }
+const pathOf = (id: string) => [{ target: buildEngine(id, 'north', 'large'), from: 0, to: 80 }]
+const DIGEST: Digest = {
+  host: 'a', failureDomain: 'north', startedMs: 1, statePort: 80, configurationVersion: 1, targetsRevision: 1, targetsFingerprint: '', isStoreConnected: true, leaseFencing: 0, sequence: 1, role: 'mesh', hostCount: 2, loadAgeMs: 30, reader: null, notices: { suspicions: [], seenLayers: [] }, members: [{ ip: '10.1.0.1', failureDomain: 'a=b;c', ageMs: 1_200 }], load: new Map([[hashLoadKey('i-1'), { tokenLayers: 9_440, sequences: 2, firstSequences: 1 }], [7, { tokenLayers: 2 ** 40, sequences: 300, firstSequences: 0 }]])
+}
+
+/** Starts hosts of one failure domain, each of which knows the first one. */
+function startHosts (versions: ReadonlyArray<{ version: number, isStoreConnected: boolean }>) {
   const cut = new Set<string>()
-  const controller = new AbortController()
-  const host = (ip: string, state: { version: number, isStoreConnected: boolean }) => {
-    const storeProgress = () => ({ configurationVersion: state.version, targetsRevision: 0, targetsFingerprint: '', isStoreConnected: state.isStoreConnected })
-    const fetched: string[] = []
-    const lost: string[] = []
-    const socket: DigestSocket = {
-      send (to, bytes) { if (!cut.has(ip) && !cut.has(to)) queueMicrotask(() => listeners.get(to)?.(ip, bytes)) },
-      onMessage: listener => { listeners.set(ip, listener) },
-      async [Symbol.asyncDispose] () {}
-    }
-    const exchange = createDigestExchange({
-      socket,
-      ownIp: ip,
-      runtime,
-      log: createTestLog(),
-      signal: controller.signal,
-      buildDigest: (): Omit<Digest, 'sequence' | 'peers'> => ({
-        host: `host ${ip}`, failureDomain: 'north', startedMs: 1, statePort: 80, ...storeProgress(), leaseFencing: 0, load: {}, suspicions: [], seenLayers: []
-      }),
-      storeProgress,
-      isFollowingStore: () => state.isStoreConnected,
-      onDigest: () => {},
-      onPeerLost: name => { lost.push(name) },
-      fetchState: async address => { fetched.push(address) }
-    })
-    return { exchange, fetched, lost, state }
-  }
-  return { runtime, cut, controller, host, deliver: (to: string, from: string, bytes: Buffer) => listeners.get(to)?.(from, bytes) }
+  const network = createSimulatedHosts({ isDelivered: (from, to) => !cut.has(from) && !cut.has(to) })
+  const hosts = versions.map(({ version, isStoreConnected }, index) => {
+    const host = network.startHost(`${index + 1}`, 'north', index === 0 ? [] : ['1'])
+    Object.assign(host.state, { configurationVersion: version, isStoreConnected })
+    return host
+  })
+  return { ...network, hosts: hosts as [SimulatedHost, SimulatedHost, SimulatedHost], cut }
 }
 
-test('hosts learn of each other through a third one', async t => {
-  const { runtime, controller, host } = createNetwork()
-  const [a, b, c] = ['1', '2', '3'].map(ip => host(ip, { version: 1, isStoreConnected: true })) as [ReturnType<typeof host>, ReturnType<typeof host>, ReturnType<typeof host>]
-  a.exchange.addAddress('2')
-  c.exchange.addAddress('2')
-  await runtime.advance(1_000)
+test('hosts learn of each other through a third one', t => {
+  const { hosts: [a, b], advance } = startHosts([1, 1, 1].map(version => ({ version, isStoreConnected: true })))
+  advance(1_000)
   t.deepEqual(a.exchange.peers().map(peer => peer.ip).sort(), ['2', '3'])
-  t.is(b.exchange.countHosts(10_000), 3)
-  controller.abort()
+  t.is(b.exchange.hostCount(), 3)
 })
 
-test('a host without a connection to the store reads the state of a peer that is ahead', async t => {
-  const { runtime, controller, host } = createNetwork()
-  const ahead = host('1', { version: 5, isStoreConnected: true })
-  const behind = host('2', { version: 4, isStoreConnected: false })
-  ahead.exchange.addAddress('2')
-  await runtime.advance(150)
+test('a host without a connection to the store reads the state of a neighbor that is ahead', t => {
+  const { hosts: [ahead, behind], advance } = startHosts([{ version: 5, isStoreConnected: true }, { version: 4, isStoreConnected: false }])
+  behind.isFollowing = false
+  advance(250)
   t.deepEqual(behind.fetched.slice(0, 1), ['1:80'])
   t.deepEqual(ahead.fetched, [])
-  controller.abort()
 })
 
-test('a host that is connected to the store waits for its own watch first', async t => {
-  const { runtime, controller, host } = createNetwork()
-  const ahead = host('1', { version: 5, isStoreConnected: true })
-  const behind = host('2', { version: 4, isStoreConnected: true })
-  ahead.exchange.addAddress('2')
-  await runtime.advance(250)
+test('a host that follows the store waits for its own changes first', t => {
+  const { hosts: [, behind], advance } = startHosts([{ version: 5, isStoreConnected: true }, { version: 4, isStoreConnected: true }])
+  advance(350)
   t.deepEqual(behind.fetched, [])
-  await runtime.advance(300)
+  advance(300)
   t.deepEqual(behind.fetched.slice(0, 1), ['1:80'])
-  controller.abort()
 })
 
-test('a peer that stops sending is removed, and malformed digests are ignored', async t => {
-  const { runtime, cut, controller, host, deliver } = createNetwork()
-  const a = host('1', { version: 1, isStoreConnected: true })
-  host('2', { version: 1, isStoreConnected: true }).exchange.addAddress('1')
-  await runtime.advance(300)
-  t.is(a.exchange.peers().length, 1)
+test('a neighbor that stops sending is removed with its load, and malformed digests are ignored', t => {
+  const { hosts: [a, b], cut, deliver, advance } = startHosts([1, 1].map(version => ({ version, isStoreConnected: true })))
+  b.load.claim(pathOf('i-1'), SIZE)
+  advance(600)
+  t.is(a.load.loadOf('i-1').sequences, 1)
   deliver('1', '9', Buffer.from('{"host":'))
-  deliver('1', '9', Buffer.from('{"host":"x"}'))
+  deliver('1', '9', Buffer.from('{"host":"x"}\n'))
   t.is(a.exchange.peers().length, 1)
+  t.is(a.log.recent().filter(event => event.name === 'peerMessageInvalid').length, 2)
   cut.add('2')
-  await runtime.advance(1_700)
-  t.deepEqual(a.lost, ['host 2'])
+  advance(1_300)
+  t.deepEqual(a.log.recent().filter(event => event.name === 'memberLost').map(event => event.member), ['host 2'])
   t.is(a.exchange.peers().length, 0)
-  controller.abort()
+  t.is(a.load.loadOf('i-1').sequences, 0)
+})
+
+test('a replayed digest changes nothing', t => {
+  const { hosts: [a], deliver } = startHosts([{ version: 1, isStoreConnected: true }])
+  const [first, second] = [1, 2].map(sequence => encodeDigest({ ...DIGEST, sequence, load: new Map([[hashLoadKey('i-1'), { tokenLayers: sequence, sequences: 1, firstSequences: 0 }]]) })) as [Buffer, Buffer]
+  for (const bytes of [first, second, first]) deliver('1', '9', bytes)
+  t.is(a.load.loadOf('i-1').tokenLayers, 2)
+  deliver('1', '9', encodeDigest({ ...DIGEST, startedMs: 0, sequence: 9 }))
+  t.is(a.load.loadOf('i-1').tokenLayers, 2)
+})
+
+test('a digest survives encoding, and a truncated one or one of another format is rejected', t => {
+  const bytes = encodeDigest(DIGEST)
+  t.deepEqual(decodeDigest(bytes), DIGEST)
+  for (let length = 0; length < bytes.length; length++) t.is(decodeDigest(bytes.subarray(0, length)), undefined)
+  t.is(decodeDigest(Buffer.concat([bytes, Buffer.from([0])])), undefined)
+  const landedFormat = { host: 'a', startedMs: 1, sequence: 1, failureDomain: 'north', statePort: 80, configurationVersion: 1, targetsRevision: 1, targetsFingerprint: '', isStoreConnected: true, leaseFencing: 0, load: 'i-1,9440,2,1', suspicions: [], seenLayers: [], peers: ['10.1.0.1'] }
+  t.is(decodeDigest(Buffer.from(JSON.stringify(landedFormat))), undefined)
 })
 
-test('the load of a digest survives encoding, and a malformed load is rejected', t => {
-  const digest: Digest = {
-    host: 'a', failureDomain: 'north', startedMs: 1, sequence: 1, statePort: 80, configurationVersion: 1, targetsRevision: 1, targetsFingerprint: '', isStoreConnected: true, leaseFencing: 0, suspicions: [], seenLayers: [], peers: [], load: { 'i-1': { tokenLayers: 9_440, sequences: 2, firstSequences: 1 }, 'link east north': { tokenLayers: 944, sequences: 1, firstSequences: 0 } }
-  }
-  const sent = JSON.parse(encodeDigest(digest).toString())
-  t.deepEqual(digestSchema.parse(sent), digest)
-  t.deepEqual(digestSchema.parse({ ...sent, load: '' }).load, {})
-  for (const load of ['i-1', 'i-1,2,3', 'i-1,2,3,x', 'i-1,2,3,4;', [['i-1', 1, 2, 3]]]) t.false(digestSchema.safeParse({ ...sent, load }).success)
+test('a suspicion reaches every host once', t => {
+  const network = createSimulatedHosts()
+  network.startAll(30, ['east', 'north', 'south'])
+  network.advance(4_000)
+  const [origin, ...others] = network.hosts as [SimulatedHost, ...SimulatedHost[]]
+  origin.ownNotices.suspicions.push({ targetId: 'i-1', ageMs: 0, leftMs: 2_500, isUnfit: true })
+  origin.exchange.sendNow()
+  origin.ownNotices.suspicions = []
+  network.advance(1_000)
+  t.deepEqual(others.map(host => host.receivedNotices.flatMap(notices => notices.suspicions).map(suspicion => suspicion.targetId)), others.map(() => ['i-1']))
 })
--- a/src/digest/types.ts
+++ b/src/digest/types.ts
@@ -1,23 +1,33 @@
 /**
- * Digests: the messages that hosts send each other several times a second, with how far each has
- * read the store, its load and the state of targets that it observed.
+ * Digests: the datagrams that neighboring hosts send each other several times a second. One has
+ * the sender's own state, the summed load of the part of the fleet behind the sender, and what
+ * was observed of targets. It is a line of JSON followed by the load in binary form.
  */
 import { z } from 'zod'
 import { layerRangeSchema } from '../fleet/types.js'
-import type { LoadByTarget } from '../path/createLoadTracker/index.js'
+import type { LoadByKey } from '../path/hashLoadKey/index.js'
+import { decodeLoad, encodeLoad } from './_lib/loadCodec.js'
+import { decodeMembers, encodeMembers } from './_lib/memberCodec.js'
 
-/** Separators of the fields and entries of an encoded load; names of targets and domains contain neither. */
-const FIELD_SEPARATOR = ','
-const ENTRY_SEPARATOR = ';'
+/**
+ * What the sender takes the receiver for: `up` its parent, `down` its child, `mesh` another root.
+ * The others carry no load: `contact` asks for the members that the receiver knows, and `members`
+ * is the answer, or tells a former neighbor that it is none any more.
+ */
+export const digestRoleSchema = z.enum(['up', 'down', 'mesh', 'contact', 'members'])
+
+/** Observations of targets that each host passes on to all others. */
+export const noticesSchema = z.object({
+  suspicions: z.array(z.object({ targetId: z.string(), ageMs: z.number(), leftMs: z.number(), isUnfit: z.boolean() })),
+  seenLayers: z.array(z.object({ targetId: z.string(), bornMs: z.number(), layers: layerRangeSchema.nullable() }))
+})
 
-/** Schema of one host's digest. */
-export const digestSchema = z.object({
+/** State of the sending host. */
+const hostStateSchema = z.object({
   host: z.string(),
+  failureDomain: z.string(),
   /** Unix time of the process's start in milliseconds; digests of a later process replace those of an earlier one. */
   startedMs: z.number(),
-  /** Incremented with each digest of one process. */
-  sequence: z.number(),
-  failureDomain: z.string(),
   /** Port at which peers read its state. */
   statePort: z.number(),
   /** Version of the configuration in force, -1 before the first. */
@@ -28,47 +38,62 @@
   /** Whether the host reads the targets from the store, and the store responds. */
   isStoreConnected: z.boolean(),
   /** Fencing token of the control lease while the host may give orders, otherwise 0. */
-  leaseFencing: z.number(),
-  /** Load by target or link. Encoded as one string: hosts read dozens of digests a second, and validating each field would take most of that time. */
-  load: z.string().transform((text, context) => {
-    const load = decodeLoad(text)
-    if (load !== undefined) return load
-    context.addIssue({ code: 'custom', message: 'expected entries of a target and three numbers each' })
+  leaseFencing: z.number()
+})
+
+const headerSchema = hostStateSchema.extend({
+  /** Incremented with each digest of one process. */
+  sequence: z.number(),
+  role: digestRoleSchema,
+  /** Number of hosts behind the sender, itself included. */
+  hostCount: z.number(),
+  /** Mean age of what the sender knows of those hosts, in milliseconds. */
+  loadAgeMs: z.number(),
+  /** The first of those hosts that are connected to the store, with the time since it said so, in milliseconds; `null` if none was lately. */
+  reader: z.object({ ip: z.string(), depth: z.number(), ageMs: z.number() }).nullable(),
+  notices: noticesSchema,
+  members: z.string().transform((text, context) => {
+    const members = decodeMembers(text)
+    if (members !== undefined) return members
+    context.addIssue({ code: 'custom', message: 'expected ages and addresses by failure domain' })
     return z.NEVER
-  }),
-  suspicions: z.array(z.object({ targetId: z.string(), ageMs: z.number(), leftMs: z.number(), isUnfit: z.boolean() })),
-  seenLayers: z.array(z.object({ targetId: z.string(), bornMs: z.number(), layers: layerRangeSchema.nullable() })),
-  /** Addresses of some of the hosts that it hears from. */
-  peers: z.array(z.string())
+  })
 })
 
-/** One host's digest. */
-export type Digest = z.infer<typeof digestSchema>
+/** How a digest's sender sees its receiver. */
+export type DigestRole = z.infer<typeof digestRoleSchema>
+/** Observations of targets. */
+export type Notices = z.infer<typeof noticesSchema>
+/** State of the sending host. */
+export type HostState = z.infer<typeof hostStateSchema>
+/** One digest; the load is that of the hosts behind the sender. */
+export type Digest = z.infer<typeof headerSchema> & { load: LoadByKey }
+
+/** Separates the header from the load. */
+const LINE_FEED = 0x0a
 
 /** Encodes a digest for sending. */
-export function encodeDigest (digest: Digest): Buffer {
-  const load = Object.entries(digest.load).map(([targetId, { tokenLayers, sequences, firstSequences }]) => `${targetId}${FIELD_SEPARATOR}${tokenLayers}${FIELD_SEPARATOR}${sequences}${FIELD_SEPARATOR}${firstSequences}`)
-  const encoded: z.input<typeof digestSchema> = { ...digest, load: load.join(ENTRY_SEPARATOR) }
-  return Buffer.from(JSON.stringify(encoded))
+export function encodeDigest ({ load, members, ...header }: Digest): Buffer {
+  const encoded: z.input<typeof headerSchema> = { ...header, members: encodeMembers(members) }
+  return Buffer.concat([Buffer.from(`${JSON.stringify(encoded)}\n`), encodeLoad(load)])
+}
+
+/** Decodes a digest; `undefined` if it is malformed, truncated or of another format. */
+export function decodeDigest (bytes: Buffer): Digest | undefined {
+  const end = bytes.indexOf(LINE_FEED)
+  if (end < 0) return undefined
+  const header = parseHeader(bytes.toString('utf8', 0, end))
+  const load = decodeLoad(bytes.subarray(end + 1))
+  return header === undefined || load === undefined ? undefined : { ...header, load }
 }
 
-/** Decodes a load; `undefined` if the text is malformed. */
-function decodeLoad (text: string): LoadByTarget | undefined {
-  const load: LoadByTarget = {}
-  if (text === '') return load
-  for (const entry of text.split(ENTRY_SEPARATOR)) {
-    // Slices at the separators take a quarter of the time of splitting the entry into an array.
-    const afterId = entry.indexOf(FIELD_SEPARATOR)
-    const afterTokens = entry.indexOf(FIELD_SEPARATOR, afterId + 1)
-    const afterSequences = entry.indexOf(FIELD_SEPARATOR, afterTokens + 1)
-    if (afterId < 0 || afterTokens <= afterId || afterSequences <= afterTokens) return undefined
-    const tokenLayers = Number(entry.slice(afterId + 1, afterTokens))
-    const sequences = Number(entry.slice(afterTokens + 1, afterSequences))
-    const firstSequences = Number(entry.slice(afterSequences + 1))
-    if (Number.isNaN(tokenLayers + sequences + firstSequences)) return undefined
-    load[entry.slice(0, afterId)] = { tokenLayers, sequences, firstSequences }
+function parseHeader (text: string): z.infer<typeof headerSchema> | undefined {
+  try {
+    return headerSchema.safeParse(JSON.parse(text)).data
+  } catch {
+    // Any host or program can send to the port; the caller logs what cannot be read.
+    return undefined
   }
-  return load
 }
 
 /** Sends and receives datagrams between hosts. */
--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -83,7 +83,7 @@
   storeUnavailable: { number: 7001, level: 'warn', text: 'object API not available' },
   storeRecovered: { number: 7002, level: 'info', text: 'object API available again' },
   watchReplaced: { number: 7003, level: 'warn', text: 'watch timed out and is replaced' },
-  targetsLeftToReaders: { number: 7004, level: 'info', text: 'watch of the targets ended; other hosts now read them for this one' }
+  targetsLeftToReaders: { number: 7004, level: 'info', text: 'watch of the store ended; other hosts now read it for this one' }
 } as const satisfies Record<string, EventDefinition>
 
 /** Name of an event. */
--- a/src/fleet/followFleet/index.ts
+++ b/src/fleet/followFleet/index.ts
@@ -1,8 +1,7 @@
 /**
  * Follows configuration and targets in the object API by list and watch. Each wait is short
  * enough that a watch gone silent delays a change by less than the time in which it must be in
- * force. Every host watches the configuration. Targets change all the time, so only some hosts
- * (see `isStoreReader`) watch them; the others pull them from one of these.
+ * force. Only some hosts (see `isStoreReader`) watch; the others get changes from these.
  */
 import type { EventLog } from '../../event/types.js'
 import type { ObjectStore, StoredObject } from '../../objectApi/types.js'
@@ -32,16 +31,14 @@
   signal: AbortSignal
   /** Whether some peer reaches the store, so that a failed call here is not a store outage. */
   isStoreUpForPeers: () => boolean
-  /** Whether this host reads the targets from the store for the others. */
+  /** Whether this host reads the store for the others. */
   isReader: () => boolean
 }
 
 /** State of the connection to the store. */
 export interface FleetFollower {
-  /** Whether this host reads the targets and the last call of every watch was answered. */
+  /** Whether this host reads the store and the last call of every watch was answered. */
   isConnected: () => boolean
-  /** Whether the last call for the configuration was answered. */
-  hasConfigurationWatch: () => boolean
   /** Time since the targets were last confirmed by the store, in milliseconds. */
   targetsAgeMs: () => number
 }
@@ -50,7 +47,13 @@
 const MIN_RETRY_MS = 100
 const MAX_RETRY_MS = 500
 
-/** Interval at which a host that does not read the targets checks whether it should, in milliseconds. */
+/** Least time between two calls of a watch of the targets, in milliseconds; their entries change several times a second, and changes within this time come in one answer. */
+const TARGET_WATCH_SPACING_MS = 400
+
+/** Interval at which a host that is no reader and knows nothing yet lists, in milliseconds; most get the state from another host before the second time. */
+const FIRST_LIST_INTERVAL_MS = 2_000
+
+/** Interval at which a host that does not read the store checks whether it should, in milliseconds. */
 const READER_CHECK_MS = 100
 
 /** How long after a store outage missing entries may be written again, in milliseconds; the platform allows engines about two seconds. */
@@ -91,10 +94,10 @@
     log.emit('storeUnavailable', { prefix, cause })
   }
 
-  /** Forgets failed calls for the targets, once other hosts read them. */
-  function forgetTargetFailures (): void {
-    failingSinceMs.delete(format.targetPrefix)
-    unreachableForAll.delete(format.targetPrefix)
+  /** Forgets failed calls for a prefix, once other hosts read it. */
+  function forgetFailures (prefix: string): void {
+    failingSinceMs.delete(prefix)
+    unreachableForAll.delete(prefix)
   }
 
   /** How much longer a missing entry may be one that lapsed during a store outage, in milliseconds. */
@@ -128,25 +131,31 @@
     if (removedIds.length + leavingIds.length > 0) log.emit('targetLeaving', { removedIds, leavingIds, revision })
   }
 
-  followPrefix(configurationPrefix(format), () => true, applyConfigurationObjects, objects => applyConfigurationObjects(objects))
-  // A host that knows no targets yet lists them once, even if it is no reader.
-  followPrefix(format.targetPrefix, () => isReader() || fleet.revision() < 0, applyTargetList, applyTargetChanges)
+  // A host that knows nothing yet lists once, even if it is no reader.
+  followPrefix(configurationPrefix(format), { isUnknown: () => fleet.configuration() === undefined, spacingMs: 0 }, applyConfigurationObjects, objects => applyConfigurationObjects(objects))
+  followPrefix(format.targetPrefix, { isUnknown: () => fleet.revision() < 0, spacingMs: TARGET_WATCH_SPACING_MS }, applyTargetList, applyTargetChanges)
 
-  /** Lists and watches a prefix while that is needed. */
+  /** Lists and watches a prefix while this host is a reader; otherwise lists it now and then until something is known. */
   async function followPrefix (
     prefix: string,
-    isNeeded: () => boolean,
+    { isUnknown, spacingMs }: { isUnknown: () => boolean, spacingMs: number },
     onList: (objects: readonly StoredObject[], revision: number) => void,
     onChanges: (objects: readonly StoredObject[], removedKeys: readonly string[], revision: number) => void
   ): Promise<void> {
     let revision: number | undefined
     let retryMs = MIN_RETRY_MS
+    // A watch from the revision of a stale list brings what the list lacks.
+    let mayListStale = true
+    let firstListMs = -Infinity
     while (!signal.aborted) {
-      if (!isNeeded()) {
-        if (revision !== undefined) log.emit('targetsLeftToReaders', { revision })
+      if (!isReader()) {
+        if (revision !== undefined) log.emit('targetsLeftToReaders', { prefix, revision })
         revision = undefined
-        forgetTargetFailures()
-        await sleep(delayToNextRound(READER_CHECK_MS, runtime.monotonicMs()), { runtime, signal })
+        forgetFailures(prefix)
+        if (isUnknown() && runtime.monotonicMs() - firstListMs >= FIRST_LIST_INTERVAL_MS) {
+          firstListMs = runtime.monotonicMs()
+          await listOnce()
+        } else await sleep(delayToNextRound(READER_CHECK_MS, runtime.monotonicMs()), { runtime, signal })
         continue
       }
       const cause = await listOrWatch()
@@ -158,34 +167,45 @@
       }
     }
 
+    async function listOnce (): Promise<void> {
+      const listed = await store.list(prefix, { mayBeStale: true })
+      if (listed.kind === 'listed') onList(listed.objects, listed.revision)
+      else log.emit('storeUnavailable', { prefix, cause: listed.cause })
+    }
+
     /** Lists the prefix once, then watches it; returns the cause of a failure. */
     async function listOrWatch (): Promise<string | undefined> {
       if (revision === undefined) {
-        const listed = await store.list(prefix)
+        const listed = await store.list(prefix, { mayBeStale: mayListStale })
         if (listed.kind === 'unavailable') return listed.cause
+        mayListStale = true
         recordCallResult(prefix, undefined)
         onList(listed.objects, listed.revision)
         revision = listed.revision
         return undefined
       }
+      const sentMs = runtime.monotonicMs()
       const watched = await store.watch(prefix, revision, { signal })
       if (signal.aborted) return undefined
       if (watched.kind === 'unavailable') return watched.cause
       if (watched.kind === 'reset' || watched.kind === 'silent') {
         revision = undefined
+        // A stale list could have the revision that the store no longer knows.
+        mayListStale = watched.kind !== 'reset'
         if (watched.kind === 'silent') log.emit('watchReplaced', { prefix, afterMs: watched.afterMs })
         return undefined
       }
       recordCallResult(prefix, undefined)
       onChanges(watched.objects, watched.removedKeys ?? [], watched.revision)
       revision = watched.revision
+      const pauseMs = sentMs + spacingMs - runtime.monotonicMs()
+      if (pauseMs > 0) await sleep(pauseMs, { runtime, signal })
       return undefined
     }
   }
 
   return {
     isConnected: () => isReader() && failingSinceMs.size === 0 && confirmedMs > -Infinity,
-    hasConfigurationWatch: () => !failingSinceMs.has(configurationPrefix(format)),
     targetsAgeMs: () => runtime.monotonicMs() - confirmedMs
   }
 }
--- a/src/fleet/isStoreReader/index.ts
+++ b/src/fleet/isStoreReader/index.ts
@@ -1,33 +1,52 @@
 /**
- * Chooses the hosts that read the targets from the store for all others. Engines renew their
- * entries all the time: if each of dozens of hosts watched them, every watch would carry the same
- * changes, and the store's calls would grow with the product of hosts and engines.
+ * Chooses the hosts that read the store for all others. Engines renew their entries all the time:
+ * if each of hundreds of hosts watched them, every watch would carry the same changes, and the
+ * store's calls would grow with the product of hosts and engines. Hosts that cannot read hear of
+ * changes from their neighbors in the tree of hosts.
+ *
+ * The roots of the tree are the candidates. Should the store refuse them all, the hosts right below
+ * them try, and the first that is answered goes on. During an outage of the store the number of
+ * hosts that try therefore does not grow with the fleet.
  */
+import { isBefore } from '../../digest/planNeighbors/index.js'
 
-/** A host as described by its digest. */
-export interface ReaderCandidate {
-  host: string
-  failureDomain: string
-  /** Whether it reads the targets and the store answers it. */
-  isStoreConnected: boolean
+/** A host that is connected to the store. */
+export interface ConnectedReader {
+  ip: string
+  /** Number of hosts between it and the roots; 0 for a root. */
+  depth: number
+  /** Time since it said so, in milliseconds. */
+  ageMs: number
 }
 
-/** Hosts of a failure domain, the first by name, that try to read even while other domains have readers: one, and two spares in case the store refuses it. */
-const CANDIDATES_PER_DOMAIN = 3
+/** Roots that read: one, and a second one whose watch may still work when that of the first is silent. */
+const ROOT_READERS = 2
+
+/** Depth of the hosts that try when the store answers no root. */
+const SUBSTITUTE_DEPTH = 1
+
+const isAhead = (one: ConnectedReader, other: Pick<ConnectedReader, 'ip' | 'depth'>): boolean =>
+  (one.depth === 0) === (other.depth === 0) ? isBefore(one.ip, other.ip) : one.depth === 0
+
+/** The reader that counts when several are connected: roots first, then by the order of the tree. */
+export function firstReader (readers: readonly ConnectedReader[]): ConnectedReader | null {
+  return readers.reduce<ConnectedReader | null>((first, reader) => first === null || isAhead(reader, first) ? reader : first, null)
+}
 
 /**
  * @name isStoreReader
- * @summary Whether a host should read the targets; in each failure domain the first host, by name, that the store answers should.
- * @param own - The host.
- * @param peers - The hosts from which it receives digests.
- * @returns Whether it should read. While no reader is connected to the store, every host should.
+ * @summary Whether a host should read the store for others.
+ * @param own - Its address and its depth in the tree of hosts.
+ * @param readers - Other hosts that are connected to the store, as far as it knows.
+ * @param options - Whether it hears any other host.
+ * @returns Whether it should read; a host that hears no other one should.
  *
  * @example
- * isStoreReader({ host: 'entry-1', failureDomain: 'north' }, peers)
+ * isStoreReader({ ip: '10.1.0.40', depth: 0 }, readers, { hasNeighbors: true })
  */
-export function isStoreReader (own: Omit<ReaderCandidate, 'isStoreConnected'>, peers: readonly ReaderCandidate[]): boolean {
-  const earlier = peers.filter(peer => peer.host < own.host)
-  const earlierInDomain = earlier.filter(peer => peer.failureDomain === own.failureDomain)
-  if (earlierInDomain.some(peer => peer.isStoreConnected)) return false
-  return earlierInDomain.length < CANDIDATES_PER_DOMAIN || !peers.some(peer => peer.isStoreConnected)
+export function isStoreReader (own: Pick<ConnectedReader, 'ip' | 'depth'>, readers: readonly ConnectedReader[], { hasNeighbors }: { hasNeighbors: boolean }): boolean {
+  if (!hasNeighbors) return true
+  const ahead = readers.filter(reader => isAhead(reader, own))
+  if (own.depth === 0) return ahead.length < ROOT_READERS
+  return own.depth === SUBSTITUTE_DEPTH && ahead.length === 0
 }
--- a/src/gateway/_lib/createLeaderElection.ts
+++ b/src/gateway/_lib/createLeaderElection.ts
@@ -1,7 +1,7 @@
 /**
  * Elects the host that assigns layers to engines: the holder of the control lease. During an
- * outage of the store it is the last holder, or else the first by name of the hosts that hear
- * each other.
+ * outage of the store it is the last holder, or else the first by name of the roots of the tree of
+ * hosts that hear each other.
  */
 import { createLeaseClient } from '../../control/createLeaseClient/index.js'
 import type { Peer } from '../../digest/createDigestExchange/index.js'
@@ -17,7 +17,10 @@
   runtime: Runtime
   log: EventLog
   metrics: GatewayMetrics
-  peers: () => Peer[]
+  /** The other roots of the tree of hosts. */
+  otherRoots: () => Peer[]
+  /** Whether this host is a root; only roots hear of each other's leases. */
+  isRoot: () => boolean
   isDraining: () => boolean
   /** Whether this host reads the store; only such hosts try for the lease, so that the number of calls does not grow with the fleet. */
   isReader: () => boolean
@@ -43,7 +46,7 @@
 
 /** Creates the election for a host that does not hold the lease yet. */
 export function createLeaderElection (options: LeaderElectionOptions): LeaderElection {
-  const { host, store, runtime, log, metrics, peers, isDraining, isReader, isStoreReachable } = options
+  const { host, store, runtime, log, metrics, otherRoots, isRoot, isDraining, isReader, isStoreReachable } = options
   const claim = createLeaseClient({ holder: host, durationMs: LEASE_DURATION_MS, store, runtime })
   let lastFencing = 0
   /** Whether this host held the lease when its holder was last known. */
@@ -51,8 +54,8 @@
 
   /** Two hosts may act at once during an outage. That wastes work at worst, since each order names the engine state that it was planned for. */
   function fencingInOutage (): number | undefined {
-    const known = peers()
-    if (isDraining() || isStoreReachable()) return undefined
+    const known = otherRoots()
+    if (isDraining() || !isRoot() || isStoreReachable()) return undefined
     const isLastHolder = wasLastKnownHolder && !known.some(peer => peer.digest.leaseFencing > lastFencing)
     const isFirstHost = known.every(peer => peer.digest.leaseFencing === 0 && peer.digest.host > host)
     return isLastHolder || isFirstHost ? lastFencing : undefined
@@ -63,8 +66,10 @@
     observeFencing: fencing => { lastFencing = Math.max(lastFencing, fencing) },
     async step () {
       const isHolder = claim.held() !== undefined
-      const hasHolder = peers().some(peer => peer.digest.leaseFencing > 0 && runtime.monotonicMs() - peer.lastHeardMs < HOLDER_TIMEOUT_MS)
-      if (isHolder || (!hasHolder && !isDraining() && isReader())) await claim.step()
+      const hasHolder = otherRoots().some(peer => peer.digest.leaseFencing > 0 && runtime.monotonicMs() - peer.lastHeardMs < HOLDER_TIMEOUT_MS)
+      const mayAcquire = !hasHolder && !isDraining() && isReader()
+      // A holder that is no root any more leaves the lease to one that the others hear.
+      if (isHolder ? isRoot() || isReader() : mayAcquire) await claim.step()
       const held = claim.held()
       if (held !== undefined && !isHolder) log.emit('leaseAcquired', { fencing: held.fencing })
       if (held === undefined && isHolder) log.emit('leaseLost', { fencing: lastFencing })
--- a/src/gateway/_lib/discoverPeers.ts
+++ b/src/gateway/_lib/discoverPeers.ts
@@ -1,5 +1,6 @@
 /**
- * Discovers peers through objects in the store; from then on their digests carry the addresses.
+ * Discovers other hosts through objects in the store, which the roots of the tree of hosts write;
+ * from then on digests carry the addresses. A host whose seeds answer needs no object.
  */
 import { z } from 'zod'
 import type { DigestExchange } from '../../digest/createDigestExchange/index.js'
@@ -13,24 +14,30 @@
 /** Key prefix of the objects that hold the addresses of hosts. */
 const HOST_PREFIX = 'hosts/'
 
-/** Intervals between reads of the addresses, in milliseconds: while no peer is heard, and afterwards. */
+/** Intervals between reads of the addresses, in milliseconds: while no peer is heard, and afterwards by roots, which may have lost sight of some hosts. */
 const DISCOVERY_INTERVAL_MS = 1_000
 const REFRESH_INTERVAL_MS = 30_000
 
+/** Time after which a host that is still a root writes its address, in milliseconds; by then most hosts have found their place. */
+const SETTLING_MS = 3_000
+
 /** Delay after a failed write of this host's own object, in milliseconds. */
 const RETRY_DELAY_MS = 500
 
 interface DiscoveryOptions {
+  exchange: Pick<DigestExchange, 'addAddress' | 'isRoot' | 'peers'>
   store: ObjectStore
   runtime: Runtime
   log: EventLog
   signal: AbortSignal
 }
 
-/** Writes this host's address to the store and retries until that succeeds. */
-export async function registerHost (host: { host: string, ip: string }, { store, runtime, log, signal }: DiscoveryOptions): Promise<void> {
+/** Writes this host's address to the store once it is a root, and retries until that succeeds. */
+export async function registerHost (host: { host: string, ip: string }, { exchange, store, runtime, log, signal }: DiscoveryOptions): Promise<void> {
   const key = `${HOST_PREFIX}${host.host}`
   const value = { ip: host.ip }
+  do await sleep(SETTLING_MS, { runtime, signal })
+  while (!signal.aborted && !exchange.isRoot())
   while (!signal.aborted) {
     const created = await store.write(key, value, { ifAbsent: true })
     if (created.kind === 'written') return
@@ -47,10 +54,16 @@
   }
 }
 
-/** Reads the addresses of hosts from the store, more often while no peer is heard. */
-export async function discoverPeers (exchange: DigestExchange, { store, runtime, log, signal }: DiscoveryOptions): Promise<void> {
-  while (!signal.aborted) {
-    const listed = await store.list(HOST_PREFIX)
+/** Reads the addresses of hosts from the store while no peer is heard, and now and then at a root. */
+export async function discoverPeers ({ exchange, store, runtime, log, signal }: DiscoveryOptions): Promise<void> {
+  let readMs = runtime.monotonicMs()
+  for (;;) {
+    await sleep(DISCOVERY_INTERVAL_MS, { runtime, signal })
+    if (signal.aborted) return
+    const isDue = exchange.peers().length === 0 || (exchange.isRoot() && runtime.monotonicMs() - readMs >= REFRESH_INTERVAL_MS)
+    if (!isDue) continue
+    readMs = runtime.monotonicMs()
+    const listed = await store.list(HOST_PREFIX, { mayBeStale: true })
     if (listed.kind === 'unavailable') log.emit('storeUnavailable', { prefix: HOST_PREFIX, cause: listed.cause })
     if (listed.kind === 'listed') {
       for (const { value } of listed.objects) {
@@ -58,6 +71,5 @@
         if (parsed.success) exchange.addAddress(parsed.data.ip)
       }
     }
-    await sleep(exchange.peers().length === 0 ? DISCOVERY_INTERVAL_MS : REFRESH_INTERVAL_MS, { runtime, signal })
   }
 }
--- a/src/gateway/_lib/internalPort.ts
+++ b/src/gateway/_lib/internalPort.ts
@@ -3,6 +3,7 @@
  * client that reads a peer's state.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { gunzipSync, gzipSync } from 'node:zlib'
 import { request } from 'undici'
 import { z } from 'zod'
 import type { EventLog } from '../../event/types.js'
@@ -33,6 +34,9 @@
 /** How long a peer holds a long poll without a change, in milliseconds; half as long as a watch on the store, because an unresponsive peer is only detected when this wait is over. */
 const LONG_POLL_MS = 2_000
 
+/** Compression level of `/state`; the fastest takes a configuration to a sixth of its size. */
+const COMPRESSION_LEVEL = 1
+
 /** Dependencies of the internal endpoints. */
 export interface InternalPortOptions {
   fleet: FleetState
@@ -42,11 +46,21 @@
   updateMetrics: () => void
 }
 
+/** Compresses answers; the children of a host mostly ask for the same at the same time, so the last answer is kept. */
+function createCompressor (): (text: string) => Buffer {
+  let last: { text: string, compressed: Buffer } | undefined
+  return text => {
+    if (last?.text !== text) last = { text, compressed: gzipSync(text, { level: COMPRESSION_LEVEL }) }
+    return last.compressed
+  }
+}
+
 /** Serves `/state` and `/metrics`. */
 export function createInternalHandler ({ fleet, metrics, runtime, updateMetrics: observe }: InternalPortOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
-  /** Resolves once the targets differ from those of the requesting host, the wait is over, or the connection has closed. */
-  function waitForChange (fingerprint: string, waitMs: number, response: ServerResponse): Promise<void> {
-    if (waitMs <= 0 || fleet.fingerprint() !== fingerprint) return Promise.resolve()
+  /** Resolves once there is something that the requesting host lacks, the wait is over, or the connection has closed. */
+  function waitForChange ({ version, fingerprint, waitMs }: z.infer<typeof querySchema>, response: ServerResponse): Promise<void> {
+    const isAnswerDue = (): boolean => fleet.fingerprint() !== fingerprint || (fleet.configuration()?.version ?? -1) > version
+    if (waitMs <= 0 || isAnswerDue()) return Promise.resolve()
     return new Promise(resolve => {
       const finish = (): void => {
         timer[Symbol.dispose]()
@@ -54,22 +68,26 @@
         resolve()
       }
       const timer = runtime.setTimer(waitMs, finish)
-      const subscription = fleet.onChange(() => { if (fleet.fingerprint() !== fingerprint) finish() })
+      const subscription = fleet.onChange(() => { if (isAnswerDue()) finish() })
       response.once('close', finish)
     })
   }
 
+  const compress = createCompressor()
+
   return async (incoming, response) => {
     const url = new URL(incoming.url ?? '/', 'http://host')
     if (url.pathname === '/state') {
       const query = querySchema.safeParse(Object.fromEntries(url.searchParams))
       if (!query.success) return sendJson(response, 400, {})
-      const { version, fingerprint, waitMs } = query.data
-      await waitForChange(fingerprint, waitMs, response)
+      const { version, fingerprint } = query.data
+      await waitForChange(query.data, response)
       const configuration = fleet.configuration()
       const isNewer = configuration !== undefined && configuration.version > version
       const state: z.infer<typeof stateSchema> = { configuration: isNewer ? configuration : null, targets: fleet.updateSince(fingerprint) }
-      sendJson(response, 200, state)
+      const body = compress(JSON.stringify(state))
+      response.writeHead(200, { 'content-type': 'application/json', 'content-encoding': 'gzip', 'content-length': body.length })
+      response.end(body)
     } else if (url.pathname === '/metrics') {
       observe()
       const text = await metrics.registry.metrics()
@@ -98,7 +116,9 @@
   using deadline = withDeadline(waitMs + STATE_TIMEOUT_MS, { runtime })
   try {
     const response = await request(`http://${address}/state?${query}`, { signal: deadline.signal, reset: true })
-    const { configuration, targets } = stateSchema.parse(await response.body.json())
+    const body = Buffer.from(await response.body.arrayBuffer())
+    const text = response.headers['content-encoding'] === 'gzip' ? gunzipSync(body) : body
+    const { configuration, targets } = stateSchema.parse(JSON.parse(text.toString('utf8')))
     if (configuration !== null && fleet.applyConfiguration(configuration)) {
       log.emit('fleetConfigurationInForce', { version: configuration.version, source: address })
     }
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -4,11 +4,11 @@
  */
 import { setMaxListeners } from 'node:events'
 import { createDigestExchange } from '../../digest/createDigestExchange/index.js'
-import type { Digest } from '../../digest/types.js'
+import type { HostState, Notices } from '../../digest/types.js'
 import type { EventFields } from '../../event/types.js'
-import { createFleetState } from '../../fleet/createFleetState/index.js'
+import { createFleetState, type SeenLayers } from '../../fleet/createFleetState/index.js'
 import { followFleet } from '../../fleet/followFleet/index.js'
-import { followStoreReaders } from '../../fleet/followStoreReaders/index.js'
+import { followStoreReaders, type StoreReader } from '../../fleet/followStoreReaders/index.js'
 import { isStoreReader } from '../../fleet/isStoreReader/index.js'
 import { createOpenCalls } from '../../http/createOpenCalls/index.js'
 import { listen } from '../../http/listen/index.js'
@@ -37,6 +37,9 @@
   drain: () => Promise<void>
 }
 
+/** Time from the start until a host may read the store for others, in milliseconds; by then it knows its place among them. */
+const READER_DELAY_MS = 1_000
+
 /** Interval at which the lease is renewed, in milliseconds; a third of its duration. */
 const LEASE_RENEWAL_MS = 500
 
@@ -58,9 +61,6 @@
 /** Time limit for callers to receive the last answers, in milliseconds. */
 const FLUSH_TIMEOUT_MS = 200
 
-/** The retry budget counts the hosts heard from within this time, in milliseconds; one window of the budget. */
-const HOST_COUNT_WINDOW_MS = 10_000
-
 /**
  * @name startGateway
  * @summary Starts a gateway.
@@ -82,11 +82,12 @@
   const callsController = new AbortController()
   setMaxListeners(0, callsController.signal)
   const fleet = createFleetState({ runtime })
-  const loadTracker = createLoadTracker({ runtime })
+  const loadTracker = createLoadTracker({ runtime, hostCount: () => exchange.hostCount() })
   const suspicions = createSuspicions({ runtime })
   const calls = createOpenCalls<OpenRequest>({ runtime })
   const dispatchers = new Map<string, Dispatcher<Reservation>>()
   const startedMs = runtime.nowMs()
+  const startedAtMs = runtime.monotonicMs()
   let drainingSinceMs: number | undefined
   resources.use(store)
   resources.use(socket)
@@ -94,25 +95,28 @@
   const exchange = createDigestExchange({
     socket,
     ownIp: settings.ip,
+    ownDomain: settings.failureDomain,
     runtime,
     log,
     signal,
-    buildDigest,
-    storeProgress,
-    isFollowingStore: () => follower.hasConfigurationWatch() && (follower.isConnected() || readerFollower.isConnected()),
-    onDigest: applyDigest,
-    onPeerLost: host => loadTracker.removePeer(host),
+    load: loadTracker,
+    buildState,
+    ownNotices: () => ({ suspicions: suspicions.share(), seenLayers: fleet.seenLayers() }),
+    onNotices: applyNotices,
+    isFollowingStore: () => follower.isConnected() || readerFollower.isConnected(),
+    onDigest: digest => election.observeFencing(digest.leaseFencing),
     fetchState: async address => { await readPeerState(address, { fleet, runtime, log }) }
   })
   settings.seedIps.forEach(exchange.addAddress)
 
-  const isStoreUpForPeers = (): boolean => exchange.peers().some(peer => peer.digest.isStoreConnected)
-  const isReader = (): boolean => isStoreReader(settings, exchange.peers().map(peer => peer.digest))
+  const isStoreUpForPeers = (): boolean => exchange.readers().length > 0
+  const isReader = (): boolean => runtime.monotonicMs() - startedAtMs >= READER_DELAY_MS &&
+    isStoreReader({ ip: settings.ip, depth: exchange.depth() }, exchange.readers(), { hasNeighbors: exchange.peers().length > 0 })
   const follower = followFleet(fleet, { store, format: ports.fleetFormat, log, runtime, signal, isStoreUpForPeers, isReader })
   const readerFollower = followStoreReaders({
     ownDomain: settings.failureDomain,
     isReader,
-    readers: () => exchange.peers().filter(peer => peer.digest.isStoreConnected).map(({ ip, digest }) => ({ address: `${ip}:${digest.statePort}`, failureDomain: digest.failureDomain })),
+    readers: listStateSources,
     pullChanges: address => readPeerState(address, { fleet, runtime, log, isLongPoll: true }),
     runtime,
     signal
@@ -123,7 +127,8 @@
     runtime,
     log,
     metrics,
-    peers: exchange.peers,
+    otherRoots: exchange.otherRoots,
+    isRoot: exchange.isRoot,
     isDraining: () => drainingSinceMs !== undefined,
     isReader,
     isStoreReachable: () => follower.isConnected() || isStoreUpForPeers()
@@ -133,7 +138,7 @@
     extraRetries: settings.retryExtra,
     windowMs: settings.retryWindowMs,
     runtime,
-    hostCount: () => exchange.countHosts(HOST_COUNT_WINDOW_MS)
+    hostCount: exchange.recentHostCount
   })
   const context: GatewayContext = {
     fleet,
@@ -146,7 +151,7 @@
     runtime,
     log,
     metrics,
-    loadAgeMs: exchange.digestAgeMs,
+    loadAgeMs: exchange.loadAgeMs,
     queueLengths: () => new Map([...dispatchers].map(([service, dispatcher]) => [service, dispatcher.queueLength()])),
     checkCoverage: createCoverageCheck({ fleet, suspicions, runtime }),
     dispatcherOf,
@@ -185,8 +190,8 @@
   resources.use(await listen(internal, { ...settings.metricsAddress, onHandlerError: logError }))
   log.emit('processStarted', { address: callers.address, failureDomain: settings.failureDomain })
 
-  registerHost(settings, { store, runtime, log, signal })
-  discoverPeers(exchange, { store, runtime, log, signal })
+  registerHost(settings, { exchange, store, runtime, log, signal })
+  discoverPeers({ exchange, store, runtime, log, signal })
   rerouteStreams(context, { signal, onSuspicion: exchange.sendNow })
   runPlacement({ fleet, suspicions, control, runtime, log, metrics, signal, fencing: election.fencing, onLoaded: exchange.sendNow })
   repeatTask(election.step, { intervalMs: LEASE_RENEWAL_MS, task: 'lease', runtime, log, signal })
@@ -199,33 +204,33 @@
     return dispatcher
   }
 
-  function buildDigest (): Omit<Digest, 'sequence' | 'peers'> {
+  function buildState (): HostState {
     return {
       host: settings.host,
       failureDomain: settings.failureDomain,
       startedMs,
       statePort: settings.internalAddress.port,
-      ...storeProgress(),
+      configurationVersion: fleet.configuration()?.version ?? -1,
+      targetsRevision: fleet.revision(),
+      targetsFingerprint: fleet.fingerprint(),
       isStoreConnected: follower.isConnected() && drainingSinceMs === undefined,
-      leaseFencing: election.fencing() ?? 0,
-      load: loadTracker.own(),
-      suspicions: suspicions.share(),
-      seenLayers: fleet.seenLayers()
+      leaseFencing: election.fencing() ?? 0
     }
   }
 
-  function storeProgress (): Pick<Digest, 'configurationVersion' | 'targetsRevision' | 'targetsFingerprint'> {
-    return { configurationVersion: fleet.configuration()?.version ?? -1, targetsRevision: fleet.revision(), targetsFingerprint: fleet.fingerprint() }
+  /** Hosts whose state this one follows: its parent, or the roots that read the store. */
+  function listStateSources (): StoreReader[] {
+    const parent = exchange.parent()
+    const sources = parent !== undefined ? [parent] : exchange.otherRoots().filter(root => root.digest.isStoreConnected)
+    return sources.map(({ ip, digest }) => ({ address: `${ip}:${digest.statePort}`, failureDomain: digest.failureDomain }))
   }
 
-  function applyDigest (digest: Digest): void {
-    loadTracker.setPeerLoad(digest.host, digest.load)
-    election.observeFencing(digest.leaseFencing)
-    digest.suspicions.forEach(suspicions.applyPeerSuspicion)
-    for (const seen of digest.seenLayers) if (!areLayersKnown(seen)) fleet.recordSeenLayers(seen)
+  function applyNotices (notices: Notices): void {
+    notices.suspicions.forEach(suspicions.applyPeerSuspicion)
+    for (const seen of notices.seenLayers) if (!areLayersKnown(seen)) fleet.recordSeenLayers(seen)
   }
 
-  function areLayersKnown (seen: Digest['seenLayers'][number]): boolean {
+  function areLayersKnown (seen: SeenLayers): boolean {
     const target = fleet.targets().find(candidate => candidate.id === seen.targetId)
     return target?.layers?.from === seen.layers?.from && target?.layers?.to === seen.layers?.to
   }
--- a/src/objectApi/types.ts
+++ b/src/objectApi/types.ts
@@ -47,7 +47,8 @@
 /** A client of the object API. */
 export interface ObjectStore extends AsyncDisposable {
   read: (key: string) => Promise<ReadResult>
-  list: (prefix: string) => Promise<ListResult>
+  /** With `mayBeStale` the answer may be seconds old, and costs the store less. */
+  list: (prefix: string, options?: { mayBeStale?: boolean }) => Promise<ListResult>
   write: (key: string, value: unknown, condition: WriteCondition) => Promise<WriteResult>
   remove: (key: string, condition: { ifVersion: number }) => Promise<WriteResult>
   /** Waits for changes under a prefix after a store revision; reports no objects if the wait passes without a change. */
--- a/src/path/createLoadTracker/index.ts
+++ b/src/path/createLoadTracker/index.ts
@@ -1,6 +1,7 @@
 /**
  * Tracks the load of each engine and link: the requests of this host, which it counts itself,
- * and those of its peers, as they last reported them. When all callers reconnect at once after a
+ * and those of all others, as its neighbors last reported them. The report of a neighbor is the
+ * sum over all hosts behind it. When all callers reconnect at once after a
  * common fault, hosts would overload the best engines and links before they hear of each other's
  * requests. Each host therefore assumes that its peers have just sent as much as it has itself.
  */
@@ -8,14 +9,12 @@
 import type { Runtime } from '../../runtime/types.js'
 import { linkKey, LINK_WINDOW_MS } from '../_lib/linkCost.js'
 import { isSameStage, type EngineLoad, type RequestSize } from '../choosePath/index.js'
+import { hashLoadKey, type LoadByKey } from '../hashLoadKey/index.js'
 
-/** Load by target id, and by the key of each link between failure domains. */
-export type LoadByTarget = Record<string, EngineLoad>
-
-/** Time until the reports of peers include what they send now, in milliseconds: the interval of digests. */
+/** Time until the reports of neighbors include what other hosts send now, in milliseconds: the interval of digests. */
 const PEER_REPORT_DELAY_MS = 100
 
-/** Largest number of peers that are assumed to send as much as this host; as many as receive a digest at once. */
+/** Largest number of hosts that are assumed to send as much as this host. */
 const MAX_ASSUMED_PEERS = 8
 
 /** Time from the start until most peers have reported, in milliseconds; until then their number is unknown. */
@@ -33,42 +32,45 @@
   claim: (path: Path, size: RequestSize, options?: { previousPath?: Path }) => Disposable
   /** Load of a target or link, by all hosts together. */
   loadOf: (targetId: string) => EngineLoad
-  /** Load by the requests of this host alone. */
-  own: () => LoadByTarget
-  /** Replaces the load that a peer reported. */
-  setPeerLoad: (host: string, load: LoadByTarget) => void
-  /** Removes the load of a peer that is gone. */
-  removePeer: (host: string) => void
+  /** Load by the requests of this host and of all hosts behind the given neighbors. */
+  sumWith: (neighbors: Iterable<string>) => LoadByKey
+  /** Replaces the load that a neighbor reported; returns whether it differs. */
+  setNeighborLoad: (neighbor: string, load: LoadByKey) => boolean
+  /** Removes the load of a neighbor. */
+  removeNeighbor: (neighbor: string) => void
+  /** Calls the listener when this host's own load changes. */
+  onOwnChange: (listener: () => void) => void
 }
 
 /**
  * @name createLoadTracker
  * @summary Creates the load tracker of a host, without any requests.
- * @param options - The runtime.
+ * @param options - The runtime, and the number of hosts, this one included.
  * @returns The load tracker.
  *
  * @example
  * using claim = loadTracker.claim(path, { promptTokens: 800, outputTokens: 170 })
  */
-export function createLoadTracker (options: { runtime: Runtime }): LoadTracker {
-  const { runtime } = options
+export function createLoadTracker (options: { runtime: Runtime, hostCount?: () => number }): LoadTracker {
+  const { runtime, hostCount = () => neighbors.size + 1 } = options
   const startedMs = runtime.monotonicMs()
-  const own = new Map<string, EngineLoad>()
-  const peers = new Map<string, LoadByTarget>()
-  /** Sum over the peers, updated with each report because every choice of a path reads the load of every engine. */
-  const peerSums = new Map<string, EngineLoad>()
-  /** Load of this host's claims of the last `PEER_REPORT_DELAY_MS`, assumed for each peer as well. */
-  const recentClaims = new Map<string, EngineLoad>()
-
-  function removePeer (host: string): void {
-    for (const [key, load] of Object.entries(peers.get(host) ?? {})) addLoad(peerSums, key, load, -1)
-    peers.delete(host)
-  }
+  const own = new Map<number, EngineLoad>()
+  const neighbors = new Map<string, LoadByKey>()
+  /** Sum over the neighbors, updated with each report because every choice of a path reads the load of every engine. */
+  const neighborSums = new Map<number, EngineLoad>()
+  /** Load of this host's claims of the last `PEER_REPORT_DELAY_MS`, assumed for each other host as well. */
+  const recentClaims = new Map<number, EngineLoad>()
+  const listeners: Array<() => void> = []
 
-  /** Number of peers that are assumed to have sent as much as this host, since callers are spread evenly over the hosts. */
+  /** Number of hosts that are assumed to have sent as much as this one, since callers are spread evenly over the hosts. */
   function countAssumedPeers (): number {
     const isStarting = runtime.monotonicMs() - startedMs < PEER_DISCOVERY_MS
-    return isStarting ? MAX_ASSUMED_PEERS : Math.min(peers.size, MAX_ASSUMED_PEERS)
+    return isStarting ? MAX_ASSUMED_PEERS : Math.min(hostCount() - 1, MAX_ASSUMED_PEERS)
+  }
+
+  function addOwn (loads: ReadonlyArray<[number, EngineLoad]>, sign: 1 | -1): void {
+    for (const [key, load] of loads) addLoad(own, key, load, sign)
+    for (const listener of listeners) listener()
   }
 
   return {
@@ -77,22 +79,23 @@
       const transfers = listTransferLoads(path, size, previousPath)
       // Targets of plain requests are compared by their number of requests alone; assumed requests would make every second choice go to another target.
       const assumed = [...stages, ...transfers].filter(([, load]) => load.tokenLayers > 0)
-      for (const [key, load] of [...stages, ...transfers]) addLoad(own, key, load, 1)
+      addOwn([...stages, ...transfers], 1)
       for (const [key, load] of assumed) addLoad(recentClaims, key, load, 1)
       // A link is counted for the window over which its utilization is averaged, an engine until the claim is released.
-      runtime.setTimer(LINK_WINDOW_MS, () => { for (const [key, load] of transfers) addLoad(own, key, load, -1) })
+      runtime.setTimer(LINK_WINDOW_MS, () => addOwn(transfers, -1))
       runtime.setTimer(PEER_REPORT_DELAY_MS, () => { for (const [key, load] of assumed) addLoad(recentClaims, key, load, -1) })
       let isReleased = false
       return {
         [Symbol.dispose] () {
           if (isReleased) return
           isReleased = true
-          for (const [key, load] of stages) addLoad(own, key, load, -1)
+          addOwn(stages, -1)
         }
       }
     },
     loadOf (targetId) {
-      const [ours, theirs, assumed] = [own.get(targetId) ?? NO_LOAD, peerSums.get(targetId) ?? NO_LOAD, recentClaims.get(targetId) ?? NO_LOAD]
+      const key = hashLoadKey(targetId)
+      const [ours, theirs, assumed] = [own.get(key) ?? NO_LOAD, neighborSums.get(key) ?? NO_LOAD, recentClaims.get(key) ?? NO_LOAD]
       const factor = assumed === NO_LOAD ? 0 : countAssumedPeers()
       return {
         tokenLayers: ours.tokenLayers + theirs.tokenLayers + assumed.tokenLayers * factor,
@@ -100,15 +103,36 @@
         firstSequences: ours.firstSequences + theirs.firstSequences + assumed.firstSequences * factor
       }
     },
-    own: () => Object.fromEntries(own),
-    setPeerLoad (host, load) {
-      const previous = peers.get(host) ?? {}
-      peers.set(host, load)
+    sumWith (included) {
+      const sum = new Map<number, EngineLoad>()
+      for (const [key, load] of own) addLoad(sum, key, load, 1)
+      for (const neighbor of included) for (const [key, load] of neighbors.get(neighbor) ?? []) addLoad(sum, key, load, 1)
+      return sum
+    },
+    setNeighborLoad (neighbor, load) {
+      const previous = neighbors.get(neighbor) ?? new Map<number, EngineLoad>()
+      neighbors.set(neighbor, load)
+      let isChanged = false
       // Most engines have the same load as in the previous report.
-      for (const key in previous) if (!isSameLoad(previous[key], load[key])) addLoad(peerSums, key, previous[key]!, -1)
-      for (const key in load) if (!isSameLoad(previous[key], load[key])) addLoad(peerSums, key, load[key]!, 1)
+      for (const [key, before] of previous) {
+        if (isSameLoad(before, load.get(key))) continue
+        addLoad(neighborSums, key, before, -1)
+        isChanged = true
+      }
+      for (const [key, after] of load) {
+        if (isSameLoad(previous.get(key), after)) continue
+        addLoad(neighborSums, key, after, 1)
+        isChanged = true
+      }
+      return isChanged
+    },
+    removeNeighbor (neighbor) {
+      for (const [key, load] of neighbors.get(neighbor) ?? []) addLoad(neighborSums, key, load, -1)
+      neighbors.delete(neighbor)
     },
-    removePeer
+    onOwnChange (listener) {
+      listeners.push(listener)
+    }
   }
 }
 
@@ -117,7 +141,7 @@
 }
 
 /** Adds a load to that of a target or link, or subtracts it again. */
-function addLoad (loads: Map<string, EngineLoad>, key: string, { tokenLayers, sequences, firstSequences }: EngineLoad, sign: 1 | -1): void {
+function addLoad (loads: Map<number, EngineLoad>, key: number, { tokenLayers, sequences, firstSequences }: EngineLoad, sign: 1 | -1): void {
   const load = loads.get(key)
   if (load === undefined) {
     if (sign * sequences > 0) loads.set(key, { tokenLayers: sign * tokenLayers, sequences: sign * sequences, firstSequences: sign * firstSequences })
@@ -130,15 +154,15 @@
 }
 
 /** The load of a request on each engine of its path. */
-function listStageLoads (path: Path, { promptTokens, outputTokens }: RequestSize): Array<[string, EngineLoad]> {
-  return path.map(({ target, from, to }, index) => [target.id, { tokenLayers: (promptTokens + outputTokens) * (to - from), sequences: 1, firstSequences: index === 0 ? 1 : 0 }])
+function listStageLoads (path: Path, { promptTokens, outputTokens }: RequestSize): Array<[number, EngineLoad]> {
+  return path.map(({ target, from, to }, index) => [hashLoadKey(target.id), { tokenLayers: (promptTokens + outputTokens) * (to - from), sequences: 1, firstSequences: index === 0 ? 1 : 0 }])
 }
 
 /** The load of a request on each link that its path crosses, except for stages of the previous path. */
-function listTransferLoads (path: Path, { promptTokens, outputTokens }: RequestSize, previousPath: Path): Array<[string, EngineLoad]> {
+function listTransferLoads (path: Path, { promptTokens, outputTokens }: RequestSize, previousPath: Path): Array<[number, EngineLoad]> {
   return path.slice(1).flatMap((stage, index) => {
     const domain = path[index]!.target.failureDomain
     if (domain === stage.target.failureDomain || previousPath.some(kept => isSameStage(kept, stage))) return []
-    return [[linkKey(domain, stage.target.failureDomain), { tokenLayers: promptTokens + outputTokens, sequences: 1, firstSequences: 0 }]]
+    return [[hashLoadKey(linkKey(domain, stage.target.failureDomain)), { tokenLayers: promptTokens + outputTokens, sequences: 1, firstSequences: 0 }]]
   })
 }
--- a/src/path/createLoadTracker/test.ts
+++ b/src/path/createLoadTracker/test.ts
@@ -2,7 +2,8 @@
 import { buildEngine, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
 import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
 import { LINK_WINDOW_MS, linkKey } from '../_lib/linkCost.js'
-import { choosePath } from '../choosePath/index.js'
+import { choosePath, type EngineLoad } from '../choosePath/index.js'
+import { hashLoadKey } from '../hashLoadKey/index.js'
 import { createLoadTracker } from './index.js'
 
 const SIZE = { promptTokens: 100, outputTokens: 50 }
@@ -33,13 +34,16 @@
   t.is(loadTracker.loadOf(linkKey('south', 'north')).tokenLayers, 0)
 })
 
-test('the load of peers is added until they are removed', t => {
+const loads = (byId: Record<string, EngineLoad>) => new Map(Object.entries(byId).map(([id, load]) => [hashLoadKey(id), load]))
+
+test('the load behind neighbors is added until they are removed', t => {
   const loadTracker = createLoadTracker({ runtime: createManualRuntime() })
-  loadTracker.setPeerLoad('other', { a: { tokenLayers: 10, sequences: 2, firstSequences: 1 } })
+  t.true(loadTracker.setNeighborLoad('other', loads({ a: { tokenLayers: 10, sequences: 2, firstSequences: 1 } })))
+  t.false(loadTracker.setNeighborLoad('other', loads({ a: { tokenLayers: 10, sequences: 2, firstSequences: 1 } })))
   t.is(loadTracker.loadOf('a').sequences, 2)
-  loadTracker.setPeerLoad('other', { a: { tokenLayers: 4, sequences: 1, firstSequences: 0 }, b: { tokenLayers: 3, sequences: 1, firstSequences: 0 } })
+  loadTracker.setNeighborLoad('other', loads({ a: { tokenLayers: 4, sequences: 1, firstSequences: 0 }, b: { tokenLayers: 3, sequences: 1, firstSequences: 0 } }))
   t.deepEqual(loadTracker.loadOf('a'), { tokenLayers: 4, sequences: 1, firstSequences: 0 })
-  loadTracker.removePeer('other')
+  loadTracker.removeNeighbor('other')
   t.is(loadTracker.loadOf('b').sequences, 0)
   t.is(loadTracker.loadOf('a').sequences, 0)
 })
@@ -66,11 +70,10 @@
   t.true(crossings * transferMs < 500, `${crossings} prompts over the link`)
 })
 
-test('peers are assumed to send as much as the host until they report', async t => {
+test('other hosts are assumed to send as much as the host until they report', async t => {
   const runtime = createManualRuntime()
-  const loadTracker = createLoadTracker({ runtime })
+  const loadTracker = createLoadTracker({ runtime, hostCount: () => 3 })
   await runtime.advance(2_000)
-  for (const peer of ['b', 'c']) loadTracker.setPeerLoad(peer, {})
   loadTracker.claim(PATH, SIZE)
   t.is(loadTracker.loadOf(linkKey('south', 'north')).tokenLayers, 450)
   t.deepEqual(loadTracker.loadOf('a'), { tokenLayers: 18_000, sequences: 3, firstSequences: 3 })
@@ -78,3 +81,13 @@
   t.is(loadTracker.loadOf(linkKey('south', 'north')).tokenLayers, 150)
   t.deepEqual(loadTracker.loadOf('a'), { tokenLayers: 6_000, sequences: 1, firstSequences: 1 })
 })
+
+test('a sum contains the own load and that behind the given neighbors only', t => {
+  const loadTracker = createLoadTracker({ runtime: createManualRuntime() })
+  using claim = loadTracker.claim(PATH, SIZE)
+  t.truthy(claim)
+  loadTracker.setNeighborLoad('child', loads({ a: { tokenLayers: 10, sequences: 2, firstSequences: 1 } }))
+  loadTracker.setNeighborLoad('parent', loads({ a: { tokenLayers: 5, sequences: 1, firstSequences: 1 } }))
+  t.deepEqual(loadTracker.sumWith(['child']).get(hashLoadKey('a')), { tokenLayers: 6_010, sequences: 3, firstSequences: 2 })
+  t.deepEqual(loadTracker.loadOf('a').sequences > 3, true)
+})
--- a/src/path/jitterPathOptions/test.ts
+++ b/src/path/jitterPathOptions/test.ts
@@ -6,6 +6,7 @@
 import { computeCacheTokenLayers } from '../_lib/stageCost.js'
 import { choosePath } from '../choosePath/index.js'
 import { createLoadTracker } from '../createLoadTracker/index.js'
+import { hashLoadKey } from '../hashLoadKey/index.js'
 import { jitterPathOptions } from './index.js'
 
 const SIZE = { promptTokens: 770, outputTokens: 174 }
@@ -28,7 +29,7 @@
     const chosen = choosePath(ENGINES, SIZE, { model: MODEL, loadOf, ...jitter })!
     loadTracker.claim(chosen.path, SIZE)
   }
-  return (known.tokenLayers + (loadTracker.own()['fast-0']?.tokenLayers ?? 0)) / cacheTokenLayers
+  return (known.tokenLayers + (loadTracker.sumWith([]).get(hashLoadKey('fast-0'))?.tokenLayers ?? 0)) / cacheTokenLayers
 }
 
 test('hosts that know nothing of each other for long do not all choose the best path', t => {
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -5,6 +5,7 @@
 import { platformHeaders } from '../../platform/headers.js'
 import { DeadlineError } from '../../src/runtime/withDeadline/index.js'
 import { buildAnswer, encodeChunk, encodeEvents, servePlatformEngine, buildStreamHead, STREAM_END, type EngineScript, type PlatformEngineStandin } from '../../standin/platform/servePlatformEngine/index.js'
+import { hashLoadKey } from '../../src/path/hashLoadKey/index.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 /** An engine that holds a range of layers. */
@@ -328,7 +329,8 @@
   await new Promise(resolve => { setTimeout(resolve, 50) })
   controller.abort()
   await rerouting
-  t.deepEqual(Object.keys(parts.loadTracker.own()).filter(id => id.startsWith('i-')), [])
+  const engineKeys = parts.fleet.targets().map(target => hashLoadKey(target.id))
+  t.deepEqual(engineKeys.filter(key => parts.loadTracker.sumWith([]).has(key)), [])
 })
 
 test('a stream on its last attempt is not interrupted for what a peer says of its engine', async t => {
