Refuse calls after the port has closed although its timer fired early

Callers could see a call taken in the last milliseconds of a process: whether the balancer lag had passed was read from the clock alone, and a timer of 50 ms may fire at 49.9 ms. The port's end is now recorded as well. The new test makes the timer fire 20 ms early and failed before with 200.

--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -89,6 +89,7 @@
   const startedMs = runtime.nowMs()
   const startedAtMs = runtime.monotonicMs()
   let drainingSinceMs: number | undefined
+  let hasPortClosed = false
   resources.use(store)
   resources.use(socket)
 
@@ -237,7 +238,8 @@
 
   const isReady = (): boolean => drainingSinceMs === undefined && fleet.configuration() !== undefined && fleet.revision() >= 0
 
-  const hasBalancerLagPassed = (): boolean => drainingSinceMs !== undefined && runtime.monotonicMs() - drainingSinceMs > settings.balancerLagMs
+  /** A timer may fire early as well as late, so the clock alone does not tell. */
+  const hasBalancerLagPassed = (): boolean => hasPortClosed || (drainingSinceMs !== undefined && runtime.monotonicMs() - drainingSinceMs > settings.balancerLagMs)
 
   /**
    * Ends the open calls, each with the answer that is true of it, and gives callers some time to
@@ -261,6 +263,7 @@
       log.emit('processDraining', { openCalls: calls.size() })
       using drainDeadline = withDeadline(settings.graceMs - EXIT_RESERVE_MS, { runtime })
       await sleep(settings.balancerLagMs, { runtime, signal: drainDeadline.signal })
+      hasPortClosed = true
       callers.stopAccepting()
       await calls.whenIdle(drainDeadline.signal)
       if (calls.size() > 0) await endOpenCalls()
--- a/test/gateway/startGateway.test.ts
+++ b/test/gateway/startGateway.test.ts
@@ -192,6 +192,20 @@
   t.is(running.target.received.length, 0)
 })
 
+test('a booking after the port has closed is refused although the timer of the balancer lag fired early', async t => {
+  await using running = await startConfigurableGateway((request, socket) => socket.end(buildAnswer(request, 'done')), { lateMs: -20 })
+  running.configure()
+  await waitFor(running.isReady, 200)
+  const [host, port] = running.callerAddress.split(':')
+  const socket = net.connect(Number(port), host)
+  await once(socket, 'connect')
+  await running.gateway.drain()
+  socket.write('POST /unsafe/x HTTP/1.1\r\nhost: studio.example\r\nauthorization: Token secret\r\nrequest-id: r1\r\ncontent-length: 0\r\n\r\n')
+  const [answer] = await once(socket, 'data')
+  t.regex(String(answer), /^HTTP\/1.1 503 /)
+  t.is(running.target.received.length, 0)
+})
+
 test('a call that is still open when the grace period ends gets an answer', async t => {
   await using running = await startConfigurableGateway(() => {}, { graceMs: 600 })
   running.configure()
