Test the number of calls to the store of 8, 64 and 195 hosts, and let substitutes wait for the readers

Roots now wait 1 s and substitutes 2.5 s after their start (a decision in isStoreReader, with a test).

--- a/src/fleet/isStoreReader/index.ts
+++ b/src/fleet/isStoreReader/index.ts
@@ -22,6 +22,10 @@
 /** Roots that read: one, and a second one whose watch may still work when that of the first is silent. */
 const ROOT_READERS = 2
 
+/** Time from its start until a root may read, and until a substitute may, in milliseconds; by then it knows its place, and which roots read. */
+const ROOT_DELAY_MS = 1_000
+const SUBSTITUTE_DELAY_MS = 2_500
+
 /** Depth of the hosts that try when the store answers no root. */
 const SUBSTITUTE_DEPTH = 1
 
@@ -38,13 +42,14 @@
  * @summary Whether a host should read the store for others.
  * @param own - Its address and its depth in the tree of hosts.
  * @param readers - Other hosts that are connected to the store, as far as it knows.
- * @param options - Whether it hears any other host.
+ * @param options - Time since its start in milliseconds, and whether it hears any other host.
  * @returns Whether it should read; a host that hears no other one should.
  *
  * @example
- * isStoreReader({ ip: '10.1.0.40', depth: 0 }, readers, { hasNeighbors: true })
+ * isStoreReader({ ip: '10.1.0.40', depth: 0 }, readers, { upMs: 5_000, hasNeighbors: true })
  */
-export function isStoreReader (own: Pick<ConnectedReader, 'ip' | 'depth'>, readers: readonly ConnectedReader[], { hasNeighbors }: { hasNeighbors: boolean }): boolean {
+export function isStoreReader (own: Pick<ConnectedReader, 'ip' | 'depth'>, readers: readonly ConnectedReader[], { upMs, hasNeighbors }: { upMs: number, hasNeighbors: boolean }): boolean {
+  if (upMs < (own.depth === 0 ? ROOT_DELAY_MS : SUBSTITUTE_DELAY_MS)) return false
   if (!hasNeighbors) return true
   const ahead = readers.filter(reader => isAhead(reader, own))
   if (own.depth === 0) return ahead.length < ROOT_READERS
--- a/src/fleet/isStoreReader/test.ts
+++ b/src/fleet/isStoreReader/test.ts
@@ -17,7 +17,7 @@
 /** Repeats rounds in which all hosts decide, until nothing changes; hosts that the store refuses never connect. Returns the readers and how many hosts try. */
 function settle (hosts: Host[], refusedIps: ReadonlySet<string>): { readers: Host[], tries: number } {
   for (let round = 0; round < 20; round++) {
-    const mayRead = hosts.map(own => isStoreReader(own, readersBeside(hosts, own), { hasNeighbors: hosts.length > 1 }))
+    const mayRead = hosts.map(own => isStoreReader(own, readersBeside(hosts, own), { upMs: 5_000, hasNeighbors: hosts.length > 1 }))
     const decided = hosts.map((own, index) => ({ ...own, isConnected: mayRead[index]! && !refusedIps.has(own.ip) }))
     if (decided.every((host, index) => host.isConnected === hosts[index]!.isConnected)) return { readers: decided.filter(host => host.isConnected), tries: mayRead.filter(may => may).length }
     hosts = decided
@@ -32,7 +32,12 @@
 })
 
 test('a host that hears no other reads', t => {
-  t.true(isStoreReader({ ip: '10.0.0.1', depth: 2 }, [], { hasNeighbors: false }))
+  t.true(isStoreReader({ ip: '10.0.0.1', depth: 2 }, [], { upMs: 5_000, hasNeighbors: false }))
+})
+
+test('right after their start roots wait until they know their place, and substitutes until they know the readers', t => {
+  const mayRead = (depth: number, upMs: number): boolean => isStoreReader({ ip: '10.0.0.1', depth }, [], { upMs, hasNeighbors: true })
+  t.deepEqual([mayRead(0, 900), mayRead(0, 1_000), mayRead(1, 1_000), mayRead(1, 2_500)], [false, true, false, true])
 })
 
 test('when the store refuses every root, one host below them reads', t => {
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -37,9 +37,6 @@
   drain: () => Promise<void>
 }
 
-/** Time from the start until a host may read the store for others, in milliseconds; by then it knows its place among them. */
-const READER_DELAY_MS = 1_000
-
 /** Interval at which the lease is renewed, in milliseconds; a third of its duration. */
 const LEASE_RENEWAL_MS = 500
 
@@ -111,8 +108,7 @@
   settings.seedIps.forEach(exchange.addAddress)
 
   const isStoreUpForPeers = (): boolean => exchange.readers().length > 0
-  const isReader = (): boolean => runtime.monotonicMs() - startedAtMs >= READER_DELAY_MS &&
-    isStoreReader({ ip: settings.ip, depth: exchange.depth() }, exchange.readers(), { hasNeighbors: exchange.peers().length > 0 })
+  const isReader = (): boolean => isStoreReader({ ip: settings.ip, depth: exchange.depth() }, exchange.readers(), { upMs: runtime.monotonicMs() - startedAtMs, hasNeighbors: exchange.peers().length > 0 })
   const follower = followFleet(fleet, { store, format: ports.fleetFormat, log, runtime, signal, isStoreUpForPeers, isReader })
   const readerFollower = followStoreReaders({
     ownDomain: settings.failureDomain,
--- a/test/fakes/createSimulatedHosts.ts
+++ b/test/fakes/createSimulatedHosts.ts
@@ -29,6 +29,9 @@
   ownNotices: Notices
   receivedNotices: Notices[]
   fetched: string[]
+  /** Reads the state of another host; records its address only, unless replaced. */
+  fetchState: (address: string) => Promise<void>
+  runtime: Runtime
   /** Whether it gets changes without digests. */
   isFollowing: boolean
   /** Datagrams and bytes that it sent. */
@@ -128,10 +131,10 @@
       onNotices: notices => { receivedNotices.push(notices) },
       isFollowingStore: () => host.isFollowing,
       onDigest: () => {},
-      fetchState: async address => { fetched.push(address) }
+      fetchState: address => host.fetchState(address)
     })
     seedIps.forEach(exchange.addAddress)
-    const host: SimulatedHost = { ip, failureDomain, exchange, load, log, state, ownNotices, receivedNotices, fetched, sent, isFollowing: true }
+    const host: SimulatedHost = { ip, failureDomain, exchange, load, log, state, ownNotices, receivedNotices, fetched, fetchState: async address => { fetched.push(address) }, runtime, sent, isFollowing: true }
     hosts.push(host)
     return host
   }
--- /dev/null
+++ b/test/fleet/storeCalls.test.ts
@@ -0,0 +1,158 @@
+import test from 'ava'
+import { createFleetState, type FleetState } from '../../src/fleet/createFleetState/index.js'
+import { followFleet, type FleetFormat } from '../../src/fleet/followFleet/index.js'
+import { followStoreReaders } from '../../src/fleet/followStoreReaders/index.js'
+import { isStoreReader } from '../../src/fleet/isStoreReader/index.js'
+import type { FleetConfiguration, Target } from '../../src/fleet/types.js'
+import type { ListResult, ObjectStore, StoredObject, WatchResult } from '../../src/objectApi/types.js'
+import { sleep } from '../../src/runtime/sleep/index.js'
+import type { Runtime } from '../../src/runtime/types.js'
+import { buildEngine } from '../fakes/buildFleet.js'
+import { createSimulatedHosts, type SimulatedHost } from '../fakes/createSimulatedHosts.js'
+import { TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
+
+const DOMAINS = ['east', 'north', 'south', 'west', 'centre']
+const ENGINE_COUNT = 40
+const STEP_MS = 5
+
+/** Roots of a fleet, which may all begin to read at the same moment. */
+const MAX_ROOTS = 9
+
+const WATCH_WAIT_MS = 4_000
+const POLL_WAIT_MS = 2_000
+
+const FORMAT: FleetFormat = {
+  configurationKey: 'config/main',
+  targetPrefix: 'servers/',
+  decodeConfiguration: object => object.value as FleetConfiguration,
+  decodeTarget: object => object.value as Target
+}
+
+/** A store in memory that counts calls; `isRefused` tells whether it refuses a host now. */
+function createCountingStore (isRefused: (ip: string) => boolean) {
+  const objects = new Map<string, StoredObject>()
+  const calls = { list: 0, staleList: 0, watch: 0 }
+  let revision = 0
+  const select = (prefix: string, after: number): StoredObject[] => [...objects.values()].filter(({ key, version }) => key.startsWith(prefix) && version > after)
+  return {
+    calls,
+    put (key: string, value: unknown) { objects.set(key, { key, value, version: ++revision }) },
+    clientOf (ip: string, runtime: Runtime): Pick<ObjectStore, 'list' | 'watch'> {
+      return {
+        async list (prefix, options): Promise<ListResult> {
+          calls[options?.mayBeStale === true ? 'staleList' : 'list']++
+          return isRefused(ip) ? { kind: 'unavailable', cause: 'status 503' } : { kind: 'listed', revision, objects: select(prefix, -1) }
+        },
+        async watch (prefix, after, { signal }): Promise<WatchResult> {
+          calls.watch++
+          if (isRefused(ip)) return { kind: 'unavailable', cause: 'status 503' }
+          const endMs = runtime.monotonicMs() + WATCH_WAIT_MS
+          while (select(prefix, after).length === 0 && runtime.monotonicMs() < endMs) await sleep(STEP_MS, { runtime, signal })
+          return { kind: 'changes', revision, objects: select(prefix, after) }
+        }
+      }
+    }
+  }
+}
+
+/** Hosts that follow the store as a gateway does. */
+function startFollowers (count: number, isRefused: (host: SimulatedHost) => boolean = () => false) {
+  const network = createSimulatedHosts({ seed: count })
+  const hostOf = (ip: string): SimulatedHost | undefined => network.hosts.find(host => host.ip === ip)
+  const store = createCountingStore(ip => { const host = hostOf(ip); return host !== undefined && isRefused(host) })
+  const fleets = new Map<string, FleetState>()
+  const updates: Array<() => void> = []
+
+  function follow (host: SimulatedHost): void {
+    const { exchange, runtime } = host
+    const fleet = createFleetState({ runtime })
+    fleets.set(host.ip, fleet)
+    const { signal } = new AbortController()
+    const startedMs = runtime.monotonicMs()
+    const isReader = (): boolean => isStoreReader({ ip: host.ip, depth: exchange.depth() }, exchange.readers(), { upMs: runtime.monotonicMs() - startedMs, hasNeighbors: exchange.peers().length > 0 })
+    const follower = followFleet(fleet, { store: store.clientOf(host.ip, runtime) as ObjectStore, format: FORMAT, log: host.log, runtime, signal, isStoreUpForPeers: () => exchange.readers().length > 0, isReader })
+    const readers = () => {
+      const parent = exchange.parent()
+      return (parent !== undefined ? [parent] : exchange.otherRoots().filter(root => root.digest.isStoreConnected)).map(({ ip, digest }) => ({ address: ip, failureDomain: digest.failureDomain }))
+    }
+    followStoreReaders({ ownDomain: host.failureDomain, isReader, readers, pullChanges: ip => pull(ip, POLL_WAIT_MS), runtime, signal })
+    host.fetchState = async address => { await pull(address.split(':')[0]!, 0) }
+    updates.push(() => {
+      Object.assign(host.state, { isStoreConnected: follower.isConnected(), configurationVersion: fleet.configuration()?.version ?? -1, targetsRevision: fleet.revision(), targetsFingerprint: fleet.fingerprint() })
+    })
+
+    async function pull (ip: string, waitMs: number): Promise<boolean> {
+      const source = fleets.get(ip)
+      if (source === undefined) return false
+      const endMs = runtime.monotonicMs() + waitMs
+      const isSame = (): boolean => source.fingerprint() === fleet.fingerprint() && (source.configuration()?.version ?? -1) <= (fleet.configuration()?.version ?? -1)
+      while (isSame() && runtime.monotonicMs() < endMs) await sleep(STEP_MS, { runtime, signal })
+      const configuration = source.configuration()
+      if (configuration !== undefined) fleet.applyConfiguration(configuration)
+      const { isWhole, changed, ...update } = source.updateSince(fleet.fingerprint())
+      if (isWhole) fleet.applySnapshot({ ...update, targets: changed })
+      else fleet.applyChanges({ ...update, changed })
+      return true
+    }
+  }
+
+  return {
+    network,
+    store,
+    fleets,
+    async advance (byMs: number) {
+      for (let elapsedMs = 0; elapsedMs < byMs; elapsedMs += STEP_MS) {
+        network.advance(STEP_MS)
+        for (const host of network.hosts) if (!fleets.has(host.ip)) follow(host)
+        for (const update of updates) update()
+        await new Promise(resolve => { setImmediate(resolve) })
+      }
+    }
+  }
+}
+
+type Followers = ReturnType<typeof startFollowers>
+
+/** Starts a fleet with a configuration and targets, some of which renew their entries all the time. */
+async function startFleet (count: number, isRefused?: (host: SimulatedHost) => boolean): Promise<Followers> {
+  const followers = startFollowers(count, isRefused)
+  followers.store.put('config/main', { ...TEST_CONFIGURATION, version: 1 })
+  for (let index = 0; index < ENGINE_COUNT; index++) followers.store.put(`servers/i-${index}`, buildEngine(`i-${index}`, 'north', 'large'))
+  const renew = (index: number): void => {
+    followers.store.put(`servers/i-${index}`, buildEngine(`i-${index}`, 'north', 'large'))
+    followers.network.schedule(50, () => renew((index + 1) % ENGINE_COUNT))
+  }
+  renew(0)
+  followers.network.startAll(count, DOMAINS)
+  await followers.advance(6_000)
+  return followers
+}
+
+const versionsOf = ({ fleets }: Followers): Set<number | undefined> => new Set([...fleets.values()].map(fleet => fleet.configuration()?.version))
+
+test.serial('calls to the store do not grow with the hosts, but for one stale list of each kind at a start', async t => {
+  const callsOf = async (count: number): Promise<number> => {
+    const followers = await startFleet(count)
+    t.deepEqual([...versionsOf(followers)], [1])
+    t.true(followers.store.calls.staleList <= 2 * (count + MAX_ROOTS), `${followers.store.calls.staleList} first lists`)
+    const { list, watch, staleList } = { ...followers.store.calls }
+    await followers.advance(5_000)
+    return followers.store.calls.list - list + followers.store.calls.watch - watch + followers.store.calls.staleList - staleList
+  }
+  const [small, medium, large] = [await callsOf(8), await callsOf(64), await callsOf(195)]
+  t.log(`calls in 5 s: ${small}, ${medium}, ${large}`)
+  t.true(Math.max(medium, large) <= 1.25 * small)
+})
+
+test.serial('a version is in force at every host within a second, also while the store refuses the roots', async t => {
+  const refused = { areRoots: false }
+  const followers = await startFleet(64, host => refused.areRoots && host.exchange.isRoot())
+  followers.store.put('config/main', { ...TEST_CONFIGURATION, version: 2 })
+  await followers.advance(1_000)
+  t.deepEqual([...versionsOf(followers)], [2])
+  refused.areRoots = true
+  await followers.advance(3_000)
+  followers.store.put('config/main', { ...TEST_CONFIGURATION, version: 3 })
+  await followers.advance(2_000)
+  t.deepEqual([...versionsOf(followers)], [3])
+})
