--- a/src/gateway/_lib/updateGauges.ts
+++ b/src/gateway/_lib/updateGauges.ts
@@ -7,13 +7,15 @@
 const MS_PER_S = 1_000
 
 /** Sets all gauges to the current state. */
-export function updateGauges ({ fleet, suspicions, streams, budget, metrics, queueLengths, targetsAgeMs }: GatewayContext): void {
+export function updateGauges ({ fleet, suspicions, streams, budget, metrics, queueLengths, targetsAgeMs, hostCount, loadAgeMs }: GatewayContext): void {
   const targets = fleet.targets()
   const services = fleet.configuration()?.services ?? []
   metrics.streams.set(streams.size)
   metrics.waiting.set([...queueLengths().values()].reduce((sum, length) => sum + length, 0))
   metrics.configurationVersion.set(fleet.configuration()?.version ?? -1)
   metrics.targetsAgeSeconds.set(targetsAgeMs() / MS_PER_S)
+  metrics.hosts.set(hostCount())
+  metrics.loadAgeSeconds.set(loadAgeMs() / MS_PER_S)
   metrics.targets.set({ state: 'listed' }, targets.length)
   metrics.targets.set({ state: 'leaving' }, targets.filter(target => target.isLeaving).length)
   metrics.targets.set({ state: 'suspected' }, targets.filter(target => suspicions.isDown(target.id)).length)
--- a/src/gateway/createGatewayMetrics/index.ts
+++ b/src/gateway/createGatewayMetrics/index.ts
@@ -23,6 +23,8 @@
   retryBudgetLeft: Gauge<'service'>
   targetsAgeSeconds: Gauge
   isLeaseHolder: Gauge
+  hosts: Gauge
+  loadAgeSeconds: Gauge
   droppedLogLines: Counter
 }
 
@@ -54,6 +56,8 @@
     retryBudgetLeft: new Gauge({ name: 'coltsfootlead_gateway_retry_budget_left', help: 'Repeats left by service', labelNames: ['service'], registers }),
     targetsAgeSeconds: new Gauge({ name: 'coltsfootlead_gateway_targets_age_seconds', help: 'Time since the targets were last confirmed by the store or a reader', registers }),
     isLeaseHolder: new Gauge({ name: 'coltsfootlead_gateway_lease_holder', help: '1 on the host that places layers', registers }),
+    hosts: new Gauge({ name: 'coltsfootlead_gateway_hosts', help: 'Hosts of the fleet, as this host counts them', registers }),
+    loadAgeSeconds: new Gauge({ name: 'coltsfootlead_gateway_load_age_seconds', help: 'Mean age of what is known of the load of other hosts', registers }),
     droppedLogLines: new Counter({ name: 'coltsfootlead_gateway_log_lines_dropped_total', help: 'Log lines dropped by limit or because the reader was slow', registers })
   }
 }
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -149,6 +149,7 @@
     log,
     metrics,
     loadAgeMs: exchange.loadAgeMs,
+    hostCount: exchange.hostCount,
     queueLengths: () => new Map([...dispatchers].map(([service, dispatcher]) => [service, dispatcher.queueLength()])),
     checkCoverage: createCoverageCheck({ fleet, suspicions, runtime }),
     dispatcherOf,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -144,8 +144,10 @@
   runtime: Runtime
   log: EventLog
   metrics: GatewayMetrics
-  /** Mean age of the other hosts' load reports, in milliseconds. */
+  /** Mean age of what is known of the other hosts' load, in milliseconds. */
   loadAgeMs: () => number
+  /** Number of hosts of the fleet, as far as this one knows. */
+  hostCount: () => number
   /** Number of queued requests by service. */
   queueLengths: () => Map<string, number>
   /** Whether the process is shutting down; answers then ask the caller to close its connection. */
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -74,6 +74,7 @@
     log,
     metrics: createGatewayMetrics(),
     loadAgeMs: () => 0,
+    hostCount: () => 1,
     queueLengths: () => new Map(),
     checkCoverage: createCoverageCheck({ fleet, suspicions, runtime }),
     dispatcherOf (service) {
--- a/test/gateway/startGateway.test.ts
+++ b/test/gateway/startGateway.test.ts
@@ -103,7 +103,9 @@
   running.configure()
   await waitFor(running.isReady, 200)
   t.like(await call(running.callerAddress), { status: 200, body: 'done' })
-  t.regex(await (await request(running.metricsUrl)).body.text(), /coltsfootlead_gateway_calls_total\{kind="unsafe",outcome="answered"\} 1/)
+  const metrics = await (await request(running.metricsUrl)).body.text()
+  t.regex(metrics, /coltsfootlead_gateway_calls_total\{kind="unsafe",outcome="answered"\} 1/)
+  t.regex(metrics, /coltsfootlead_gateway_hosts 1$/m)
 })
 
 test('shutdown lets open calls finish, and asks callers to close their connections', async t => {
