--- a/src/digest/createDigestExchange/index.ts
+++ b/src/digest/createDigestExchange/index.ts
@@ -12,81 +12,15 @@
  * The store may reject one host while it serves the others, so a host that stays behind a neighbor
  * for longer than a watch takes reads the state from that neighbor.
  */
-import type { EventLog } from '../../event/types.js'
-import type { LoadByKey } from '../../path/hashLoadKey/index.js'
+import { firstReader } from '../../fleet/isStoreReader/index.js'
 import { repeatTask } from '../../runtime/repeatTask/index.js'
-import type { Runtime } from '../../runtime/types.js'
 import { createMemberView, type ReportOptions } from '../createMemberView/index.js'
 import { createNoticeRelay } from '../_lib/createNoticeRelay.js'
-import { firstReader, type ConnectedReader } from '../../fleet/isStoreReader/index.js'
+import { createStateFetcher } from '../_lib/createStateFetcher.js'
+import { countHostsBehind, listReaders, meanAgeMs } from '../_lib/summarizeNeighbors.js'
 import { isBefore, planNeighbors, type NeighborPlan } from '../planNeighbors/index.js'
-import { decodeDigest, encodeDigest, type Digest, type DigestRole, type DigestSocket, type HostState, type Notices } from '../types.js'
-
-/** A neighbor with its latest digest. */
-export interface Peer {
-  ip: string
-  digest: Digest
-  lastHeardMs: number
-}
-
-/** Load of the neighbors, by their addresses. */
-export interface LoadExchange {
-  /** Load of this host and of all hosts behind the given neighbors. */
-  sumWith: (neighbors: Iterable<string>) => LoadByKey
-  /** Replaces the load behind a neighbor; returns whether it differs. */
-  setNeighborLoad: (neighbor: string, load: LoadByKey) => boolean
-  removeNeighbor: (neighbor: string) => void
-  /** Calls the listener when this host's own load changes. */
-  onOwnChange: (listener: () => void) => void
-}
-
-/** Dependencies and callbacks of the exchange. */
-export interface DigestExchangeOptions {
-  socket: DigestSocket
-  ownIp: string
-  ownDomain: string
-  runtime: Runtime
-  log: EventLog
-  signal: AbortSignal
-  load: LoadExchange
-  /** Builds this host's own state. */
-  buildState: () => HostState
-  /** This host's own observations of targets, which the others get. */
-  ownNotices: () => Notices
-  /** Called with observations of other hosts, each once. */
-  onNotices: (notices: Notices) => void
-  /** Whether changes reach this host by other ways, so that it need not rely on digests. */
-  isFollowingStore: () => boolean
-  /** Called with each new digest of a neighbor. */
-  onDigest: (digest: Digest) => void
-  /** Reads the state of a neighbor that is ahead; resolves when it is applied or the read has failed. */
-  fetchState: (address: string) => Promise<void>
-}
-
-/** The neighbors of this host, what is known through them, and the sending of digests. */
-export interface DigestExchange {
-  addAddress: (ip: string) => void
-  /** Neighbors heard from recently. */
-  peers: () => Peer[]
-  /** The parent of this host; `undefined` at a root, or while the parent has not been heard. */
-  parent: () => Peer | undefined
-  /** Whether this host is a root of the tree. */
-  isRoot: () => boolean
-  /** Number of hosts, this one included. */
-  hostCount: () => number
-  /** Largest number of hosts in the last `HOST_COUNT_WINDOW_MS`. */
-  recentHostCount: () => number
-  /** Mean age of what is known of the other hosts' load, in milliseconds. */
-  loadAgeMs: () => number
-  /** Number of hosts between this one and the roots. */
-  depth: () => number
-  /** The other roots that are heard, if this host is one. */
-  otherRoots: () => Peer[]
-  /** Hosts that were connected to the store shortly before: the first behind each neighbor. */
-  readers: () => ConnectedReader[]
-  /** Sends digests at once, for example when a target is found dead. */
-  sendNow: () => void
-}
+import { decodeDigest, encodeDigest, type Digest, type DigestRole } from '../types.js'
+import type { DigestExchange, DigestExchangeOptions, Peer } from './types.js'
 
 /** Interval of digests to other roots and to the parent, and of roots' digests to their children, in milliseconds. */
 const INTERVAL_MS = 100
@@ -111,12 +45,6 @@
 const FIRST_CONTACT_INTERVAL_MS = 200
 const CONTACT_INTERVAL_MS = 500
 
-/** How long a neighbor must be ahead before its state is read, in milliseconds; a working watch or poll is faster. */
-const AHEAD_GRACE_MS = 300
-
-/** Age up to which another host's connection to the store counts, in milliseconds. */
-const READER_AGE_MS = 1_500
-
 /** Window of `recentHostCount`, in milliseconds; hosts that stopped within it may have spent a part of what all share. */
 const HOST_COUNT_WINDOW_MS = 10_000
 
@@ -129,8 +57,6 @@
 interface Neighbor extends Peer {
   /** What this host is to the neighbor: its parent (`up`), its child (`down`) or another root. */
   role: NeighborRole
-  /** Since when it has been ahead of this host. */
-  aheadSinceMs: number | undefined
 }
 
 const listPlanned = ({ parent, otherRoots }: NeighborPlan): string[] => parent === undefined ? otherRoots : [parent]
@@ -150,6 +76,7 @@
   const { socket, ownIp, ownDomain, runtime, log, signal, load, buildState, ownNotices, onNotices, isFollowingStore, onDigest, fetchState } = options
   const view = createMemberView({ ownIp, ownDomain, runtime })
   const relay = createNoticeRelay({ runtime })
+  const fetcher = createStateFetcher({ runtime, ownState: buildState, isFollowingStore, fetchState })
   const neighbors = new Map<string, Neighbor>()
   const contactedMs = new Map<string, number>()
   let plan: NeighborPlan = { isRoot: true, depth: 0, parent: undefined, otherRoots: [], roots: [] }
@@ -160,7 +87,6 @@
   let relayedMs = -Infinity
   let silentContactedMs = -Infinity
   let reportTimer: Disposable | undefined
-  let isFetching = false
   let hostCounts: Array<{ atMs: number, count: number }> = []
 
   const sinceMs = (atMs: number): number => runtime.monotonicMs() - atMs
@@ -183,14 +109,15 @@
   function send (ip: string, role: DigestRole): void {
     const sources = sourcesFor(role, ip)
     const state = buildState()
-    const hostCount = sources.reduce((sum, { digest }) => sum + digest.hostCount, 1)
+    const nowMs = runtime.monotonicMs()
+    const readers = listReaders(sources, { ownIp, nowMs })
     const digest: Digest = {
       ...state,
       sequence: ++sequence,
       role,
-      hostCount,
-      loadAgeMs: Math.round(sources.reduce((sum, source) => sum + knowledgeAgeMs(source) * source.digest.hostCount, 0) / hostCount),
-      reader: state.isStoreConnected ? firstReader([{ ip: ownIp, depth: plan.depth, ageMs: 0 }, ...knownReaders(sources)]) : firstReader(knownReaders(sources)),
+      hostCount: 1 + countHostsBehind(sources),
+      loadAgeMs: Math.round(meanAgeMs(sources, { nowMs, ownHosts: 1 })),
+      reader: firstReader(state.isStoreConnected ? [{ ip: ownIp, depth: plan.depth, ageMs: 0 }, ...readers] : readers),
       notices: isLoadRole(role) ? relay.noticesFor(ip, role) : { suspicions: [], seenLayers: [] },
       members: view.takeReport(ip, reportOptions(role)),
       load: isLoadRole(role) ? load.sumWith(sources.map(loadKeyOf)) : new Map()
@@ -205,17 +132,6 @@
     return { count: role === 'mesh' ? REPORTED_MEMBERS : ANSWERED_MEMBERS, always: plan.roots.map(root => root.ip) }
   }
 
-  const knowledgeAgeMs = ({ digest, lastHeardMs }: Neighbor): number => digest.loadAgeMs + sinceMs(lastHeardMs)
-
-  /** Hosts that were connected to the store lately: the first behind each neighbor. */
-  function knownReaders (sources: readonly Neighbor[]): ConnectedReader[] {
-    return sources.flatMap(({ digest: { reader }, lastHeardMs }) => {
-      if (reader === null || reader.ip === ownIp) return []
-      const ageMs = Math.round(reader.ageMs + sinceMs(lastHeardMs))
-      return ageMs < READER_AGE_MS ? [{ ...reader, ageMs }] : []
-    })
-  }
-
   /** Tells the parent, or the other roots, the load of the subtree. */
   function report (): void {
     reportTimer?.[Symbol.dispose]()
@@ -282,12 +198,12 @@
     } else {
       if (known === undefined) log.emit('memberJoined', { member: digest.host, ip })
       else if (known.role !== role) dropLoad(known)
-      takeNeighbor({ ip, digest, lastHeardMs: runtime.monotonicMs(), role, aheadSinceMs: known?.aheadSinceMs })
+      takeNeighbor({ ip, digest, lastHeardMs: runtime.monotonicMs(), role })
       // A root that this host does not count among the roots knows other members.
       if (role === 'mesh' && !isPlanned(ip)) contact(ip, 'members', CONTACT_INTERVAL_MS)
     }
     onDigest(digest)
-    fetchIfAhead(ip, digest)
+    fetcher.check(ip, digest)
   }
 
   /** The role of a sender as a neighbor; `undefined` if it sent no load, or the order of the tree or its place forbids the role. */
@@ -325,20 +241,6 @@
     log.emit('memberLost', { member: neighbor.digest.host, ip: neighbor.ip })
   }
 
-  function fetchIfAhead (ip: string, digest: Digest): void {
-    const own = buildState()
-    const knowsOtherTargets = digest.targetsRevision > own.targetsRevision && digest.targetsFingerprint !== own.targetsFingerprint
-    const isAhead = digest.configurationVersion > own.configurationVersion || knowsOtherTargets
-    const neighbor = neighbors.get(ip)
-    const aheadSinceMs = neighbor?.aheadSinceMs ?? runtime.monotonicMs()
-    if (neighbor !== undefined) neighbor.aheadSinceMs = isAhead ? aheadSinceMs : undefined
-    if (!isAhead) return
-    const canWait = own.configurationVersion >= 0 && own.targetsRevision >= 0 && isFollowingStore()
-    if (isFetching || (canWait && sinceMs(aheadSinceMs) < AHEAD_GRACE_MS)) return
-    isFetching = true
-    fetchState(`${ip}:${digest.statePort}`).finally(() => { isFetching = false })
-  }
-
   function removeLostNeighbors (): void {
     for (const [ip, atMs] of plannedSinceMs) {
       if (sinceMs(Math.max(atMs, neighbors.get(ip)?.lastHeardMs ?? -Infinity)) > PLANNED_TIMEOUT_MS) view.recordSilent(ip)
@@ -376,7 +278,7 @@
   /** Neighbors through which every other host is known once. */
   const allSources = (): Neighbor[] => [...listChildren(), ...listNeighbors('mesh'), ...[upstream()].filter(neighbor => neighbor !== undefined)]
 
-  const countHosts = (): number => Math.max(1 + view.alive().length, allSources().reduce((sum, { digest }) => sum + digest.hostCount, 1))
+  const countHosts = (): number => 1 + Math.max(view.alive().length, countHostsBehind(allSources()))
 
   function recordHostCount (): void {
     hostCounts = hostCounts.filter(({ atMs }) => sinceMs(atMs) < HOST_COUNT_WINDOW_MS)
@@ -394,14 +296,10 @@
     isRoot: () => plan.isRoot,
     hostCount: countHosts,
     recentHostCount: () => hostCounts.reduce((most, { count }) => Math.max(most, count), countHosts()),
-    loadAgeMs () {
-      const sources = allSources()
-      const hostCount = sources.reduce((sum, { digest }) => sum + digest.hostCount, 0)
-      return hostCount === 0 ? 0 : sources.reduce((sum, source) => sum + knowledgeAgeMs(source) * source.digest.hostCount, 0) / hostCount
-    },
+    loadAgeMs: () => meanAgeMs(allSources(), { nowMs: runtime.monotonicMs(), ownHosts: 0 }),
     depth: () => plan.depth,
     otherRoots: () => listNeighbors('mesh'),
-    readers: () => knownReaders([...neighbors.values()]),
+    readers: () => listReaders([...neighbors.values()], { ownIp, nowMs: runtime.monotonicMs() }),
     sendNow
   }
 }
--- a/src/gateway/_lib/createLeaderElection.ts
+++ b/src/gateway/_lib/createLeaderElection.ts
@@ -4,7 +4,7 @@
  * hosts that hear each other.
  */
 import { createLeaseClient } from '../../control/createLeaseClient/index.js'
-import type { Peer } from '../../digest/createDigestExchange/index.js'
+import type { Peer } from '../../digest/createDigestExchange/types.js'
 import type { EventLog } from '../../event/types.js'
 import type { ObjectStore } from '../../objectApi/types.js'
 import type { Runtime } from '../../runtime/types.js'
--- a/src/gateway/_lib/discoverPeers.ts
+++ b/src/gateway/_lib/discoverPeers.ts
@@ -3,7 +3,7 @@
  * from then on digests carry the addresses. A host whose seeds answer needs no object.
  */
 import { z } from 'zod'
-import type { DigestExchange } from '../../digest/createDigestExchange/index.js'
+import type { DigestExchange } from '../../digest/createDigestExchange/types.js'
 import type { EventLog } from '../../event/types.js'
 import type { ObjectStore } from '../../objectApi/types.js'
 import { sleep } from '../../runtime/sleep/index.js'
--- a/test/fakes/createSimulatedHosts.ts
+++ b/test/fakes/createSimulatedHosts.ts
@@ -3,7 +3,8 @@
  * seconds of hundreds of hosts pass quickly.
  */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
-import { createDigestExchange, type DigestExchange } from '../../src/digest/createDigestExchange/index.js'
+import { createDigestExchange } from '../../src/digest/createDigestExchange/index.js'
+import type { DigestExchange } from '../../src/digest/createDigestExchange/types.js'
 import type { HostState, Notices } from '../../src/digest/types.js'
 import { createLoadTracker, type LoadTracker } from '../../src/path/createLoadTracker/index.js'
 import type { Runtime } from '../../src/runtime/types.js'
