--- a/src/gateway/_lib/discoverPeers.ts
+++ b/src/gateway/_lib/discoverPeers.ts
@@ -36,8 +36,8 @@
 export async function registerHost (host: { host: string, ip: string }, { exchange, store, runtime, log, signal }: DiscoveryOptions): Promise<void> {
   const key = `${HOST_PREFIX}${host.host}`
   const value = { ip: host.ip }
-  do await sleep(SETTLING_MS, { runtime, signal })
-  while (!signal.aborted && !exchange.isRoot())
+  await sleep(SETTLING_MS, { runtime, signal })
+  while (!signal.aborted && !exchange.isRoot()) await sleep(SETTLING_MS, { runtime, signal })
   while (!signal.aborted) {
     const created = await store.write(key, value, { ifAbsent: true })
     if (created.kind === 'written') return
