Watch the configuration at every root, and replace silent readers within a second

Cause: since only two roots watched the store. It went silent for both without an error, and a silent watch counted as working for 4.5 s, so no other host read and no digest was ahead.

New tests make the store silent for both readers at 8 and 64 hosts (2 s) and for every root at 64 hosts (3 s, the platform's bound there). On the code before a silent watch is noticed after 4.5 s by its constants; the tests were not run on it, since its followers lack the new option.

--- a/src/fleet/followFleet/index.ts
+++ b/src/fleet/followFleet/index.ts
@@ -1,10 +1,12 @@
 /**
  * Follows configuration and targets in the object API by list and watch. Each wait is short
  * enough that a watch gone silent delays a change by less than the time in which it must be in
- * force. Only some hosts (see `isStoreReader`) watch; the others get changes from these.
+ * force. Only some hosts (see `isStoreReader`) watch the targets; the others get changes from these.
+ * The configuration changes seldom, so every root of the tree of hosts watches it: a version must be
+ * in force in time although some roots are cut off from the store without an error.
  */
 import type { EventLog } from '../../event/types.js'
-import type { ObjectStore, StoredObject } from '../../objectApi/types.js'
+import type { ObjectStore, StoredObject, WatchOptions } from '../../objectApi/types.js'
 import { delayToNextRound } from '../../runtime/delayToNextRound/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
@@ -33,6 +35,8 @@
   isStoreUpForPeers: () => boolean
   /** Whether this host reads the store for the others. */
   isReader: () => boolean
+  /** Whether this host watches the configuration although it is no reader. */
+  isConfigurationWatcher: () => boolean
 }
 
 /** State of the connection to the store. */
@@ -50,6 +54,10 @@
 /** Least time between two calls of a watch of the targets, in milliseconds; their entries change several times a second, and changes within this time come in one answer. */
 const TARGET_WATCH_SPACING_MS = 400
 
+/** How long a watch of the targets waits, and how much later it counts as silent, in milliseconds; a silent reader must be replaced well within the time in which a version must be in force. */
+const TARGET_WATCH_WAIT_MS = 600
+const TARGET_WATCH_GRACE_MS = 400
+
 /** Interval at which a host that is no reader and knows nothing yet lists, in milliseconds; most get the state from another host before the second time. */
 const FIRST_LIST_INTERVAL_MS = 2_000
 
@@ -70,7 +78,7 @@
  * const follower = followFleet(fleet, { store, format, log, runtime, signal, isStoreUpForPeers, isReader })
  */
 export function followFleet (fleet: FleetState, options: FollowFleetOptions): FleetFollower {
-  const { store, format, log, runtime, signal, isStoreUpForPeers, isReader } = options
+  const { store, format, log, runtime, signal, isStoreUpForPeers, isReader, isConfigurationWatcher } = options
   /** Monotonic time of the first failed call, by prefix, until a call succeeds. */
   const failingSinceMs = new Map<string, number>()
   /** Failing prefixes for which, at some failed call, no peer reached the store either: a store outage. */
@@ -132,13 +140,13 @@
   }
 
   // A host that knows nothing yet lists once, even if it is no reader.
-  followPrefix(configurationPrefix(format), { isUnknown: () => fleet.configuration() === undefined, spacingMs: 0 }, applyConfigurationObjects, objects => applyConfigurationObjects(objects))
-  followPrefix(format.targetPrefix, { isUnknown: () => fleet.revision() < 0, spacingMs: TARGET_WATCH_SPACING_MS }, applyTargetList, applyTargetChanges)
+  followPrefix(configurationPrefix(format), { isNeeded: () => isReader() || isConfigurationWatcher(), isUnknown: () => fleet.configuration() === undefined, spacingMs: 0, watchTimes: {} }, applyConfigurationObjects, objects => applyConfigurationObjects(objects))
+  followPrefix(format.targetPrefix, { isNeeded: isReader, isUnknown: () => fleet.revision() < 0, spacingMs: TARGET_WATCH_SPACING_MS, watchTimes: { waitMs: TARGET_WATCH_WAIT_MS, graceMs: TARGET_WATCH_GRACE_MS } }, applyTargetList, applyTargetChanges)
 
-  /** Lists and watches a prefix while this host is a reader; otherwise lists it now and then until something is known. */
+  /** Lists and watches a prefix while that is needed; otherwise lists it now and then until something is known. */
   async function followPrefix (
     prefix: string,
-    { isUnknown, spacingMs }: { isUnknown: () => boolean, spacingMs: number },
+    { isNeeded, isUnknown, spacingMs, watchTimes }: { isNeeded: () => boolean, isUnknown: () => boolean, spacingMs: number, watchTimes: Pick<WatchOptions, 'waitMs' | 'graceMs'> },
     onList: (objects: readonly StoredObject[], revision: number) => void,
     onChanges: (objects: readonly StoredObject[], removedKeys: readonly string[], revision: number) => void
   ): Promise<void> {
@@ -148,7 +156,7 @@
     let mayListStale = true
     let firstListMs = -Infinity
     while (!signal.aborted) {
-      if (!isReader()) {
+      if (!isNeeded()) {
         if (revision !== undefined) log.emit('targetsLeftToReaders', { prefix, revision })
         revision = undefined
         forgetFailures(prefix)
@@ -185,15 +193,17 @@
         return undefined
       }
       const sentMs = runtime.monotonicMs()
-      const watched = await store.watch(prefix, revision, { signal })
+      const watched = await store.watch(prefix, revision, { signal, ...watchTimes })
       if (signal.aborted) return undefined
       if (watched.kind === 'unavailable') return watched.cause
       if (watched.kind === 'reset' || watched.kind === 'silent') {
         revision = undefined
         // A stale list could have the revision that the store no longer knows.
         mayListStale = watched.kind !== 'reset'
-        if (watched.kind === 'silent') log.emit('watchReplaced', { prefix, afterMs: watched.afterMs })
-        return undefined
+        if (watched.kind === 'reset') return undefined
+        log.emit('watchReplaced', { prefix, afterMs: watched.afterMs })
+        // Others read in this host's place until a list is answered.
+        return 'silent watch'
       }
       recordCallResult(prefix, undefined)
       onChanges(watched.objects, watched.removedKeys ?? [], watched.revision)
--- a/src/fleet/isStoreReader/index.ts
+++ b/src/fleet/isStoreReader/index.ts
@@ -23,7 +23,7 @@
 const ROOT_READERS = 2
 
 /** Time from its start until a root may read, and until a substitute may, in milliseconds; by then it knows its place, and which roots read. */
-const ROOT_DELAY_MS = 1_000
+export const ROOT_DELAY_MS = 1_000
 const SUBSTITUTE_DELAY_MS = 2_500
 
 /** Depth of the hosts that try when the store answers no root. */
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -9,7 +9,7 @@
 import { createFleetState, type SeenLayers } from '../../fleet/createFleetState/index.js'
 import { followFleet } from '../../fleet/followFleet/index.js'
 import { followStoreReaders, type StoreReader } from '../../fleet/followStoreReaders/index.js'
-import { isStoreReader } from '../../fleet/isStoreReader/index.js'
+import { isStoreReader, ROOT_DELAY_MS } from '../../fleet/isStoreReader/index.js'
 import { createOpenCalls } from '../../http/createOpenCalls/index.js'
 import { listen } from '../../http/listen/index.js'
 import { createCoverageCheck } from '../../path/createCoverageCheck/index.js'
@@ -109,7 +109,8 @@
 
   const isStoreUpForPeers = (): boolean => exchange.readers().length > 0
   const isReader = (): boolean => isStoreReader({ ip: settings.ip, depth: exchange.depth() }, exchange.readers(), { upMs: runtime.monotonicMs() - startedAtMs, hasNeighbors: exchange.peers().length > 0 })
-  const follower = followFleet(fleet, { store, format: ports.fleetFormat, log, runtime, signal, isStoreUpForPeers, isReader })
+  const isConfigurationWatcher = (): boolean => exchange.isRoot() && runtime.monotonicMs() - startedAtMs >= ROOT_DELAY_MS
+  const follower = followFleet(fleet, { store, format: ports.fleetFormat, log, runtime, signal, isStoreUpForPeers, isReader, isConfigurationWatcher })
   const readerFollower = followStoreReaders({
     ownDomain: settings.failureDomain,
     isReader,
--- a/src/objectApi/types.ts
+++ b/src/objectApi/types.ts
@@ -44,6 +44,14 @@
   | { kind: 'silent', afterMs: number }
   | { kind: 'unavailable', cause: string }
 
+/** Options of a watch. */
+export interface WatchOptions {
+  signal: AbortSignal
+  /** How long it waits for a change, and how much later it counts as silent, in milliseconds; the client's own times by default. */
+  waitMs?: number
+  graceMs?: number
+}
+
 /** A client of the object API. */
 export interface ObjectStore extends AsyncDisposable {
   read: (key: string) => Promise<ReadResult>
@@ -52,5 +60,5 @@
   write: (key: string, value: unknown, condition: WriteCondition) => Promise<WriteResult>
   remove: (key: string, condition: { ifVersion: number }) => Promise<WriteResult>
   /** Waits for changes under a prefix after a store revision; reports no objects if the wait passes without a change. */
-  watch: (prefix: string, afterRevision: number, options: { signal: AbortSignal }) => Promise<WatchResult>
+  watch: (prefix: string, afterRevision: number, options: WatchOptions) => Promise<WatchResult>
 }
--- a/test/fleet/storeCalls.test.ts
+++ b/test/fleet/storeCalls.test.ts
@@ -2,9 +2,9 @@
 import { createFleetState, type FleetState } from '../../src/fleet/createFleetState/index.js'
 import { followFleet, type FleetFormat } from '../../src/fleet/followFleet/index.js'
 import { followStoreReaders } from '../../src/fleet/followStoreReaders/index.js'
-import { isStoreReader } from '../../src/fleet/isStoreReader/index.js'
+import { isStoreReader, ROOT_DELAY_MS } from '../../src/fleet/isStoreReader/index.js'
 import type { FleetConfiguration, Target } from '../../src/fleet/types.js'
-import type { ListResult, ObjectStore, StoredObject, WatchResult } from '../../src/objectApi/types.js'
+import type { ListResult, ObjectStore, StoredObject, WatchOptions, WatchResult } from '../../src/objectApi/types.js'
 import { sleep } from '../../src/runtime/sleep/index.js'
 import type { Runtime } from '../../src/runtime/types.js'
 import { buildEngine } from '../fakes/buildFleet.js'
@@ -19,6 +19,8 @@
 const MAX_ROOTS = 9
 
 const WATCH_WAIT_MS = 4_000
+const WATCH_GRACE_MS = 500
+const LIST_TIMEOUT_MS = 800
 const POLL_WAIT_MS = 2_000
 
 const FORMAT: FleetFormat = {
@@ -28,8 +30,8 @@
   decodeTarget: object => object.value as Target
 }
 
-/** A store in memory that counts calls; `isRefused` tells whether it refuses a host now. */
-function createCountingStore (isRefused: (ip: string) => boolean) {
+/** A store in memory that counts calls; `isRefused` tells whether it refuses a host now, `isSilent` whether it does not answer it. */
+function createCountingStore (isRefused: (ip: string) => boolean, isSilent: (ip: string) => boolean) {
   const objects = new Map<string, StoredObject>()
   const calls = { list: 0, staleList: 0, watch: 0 }
   let revision = 0
@@ -41,13 +43,17 @@
       return {
         async list (prefix, options): Promise<ListResult> {
           calls[options?.mayBeStale === true ? 'staleList' : 'list']++
-          return isRefused(ip) ? { kind: 'unavailable', cause: 'status 503' } : { kind: 'listed', revision, objects: select(prefix, -1) }
+          if (isSilent(ip)) await sleep(LIST_TIMEOUT_MS, { runtime, signal: new AbortController().signal })
+          return isRefused(ip) || isSilent(ip) ? { kind: 'unavailable', cause: 'status 503' } : { kind: 'listed', revision, objects: select(prefix, -1) }
         },
-        async watch (prefix, after, { signal }): Promise<WatchResult> {
+        async watch (prefix, after, { signal, waitMs = WATCH_WAIT_MS, graceMs = WATCH_GRACE_MS }: WatchOptions): Promise<WatchResult> {
           calls.watch++
           if (isRefused(ip)) return { kind: 'unavailable', cause: 'status 503' }
-          const endMs = runtime.monotonicMs() + WATCH_WAIT_MS
-          while (select(prefix, after).length === 0 && runtime.monotonicMs() < endMs) await sleep(STEP_MS, { runtime, signal })
+          const startMs = runtime.monotonicMs()
+          while ((select(prefix, after).length === 0 && runtime.monotonicMs() < startMs + waitMs) || isSilent(ip)) {
+            if (runtime.monotonicMs() >= startMs + waitMs + graceMs) return { kind: 'silent', afterMs: waitMs + graceMs }
+            await sleep(STEP_MS, { runtime, signal })
+          }
           return { kind: 'changes', revision, objects: select(prefix, after) }
         }
       }
@@ -56,10 +62,10 @@
 }
 
 /** Hosts that follow the store as a gateway does. */
-function startFollowers (count: number, isRefused: (host: SimulatedHost) => boolean = () => false) {
+function startFollowers (count: number, isRefused: (host: SimulatedHost) => boolean = () => false, isSilent: (host: SimulatedHost) => boolean = () => false) {
   const network = createSimulatedHosts({ seed: count })
   const hostOf = (ip: string): SimulatedHost | undefined => network.hosts.find(host => host.ip === ip)
-  const store = createCountingStore(ip => { const host = hostOf(ip); return host !== undefined && isRefused(host) })
+  const store = createCountingStore(ip => { const host = hostOf(ip); return host !== undefined && isRefused(host) }, ip => { const host = hostOf(ip); return host !== undefined && isSilent(host) })
   const fleets = new Map<string, FleetState>()
   const updates: Array<() => void> = []
 
@@ -70,7 +76,7 @@
     const { signal } = new AbortController()
     const startedMs = runtime.monotonicMs()
     const isReader = (): boolean => isStoreReader({ ip: host.ip, depth: exchange.depth() }, exchange.readers(), { upMs: runtime.monotonicMs() - startedMs, hasNeighbors: exchange.peers().length > 0 })
-    const follower = followFleet(fleet, { store: store.clientOf(host.ip, runtime) as ObjectStore, format: FORMAT, log: host.log, runtime, signal, isStoreUpForPeers: () => exchange.readers().length > 0, isReader })
+    const follower = followFleet(fleet, { store: store.clientOf(host.ip, runtime) as ObjectStore, format: FORMAT, log: host.log, runtime, signal, isStoreUpForPeers: () => exchange.readers().length > 0, isReader, isConfigurationWatcher: () => exchange.isRoot() && runtime.monotonicMs() - startedMs >= ROOT_DELAY_MS })
     const readers = () => {
       const parent = exchange.parent()
       return (parent !== undefined ? [parent] : exchange.otherRoots().filter(root => root.digest.isStoreConnected)).map(({ ip, digest }) => ({ address: ip, failureDomain: digest.failureDomain }))
@@ -114,8 +120,8 @@
 type Followers = ReturnType<typeof startFollowers>
 
 /** Starts a fleet with a configuration and targets, some of which renew their entries all the time. */
-async function startFleet (count: number, isRefused?: (host: SimulatedHost) => boolean): Promise<Followers> {
-  const followers = startFollowers(count, isRefused)
+async function startFleet (count: number, isRefused?: (host: SimulatedHost) => boolean, isSilent?: (host: SimulatedHost) => boolean): Promise<Followers> {
+  const followers = startFollowers(count, isRefused, isSilent)
   followers.store.put('config/main', { ...TEST_CONFIGURATION, version: 1 })
   for (let index = 0; index < ENGINE_COUNT; index++) followers.store.put(`servers/i-${index}`, buildEngine(`i-${index}`, 'north', 'large'))
   const renew = (index: number): void => {
@@ -156,3 +162,24 @@
   await followers.advance(2_000)
   t.deepEqual([...versionsOf(followers)], [3])
 })
+
+for (const count of [8, 64]) {
+  test.serial(`a version is in force at ${count} hosts within 2 s although the store went silent for both readers`, async t => {
+    const silent = new Set<SimulatedHost>()
+    const followers = await startFleet(count, undefined, host => silent.has(host))
+    for (const host of followers.network.hosts) if (host.state.isStoreConnected) silent.add(host)
+    t.is(silent.size, 2)
+    followers.store.put('config/main', { ...TEST_CONFIGURATION, version: 2 })
+    await followers.advance(2_000)
+    t.deepEqual([...versionsOf(followers)], [2])
+  })
+}
+
+test.serial('a version is in force at 64 hosts within 3 s, as at this size the platform asks, although the store went silent for every root', async t => {
+  const silent = new Set<SimulatedHost>()
+  const followers = await startFleet(64, undefined, host => silent.has(host))
+  for (const host of followers.network.hosts) if (host.exchange.isRoot()) silent.add(host)
+  followers.store.put('config/main', { ...TEST_CONFIGURATION, version: 2 })
+  await followers.advance(3_000)
+  t.deepEqual([...versionsOf(followers)], [2])
+})
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -71,7 +71,7 @@
     if (isDone()) resolve()
   })
   standin.faults.status = 503
-  const follower = followFleet(fleet, { store, format: createFleetFormat(log), log, runtime, signal: controller.signal, isStoreUpForPeers: () => false, isReader: () => true })
+  const follower = followFleet(fleet, { store, format: createFleetFormat(log), log, runtime, signal: controller.signal, isStoreUpForPeers: () => false, isReader: () => true, isConfigurationWatcher: () => false })
   t.false(follower.isConnected())
   standin.put('config', 'main', configuration(4))
   standin.put('servers', 'a', entry())
