Count a reader as connected only after a recent answer about the targets

A root that becomes a reader had listed the targets at its start and claimed to be connected before its own list was answered; with the store silent for every root these claims kept the substitutes from reading for 2.5 s. The last answer must be less than 1.5 s old now. The test of every silent root at 64 hosts failed before (versions 1 and 2 after 3 s) and passes.

--- a/src/fleet/followFleet/index.ts
+++ b/src/fleet/followFleet/index.ts
@@ -58,6 +58,9 @@
 const TARGET_WATCH_WAIT_MS = 600
 const TARGET_WATCH_GRACE_MS = 400
 
+/** Age of the last answer about the targets up to which a reader is connected, in milliseconds; a host that has just become a reader is not. */
+const CONFIRMED_AGE_MS = 1_500
+
 /** Interval at which a host that is no reader and knows nothing yet lists, in milliseconds; most get the state from another host before the second time. */
 const FIRST_LIST_INTERVAL_MS = 2_000
 
@@ -215,7 +218,7 @@
   }
 
   return {
-    isConnected: () => isReader() && failingSinceMs.size === 0 && confirmedMs > -Infinity,
+    isConnected: () => isReader() && failingSinceMs.size === 0 && runtime.monotonicMs() - confirmedMs < CONFIRMED_AGE_MS,
     targetsAgeMs: () => runtime.monotonicMs() - confirmedMs
   }
 }
