Log the end of an engine with the parts of the prompts that it was answering

A counter tells runs that had begun from those that had not. No decision rests on it yet. Two tests: the line is there when an engine ends, and not when only an answer breaks off.

--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -73,6 +73,7 @@
   targetSuspected: { number: 6002, level: 'warn', text: 'target suspected' },
   targetInvalid: { number: 6003, level: 'warn', text: 'entry of a target is invalid and is ignored' },
   targetUnavailable: { number: 6004, level: 'warn', text: 'target did not report its state' },
+  targetCrashed: { number: 6005, level: 'warn', text: 'target ended while it ran a request' },
   layersLoaded: { number: 6022, level: 'info', text: 'engine has loaded the ordered layers' },
   leaseAcquired: { number: 6010, level: 'info', text: 'control lease acquired' },
   leaseLost: { number: 6011, level: 'warn', text: 'control lease lost' },
--- a/src/event/explainCall/index.ts
+++ b/src/event/explainCall/index.ts
@@ -30,7 +30,7 @@
 const OUTCOME_BY_FINAL_EVENT: Record<string, CallExplanation['outcome']> = { gatewayAnswered: 'answered', gatewayRefused: 'refused', gatewayFailed: 'failed', callerGone: 'callerGone' }
 
 /** Events about targets. */
-const TARGET_EVENTS = new Set(['targetSuspected', 'targetLeaving', 'orderSent', 'layersLoaded', 'targetUnavailable'])
+const TARGET_EVENTS = new Set(['targetSuspected', 'targetCrashed', 'targetLeaving', 'orderSent', 'layersLoaded', 'targetUnavailable'])
 
 /** Events about a host itself; related when logged by the host that handled the call. */
 const HOST_EVENTS = new Set(['storeUnavailable', 'storeRecovered', 'processStarted', 'processDraining', 'drainCut', 'unexpectedError'])
--- a/src/gateway/_lib/openExchange.ts
+++ b/src/gateway/_lib/openExchange.ts
@@ -23,6 +23,8 @@
   result: Promise<ExchangeResult>
   /** Whether the connection has failed; an answer delimited by the end of its connection is then incomplete. */
   hasFailed: () => boolean
+  /** Whether this host closed the connection itself. */
+  isClosedHere: () => boolean
   /** Closes the connection; the target stops its work. */
   close: (cause: string) => void
 }
@@ -44,6 +46,7 @@
   const request = http.request({ host: ip, port: Number(port), method, path, headers, agent: false })
   let isConnected = false
   let hasFailed = false
+  let isClosedHere = false
   const result = new Promise<ExchangeResult>(resolve => {
     // After a stall the event loop runs timers before socket events: wait for the poll phase, so that a connect that has succeeded meanwhile counts.
     const cancelConnect = (): void => { if (!isConnected) request.destroy(new Error('connect timed out')) }
@@ -66,5 +69,13 @@
     })
   })
   request.end(body)
-  return { result, hasFailed: () => hasFailed, close: cause => { request.destroy(new Error(cause)) } }
+  return {
+    result,
+    hasFailed: () => hasFailed,
+    isClosedHere: () => isClosedHere,
+    close (cause) {
+      isClosedHere = true
+      request.destroy(new Error(cause))
+    }
+  }
 }
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -5,7 +5,8 @@
 import { withConnectionClose, type BufferedAnswer } from './answerCaller.js'
 import { createEventSplitter } from './createEventSplitter.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
-import type { ActiveStream, Call, GatewayContext, TryProgress } from '../types.js'
+import type { Exchange } from './openExchange.js'
+import type { ActiveStream, Call, GatewayContext, TargetRun, TryProgress } from '../types.js'
 
 /** Weight of the latest pause in the moving average of a stream's pauses. */
 const PAUSE_WEIGHT = 0.2
@@ -16,7 +17,8 @@
   /** The engine answered with an error status, which is relayed to the caller. */
   | { kind: 'refusedByTarget' } & BufferedAnswer
   | { kind: 'notRun', cause: string, faultyAddress: string | undefined, hasReachedTarget: boolean }
-  | { kind: 'brokenOff', cause: string }
+  /** `isBrokenByTarget` is false if this host closed the connection. */
+  | { kind: 'brokenOff', cause: string, isBrokenByTarget: boolean }
 
 /** State of a call across all its tries. */
 export interface CallProgress extends TryProgress {
@@ -31,29 +33,36 @@
   longestPauseEndMs: number
 }
 
+/** What the arrival of events is recorded in: the run, and the stream if it passes through a path of engines. */
+interface ObservedRun {
+  run: TargetRun
+  stream: ActiveStream | undefined
+}
+
 /** Checks the status and headers of an answer and relays its events. */
-export async function relayStream (answer: IncomingMessage, hasFailed: () => boolean, call: Call, progress: CallProgress, stream: ActiveStream | undefined, context: GatewayContext): Promise<StreamResult> {
+export async function relayStream (answer: IncomingMessage, exchange: Pick<Exchange, 'hasFailed' | 'isClosedHere'>, call: Call, progress: CallProgress, { run, stream }: ObservedRun, context: GatewayContext): Promise<StreamResult> {
   const metadata = context.format.readAnswer(answer.headers)
   const status = answer.statusCode ?? 0
   if (status !== 200) {
-    const body = await readAnswerBody(answer, hasFailed)
+    const body = await readAnswerBody(answer, exchange.hasFailed)
     if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: metadata.faultyAddress, hasReachedTarget: true }
-    if (body === undefined || !metadata.isSigned || metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: `status ${status}` }
+    if (body === undefined || !metadata.isSigned || metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
     return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: isFramed(answer) }
   }
-  if (metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: 'answer has another request id' }
-  if (!metadata.isSigned || answer.headers['content-encoding'] !== undefined) return { kind: 'brokenOff', cause: 'answer unsigned or encoded' }
-  return await relayEvents(answer, hasFailed, call, progress, stream, context)
+  if (metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: 'answer has another request id', isBrokenByTarget: false }
+  if (!metadata.isSigned || answer.headers['content-encoding'] !== undefined) return { kind: 'brokenOff', cause: 'answer unsigned or encoded', isBrokenByTarget: false }
+  return await relayEvents(answer, exchange, call, progress, { run, stream }, context)
 }
 
-function relayEvents (answer: IncomingMessage, hasFailed: () => boolean, call: Call, progress: CallProgress, stream: ActiveStream | undefined, context: GatewayContext): Promise<StreamResult> {
+function relayEvents (answer: IncomingMessage, exchange: Pick<Exchange, 'hasFailed' | 'isClosedHere'>, call: Call, progress: CallProgress, { run, stream }: ObservedRun, context: GatewayContext): Promise<StreamResult> {
   const { response, startedMs } = call
   const { format, metrics, runtime, suspicions } = context
   const split = createEventSplitter()
   return new Promise(resolve => {
     const fail = (cause: string): void => {
+      const isBrokenByTarget = !exchange.isClosedHere()
       answer.destroy()
-      resolve({ kind: 'brokenOff', cause })
+      resolve({ kind: 'brokenOff', cause, isBrokenByTarget })
     }
     answer.on('data', (chunk: Buffer) => {
       const nowMs = runtime.monotonicMs()
@@ -65,6 +74,7 @@
           progress.firstEventMs = nowMs
           metrics.firstEventSeconds.observe((nowMs - startedMs) / 1_000)
         }
+        run.firstEventMs ??= nowMs
         progress.lastEventId = event.id
         recordPause(progress, nowMs)
         if (!response.write(event.bytes)) {
@@ -79,7 +89,7 @@
       for (const stage of stream.path) suspicions.note(stage.target.id, 'progressed')
     })
     answer.once('end', () => {
-      const isWhole = answer.complete && (isFramed(answer) || !hasFailed())
+      const isWhole = answer.complete && (isFramed(answer) || !exchange.hasFailed())
       if (!isWhole || split.bufferedBytes() > 0 || progress.firstEventMs === undefined) return fail('stream interrupted')
       response.end()
       resolve({ kind: 'complete' })
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -8,7 +8,8 @@
 import { endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
 import { reserveTarget } from './reserveCapacity.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
-import type { Call, GatewayContext, Reservation } from '../types.js'
+import { reportCrash } from './reportCrash.js'
+import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 
 /** Time without an answer after which a safe call is retried, as a multiple of the route's latency objective. */
 const ANSWER_TIMEOUT_OBJECTIVES = 1.5
@@ -25,7 +26,8 @@
 type AttemptResult =
   | { kind: 'whole' } & BufferedAnswer
   | { kind: 'notRun', cause: string, hasReachedTarget: boolean }
-  | { kind: 'mayHaveRun', cause: string }
+  /** `isBrokenByTarget`: the connection ended before the answer was complete, and this host did not close it. */
+  | { kind: 'mayHaveRun', cause: string, isBrokenByTarget?: boolean }
 
 /** Serves one call until it is answered or has failed. */
 export async function servePlain (call: Call, ownDomain: string, context: GatewayContext): Promise<void> {
@@ -41,6 +43,7 @@
     if (reservation === undefined) break
     if (countedAttempts > 0 && (countedAttempts >= route.maxAttempts || !budget.trySpend(service.name))) break
     call.progress.tries++
+    const run: TargetRun = { target: reservation.target, sentMs: runtime.monotonicMs(), firstEventMs: undefined }
     const result = await attemptCall(call, reservation, context)
     metrics.attempts.inc({ result: result.kind })
     attempts.push(`${reservation.target.id} ${result.kind === 'whole' ? result.status : result.cause}`)
@@ -63,6 +66,7 @@
     else {
       suspicions.note(reservation.target.id, 'lostAnswer')
       mayHaveRun = true
+      if (result.isBrokenByTarget === true && await context.hasCrashed(reservation.target)) reportCrash(call, run, context)
       if (route.kind === 'unsafe') break
     }
   }
@@ -111,14 +115,15 @@
   try {
     const result = await exchange.result
     if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, hasReachedTarget: false }
-    if (result.kind === 'lost') return { kind: 'mayHaveRun', cause: result.cause }
+    if (result.kind === 'lost') return { kind: 'mayHaveRun', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
     const { answer } = result
     const metadata = format.readAnswer(answer.headers)
     const answerBody = await readAnswerBody(answer, exchange.hasFailed)
+    const isBrokenByTarget = answerBody === undefined && !exchange.isClosedHere()
     exchange.close('answer read')
     const status = answer.statusCode ?? 0
     if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true }
-    if (answerBody === undefined) return { kind: 'mayHaveRun', cause: 'answer truncated' }
+    if (answerBody === undefined) return { kind: 'mayHaveRun', cause: 'answer truncated', isBrokenByTarget }
     if (metadata.requestId !== undefined && metadata.requestId !== facts.requestId) return { kind: 'mayHaveRun', cause: 'answer has another request id' }
     if (answer.headers['content-encoding'] !== undefined || !metadata.isSigned) return { kind: 'mayHaveRun', cause: 'answer unsigned or encoded' }
     if (NOT_RUN_STATUSES.has(status)) return { kind: 'mayHaveRun', cause: `status ${status} without proof that the call did not run` }
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -15,7 +15,8 @@
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { DeadlineError } from '../../runtime/withDeadline/index.js'
-import type { ActiveStream, Call, GatewayContext, Reservation } from '../types.js'
+import { reportCrash } from './reportCrash.js'
+import type { ActiveStream, Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 
 /** Longest useful wait of a new request for a reservation, as a multiple of the route's latency objective; callers give up on a silent stream after four. */
 const MAX_WAIT_OBJECTIVES = 3
@@ -83,7 +84,8 @@
     if (progress.tries > 0 && !hasBegun() && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent')
     progress.tries++
     const mayInterrupt = (): boolean => route.isResumable && (!hasBegun() || !areRunsExhausted([...ranOn, reservation.target]))
-    const result = await attemptStream(call, reservation, size, progress, mayInterrupt, context)
+    const run: TargetRun = { target: reservation.target, sentMs: runtime.monotonicMs(), firstEventMs: undefined }
+    const result = await attemptStream(call, reservation, size, progress, run, mayInterrupt, context)
     metrics.attempts.inc({ result: result.kind })
     const { target } = reservation
     progress.attempts.push(`${describePath(reservation)} ${'cause' in result ? result.cause : result.kind}`)
@@ -101,6 +103,7 @@
       ranOn.push(target)
       failedIds.add(target.id)
       context.suspicions.note(target.id, result.kind === 'refusedByTarget' ? 'failedAnswer' : 'lostAnswer')
+      if (result.kind === 'brokenOff' && result.isBrokenByTarget && await context.hasCrashed(target)) reportCrash(call, run, context)
       if (result.kind === 'refusedByTarget') {
         if (route.isResumable && !areRunsExhausted()) continue
         return relayFailure(result)
@@ -181,7 +184,7 @@
 }
 
 /** Runs one try, from sending the request to the end of the engine's stream. */
-async function attemptStream (call: Call, reservation: Reservation, size: RequestSize, progress: CallProgress, mayInterrupt: () => boolean, context: GatewayContext): Promise<StreamResult> {
+async function attemptStream (call: Call, reservation: Reservation, size: RequestSize, progress: CallProgress, run: TargetRun, mayInterrupt: () => boolean, context: GatewayContext): Promise<StreamResult> {
   const { request, body, facts, account, signal } = call
   const { format, runtime } = context
   const leftMs = Math.floor(call.deadlineAtMs - runtime.monotonicMs())
@@ -200,8 +203,8 @@
   try {
     const result = await exchange.result
     if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, hasReachedTarget: false }
-    if (result.kind === 'lost') return { kind: 'brokenOff', cause: result.cause }
-    return await relayStream(result.answer, exchange.hasFailed, call, progress, stream?.active, context)
+    if (result.kind === 'lost') return { kind: 'brokenOff', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
+    return await relayStream(result.answer, exchange, call, progress, { run, stream: stream?.active }, context)
   } finally {
     signal.removeEventListener('abort', closeExchange)
     exchange.close('exchange ended')
--- a/src/gateway/createGatewayMetrics/index.ts
+++ b/src/gateway/createGatewayMetrics/index.ts
@@ -12,6 +12,7 @@
   calls: Counter<'kind' | 'outcome'>
   answersCut: Counter<'cause'>
   attempts: Counter<'result'>
+  crashes: Counter<'progress'>
   firstEventSeconds: Histogram
   waitSeconds: Histogram
   storeCalls: Counter<'operation'>
@@ -45,6 +46,7 @@
     calls: new Counter({ name: 'coltsfootlead_gateway_calls_total', help: 'Calls by kind of route and outcome', labelNames: ['kind', 'outcome'], registers }),
     answersCut: new Counter({ name: 'coltsfootlead_gateway_answers_cut_total', help: 'Answers and connections that the gateway ended before the answer was complete', labelNames: ['cause'], registers }),
     attempts: new Counter({ name: 'coltsfootlead_gateway_attempts_total', help: 'Requests sent to targets by result', labelNames: ['result'], registers }),
+    crashes: new Counter({ name: 'coltsfootlead_gateway_runs_crashed_total', help: 'Runs whose target ended, by whether an event of their answer had arrived', labelNames: ['progress'], registers }),
     firstEventSeconds: new Histogram({ name: 'coltsfootlead_gateway_first_event_seconds', help: 'Time from arrival to the first event of a stream', buckets: TIME_BUCKETS_S, registers }),
     waitSeconds: new Histogram({ name: 'coltsfootlead_gateway_wait_seconds', help: 'Time in the queue', buckets: TIME_BUCKETS_S, registers }),
     storeCalls: new Counter({ name: 'coltsfootlead_gateway_store_calls_total', help: 'Calls to the object API', labelNames: ['operation'], registers }),
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -25,6 +25,7 @@
 import { createCallHandler } from '../createCallHandler/index.js'
 import { rerouteStreams } from '../rerouteStreams/index.js'
 import { discoverPeers, registerHost } from '../_lib/discoverPeers.js'
+import { createCrashDetector } from '../_lib/createCrashDetector.js'
 import { createLeaderElection } from '../_lib/createLeaderElection.js'
 import { createInternalHandler, readPeerState } from '../_lib/internalPort.js'
 import { isUnanswered, reportUnanswered } from '../_lib/reportCut.js'
@@ -145,6 +146,7 @@
     budget,
     streams: new Set(),
     control,
+    hasCrashed: createCrashDetector({ control, runtime }),
     format,
     runtime,
     log,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -32,6 +32,8 @@
   hintedOutputTokens: number | undefined
   /** Id of the last event that the caller received, when it resumes a stream. */
   lastEventId: number | undefined
+  /** Ids of the parts of its prompt, in order. The last one belongs to the call itself or to its session, the others are shared. */
+  promptParts: string[]
 }
 
 /** Parameters that the gateway adds to the request that it forwards to a target. */
@@ -87,6 +89,15 @@
   progress: TryProgress
 }
 
+/** One run of a call on a target, from the sending of the request. */
+export interface TargetRun {
+  target: Target
+  /** Monotonic time of the request, in milliseconds. */
+  sentMs: number
+  /** Monotonic time of the first event that arrived, in milliseconds. */
+  firstEventMs: number | undefined
+}
+
 /** How far the tries of a call have come. */
 export interface TryProgress {
   /** Requests sent to targets, with the one in progress. */
@@ -140,6 +151,8 @@
   dispatcherOf: (service: string) => Dispatcher<Reservation>
   streams: Set<ActiveStream>
   control: EngineControl
+  /** Resolves with whether a target that broke off an answer has ended. */
+  hasCrashed: (target: Target) => Promise<boolean>
   format: CallFormat
   runtime: Runtime
   log: EventLog
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -4,6 +4,7 @@
 import http from 'node:http'
 import { createGatewayMetrics } from '../../src/gateway/createGatewayMetrics/index.js'
 import { createCallHandler } from '../../src/gateway/createCallHandler/index.js'
+import { createCrashDetector } from '../../src/gateway/_lib/createCrashDetector.js'
 import type { GatewayContext, Reservation } from '../../src/gateway/types.js'
 import { createFleetState } from '../../src/fleet/createFleetState/index.js'
 import type { FleetConfiguration, Route, Target } from '../../src/fleet/types.js'
@@ -62,13 +63,15 @@
   const suspicions = createSuspicions({ runtime })
   const dispatchers = new Map<string, Dispatcher<Reservation>>()
   const log = createTestLog()
+  const engineControl: EngineControl = { report: async () => undefined, place: async () => ({ kind: 'begun' }), repath: async () => ({ kind: 'done' }), isReachable: async () => true, ...control }
   const context: GatewayContext = {
     fleet,
     loadTracker: createLoadTracker({ runtime }),
     suspicions,
     budget: createRetryBudget({ ratio: 0.2, extraRetries: 196, windowMs: 10_000, runtime, hostCount: () => 1 }),
     streams: new Set(),
-    control: { report: async () => undefined, place: async () => ({ kind: 'begun' }), repath: async () => ({ kind: 'done' }), isReachable: async () => true, ...control },
+    control: engineControl,
+    hasCrashed: createCrashDetector({ control: engineControl, runtime }),
     format: platformHeaders,
     runtime,
     log,
--- /dev/null
+++ b/test/gateway/crash.test.ts
@@ -0,0 +1,56 @@
+import test from 'ava'
+import type { Target } from '../../src/fleet/types.js'
+import { createEngineControl } from '../../platform/createEngineControl.js'
+import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
+import { buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript, type PlatformEngineStandin } from '../../standin/platform/servePlatformEngine/index.js'
+import { createTestLog } from '../fakes/createTestLog.js'
+import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
+
+/** Stand-in engines that hold the whole model; a prompt with the part `bad` ends each of them. */
+async function startCrashingEngines (count: number, script: (crash: () => void) => EngineScript) {
+  const engines: PlatformEngineStandin[] = []
+  for (let index = 0; index < count; index++) {
+    const engine: PlatformEngineStandin = await servePlatformEngine(script(() => { engine[Symbol.asyncDispose]() }))
+    engines.push(engine)
+  }
+  const targets = engines.map(({ address }, index): Target => ({ id: `i-${index}`, service: 'model', address, failureDomain: 'north', bornMs: 1, isLeaving: false, kind: 'large', slots: 134, layers: { from: 0, to: 80 } }))
+  return {
+    engines,
+    targets,
+    async [Symbol.asyncDispose] () {
+      for (const engine of engines) await engine[Symbol.asyncDispose]()
+    }
+  }
+}
+
+const WHOLE_STREAM: EngineScript = (request, socket) => {
+  const first = Number(request.headers['last-event-id'] ?? 0) + 1
+  socket.end(buildStreamHead(request) + encodeEvents([1, 2].filter(id => id >= first)) + STREAM_END)
+}
+
+/** Ends the engine after one event of an answer to a prompt with the part `bad`. */
+const crashOnBadPart = (crash: () => void): EngineScript => (request, socket) => {
+  if (!request.headers['prompt-prefix']!.includes('bad')) return WHOLE_STREAM(request, socket)
+  socket.write(buildStreamHead(request) + encodeEvents([Number(request.headers['last-event-id'] ?? 0) + 1]), crash)
+}
+
+/** A model that one engine can hold. */
+const configuration = { ...TEST_CONFIGURATION, services: TEST_CONFIGURATION.services.map(service => service.model === undefined ? service : { ...service, model: { ...service.model, layerMb: 100 } }) }
+
+const control = { isReachable: createEngineControl({ runtime: createSystemRuntime(), log: createTestLog() }).isReachable }
+
+test('the end of an engine is logged with the parts of the prompts that it was answering', async t => {
+  await using fleet = await startCrashingEngines(2, crashOnBadPart)
+  await using gateway = await startTestGateway(fleet.targets, { configuration, control })
+  await gateway.send('/stream/x', { 'prompt-prefix': '5C1e:40,bad:10,17:250' })
+  const crash = gateway.parts.log.recent().find(({ name }) => name === 'targetCrashed')
+  t.like(crash, { request: 'r1', route: 'stream', service: 'model', promptParts: ['5c1e', 'bad', '17'] })
+  t.is(typeof crash?.firstEventAgeMs, 'number')
+})
+
+test('an answer that breaks off while its engine goes on is not logged as the end of the engine', async t => {
+  await using fleet = await startCrashingEngines(2, () => (request, socket) => { socket.write(buildStreamHead(request) + encodeEvents([1]), () => socket.destroy()) })
+  await using gateway = await startTestGateway(fleet.targets, { configuration, control })
+  await gateway.send('/stream/x', { 'prompt-prefix': '5c1e:40,bad:10,17:250' })
+  t.false(gateway.parts.log.recent().some(({ name }) => name === 'targetCrashed'))
+})
