Test that a prompt part that crashes engines stops reaching them (fails)

Ten requests with one part in common, each with a last part of its own, go to a gateway before twelve engines that end when they begin to answer that part. Five ends must be enough to know the part, and three more requests may reach engines; on the current code 12 do, and no engine is left.

--- a/test/gateway/crash.test.ts
+++ b/test/gateway/crash.test.ts
@@ -54,3 +54,19 @@
   await gateway.send('/stream/x', { 'prompt-prefix': '5c1e:40,bad:10,17:250' })
   t.false(gateway.parts.log.recent().some(({ name }) => name === 'targetCrashed'))
 })
+
+/** Engine crashes after which the part of the prompt must be known, and requests that may still reach engines from then on. */
+const CRASHES_TO_KNOW = 5
+const REQUESTS_AFTER = 3
+
+test('a prompt part that crashes engines stops reaching them, and its requests are refused as not run', async t => {
+  await using fleet = await startCrashingEngines(12, crashOnBadPart)
+  await using gateway = await startTestGateway(fleet.targets, { configuration, control })
+  const send = (prefix: string) => gateway.send('/stream/x', { 'prompt-prefix': prefix })
+  t.is((await send('5c1e:40,1:250')).status, 200)
+  for (let request = 0; request < 10; request++) await send(`5c1e:40,bad:10,2${request}:250`)
+  const badRequests = fleet.engines.flatMap(({ received }) => received).filter(({ headers }) => headers['prompt-prefix']!.includes('bad'))
+  t.true(badRequests.length <= CRASHES_TO_KNOW + REQUESTS_AFTER, `${badRequests.length} requests reached engines`)
+  t.is((await send('5c1e:40,bad:10,30:250')).status, 503)
+  t.like(await send('5c1e:40,3:250'), { status: 200, isComplete: true })
+})
