Keep prompts away from engines that one of their parts crashes

Cause: one part of a prompt crashes each engine that begins to answer it. The gateway took each crash for a fault of the engine and sent the request, its repeats and all later ones with that part to the next engine. Nothing connected two crashes by what they had in common.

A run that had just begun on an engine when it ended now counts against the shared parts of its prompt, unless they were answered lately anywhere. Hosts tell each other in their digests, what is new at once and all of it every half second, so that hosts that saw one crash each conclude together and one that starts learns what the others know. A part with three crashes under two requests, which no other part explains as well, is known to crash engines; its requests are refused on arrival as not run, queued ones too, and runs that have not begun are closed. A complete answer, or one that has gone on for a second, voids what is held against its parts. All is bounded.

--- /dev/null
+++ b/src/crash/createCrashEvidence/test.ts
@@ -0,0 +1,99 @@
+import test from 'ava'
+import { buildEngine } from '../../../test/fakes/buildFleet.js'
+import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
+import { createTestLog } from '../../../test/fakes/createTestLog.js'
+import { createCrashEvidence } from './index.js'
+
+const TOLD_MS = 350
+
+function createHost (runtime = createManualRuntime()) {
+  const log = createTestLog()
+  const evidence = createCrashEvidence({ runtime, log })
+  let crashes = 0
+  /** One more engine ends under a prompt. */
+  const crash = (...parts: string[]): void => evidence.noteCrash('model', parts, buildEngine(`i-${crashes++}`, 'north', 'large'))
+  return { runtime, log, evidence, crash, isFound: (...parts: string[]): boolean => evidence.findCrashing('model', parts) !== undefined }
+}
+
+test('requests with a part that crashes engines are recognized whatever else they hold', t => {
+  const { evidence, log, crash, isFound } = createHost()
+  let calls = 0
+  using subscription = evidence.onFound(() => { calls++ })
+  for (const request of ['1', '2', '3']) crash('5c1e', 'bad', request)
+  crash('f00d', 'bad', '4')
+  t.true(isFound('0', 'bad', '9'))
+  t.false(isFound('5c1e', '9'))
+  t.false(isFound('5c1e', 'f00d', 'bad'), 'the last part belongs to the request')
+  t.is(evidence.findCrashing('other', ['bad', '9']), undefined)
+  t.is(calls, 2)
+  subscription[Symbol.dispose]()
+  t.deepEqual(log.recent().filter(({ name }) => name === 'promptPartCrashing').at(-1)?.parts, ['bad'])
+  t.deepEqual(evidence.counts(), { suspected: 2, crashing: 1 })
+})
+
+test('a part that was answered shortly before is not suspected, and an answer later clears it', async t => {
+  const { runtime, evidence, crash, isFound } = createHost()
+  evidence.noteAnswered('model', ['5c1e', '1'])
+  for (const request of ['1', '2', '3', '4']) crash('5c1e', request)
+  t.false(isFound('5c1e', '9'))
+  await runtime.advance(60_000)
+  for (const request of ['1', '2', '3']) crash('5c1e', request)
+  t.true(isFound('5c1e', '9'))
+  evidence.noteAnswered('model', ['5c1e', '8'])
+  t.false(isFound('5c1e', '9'))
+})
+
+test('time alone clears nothing within the hour', async t => {
+  const { runtime, crash, isFound } = createHost()
+  for (const request of ['1', '2', '3']) crash('bad', request)
+  await runtime.advance(3_500_000)
+  t.true(isFound('bad', '9'))
+})
+
+test('hosts that saw one crash each find the part together', t => {
+  const runtime = createManualRuntime()
+  const hosts = [createHost(runtime), createHost(runtime), createHost(runtime)]
+  for (const [index, { evidence }] of hosts.entries()) evidence.noteCrash('model', ['5c1e', 'bad', String(index)], buildEngine(`i-${index}`, 'north', 'large'))
+  hosts[2]!.evidence.noteAnswered('model', ['5c1e', '7'])
+  for (const from of hosts) for (const to of hosts) if (from !== to) to.evidence.applyNews(from.evidence.newsFor('x'))
+  for (const from of hosts) for (const to of hosts) if (from !== to) to.evidence.applyNews(from.evidence.newsFor('x'))
+  for (const { isFound } of hosts) t.deepEqual([isFound('0', 'bad', '9'), isFound('5c1e', '9')], [true, false])
+})
+
+test('an answer that another host gave voids what is held against a part', t => {
+  const runtime = createManualRuntime()
+  const [one, other] = [createHost(runtime), createHost(runtime)]
+  one.evidence.noteAnswered('model', ['5c1e', '7'])
+  for (const request of ['1', '2', '3']) other.crash('5c1e', request)
+  t.true(other.isFound('5c1e', '9'))
+  t.true(one.evidence.applyNews(other.evidence.newsFor('one')))
+  t.true(other.evidence.applyNews(one.evidence.newsFor('other')))
+  t.false(other.isFound('5c1e', '9'))
+  t.false(one.evidence.applyNews(other.evidence.newsFor('one')), 'nothing is told back and forth')
+})
+
+test('what is old is told again at intervals, so that a host that starts later learns it', async t => {
+  const { runtime, evidence, crash } = createHost()
+  for (const request of ['1', '2', '3']) crash('bad', request)
+  evidence.newsFor('a')
+  await runtime.advance(TOLD_MS + 1)
+  t.is(evidence.newsFor('a').sightings.length, 0)
+  await runtime.advance(500)
+  const late = createHost(runtime)
+  late.evidence.applyNews(evidence.newsFor('a'))
+  t.true(late.isFound('bad', '9'))
+  t.is(late.evidence.findCrashing('model', ['bad', '9'])?.lastCrashAgeMs, TOLD_MS + 501)
+})
+
+test('callers that send many different parts push nothing out and do not fill the memory', t => {
+  const { evidence, crash, isFound } = createHost()
+  for (const request of ['1', '2', '3']) crash('bad', request)
+  for (let index = 0; index < 5_000; index++) {
+    crash(`a${index}`, `b${index}`, String(index))
+    evidence.noteAnswered('model', [`c${index}`, String(index)])
+  }
+  t.true(isFound('bad', '9'))
+  t.true(evidence.counts().suspected <= 512)
+  t.true(evidence.newsFor('a').sightings.length <= 40)
+  t.true(evidence.newsFor('b').sightings.some(({ part }) => part === 'bad'))
+})
--- /dev/null
+++ b/src/crash/findCrashingParts/test.ts
@@ -0,0 +1,56 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { findCrashingParts } from './index.js'
+
+const sighting = (part: string, request: string, engine: number) => ({ service: 'model', part, request, targetId: `i-${engine}`, bornMs: 1 })
+const partsOf = (sightings: Parameters<typeof findCrashingParts>[0]): string[][] => findCrashingParts(sightings).map(({ parts }) => parts)
+
+test('three crashes under two requests show the part, fewer do not', t => {
+  t.deepEqual(partsOf([sighting('bad', '1', 1), sighting('bad', '1', 2), sighting('bad', '2', 3)]), [['bad']])
+  t.deepEqual(partsOf([sighting('bad', '1', 1), sighting('bad', '2', 2)]), [])
+  t.deepEqual(partsOf([sighting('bad', '1', 1), sighting('bad', '2', 1), sighting('bad', '3', 1)]), [])
+})
+
+test('repeats of one request need five crashes', t => {
+  const crashes = [1, 2, 3, 4, 5].map(engine => sighting('bad', '1', engine))
+  t.deepEqual(partsOf(crashes.slice(0, 4)), [])
+  t.deepEqual(partsOf(crashes), [['bad']])
+})
+
+test('crashes that another part explains do not count', t => {
+  const bad = [1, 2, 3, 4, 5, 6, 7].map(engine => sighting('bad', String(engine), engine))
+  const bystander = [1, 2, 3].map(engine => sighting('rare', `r${engine}`, engine))
+  t.deepEqual(partsOf([...bystander, ...bad]), [['bad']])
+  t.deepEqual(partsOf([...bystander, sighting('rare', 'r8', 8), sighting('rare', 'r9', 9), sighting('rare', 'r10', 10), ...bad]), [['bad'], ['rare']])
+})
+
+test('parts that only occurred together count together', t => {
+  const both = [1, 2, 3].flatMap(engine => [sighting('bad', String(engine), engine), sighting('first', String(engine), engine)])
+  t.deepEqual(partsOf(both), [['bad', 'first']])
+  t.deepEqual(partsOf([...both, sighting('bad', '4', 4)]), [['bad']])
+})
+
+test('while two parts may explain the crashes neither is taken, and from the fifth crash the rarer one', t => {
+  const bad = [1, 2, 3, 4, 5].map(engine => sighting('bad', `b${engine}`, engine))
+  const common = [1, 2, 3, 4, 5].flatMap(engine => [sighting('common', `c${engine}`, engine), sighting('common', `d${engine}`, engine)])
+  t.deepEqual(partsOf([...common.slice(0, 6), ...bad.slice(0, 3)]), [])
+  t.deepEqual(partsOf([...common.slice(0, 6), ...bad.slice(0, 4)]), [['bad']])
+  t.deepEqual(partsOf([...common, ...bad]), [['bad']])
+  t.deepEqual(partsOf([...common, ...bad, sighting('common', 'c6', 6)]), [['common']])
+})
+
+test('one start of an engine under the id of another one is another crash', t => {
+  const restarts = [1, 2, 3].map(bornMs => ({ ...sighting('bad', String(bornMs), 1), bornMs }))
+  t.deepEqual(partsOf(restarts), [['bad']])
+})
+
+test('among requests that are on an engine by chance, the one that crashes it is found and most others are not', t => {
+  // Each crash takes along up to five requests that had just begun, with rare parts of a hundred.
+  const crash = fc.array(fc.nat(99), { maxLength: 5 })
+  fc.assert(fc.property(fc.array(crash, { minLength: 5, maxLength: 8 }), bystanders => {
+    const sightings = bystanders.flatMap((rare, engine) => [sighting('bad', `b${engine}`, engine), ...rare.map((part, index) => sighting(`rare-${part}`, `${engine} ${index}`, engine))])
+    const found = partsOf(sightings)
+    t.true(found.some(parts => parts.includes('bad')))
+    t.true(found.length <= 2)
+  }), { seed: 5, numRuns: 300 })
+})
--- a/src/digest/createDigestExchange/index.ts
+++ b/src/digest/createDigestExchange/index.ts
@@ -70,10 +70,10 @@
  * @returns The exchange.
  *
  * @example
- * const exchange = createDigestExchange({ socket, ownIp, ownDomain, runtime, log, signal, load, buildState, ownNotices, onNotices, isFollowingStore, onDigest, fetchState })
+ * const exchange = createDigestExchange({ socket, ownIp, ownDomain, runtime, log, signal, load, buildState, ownNotices, onNotices, crashEvidence, isFollowingStore, onDigest, fetchState })
  */
 export function createDigestExchange (options: DigestExchangeOptions): DigestExchange {
-  const { socket, ownIp, ownDomain, runtime, log, signal, load, buildState, ownNotices, onNotices, isFollowingStore, onDigest, fetchState } = options
+  const { socket, ownIp, ownDomain, runtime, log, signal, load, buildState, ownNotices, onNotices, crashEvidence, isFollowingStore, onDigest, fetchState } = options
   const view = createMemberView({ ownIp, ownDomain, runtime })
   const relay = createNoticeRelay({ runtime })
   const fetcher = createStateFetcher({ runtime, ownState: buildState, isFollowingStore, fetchState })
@@ -119,6 +119,7 @@
       loadAgeMs: Math.round(meanAgeMs(sources, { nowMs, ownHosts: 1 })),
       reader: firstReader(state.isStoreConnected ? [{ ip: ownIp, depth: plan.depth, ageMs: 0 }, ...readers] : readers),
       notices: isLoadRole(role) ? relay.noticesFor(ip, role) : { suspicions: [], seenLayers: [] },
+      crashes: isLoadRole(role) ? crashEvidence.newsFor(ip) : { sightings: [], answered: [] },
       members: view.takeReport(ip, reportOptions(role)),
       load: isLoadRole(role) ? load.sumWith(sources.map(loadKeyOf)) : new Map()
     }
@@ -222,10 +223,11 @@
     const isLoadChanged = load.setNeighborLoad(loadKeyOf(neighbor), digest.load)
     const news = relay.addReceived(digest.notices, ip, role)
     if (news !== undefined) onNotices(news)
+    const hasCrashNews = crashEvidence.applyNews(digest.crashes)
     if (role === 'down') {
       for (const former of listNeighbors('down')) if (former !== neighbor) neighbors.delete(former.ip)
       sendToChildren()
-    } else if (news !== undefined || (isLoadChanged && role === 'up')) {
+    } else if (news !== undefined || hasCrashNews || (isLoadChanged && role === 'up')) {
       requestReport()
     }
   }
--- a/src/digest/createDigestExchange/test.ts
+++ b/src/digest/createDigestExchange/test.ts
@@ -7,7 +7,7 @@
 const SIZE = { promptTokens: 100, outputTokens: 50 }
 const pathOf = (id: string) => [{ target: buildEngine(id, 'north', 'large'), from: 0, to: 80 }]
 const DIGEST: Digest = {
-  host: 'a', failureDomain: 'north', startedMs: 1, statePort: 80, configurationVersion: 1, targetsRevision: 1, targetsFingerprint: '', isStoreConnected: true, leaseFencing: 0, sequence: 1, role: 'mesh', hostCount: 2, loadAgeMs: 30, reader: null, notices: { suspicions: [], seenLayers: [] }, members: [{ ip: '10.1.0.1', failureDomain: 'a=b;c', ageMs: 1_200 }], load: new Map([[hashLoadKey('i-1'), { tokenLayers: 9_440, sequences: 2, firstSequences: 1 }], [7, { tokenLayers: 2 ** 40, sequences: 300, firstSequences: 0 }]])
+  host: 'a', failureDomain: 'north', startedMs: 1, statePort: 80, configurationVersion: 1, targetsRevision: 1, targetsFingerprint: '', isStoreConnected: true, leaseFencing: 0, sequence: 1, role: 'mesh', hostCount: 2, loadAgeMs: 30, reader: null, notices: { suspicions: [], seenLayers: [] }, crashes: { sightings: [{ service: 'model', part: 'bad', request: '1', targetId: 'i-1', bornMs: 1, ageMs: 20 }], answered: [{ service: 'model', part: '5c1e', ageMs: 3 }] }, members: [{ ip: '10.1.0.1', failureDomain: 'a=b;c', ageMs: 1_200 }], load: new Map([[hashLoadKey('i-1'), { tokenLayers: 9_440, sequences: 2, firstSequences: 1 }], [7, { tokenLayers: 2 ** 40, sequences: 300, firstSequences: 0 }]])
 }
 
 /** Starts hosts of one failure domain, each of which knows the first one. */
@@ -90,3 +90,18 @@
   network.advance(1_000)
   t.deepEqual(others.map(host => host.receivedNotices.flatMap(notices => notices.suspicions).map(suspicion => suspicion.targetId)), others.map(() => ['i-1']))
 })
+
+test('evidence on a prompt that crashes engines reaches all of 195 hosts in a second, and a host that starts later', t => {
+  const network = createSimulatedHosts({ seed: 3 })
+  network.startAll(195, ['north', 'east', 'south'])
+  network.advance(5_000)
+  for (const index of [10, 90, 170]) network.hosts[index]!.crashEvidence.noteCrash('model', ['5c1e', 'bad', String(index)], buildEngine(`i-${index}`, 'north', 'large'))
+  network.hosts[50]!.crashEvidence.noteAnswered('model', ['5c1e', '1'])
+  network.advance(1_000)
+  const find = (host: SimulatedHost) => host.crashEvidence.findCrashing('model', ['5c1e', 'bad', '9'])
+  t.deepEqual(network.hosts.filter(host => find(host)?.parts.join() !== 'bad').map(({ ip }) => ip), [])
+  network.advance(3_000)
+  const late = network.startHost('10.1.0.250', 'north', network.hosts.slice(0, 3).map(({ ip }) => ip))
+  network.advance(2_000)
+  t.is(find(late)?.crashes, 3)
+})
--- a/src/digest/createDigestExchange/types.ts
+++ b/src/digest/createDigestExchange/types.ts
@@ -1,6 +1,7 @@
 /**
  * Types of the exchange of digests: what it needs, and what it tells its host.
  */
+import type { CrashEvidence } from '../../crash/createCrashEvidence/index.js'
 import type { EventLog } from '../../event/types.js'
 import type { ConnectedReader } from '../../fleet/isStoreReader/index.js'
 import type { LoadByKey } from '../../path/hashLoadKey/index.js'
@@ -40,6 +41,8 @@
   ownNotices: () => Notices
   /** Called with observations of other hosts, each once. */
   onNotices: (notices: Notices) => void
+  /** Evidence on prompts that crash engines, which all hosts share. */
+  crashEvidence: Pick<CrashEvidence, 'newsFor' | 'applyNews'>
   /** Whether changes reach this host by other ways, so that it need not rely on digests. */
   isFollowingStore: () => boolean
   /** Called with each new digest of a neighbor. */
--- a/src/digest/types.ts
+++ b/src/digest/types.ts
@@ -1,9 +1,10 @@
 /**
  * Digests: the datagrams that neighboring hosts send each other several times a second. One has
  * the sender's own state, the summed load of the part of the fleet behind the sender, and what
- * was observed of targets. It is a line of JSON followed by the load in binary form.
+ * was observed of targets and of prompts that crash them. It is a line of JSON followed by the load in binary form.
  */
 import { z } from 'zod'
+import { crashNewsSchema } from '../crash/types.js'
 import { layerRangeSchema } from '../fleet/types.js'
 import type { LoadByKey } from '../path/hashLoadKey/index.js'
 import { decodeLoad, encodeLoad } from './_lib/loadCodec.js'
@@ -52,6 +53,8 @@
   /** The first of those hosts that are connected to the store, with the time since it said so, in milliseconds; `null` if none was lately. */
   reader: z.object({ ip: z.string(), depth: z.number(), ageMs: z.number() }).nullable(),
   notices: noticesSchema,
+  /** Evidence on prompts that crash engines; absent in digests of earlier versions. */
+  crashes: crashNewsSchema.default({ sightings: [], answered: [] }),
   members: z.string().transform((text, context) => {
     const members = decodeMembers(text)
     if (members !== undefined) return members
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { withConnectionClose, type BufferedAnswer } from './answerCaller.js'
+import { noteProgress } from './crashingPrompts.js'
 import { createEventSplitter } from './createEventSplitter.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
 import type { Exchange } from './openExchange.js'
@@ -82,6 +83,7 @@
           response.once('drain', () => answer.resume())
         }
       }
+      noteProgress(call, run, context)
       if (stream === undefined) return
       if (stream.hasStarted) stream.meanPauseMs += PAUSE_WEIGHT * (nowMs - stream.lastProgressMs - stream.meanPauseMs)
       stream.lastProgressMs = nowMs
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -8,7 +8,7 @@
 import { endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
 import { reserveTarget } from './reserveCapacity.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
-import { reportCrash } from './reportCrash.js'
+import { endCrashingCall, noteCrash } from './crashingPrompts.js'
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 
 /** Time without an answer after which a safe call is retried, as a multiple of the route's latency objective. */
@@ -39,11 +39,12 @@
   let mayHaveRun = false
   let lastFailure: Extract<AttemptResult, { kind: 'whole' }> | undefined
   while (!signal.aborted) {
+    if (endCrashingCall(call, context, { mayHaveRun, attempts })) return
     using reservation = reserveTarget(service, excluded, ownDomain, context)
     if (reservation === undefined) break
     if (countedAttempts > 0 && (countedAttempts >= route.maxAttempts || !budget.trySpend(service.name))) break
     call.progress.tries++
-    const run: TargetRun = { target: reservation.target, sentMs: runtime.monotonicMs(), firstEventMs: undefined }
+    const run: TargetRun = { target: reservation.target, sentMs: runtime.monotonicMs(), firstEventMs: undefined, isProvedSound: false }
     const result = await attemptCall(call, reservation, context)
     metrics.attempts.inc({ result: result.kind })
     attempts.push(`${reservation.target.id} ${result.kind === 'whole' ? result.status : result.cause}`)
@@ -66,7 +67,8 @@
     else {
       suspicions.note(reservation.target.id, 'lostAnswer')
       mayHaveRun = true
-      if (result.isBrokenByTarget === true && await context.hasCrashed(reservation.target)) reportCrash(call, run, context)
+      const isSuspect = result.isBrokenByTarget === true && await context.hasCrashed(reservation.target) && noteCrash(call, run, context)
+      if (isSuspect) break
       if (route.kind === 'unsafe') break
     }
   }
@@ -81,6 +83,7 @@
   endWithReason(call, context, 'targetUnreachable', { attempts, retryAfterMs: RETRY_AFTER_MS })
 
   function finishWithAnswer (result: Extract<AttemptResult, { kind: 'whole' }>): void {
+    if (result.status < 500) context.crashEvidence.noteAnswered(service.name, call.facts.promptParts)
     sendAnswer(call, context, result)
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
     log.emit('gatewayAnswered', {
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -15,7 +15,7 @@
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { DeadlineError } from '../../runtime/withDeadline/index.js'
-import { reportCrash } from './reportCrash.js'
+import { closeWhenCrashing, endCrashingCall, noteCrash } from './crashingPrompts.js'
 import type { ActiveStream, Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 
 /** Longest useful wait of a new request for a reservation, as a multiple of the route's latency objective; callers give up on a silent stream after four. */
@@ -67,7 +67,10 @@
   /** Whether the runs use up the attempts; those on engines that have ended since no longer count. */
   const areRunsExhausted = (runs: readonly Target[] = ranOn): boolean => runs.filter(fleet.isListed).length >= route.maxAttempts
 
+  const isEndedAsCrashing = (): boolean => endCrashingCall(call, context, { mayHaveRun: progress.mayHaveRun, ...details() })
+
   while (!signal.aborted) {
+    if (isEndedAsCrashing()) return
     if (progress.tries > 0) {
       if (hasBegun()) {
         if (refusalsInRow > 0) await sleep(Math.min(MAX_REFUSAL_PAUSE_MS, REFUSAL_PAUSE_MS * 2 ** (refusalsInRow - 1)), { runtime, signal })
@@ -78,13 +81,17 @@
     if (outcome.kind === 'aborted') break
     progress.waitedMs += outcome.waitedMs
     metrics.waitSeconds.observe(outcome.waitedMs / MS_PER_S)
-    if (outcome.kind === 'refused') return endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
+    if (outcome.kind === 'refused') {
+      if (!isEndedAsCrashing()) endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
+      return
+    }
     using reservation = outcome.place
+    if (isEndedAsCrashing()) return
     if (signal.aborted) break
     if (progress.tries > 0 && !hasBegun() && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent')
     progress.tries++
     const mayInterrupt = (): boolean => route.isResumable && (!hasBegun() || !areRunsExhausted([...ranOn, reservation.target]))
-    const run: TargetRun = { target: reservation.target, sentMs: runtime.monotonicMs(), firstEventMs: undefined }
+    const run: TargetRun = { target: reservation.target, sentMs: runtime.monotonicMs(), firstEventMs: undefined, isProvedSound: false }
     const result = await attemptStream(call, reservation, size, progress, run, mayInterrupt, context)
     metrics.attempts.inc({ result: result.kind })
     const { target } = reservation
@@ -103,7 +110,10 @@
       ranOn.push(target)
       failedIds.add(target.id)
       context.suspicions.note(target.id, result.kind === 'refusedByTarget' ? 'failedAnswer' : 'lostAnswer')
-      if (result.kind === 'brokenOff' && result.isBrokenByTarget && await context.hasCrashed(target)) reportCrash(call, run, context)
+      if (result.kind === 'brokenOff' && result.isBrokenByTarget && await context.hasCrashed(target) && noteCrash(call, run, context)) {
+        if (!isEndedAsCrashing()) endWithoutAnswer('prompt suspected of crashes')
+        return
+      }
       if (result.kind === 'refusedByTarget') {
         if (route.isResumable && !areRunsExhausted()) continue
         return relayFailure(result)
@@ -136,6 +146,7 @@
         return model === undefined ? reserveTarget(service, excluded, ownDomain, context) : reservePath(service, size, excluded, ownDomain, context)
       },
       isPlaceExpected () {
+        if (context.crashEvidence.findCrashing(service.name, facts.promptParts) !== undefined) return false
         if (model === undefined) return fleet.servingTargets(service.name).length > 0
         if (context.checkCoverage(service).isWhole) lastCoveredMs = runtime.monotonicMs()
         return runtime.monotonicMs() - lastCoveredMs < RELOAD_WINDOW_MS
@@ -144,11 +155,12 @@
     })
   }
 
-  function endWithoutAnswer (cause: 'retry budget spent' | 'attempts spent'): void {
+  function endWithoutAnswer (cause: 'retry budget spent' | 'attempts spent' | 'prompt suspected of crashes'): void {
     endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, retryAfterMs: RETRY_AFTER_MS, cutCause: 'attempts' })
   }
 
   function recordAnswer (): void {
+    context.crashEvidence.noteAnswered(service.name, facts.promptParts)
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
     log.emit('gatewayAnswered', {
       request: facts.requestId,
@@ -199,6 +211,7 @@
   })
   const closeExchange = (): void => exchange.close('call ended')
   signal.addEventListener('abort', closeExchange, { once: true })
+  const crashWatch = closeWhenCrashing(call, run, exchange, context)
   using stream = reservation.path === undefined ? undefined : registerStream(call, reservation, size, exchange, mayInterrupt, context)
   try {
     const result = await exchange.result
@@ -206,6 +219,7 @@
     if (result.kind === 'lost') return { kind: 'brokenOff', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
     return await relayStream(result.answer, exchange, call, progress, { run, stream: stream?.active }, context)
   } finally {
+    crashWatch[Symbol.dispose]()
     signal.removeEventListener('abort', closeExchange)
     exchange.close('exchange ended')
   }
--- a/src/gateway/_lib/updateGauges.ts
+++ b/src/gateway/_lib/updateGauges.ts
@@ -7,7 +7,7 @@
 const MS_PER_S = 1_000
 
 /** Sets all gauges to the current state. */
-export function updateGauges ({ fleet, suspicions, streams, budget, metrics, queueLengths, targetsAgeMs, hostCount, loadAgeMs }: GatewayContext): void {
+export function updateGauges ({ fleet, suspicions, streams, budget, metrics, queueLengths, targetsAgeMs, hostCount, loadAgeMs, crashEvidence }: GatewayContext): void {
   const targets = fleet.targets()
   const services = fleet.configuration()?.services ?? []
   metrics.streams.set(streams.size)
@@ -15,6 +15,9 @@
   metrics.configurationVersion.set(fleet.configuration()?.version ?? -1)
   metrics.targetsAgeSeconds.set(targetsAgeMs() / MS_PER_S)
   metrics.hosts.set(hostCount())
+  const { suspected, crashing } = crashEvidence.counts()
+  metrics.promptParts.set({ state: 'suspected' }, suspected)
+  metrics.promptParts.set({ state: 'crashing' }, crashing)
   metrics.loadAgeSeconds.set(loadAgeMs() / MS_PER_S)
   metrics.targets.set({ state: 'listed' }, targets.length)
   metrics.targets.set({ state: 'leaving' }, targets.filter(target => target.isLeaving).length)
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -3,6 +3,7 @@
  * digests with its peers and, while it holds the control lease, assigns layers to engines.
  */
 import { setMaxListeners } from 'node:events'
+import { createCrashEvidence } from '../../crash/createCrashEvidence/index.js'
 import { createDigestExchange } from '../../digest/createDigestExchange/index.js'
 import type { HostState, Notices } from '../../digest/types.js'
 import type { EventFields } from '../../event/types.js'
@@ -82,6 +83,7 @@
   const fleet = createFleetState({ runtime })
   const loadTracker = createLoadTracker({ runtime, hostCount: () => exchange.hostCount() })
   const suspicions = createSuspicions({ runtime })
+  const crashEvidence = createCrashEvidence({ runtime, log, onVerdict: verdict => metrics.promptVerdicts.inc({ verdict }) })
   const calls = createOpenCalls<OpenRequest>({ runtime })
   const dispatchers = new Map<string, Dispatcher<Reservation>>()
   const startedMs = runtime.nowMs()
@@ -102,6 +104,7 @@
     buildState,
     ownNotices: () => ({ suspicions: suspicions.share(), seenLayers: fleet.seenLayers() }),
     onNotices: applyNotices,
+    crashEvidence,
     isFollowingStore: () => follower.isConnected() || readerFollower.isConnected(),
     onDigest: digest => election.observeFencing(digest.leaseFencing),
     fetchState: async address => { await readPeerState(address, { fleet, runtime, log }) }
@@ -146,6 +149,8 @@
     budget,
     streams: new Set(),
     control,
+    crashEvidence,
+    tellPeers: exchange.sendNow,
     hasCrashed: createCrashDetector({ control, runtime }),
     format,
     runtime,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -3,6 +3,7 @@
  * progress, and the settings and adapters that a gateway starts with.
  */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import type { CrashEvidence } from '../crash/createCrashEvidence/index.js'
 import type { DigestSocket } from '../digest/types.js'
 import type { EventLog } from '../event/types.js'
 import type { FleetState } from '../fleet/createFleetState/index.js'
@@ -96,6 +97,8 @@
   sentMs: number
   /** Monotonic time of the first event that arrived, in milliseconds. */
   firstEventMs: number | undefined
+  /** Whether the answer has gone on for so long that its prompt does not crash the target. */
+  isProvedSound: boolean
 }
 
 /** How far the tries of a call have come. */
@@ -151,6 +154,10 @@
   dispatcherOf: (service: string) => Dispatcher<Reservation>
   streams: Set<ActiveStream>
   control: EngineControl
+  /** Which parts of prompts crash engines. */
+  crashEvidence: CrashEvidence
+  /** Sends digests at once. */
+  tellPeers: () => void
   /** Resolves with whether a target that broke off an answer has ended. */
   hasCrashed: (target: Target) => Promise<boolean>
   format: CallFormat
--- a/test/fakes/createSimulatedHosts.ts
+++ b/test/fakes/createSimulatedHosts.ts
@@ -3,6 +3,7 @@
  * seconds of hundreds of hosts pass quickly.
  */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { createCrashEvidence, type CrashEvidence } from '../../src/crash/createCrashEvidence/index.js'
 import { createDigestExchange } from '../../src/digest/createDigestExchange/index.js'
 import type { DigestExchange } from '../../src/digest/createDigestExchange/types.js'
 import type { HostState, Notices } from '../../src/digest/types.js'
@@ -25,6 +26,7 @@
   exchange: DigestExchange
   load: LoadTracker
   log: ReturnType<typeof createTestLog>
+  crashEvidence: CrashEvidence
   /** State that its digests carry; may be changed. */
   state: HostState
   ownNotices: Notices
@@ -110,6 +112,7 @@
     const receivedNotices: Notices[] = []
     const fetched: string[] = []
     const log = createTestLog()
+    const crashEvidence = createCrashEvidence({ runtime, log })
     const load: LoadTracker = createLoadTracker({ runtime, hostCount: () => exchange.hostCount() })
     const exchange: DigestExchange = createDigestExchange({
       socket: {
@@ -130,12 +133,13 @@
       buildState: () => state,
       ownNotices: () => ownNotices,
       onNotices: notices => { receivedNotices.push(notices) },
+      crashEvidence,
       isFollowingStore: () => host.isFollowing,
       onDigest: () => {},
       fetchState: address => host.fetchState(address)
     })
     seedIps.forEach(exchange.addAddress)
-    const host: SimulatedHost = { ip, failureDomain, exchange, load, log, state, ownNotices, receivedNotices, fetched, fetchState: async address => { fetched.push(address) }, runtime, sent, isFollowing: true }
+    const host: SimulatedHost = { ip, failureDomain, exchange, load, log, state, ownNotices, receivedNotices, fetched, crashEvidence, fetchState: async address => { fetched.push(address) }, runtime, sent, isFollowing: true }
     hosts.push(host)
     return host
   }
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -4,6 +4,7 @@
 import http from 'node:http'
 import { createGatewayMetrics } from '../../src/gateway/createGatewayMetrics/index.js'
 import { createCallHandler } from '../../src/gateway/createCallHandler/index.js'
+import { createCrashEvidence } from '../../src/crash/createCrashEvidence/index.js'
 import { createCrashDetector } from '../../src/gateway/_lib/createCrashDetector.js'
 import type { GatewayContext, Reservation } from '../../src/gateway/types.js'
 import { createFleetState } from '../../src/fleet/createFleetState/index.js'
@@ -71,6 +72,8 @@
     budget: createRetryBudget({ ratio: 0.2, extraRetries: 196, windowMs: 10_000, runtime, hostCount: () => 1 }),
     streams: new Set(),
     control: engineControl,
+    crashEvidence: createCrashEvidence({ runtime, log }),
+    tellPeers: () => {},
     hasCrashed: createCrashDetector({ control: engineControl, runtime }),
     format: platformHeaders,
     runtime,
