Let a crash count only when the hosts have told what it struck

A crash now counts 300 ms after its first sighting, several digests; new prompts with a part that has two crashes wait for so long. A test fails without this. The soak's proxies can refuse connections now, as an engine that has ended does; before, a connect still succeeded.

--- a/soak/_lib/checkRecords.ts
+++ b/soak/_lib/checkRecords.ts
@@ -40,10 +40,17 @@
 /** Longest pause before the end of a stream that still made progress, in milliseconds. */
 const MAX_PROGRESS_PAUSE_MS = 1_000
 
+/** Crashes after which a part of a prompt must be known to crash engines, the time until all hosts know it in milliseconds, and the requests with it that may reach engines afterwards. */
+const CRASHES_TO_KNOW = 5
+const CRASH_PROPAGATION_MS = 3_000
+const MAX_LATE_CRASHING_REQUESTS = 3
+
 /** Input of the checks. */
 export interface Evidence {
   records: readonly CallRecord[]
   ledger: readonly LedgerEntry[]
+  /** Parts of prompts that crash engines, with the monotonic times of the crashes in milliseconds. */
+  crashesMs: ReadonlyMap<string, readonly number[]>
   keys: ReadonlyMap<string, KeyValidity>
   /** Monotonic times of the configuration changes, in milliseconds. */
   configurationsMs: readonly number[]
@@ -65,7 +72,7 @@
     const problems = [...checkAnswer(record, isUndisturbed(record)), ...checkLoss(record, ownTries, evidence), ...checkRuns(record, ownTries.filter(entry => entry.hasRun)), ...checkKey(record, evidence)]
     return problems.map(problem => `${record.requestId} (${record.kind} at ${record.host.name}, sent at ${Math.round(record.sentMs)} ms, status ${record.status}): ${problem}`)
   })
-  return [...findings, ...checkRetries(evidence)]
+  return [...findings, ...checkRetries(evidence), ...checkCrashes(evidence, isUndisturbed)]
 }
 
 function checkAnswer (record: CallRecord, isUndisturbed: boolean): string[] {
@@ -129,6 +136,19 @@
   })
 }
 
+/** Checks that few requests with a part that crashes engines reach them once it has crashed several. */
+function checkCrashes ({ records, ledger, crashesMs }: Evidence, isUndisturbed: IsUndisturbed): string[] {
+  const recordsById = new Map(records.map(record => [record.requestId, record]))
+  return [...crashesMs].flatMap(([part, timesMs]) => {
+    const knownMs = (timesMs[CRASHES_TO_KNOW - 1] ?? Infinity) + CRASH_PROPAGATION_MS
+    const late = ledger.filter(({ requestId, promptParts, atMs }) => {
+      const record = recordsById.get(requestId)
+      return atMs > knownMs && promptParts.includes(part) && record !== undefined && record.isSound && isUndisturbed(record)
+    })
+    return late.length > MAX_LATE_CRASHING_REQUESTS ? [`${late.length} requests with part ${part} reached engines later than ${CRASH_PROPAGATION_MS} ms after its fifth crash; ${timesMs.length} crashes`] : []
+  })
+}
+
 /** Checks that every host serves every kind of call once the faults are over; returns one line for each finding. */
 export function checkRecovery (records: readonly CallRecord[], settledMs: number): string[] {
   const callsAfterFaults = records.filter(record => record.sentMs > settledMs && record.status !== 401)
--- a/soak/_lib/createTargetHandler.ts
+++ b/soak/_lib/createTargetHandler.ts
@@ -9,6 +9,8 @@
   requestId: string
   targetId: string
   service: string
+  /** Parts of its prompt, without their sizes. */
+  promptParts: string[]
   atMs: number
   /** Whether the target began to work on it. */
   hasRun: boolean
@@ -47,6 +49,8 @@
   renewEntry: () => void
   /** Returns the address of the first stage of a path that is down or does not hold its layers. */
   findFaultyStage: (path: string) => string | undefined
+  /** Ends the target if a prompt crashes engines; returns whether it did. */
+  crashUnder: (promptParts: readonly string[]) => boolean
 }
 
 /** Time to load layers, to run a plain request, and between two events, in milliseconds. */
@@ -72,7 +76,7 @@
 
 /** Creates the request handler of one target. */
 export function createTargetHandler (state: TargetState, options: TargetHandlerOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
-  const { service, ledger, random, renewEntry, findFaultyStage } = options
+  const { service, ledger, random, renewEntry, findFaultyStage, crashUnder } = options
 
   return async function serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     response.on('error', () => { /* The checks use what the caller received. */ })
@@ -84,8 +88,9 @@
     if (request.url === '/report') return sendJson(response, 200, { born: state.bornMs, sequence: state.orders, busy: state.isBusy, layers: state.layers ?? { from: 0, to: 0 } })
     if (request.url === '/order') return handleOrder(request, response, JSON.parse(body))
     const requestId = String(request.headers['request-id'])
+    const promptParts = String(request.headers['prompt-prefix'] ?? '').split(',').map(entry => entry.split(':')[0]!)
     const recordRequest = (hasRun: boolean): LedgerEntry => {
-      const entry: LedgerEntry = { requestId, targetId: state.id, service, atMs: performance.now(), hasRun, outcome: hasRun ? 'running' : 'shed', endedMs: Infinity }
+      const entry: LedgerEntry = { requestId, targetId: state.id, service, promptParts, atMs: performance.now(), hasRun, outcome: hasRun ? 'running' : 'shed', endedMs: Infinity }
       const { bornMs } = state
       ledger.push(entry)
       response.once('close', () => {
@@ -146,6 +151,7 @@
       if (findFaultyStage(path) !== undefined) return
       if (nextEventId <= countEvents(requestId)) {
         response.write(`id: ${nextEventId}\ndata: piece ${nextEventId++}\n\n`)
+        crashUnder(entry.promptParts)
         return
       }
       clearInterval(timer)
--- a/soak/_lib/faults.ts
+++ b/soak/_lib/faults.ts
@@ -19,6 +19,9 @@
 /** Longest time between two parts of a series, in milliseconds. */
 const MAX_SERIES_INTERVAL_MS = 600
 
+/** How long callers send prompts that crash engines, in milliseconds. */
+const CRASHING_PROMPT_MS = 6_000
+
 /** All kinds of faults by name. */
 export const FAULTS: Record<string, Fault> = {
   async hostKilled (context) {
@@ -101,6 +104,11 @@
     target.breakOff()
     await shed(context.targets.targets.filter(other => other !== target && context.random() < 0.9), context)
   },
+  async promptCrashesTargets (context) {
+    const sending = context.targets.sendCrashingPart()
+    await pause(CRASHING_PROMPT_MS)
+    sending[Symbol.dispose]()
+  },
   async targetCrashed (context) {
     const target = pickRunningTarget(context)
     if (target === undefined) return
--- a/soak/_lib/startCallers.ts
+++ b/soak/_lib/startCallers.ts
@@ -61,11 +61,15 @@
 /** How long after the deadline a caller gives up on an answer that does not end, in milliseconds. */
 const GIVE_UP_AFTER_DEADLINE_MS = 3_000
 
+/** Number of parts of prompts that callers share, and ratio of streams whose prompt crashes engines while there is such a part. */
+const SHARED_PARTS = 8
+const CRASHING_RATIO = 0.1
+
 const KINDS = ['stream', 'stream', 'unsafe', 'safe'] as const
 
 /** Starts callers that pick a ready host for each connection. */
-export function startCallers (options: { hosts: readonly SoakHost[], count: number, key: () => string, random: () => number }): Callers {
-  const { hosts, count, key: pickKey, random } = options
+export function startCallers (options: { hosts: readonly SoakHost[], count: number, key: () => string, crashingPart: () => string | undefined, random: () => number }): Callers {
+  const { hosts, count, key: pickKey, crashingPart, random } = options
   const records: CallRecord[] = []
   const controller = new AbortController()
   const { signal } = controller
@@ -91,6 +95,13 @@
     }
   }
 
+  /** A shared part and one of the request itself; some prompts have the part between them that crashes engines at present. */
+  function buildPrompt (): string {
+    const bad = crashingPart()
+    const parts = [`a${requestCount % SHARED_PARTS}:40`, ...(bad !== undefined && random() < CRASHING_RATIO ? [`${bad}:10`] : []), `e${requestCount.toString(16)}:50`]
+    return parts.join(',')
+  }
+
   function call (host: SoakHost, agent: http.Agent): Promise<CallRecord> {
     const kind = KINDS[Math.floor(random() * KINDS.length)]!
     const isLong = kind === 'stream' && random() < LONG_RATIO
@@ -112,7 +123,7 @@
         agent,
         method: kind === 'safe' ? 'GET' : 'POST',
         path: `/${kind}/x`,
-        headers: { host: 'soak.example', authorization: `Token ${record.key}`, 'request-id': requestId, 'deadline-ms': deadlineMs, 'token-usage': '100,60' }
+        headers: { host: 'soak.example', authorization: `Token ${record.key}`, 'request-id': requestId, 'deadline-ms': deadlineMs, 'token-usage': '100,60', ...(kind === 'stream' ? { 'prompt-prefix': buildPrompt() } : {}) }
       }, response => {
         record.status = response.statusCode ?? 0
         record.retryAfter = response.headers['retry-after']
--- a/soak/_lib/startProxy.ts
+++ b/soak/_lib/startProxy.ts
@@ -4,12 +4,21 @@
  */
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 
+/** Addresses that only proxies use, so that nothing else takes the port of one that does not listen. */
+const NETWORK = `127.${201 + process.pid % 50}`
+
+const ADDRESSES_PER_NETWORK = 250
+
+let proxyCount = 0
+
 /** What the proxy does with connections and their data. */
 export type ProxyFault =
   | { kind: 'none' }
   | { kind: 'delay', delayMs: number }
   /** Open and new connections are reset. */
   | { kind: 'reset' }
+  /** Open connections are reset, and nothing listens at the address, as when a process has ended. */
+  | { kind: 'refuse' }
   /** Data to the server (`up`), from it (`down`) or both is dropped; connections stay open. */
   | { kind: 'silence', direction: 'up' | 'down' | 'both' }
 
@@ -58,16 +67,21 @@
     forward(caller, upstream, 'up')
     forward(upstream, caller, 'down')
   })
-  await new Promise<void>(resolve => { listener.listen(0, '127.0.0.1', resolve) })
+  const ip = `${NETWORK}.${Math.floor(proxyCount / ADDRESSES_PER_NETWORK) % ADDRESSES_PER_NETWORK}.${1 + proxyCount++ % ADDRESSES_PER_NETWORK}`
+  await new Promise<void>(resolve => { listener.listen(0, ip, resolve) })
+  const { port: ownPort } = listener.address() as AddressInfo
   return {
-    address: `127.0.0.1:${(listener.address() as AddressInfo).port}`,
+    address: `${ip}:${ownPort}`,
     setFault (next) {
       // Connections that have lost data cannot be used any more.
-      const isEnding = next.kind === 'reset' || fault.kind === 'silence'
+      const isEnding = next.kind === 'reset' || next.kind === 'refuse' || fault.kind === 'silence'
       fault = next
+      if (next.kind === 'refuse') listener.close()
+      else if (!listener.listening) listener.listen(ownPort, ip)
       if (isEnding) for (const socket of sockets) socket.resetAndDestroy()
     },
     [Symbol.asyncDispose]: () => new Promise(resolve => {
+      // Fails if the listener is closed already.
       listener.close(() => resolve())
       for (const socket of sockets) socket.destroy()
     })
--- a/soak/_lib/startTargets.ts
+++ b/soak/_lib/startTargets.ts
@@ -14,7 +14,7 @@
   id: () => string
   proxy: Proxy
   /** Stops without notice: its connections are reset or silent, and its entry expires. */
-  crash: (fault: 'reset' | 'silence') => void
+  crash: (fault: 'refuse' | 'reset' | 'silence') => void
   /** Starts again without layers, under the same identity or a new one. */
   restart: (options: { keepsIdentity: boolean }) => void
   /** Announces that the target leaves; requests that are running may end. */
@@ -32,16 +32,27 @@
 export interface SoakTargets extends AsyncDisposable {
   targets: SoakTarget[]
   ledger: LedgerEntry[]
+  /** Parts of prompts that crash engines, with the monotonic times of the crashes in milliseconds. */
+  crashesMs: Map<string, number[]>
+  /** The part among them that callers send at present. */
+  sentCrashingPart: () => string | undefined
+  /** Lets callers send a new part that crashes engines, until disposed of. */
+  sendCrashingPart: () => Disposable
 }
 
 /** Interval at which targets renew their entries, and time after which an entry that is not renewed expires, in milliseconds. */
 const ENTRY_RENEWAL_MS = 400
 const ENTRY_EXPIRY_MS = 1_600
 
+/** Time after which an engine that a prompt has crashed starts again, in milliseconds. */
+const CRASHED_DOWN_MS = 1_000
+
 /** Starts targets that register in the store: in each failure domain, engines of one kind and one plain service. */
 export async function startTargets (store: PlatformStoreStandin, options: { failureDomains: readonly string[], enginesPerFailureDomain: number, random: () => number }): Promise<SoakTargets> {
   const { failureDomains, enginesPerFailureDomain, random } = options
   const ledger: LedgerEntry[] = []
+  const crashesMs = new Map<string, number[]>()
+  let sentCrashingPart: string | undefined
   const statesByAddress = new Map<string, TargetState>()
   let identityCount = 0
   const targetPlans = failureDomains.flatMap(failureDomain => [
@@ -56,7 +67,7 @@
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
     const proxy = await startProxy(`127.0.0.1:${(server.address() as AddressInfo).port}`)
     statesByAddress.set(proxy.address, state)
-    const serve = createTargetHandler(state, { service, ledger, random, renewEntry, findFaultyStage })
+    const serve = createTargetHandler(state, { service, ledger, random, renewEntry, findFaultyStage, crashUnder })
     let expiryTimer: NodeJS.Timeout | undefined
     const renewalTimer = setInterval(renewEntry, ENTRY_RENEWAL_MS)
     resetState(false)
@@ -84,7 +95,16 @@
       })
     }
 
-    return {
+    function crashUnder (promptParts: readonly string[]): boolean {
+      const part = promptParts.find(candidate => crashesMs.has(candidate))
+      if (part === undefined || !state.isUp) return false
+      crashesMs.get(part)!.push(performance.now())
+      target.crash('refuse')
+      setTimeout(() => target.restart({ keepsIdentity: false }), CRASHED_DOWN_MS)
+      return true
+    }
+
+    const target: SoakTarget = {
       id: () => state.id,
       proxy,
       isUp: () => state.isUp,
@@ -92,7 +112,7 @@
       crash (fault) {
         state.isUp = false
         state.pathsByRequest.clear()
-        proxy.setFault(fault === 'reset' ? { kind: 'reset' } : { kind: 'silence', direction: 'both' })
+        proxy.setFault(fault === 'silence' ? { kind: 'silence', direction: 'both' } : { kind: fault })
         const { id } = state
         expiryTimer = setTimeout(() => store.remove('servers', id), ENTRY_EXPIRY_MS)
       },
@@ -115,6 +135,7 @@
         await new Promise(resolve => { server.close(resolve) })
       }
     }
+    return target
   }
 
   /** Returns the address of the first stage of a path that is down or does not hold its layers. */
@@ -129,6 +150,14 @@
   return {
     targets,
     ledger,
+    crashesMs,
+    sentCrashingPart: () => sentCrashingPart,
+    sendCrashingPart () {
+      const part = `c${crashesMs.size}`
+      crashesMs.set(part, [])
+      sentCrashingPart = part
+      return { [Symbol.dispose] () { if (sentCrashingPart === part) sentCrashingPart = undefined } }
+    },
     async [Symbol.asyncDispose] () { await Promise.all(targets.map(target => target[Symbol.asyncDispose]())) }
   }
 }
--- a/soak/runSoak/index.ts
+++ b/soak/runSoak/index.ts
@@ -130,7 +130,7 @@
   const controller = new AbortController()
   const versionsWatched = watchVersions(soakHosts, { signal: controller.signal, report })
   const pickKey = (): string => random() < 0.5 ? PERMANENT_KEY : [...keys.keys()].at(-1 - Math.floor(random() * Math.min(keys.size, RECENT_KEYS)))!
-  const callers = startCallers({ hosts: soakHosts, count: CALLERS_PER_HOST * hostCount, key: pickKey, random })
+  const callers = startCallers({ hosts: soakHosts, count: CALLERS_PER_HOST * hostCount, key: pickKey, crashingPart: targets.sentCrashingPart, random })
   const stalls = monitorEventLoopDelay()
   stalls.enable()
   const startedMs = performance.now()
@@ -151,7 +151,7 @@
   await versionsWatched
   const { records } = callers
   const budgetWindows = Math.ceil((performance.now() - startedMs) / BUDGET_WINDOW_MS)
-  findings.push(...checkRecords({ records, ledger: targets.ledger, keys, configurationsMs, storeRecoveredMs, budgetWindows }, isCallUndisturbed), ...checkRecovery(records, settledMs))
+  findings.push(...checkRecords({ records, ledger: targets.ledger, crashesMs: targets.crashesMs, keys, configurationsMs, storeRecoveredMs, budgetWindows }, isCallUndisturbed), ...checkRecovery(records, settledMs))
   if (findings.length === 0) await rm(folder, { recursive: true, force: true })
   return { findings, calls: records.length, statuses: countStatuses(records), faults, longestStallMs: Math.round(stalls.max / NS_PER_MS) }
 
--- a/soak/test.ts
+++ b/soak/test.ts
@@ -11,12 +11,12 @@
 const record = (change: Partial<CallRecord>): CallRecord => ({
   requestId: 'r1', kind: 'unsafe', host: HOST, startCount: 1, plannedWork: { stoppedMs: undefined, reloadsMs: [] }, isSound: true, key: 'steady', sentMs: 0, lastByteMs: 1, endedMs: 100, lastDataMs: 99, deadlineMs: 4_000, errorCode: undefined, status: 200, retryAfter: undefined, body: 'answer to r1', isComplete: true, ...change
 })
-const run = (change: Partial<LedgerEntry> = {}): LedgerEntry => ({ requestId: 'r1', targetId: 'orders-1', service: 'orders', atMs: 50, hasRun: true, outcome: 'answered', endedMs: 80, ...change })
+const run = (change: Partial<LedgerEntry> = {}): LedgerEntry => ({ requestId: 'r1', targetId: 'orders-1', service: 'orders', promptParts: [], atMs: 50, hasRun: true, outcome: 'answered', endedMs: 80, ...change })
 const events = (ids: number[]): string => ids.map(id => `id: ${id}\ndata: piece ${id}\n\n`).join('')
 const wholeStream = Array.from({ length: countEvents('r1') }, (_, index) => index + 1)
 
 function check (call: CallRecord, ledger: LedgerEntry[], change: Partial<Evidence> = {}, isUndisturbed = true): string[] {
-  return checkRecords({ records: [call], ledger, keys: new Map(), configurationsMs: [], storeRecoveredMs: 0, budgetWindows: 1, ...change }, () => isUndisturbed)
+  return checkRecords({ records: [call], ledger, crashesMs: new Map(), keys: new Map(), configurationsMs: [], storeRecoveredMs: 0, budgetWindows: 1, ...change }, () => isUndisturbed)
 }
 
 test('a call that is answered once, completely and in time is no finding', t => {
@@ -53,6 +53,16 @@
   t.is(checkRecovery([record({ ...stream, endedMs: 3_900, lastDataMs: 3_899 })], 0).length, 1)
 })
 
+test('requests that crash engines may reach them until the part is known, and three times more', t => {
+  const crashesMs = new Map([['c0', [1, 2, 3, 4, 5].map(count => count * 100)]])
+  const records = Array.from({ length: 9 }, (_, index) => record({ requestId: `r${index}`, kind: 'stream', status: 502, body: '' }))
+  const ledger = (count: number, atMs: number) => records.slice(0, count).map(({ requestId }) => run({ requestId, service: 'model', promptParts: ['a0', 'c0', 'e1'], atMs, outcome: 'brokenOff' }))
+  const checkCrashes = (entries: LedgerEntry[]): string[] => checkRecords({ records, ledger: entries, crashesMs, keys: new Map(), configurationsMs: [], storeRecoveredMs: 0, budgetWindows: 1 }, () => true)
+  t.deepEqual(checkCrashes(ledger(9, 3_400)), [])
+  t.deepEqual(checkCrashes(ledger(3, 3_600)), [])
+  t.regex(checkCrashes(ledger(4, 3_600)).join('\n'), /4 requests with part c0/)
+})
+
 test('more retries than the budget allows are a finding', t => {
   const ledger = Array.from({ length: 130 }, () => run({ service: 'model' }))
   t.regex(check(record({ kind: 'safe' }), ledger).join('\n'), /129 retries/)
--- a/src/crash/createCrashEvidence/index.ts
+++ b/src/crash/createCrashEvidence/index.ts
@@ -28,6 +28,8 @@
   findCrashing: (service: string, promptParts: readonly string[]) => (CrashingParts & { lastCrashAgeMs: number }) | undefined
   /** Largest number of crashes held against one part of a prompt. */
   countCrashes: (service: string, promptParts: readonly string[]) => number
+  /** How long to hold a prompt back until the latest of several crashes held against one of its parts counts, in milliseconds. */
+  settlingMs: (service: string, promptParts: readonly string[]) => number
   /** Calls the listener when more parts are known to crash engines. */
   onFound: (listener: () => void) => Disposable
   /** What to tell a neighbor now. */
@@ -51,6 +53,12 @@
 /** Time after a crash for which it counts, in milliseconds; a fleet whose engines were repaired serves the part again after it. */
 const CRASH_VALID_MS = 3_600_000
 
+/** Time from the first sighting of a crash until it counts, in milliseconds; until then some hosts have told only that it also struck other prompts. */
+const SETTLING_MS = 300
+
+/** Crashes held against a part from which its prompts are held back while the latest crash settles. */
+const MIN_HELD_CRASHES = 2
+
 /** Bounds of what is kept; callers choose the ids of parts. */
 const MAX_SIGHTINGS = 512
 const MAX_SIGHTINGS_PER_PART = 16
@@ -102,11 +110,28 @@
   const retoldMs = new Map<string, number>()
   const listeners = new Set<() => void>()
   let crashing: CrashingParts[] = []
+  let settlingTimer: Disposable | undefined
 
   const listKept = (service: string, part: string): KeptSighting[] =>
     [...sightings.values()].filter(sighting => sighting.service === service && sighting.part === part)
 
-  const countEngines = (kept: readonly KeptSighting[]): number => new Set(kept.map(({ targetId, bornMs }) => `${targetId} ${bornMs}`)).size
+  const engineOf = ({ targetId, bornMs }: KeptSighting): string => `${targetId} ${bornMs}`
+  const countEngines = (kept: readonly KeptSighting[]): number => new Set(kept.map(engineOf)).size
+
+  /** Sightings of the crashes of which this host has known for long enough. */
+  function listSettled (): KeptSighting[] {
+    const settledEngines = new Set([...sightings.values()].filter(({ learnedMs }) => runtime.monotonicMs() - learnedMs >= SETTLING_MS).map(engineOf))
+    return [...sightings.values()].filter(sighting => settledEngines.has(engineOf(sighting)))
+  }
+
+  function updateWhenSettled (): void {
+    settlingTimer ??= runtime.setTimer(SETTLING_MS, () => {
+      settlingTimer = undefined
+      update()
+      const isSettling = [...sightings.values()].some(({ learnedMs }) => runtime.monotonicMs() - learnedMs < SETTLING_MS)
+      if (isSettling) updateWhenSettled()
+    })
+  }
 
   const isCrashing = (service: string, part: string): boolean => crashing.some(found => found.service === service && found.parts.includes(part))
 
@@ -152,6 +177,7 @@
     if (kept.length >= MAX_SIGHTINGS_PER_PART) return false
     sightings.set(key, sighting)
     if (sightings.size > MAX_SIGHTINGS) dropLeastUseful()
+    updateWhenSettled()
     if (kept.length === 0) {
       log.emit('promptPartSuspected', { service, part, target: targetId, ageMs: Math.round(runtime.monotonicMs() - sighting.atMs) })
       onVerdict('suspected')
@@ -178,7 +204,7 @@
   function update (): void {
     dropExpired()
     const known = new Set(crashing.map(({ service, parts }) => JSON.stringify([service, parts])))
-    crashing = findCrashingParts(sightings.values())
+    crashing = findCrashingParts(listSettled())
     const found = crashing.filter(({ service, parts }) => !known.has(JSON.stringify([service, parts])))
     for (const { service, parts, crashes, requests } of found) {
       log.emit('promptPartCrashing', { service, parts, crashes, requests, targets: [...new Set(parts.flatMap(part => listKept(service, part).map(({ targetId }) => targetId)))] })
@@ -199,7 +225,6 @@
       for (const part of [...known, ...others].slice(0, MAX_PARTS_PER_CRASH)) {
         addSighting({ service, part, request: request!, targetId: id, bornMs, atMs: nowMs, learnedMs: nowMs })
       }
-      update()
     },
     noteAnswered (service, promptParts) {
       const dropped = promptParts.slice(0, -1).filter(part => {
@@ -216,6 +241,11 @@
       const times = listKept(service, found.parts[0]!).map(({ atMs }) => atMs)
       return { ...found, lastCrashAgeMs: Math.round(runtime.monotonicMs() - Math.max(...times)) }
     },
+    settlingMs (service, promptParts) {
+      if (sightings.size === 0) return 0
+      const held = promptParts.slice(0, -1).map(part => listKept(service, part)).filter(kept => countEngines(kept) >= MIN_HELD_CRASHES)
+      return Math.max(0, ...held.flat().map(({ learnedMs }) => learnedMs + SETTLING_MS - runtime.monotonicMs()))
+    },
     countCrashes: (service, promptParts) => Math.max(0, ...promptParts.slice(0, -1).map(part => countEngines(listKept(service, part)))),
     onFound (listener) {
       listeners.add(listener)
--- a/src/crash/createCrashEvidence/test.ts
+++ b/src/crash/createCrashEvidence/test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import type { Target } from '../../fleet/types.js'
 import { buildEngine } from '../../../test/fakes/buildFleet.js'
 import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
 import { createTestLog } from '../../../test/fakes/createTestLog.js'
@@ -6,6 +7,9 @@
 
 const TOLD_MS = 350
 
+/** Time after which a crash counts. */
+const SETTLING_MS = 300
+
 function createHost (runtime = createManualRuntime()) {
   const log = createTestLog()
   const evidence = createCrashEvidence({ runtime, log })
@@ -15,12 +19,16 @@
   return { runtime, log, evidence, crash, isFound: (...parts: string[]): boolean => evidence.findCrashing('model', parts) !== undefined }
 }
 
-test('requests with a part that crashes engines are recognized whatever else they hold', t => {
-  const { evidence, log, crash, isFound } = createHost()
+test('requests with a part that crashes engines are recognized whatever else they hold', async t => {
+  const { runtime, evidence, log, crash, isFound } = createHost()
   let calls = 0
   using subscription = evidence.onFound(() => { calls++ })
   for (const request of ['1', '2', '3']) crash('5c1e', 'bad', request)
+  await runtime.advance(SETTLING_MS)
   crash('f00d', 'bad', '4')
+  t.is(evidence.settlingMs('model', ['bad', '9']), SETTLING_MS)
+  t.is(evidence.settlingMs('model', ['f00d', '9']), 0)
+  await runtime.advance(SETTLING_MS)
   t.true(isFound('0', 'bad', '9'))
   t.false(isFound('5c1e', '9'))
   t.false(isFound('5c1e', 'f00d', 'bad'), 'the last part belongs to the request')
@@ -35,9 +43,11 @@
   const { runtime, evidence, crash, isFound } = createHost()
   evidence.noteAnswered('model', ['5c1e', '1'])
   for (const request of ['1', '2', '3', '4']) crash('5c1e', request)
+  await runtime.advance(SETTLING_MS)
   t.false(isFound('5c1e', '9'))
   await runtime.advance(60_000)
   for (const request of ['1', '2', '3']) crash('5c1e', request)
+  await runtime.advance(SETTLING_MS)
   t.true(isFound('5c1e', '9'))
   evidence.noteAnswered('model', ['5c1e', '8'])
   t.false(isFound('5c1e', '9'))
@@ -50,21 +60,23 @@
   t.true(isFound('bad', '9'))
 })
 
-test('hosts that saw one crash each find the part together', t => {
+test('hosts that saw one crash each find the part together', async t => {
   const runtime = createManualRuntime()
   const hosts = [createHost(runtime), createHost(runtime), createHost(runtime)]
   for (const [index, { evidence }] of hosts.entries()) evidence.noteCrash('model', ['5c1e', 'bad', String(index)], buildEngine(`i-${index}`, 'north', 'large'))
   hosts[2]!.evidence.noteAnswered('model', ['5c1e', '7'])
   for (const from of hosts) for (const to of hosts) if (from !== to) to.evidence.applyNews(from.evidence.newsFor('x'))
   for (const from of hosts) for (const to of hosts) if (from !== to) to.evidence.applyNews(from.evidence.newsFor('x'))
+  await runtime.advance(SETTLING_MS)
   for (const { isFound } of hosts) t.deepEqual([isFound('0', 'bad', '9'), isFound('5c1e', '9')], [true, false])
 })
 
-test('an answer that another host gave voids what is held against a part', t => {
+test('an answer that another host gave voids what is held against a part', async t => {
   const runtime = createManualRuntime()
   const [one, other] = [createHost(runtime), createHost(runtime)]
   one.evidence.noteAnswered('model', ['5c1e', '7'])
   for (const request of ['1', '2', '3']) other.crash('5c1e', request)
+  await runtime.advance(SETTLING_MS)
   t.true(other.isFound('5c1e', '9'))
   t.true(one.evidence.applyNews(other.evidence.newsFor('one')))
   t.true(other.evidence.applyNews(one.evidence.newsFor('other')))
@@ -81,19 +93,33 @@
   await runtime.advance(500)
   const late = createHost(runtime)
   late.evidence.applyNews(evidence.newsFor('a'))
+  await runtime.advance(SETTLING_MS)
   t.true(late.isFound('bad', '9'))
-  t.is(late.evidence.findCrashing('model', ['bad', '9'])?.lastCrashAgeMs, TOLD_MS + 501)
+  t.is(late.evidence.findCrashing('model', ['bad', '9'])?.lastCrashAgeMs, TOLD_MS + 501 + SETTLING_MS)
 })
 
-test('callers that send many different parts push nothing out and do not fill the memory', t => {
-  const { evidence, crash, isFound } = createHost()
+test('callers that send many different parts push nothing out and do not fill the memory', async t => {
+  const { runtime, evidence, crash, isFound } = createHost()
   for (const request of ['1', '2', '3']) crash('bad', request)
   for (let index = 0; index < 5_000; index++) {
     crash(`a${index}`, `b${index}`, String(index))
     evidence.noteAnswered('model', [`c${index}`, String(index)])
   }
+  await runtime.advance(SETTLING_MS)
   t.true(isFound('bad', '9'))
   t.true(evidence.counts().suspected <= 512)
   t.true(evidence.newsFor('a').sightings.length <= 40)
   t.true(evidence.newsFor('b').sightings.some(({ part }) => part === 'bad'))
 })
+
+test('a crash counts only when the hosts have told all prompts that it struck', async t => {
+  const runtime = createManualRuntime()
+  const [one, other] = [createHost(runtime), createHost(runtime)]
+  const [first, second, third] = ['i-1', 'i-2', 'i-3'].map(id => buildEngine(id, 'north', 'large')) as [Target, Target, Target]
+  for (const [index, engine] of [first, second, third].entries()) one.evidence.noteCrash('model', ['5c1e', String(index)], engine)
+  await runtime.advance(SETTLING_MS - 1)
+  for (const [index, engine] of [first, second, third].entries()) other.evidence.noteCrash('model', ['bad', `b${index}`], engine)
+  one.evidence.applyNews(other.evidence.newsFor('one'))
+  await runtime.advance(1)
+  t.false(one.isFound('5c1e', '9'))
+})
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -7,6 +7,7 @@
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
 import { endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
 import { reserveTarget } from './reserveCapacity.js'
+import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
 import { endCrashingCall, noteCrash } from './crashingPrompts.js'
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
@@ -39,6 +40,8 @@
   let mayHaveRun = false
   let lastFailure: Extract<AttemptResult, { kind: 'whole' }> | undefined
   while (!signal.aborted) {
+    const holdMs = context.crashEvidence.settlingMs(service.name, call.facts.promptParts)
+    if (holdMs > 0) await sleep(holdMs, { runtime, signal })
     if (endCrashingCall(call, context, { mayHaveRun, attempts })) return
     using reservation = reserveTarget(service, excluded, ownDomain, context)
     if (reservation === undefined) break
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -70,6 +70,8 @@
   const isEndedAsCrashing = (): boolean => endCrashingCall(call, context, { mayHaveRun: progress.mayHaveRun, ...details() })
 
   while (!signal.aborted) {
+    const holdMs = hasBegun() ? 0 : context.crashEvidence.settlingMs(service.name, facts.promptParts)
+    if (holdMs > 0) await sleep(holdMs, { runtime, signal })
     if (isEndedAsCrashing()) return
     if (progress.tries > 0) {
       if (hasBegun()) {
