Send a target no more than the rate that it names

Cause: the header was read nowhere; load was balanced by what engines hold, and the first engine of most paths got most requests whatever it said.

The rate is decoded in platform/ and kept as a statement of the target: it holds until an answer without it, at this host or, told in digests, at another one. Each host has a share of it and a small burst. If the rate is small against the number of hosts, as many hosts as it has requests a second send to the target, by rendezvous of addresses, since a first request of each of 195 hosts would be far too many. What exceeds the share takes another first engine or waits. A value that cannot be read is ignored, logged and counted.

--- a/src/digest/_lib/createNoticeRelay.ts
+++ b/src/digest/_lib/createNoticeRelay.ts
@@ -3,6 +3,7 @@
  * the one it came from, in the digests of a short time, and roots do not pass on what another
  * root told them to further roots, which have it from the same one.
  */
+import { isOtherLimit } from '../../rateLimit/createTargetLimits/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import type { DigestRole, Notices } from '../types.js'
 
@@ -38,12 +39,14 @@
 
 type Suspicion = Notices['suspicions'][number]
 type SeenLayers = Notices['seenLayers'][number]
+type Limit = Notices['limits'][number]
 
 /** Creates a relay without any notices. */
 export function createNoticeRelay (options: { runtime: Runtime }): NoticeRelay {
   const { runtime } = options
   const suspicions = new Map<string, Entry<Suspicion>>()
   const seenLayers = new Map<string, Entry<SeenLayers>>()
+  const limits = new Map<string, Entry<Limit>>()
 
   /** Whether the suspicion says more than the known one: that it lasts longer, or that the target is unfit. */
   function isNewSuspicion (next: Suspicion, known: Entry<Suspicion> | undefined): boolean {
@@ -55,9 +58,13 @@
   const isNewSighting = (next: SeenLayers, known: Entry<SeenLayers> | undefined): boolean =>
     known === undefined || next.bornMs !== known.notice.bornMs || next.layers?.from !== known.notice.layers?.from || next.layers?.to !== known.notice.layers?.to
 
+  /** Whether a limit is another one than is known, and rests on a later answer. */
+  const isNewLimit = (next: Limit, known: Entry<Limit> | undefined): boolean =>
+    known === undefined || (isOtherLimit(next.limitPerS, known.notice.limitPerS) && runtime.monotonicMs() - next.ageMs > known.learnedMs - known.notice.ageMs)
+
   function add (notices: Notices, from: Entry<unknown>['from']): Notices {
     const nowMs = runtime.monotonicMs()
-    const news: Notices = { suspicions: [], seenLayers: [] }
+    const news: Notices = { suspicions: [], seenLayers: [], limits: [] }
     for (const notice of notices.suspicions) {
       if (!isNewSuspicion(notice, suspicions.get(notice.targetId))) continue
       suspicions.set(notice.targetId, { notice, learnedMs: nowMs, from })
@@ -68,8 +75,14 @@
       seenLayers.set(notice.targetId, { notice, learnedMs: nowMs, from })
       news.seenLayers.push(notice)
     }
+    for (const notice of notices.limits) {
+      if (!isNewLimit(notice, limits.get(notice.targetId))) continue
+      limits.set(notice.targetId, { notice, learnedMs: nowMs, from })
+      news.limits.push(notice)
+    }
     forget(suspicions)
     forget(seenLayers)
+    forget(limits)
     return news
   }
 
@@ -91,7 +104,7 @@
     },
     addReceived (notices, ip, role) {
       const news = add(notices, { ip, role })
-      return news.suspicions.length + news.seenLayers.length > 0 ? news : undefined
+      return news.suspicions.length + news.seenLayers.length + news.limits.length > 0 ? news : undefined
     },
     noticesFor (ip, role) {
       const nowMs = runtime.monotonicMs()
@@ -99,7 +112,8 @@
         suspicions: list(suspicions, ip, role).map(({ notice, learnedMs }) => ({
           ...notice, ageMs: Math.round(notice.ageMs + nowMs - learnedMs), leftMs: Math.max(0, Math.round(notice.leftMs - (nowMs - learnedMs)))
         })),
-        seenLayers: list(seenLayers, ip, role).map(({ notice }) => notice)
+        seenLayers: list(seenLayers, ip, role).map(({ notice }) => notice),
+        limits: list(limits, ip, role).map(({ notice, learnedMs }) => ({ ...notice, ageMs: Math.round(notice.ageMs + nowMs - learnedMs) }))
       }
     }
   }
--- a/src/digest/createDigestExchange/index.ts
+++ b/src/digest/createDigestExchange/index.ts
@@ -118,7 +118,7 @@
       hostCount: 1 + countHostsBehind(sources),
       loadAgeMs: Math.round(meanAgeMs(sources, { nowMs, ownHosts: 1 })),
       reader: firstReader(state.isStoreConnected ? [{ ip: ownIp, depth: plan.depth, ageMs: 0 }, ...readers] : readers),
-      notices: isLoadRole(role) ? relay.noticesFor(ip, role) : { suspicions: [], seenLayers: [] },
+      notices: isLoadRole(role) ? relay.noticesFor(ip, role) : { suspicions: [], seenLayers: [], limits: [] },
       crashes: isLoadRole(role) ? crashEvidence.newsFor(ip) : { sightings: [], answered: [] },
       members: view.takeReport(ip, reportOptions(role)),
       load: isLoadRole(role) ? load.sumWith(sources.map(loadKeyOf)) : new Map()
@@ -296,6 +296,7 @@
     peers: () => [...neighbors.values()],
     parent: () => plan.parent === undefined ? undefined : neighbors.get(plan.parent),
     isRoot: () => plan.isRoot,
+    memberIps: () => view.alive().map(({ ip }) => ip),
     hostCount: countHosts,
     recentHostCount: () => hostCounts.reduce((most, { count }) => Math.max(most, count), countHosts()),
     loadAgeMs: () => meanAgeMs(allSources(), { nowMs: runtime.monotonicMs(), ownHosts: 0 }),
--- a/src/digest/createDigestExchange/types.ts
+++ b/src/digest/createDigestExchange/types.ts
@@ -60,6 +60,8 @@
   parent: () => Peer | undefined
   /** Whether this host is a root of the tree. */
   isRoot: () => boolean
+  /** Addresses of the other hosts that are alive, as far as this one knows. */
+  memberIps: () => string[]
   /** Number of hosts, this one included. */
   hostCount: () => number
   /** Largest number of hosts in the last ten seconds; some of them may have stopped since. */
--- a/src/digest/types.ts
+++ b/src/digest/types.ts
@@ -20,7 +20,9 @@
 /** Observations of targets that each host passes on to all others. */
 export const noticesSchema = z.object({
   suspicions: z.array(z.object({ targetId: z.string(), ageMs: z.number(), leftMs: z.number(), isUnfit: z.boolean() })),
-  seenLayers: z.array(z.object({ targetId: z.string(), bornMs: z.number(), layers: layerRangeSchema.nullable() }))
+  seenLayers: z.array(z.object({ targetId: z.string(), bornMs: z.number(), layers: layerRangeSchema.nullable() })),
+  /** Rates that targets say they take; absent in digests of earlier versions. */
+  limits: z.array(z.object({ targetId: z.string(), limitPerS: z.number().min(0).nullable(), ageMs: z.number().min(0) })).default([])
 })
 
 /** State of the sending host. */
--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -77,6 +77,8 @@
   promptPartSuspected: { number: 6006, level: 'warn', text: 'part of a prompt suspected to crash engines' },
   promptPartCrashing: { number: 6007, level: 'warn', text: 'part of a prompt crashes engines; its requests are refused' },
   promptPartSound: { number: 6008, level: 'info', text: 'part of a prompt answered completely; nothing is held against it' },
+  targetLimited: { number: 6009, level: 'warn', text: 'target names another rate of requests that it takes, or none any more' },
+  answerFieldInvalid: { number: 6040, level: 'warn', text: 'field in an answer of a target could not be read and is ignored' },
   layersLoaded: { number: 6022, level: 'info', text: 'engine has loaded the ordered layers' },
   leaseAcquired: { number: 6010, level: 'info', text: 'control lease acquired' },
   leaseLost: { number: 6011, level: 'warn', text: 'control lease lost' },
--- a/src/gateway/_lib/reserveCapacity.ts
+++ b/src/gateway/_lib/reserveCapacity.ts
@@ -19,29 +19,31 @@
 /** Reserves a path over engines, or returns `undefined` while no path has enough memory. */
 export function reservePath (service: Service, size: RequestSize, excluded: ReadonlySet<string>, ownDomain: string, context: GatewayContext): Reservation | undefined {
   const model = service.model!
-  const { fleet, loadTracker, suspicions, runtime } = context
+  const { fleet, loadTracker, suspicions, targetLimits, runtime } = context
   const engines = fleet.servingTargets(service.name).filter(target => !excluded.has(target.id))
   const crossings = context.checkCoverage(service).isWithinCrossingLimit ? {} : { maxCrossings: FALLBACK_MAX_CROSSINGS }
-  const options = { model, loadOf: loadTracker.loadOf, slownessOf: suspicions.slownessOf, ownDomain, ...crossings }
+  const options = { model, loadOf: loadTracker.loadOf, slownessOf: suspicions.slownessOf, mayBeFirst: targetLimits.mayTake, ownDomain, ...crossings }
   const jitter = jitterPathOptions(suspicions.slownessOf, { loadAgeMs: context.loadAgeMs(), random: runtime.random })
   const chosen = choosePath(engines, size, { ...options, ...jitter }) ?? choosePath(engines, size, options)
   if (chosen === undefined) return undefined
+  targetLimits.take(chosen.path[0]!.target.id)
   const claim = loadTracker.claim(chosen.path, size)
   return { target: chosen.path[0]!.target, path: chosen.path, [Symbol.dispose]: () => claim[Symbol.dispose]() }
 }
 
 /** Reserves the least busy target of a plain service that is not excluded, or returns `undefined`. */
 export function reserveTarget (service: Service, excluded: ReadonlySet<string>, ownDomain: string, context: GatewayContext): Reservation | undefined {
-  const { fleet, loadTracker, suspicions } = context
+  const { fleet, loadTracker, suspicions, targetLimits } = context
   const cost = (target: Target): number => {
     const otherDomain = target.failureDomain === ownDomain ? 0 : OTHER_DOMAIN_PENALTY
     return (1 + loadTracker.loadOf(target.id).sequences + otherDomain) * suspicions.slownessOf(target.id)
   }
-  const candidates = fleet.servingTargets(service.name).filter(candidate => !excluded.has(candidate.id))
+  const candidates = fleet.servingTargets(service.name).filter(candidate => !excluded.has(candidate.id) && targetLimits.mayTake(candidate.id))
   const usable = candidates.filter(candidate => Number.isFinite(cost(candidate))).sort((a, b) => cost(a) - cost(b))
   // A target that only refused a request recently is better than none.
   const target = usable[0] ?? candidates.find(candidate => !suspicions.isUnfit(candidate.id))
   if (target === undefined) return undefined
+  targetLimits.take(target.id)
   const claim = loadTracker.claim([{ target, from: 0, to: 1 }], PLAIN_SIZE)
   return { target, path: undefined, [Symbol.dispose]: () => claim[Symbol.dispose]() }
 }
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -3,6 +3,7 @@
  * within its attempts and the retry budget; an unsafe one only if the previous target provably
  * did not run it.
  */
+import { noteLimit } from './noteLimit.js'
 import { openExchange } from './openExchange.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
 import { endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
@@ -124,6 +125,7 @@
     if (result.kind === 'lost') return { kind: 'mayHaveRun', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
     const { answer } = result
     const metadata = format.readAnswer(answer.headers)
+    noteLimit(metadata, call, reservation.target.id, context)
     const answerBody = await readAnswerBody(answer, exchange.hasFailed)
     const isBrokenByTarget = answerBody === undefined && !exchange.isClosedHere()
     exchange.close('answer read')
--- a/src/gateway/createGatewayMetrics/index.ts
+++ b/src/gateway/createGatewayMetrics/index.ts
@@ -13,6 +13,7 @@
   answersCut: Counter<'cause'>
   attempts: Counter<'result'>
   crashes: Counter<'progress'>
+  invalidFields: Counter<'field'>
   promptVerdicts: Counter<'verdict'>
   promptParts: Gauge<'state'>
   firstEventSeconds: Histogram
@@ -51,6 +52,7 @@
     crashes: new Counter({ name: 'coltsfootlead_gateway_runs_crashed_total', help: 'Runs whose target ended, by whether an event of their answer had arrived', labelNames: ['progress'], registers }),
     promptVerdicts: new Counter({ name: 'coltsfootlead_gateway_prompt_verdicts_total', help: 'Parts of prompts that became suspected, known to crash engines, or sound again', labelNames: ['verdict'], registers }),
     promptParts: new Gauge({ name: 'coltsfootlead_gateway_prompt_parts', help: 'Parts of prompts that are suspected, or known, to crash engines', labelNames: ['state'], registers }),
+    invalidFields: new Counter({ name: 'coltsfootlead_gateway_invalid_answer_fields_total', help: 'Fields in answers of targets that could not be read and were ignored', labelNames: ['field'], registers }),
     firstEventSeconds: new Histogram({ name: 'coltsfootlead_gateway_first_event_seconds', help: 'Time from arrival to the first event of a stream', buckets: TIME_BUCKETS_S, registers }),
     waitSeconds: new Histogram({ name: 'coltsfootlead_gateway_wait_seconds', help: 'Time in the queue', buckets: TIME_BUCKETS_S, registers }),
     storeCalls: new Counter({ name: 'coltsfootlead_gateway_store_calls_total', help: 'Calls to the object API', labelNames: ['operation'], registers }),
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -16,6 +16,7 @@
 import { createCoverageCheck } from '../../path/createCoverageCheck/index.js'
 import { createLoadTracker } from '../../path/createLoadTracker/index.js'
 import { runPlacement } from '../../placement/runPlacement/index.js'
+import { createTargetLimits } from '../../rateLimit/createTargetLimits/index.js'
 import { createRetryBudget } from '../../retry/createRetryBudget/index.js'
 import { repeatTask } from '../../runtime/repeatTask/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
@@ -83,6 +84,7 @@
   const fleet = createFleetState({ runtime })
   const loadTracker = createLoadTracker({ runtime, hostCount: () => exchange.hostCount() })
   const suspicions = createSuspicions({ runtime })
+  const targetLimits = createTargetLimits({ runtime, log, ownIp: settings.ip, otherIps: () => exchange.memberIps() })
   const crashEvidence = createCrashEvidence({ runtime, log, onVerdict: verdict => metrics.promptVerdicts.inc({ verdict }) })
   const calls = createOpenCalls<OpenRequest>({ runtime })
   const dispatchers = new Map<string, Dispatcher<Reservation>>()
@@ -102,7 +104,7 @@
     signal,
     load: loadTracker,
     buildState,
-    ownNotices: () => ({ suspicions: suspicions.share(), seenLayers: fleet.seenLayers() }),
+    ownNotices: () => ({ suspicions: suspicions.share(), seenLayers: fleet.seenLayers(), limits: targetLimits.share() }),
     onNotices: applyNotices,
     crashEvidence,
     isFollowingStore: () => follower.isConnected() || readerFollower.isConnected(),
@@ -149,6 +151,7 @@
     budget,
     streams: new Set(),
     control,
+    targetLimits,
     crashEvidence,
     tellPeers: exchange.sendNow,
     hasCrashed: createCrashDetector({ control, runtime }),
@@ -165,7 +168,11 @@
     drainingForMs: () => drainingSinceMs === undefined ? undefined : Math.round(runtime.monotonicMs() - drainingSinceMs),
     targetsAgeMs: () => Math.min(follower.targetsAgeMs(), readerFollower.ageMs())
   }
-  fleet.onChange(() => suspicions.retain(new Set(fleet.targets().map(target => target.id))))
+  fleet.onChange(() => {
+    const targetIds = new Set(fleet.targets().map(target => target.id))
+    suspicions.retain(targetIds)
+    targetLimits.retain(targetIds)
+  })
 
   const logError = (error: unknown, fields: EventFields = {}): void => log.emit('unexpectedError', { ...fields, cause: error instanceof Error ? error.stack : String(error) })
   const handler = createCallHandler(context, { ownDomain: settings.failureDomain, isAccepting: () => !hasBalancerLagPassed(), endSignal: callsController.signal })
@@ -233,6 +240,7 @@
 
   function applyNotices (notices: Notices): void {
     notices.suspicions.forEach(suspicions.applyPeerSuspicion)
+    notices.limits.forEach(targetLimits.applyPeerLimit)
     for (const seen of notices.seenLayers) if (!areLayersKnown(seen)) fleet.recordSeenLayers(seen)
   }
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -16,6 +16,7 @@
 import type { RequestSize } from '../path/choosePath/index.js'
 import type { EngineControl } from '../placement/types.js'
 import type { RetryBudget } from '../retry/createRetryBudget/index.js'
+import type { TargetLimits } from '../rateLimit/createTargetLimits/index.js'
 import type { Runtime } from '../runtime/types.js'
 import type { Suspicions } from '../suspicion/createSuspicions/index.js'
 import type { Dispatcher } from '../waiting/createDispatcher/index.js'
@@ -58,6 +59,8 @@
   isSigned: boolean
   /** Address of the pipeline stage that failed. */
   faultyAddress: string | undefined
+  /** Requests a second that the target takes from all hosts together, while it says so; `malformed` if that could not be read. */
+  limitPerS: number | 'malformed' | undefined
 }
 
 /** Reads and writes the headers of calls and answers, whose names the platform defines. */
@@ -154,6 +157,8 @@
   dispatcherOf: (service: string) => Dispatcher<Reservation>
   streams: Set<ActiveStream>
   control: EngineControl
+  /** Rates of requests that targets say they take. */
+  targetLimits: TargetLimits
   /** Which parts of prompts crash engines. */
   crashEvidence: CrashEvidence
   /** Sends digests at once. */
--- a/src/path/choosePath/index.ts
+++ b/src/path/choosePath/index.ts
@@ -30,6 +30,8 @@
   loadOf: (targetId: string) => EngineLoad
   /** Multiplies the expected time of an engine; infinite for one that must not be used. */
   slownessOf: (targetId: string) => number
+  /** Whether a path may begin on an engine; all may by default. */
+  mayBeFirst?: (targetId: string) => boolean
   /** Share of an engine's cache that may be in use including this request; `CACHE_SHARE` by default. */
   cacheShare?: number
   /** Ignores the limits of engines and links, so that requests may have to wait for each other. */
@@ -99,6 +101,7 @@
     if (prefixes.length === 0) continue
     for (const candidate of candidates) {
       if (candidate.from > position || candidate.to <= position) continue
+      if (position === 0 && currentPath === undefined && options.mayBeFirst?.(candidate.target.id) === false) continue
       if (firstCandidate !== undefined && (position === 0) !== (candidate === firstCandidate)) continue
       for (const end of boundaries) {
         if (end <= position || end > candidate.to || (candidate === firstCandidate && end < candidate.to)) continue
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -13,6 +13,7 @@
 import { createCoverageCheck } from '../../src/path/createCoverageCheck/index.js'
 import { createLoadTracker } from '../../src/path/createLoadTracker/index.js'
 import type { EngineControl } from '../../src/placement/types.js'
+import { createTargetLimits } from '../../src/rateLimit/createTargetLimits/index.js'
 import { createRetryBudget } from '../../src/retry/createRetryBudget/index.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 import { createSuspicions } from '../../src/suspicion/createSuspicions/index.js'
@@ -72,6 +73,7 @@
     budget: createRetryBudget({ ratio: 0.2, extraRetries: 196, windowMs: 10_000, runtime, hostCount: () => 1 }),
     streams: new Set(),
     control: engineControl,
+    targetLimits: createTargetLimits({ runtime, log, ownIp: '127.0.0.1', otherIps: () => [] }),
     crashEvidence: createCrashEvidence({ runtime, log }),
     tellPeers: () => {},
     hasCrashed: createCrashDetector({ control: engineControl, runtime }),
--- a/test/gateway/limit.test.ts
+++ b/test/gateway/limit.test.ts
@@ -27,3 +27,20 @@
   t.true(limited.received.length - 1 <= allowedRequests(2), `${limited.received.length - 1} requests`)
   t.true(answers.every(({ status, isComplete }) => status === 200 && isComplete))
 })
+
+test('a rate that cannot be read is ignored and logged, and an answer without one lifts it', async t => {
+  const values = ['2.0', '-1', 'soon', undefined]
+  await using target = await servePlatformEngine((request, socket) => {
+    const value = values.shift()
+    return streaming(...value === undefined ? [] : [`Server-Limit: ${value}`])(request, socket)
+  })
+  await using gateway = await startTestGateway([engine('i-1', target.address)], { configuration })
+  const { targetLimits, log } = gateway.parts
+  const counts: number[] = []
+  for (let call = 0; call < 4; call++) {
+    await gateway.send('/stream/x')
+    counts.push(targetLimits.count())
+  }
+  t.deepEqual(counts, [1, 1, 1, 0])
+  t.is(log.recent().filter(({ name }) => name === 'answerFieldInvalid').length, 2)
+})
