--- a/src/event/explainCall/index.ts
+++ b/src/event/explainCall/index.ts
@@ -40,6 +40,7 @@
   overloaded: event => `no path had capacity within ${formatValue(event.waitedMs)} ms; ${formatValue(event.queueLength)} other calls waited`,
   noPipeline: () => 'every engine that it was sent to refused it without running it',
   targetUnreachable: () => 'no target of the service accepted it',
+  promptCrashesEngines: event => `part ${formatValue(event.parts)} of its prompt had crashed ${formatValue(event.crashes)} engines under ${formatValue(event.crashedRequests)} requests, the last ${formatValue(event.lastCrashAgeMs)} ms before`,
   unauthorized: event => `its key is not in version ${formatValue(event.version)} of the configuration`,
   unknownPath: event => `version ${formatValue(event.version)} of the configuration has no route for ${formatValue(event.path)}`,
   notReady: () => 'the host had not read a configuration yet',
--- a/src/event/explainCall/test.ts
+++ b/src/event/explainCall/test.ts
@@ -50,3 +50,8 @@
   t.regex(explainCall([resumed, event('processStarted', 2_500)], 'r1')!.cause, /started again 1500 ms after/)
   t.is(explainCall([resumed], 'r2'), undefined)
 })
+
+test('a refusal for a prompt that crashes engines names the part, the crashes and their age', t => {
+  const events = [event('gatewayRefused', 1_500, { request: 'r1', reason: 'promptCrashesEngines', parts: ['bad'], crashes: 3, crashedRequests: 2, lastCrashAgeMs: 400, status: 503, attempts: [] })]
+  t.regex(explainCall(events, 'r1')!.cause, /^refused without having run: part .*bad.* crashed 3 engines under 2 requests, the last 400 ms before$/)
+})
