Do not refuse as not run a call that a target has failed

Found by reading the change: a plain call that a target had answered with 500 was repeated, and if its prompt was then found to crash engines it was refused as not run, which is untrue. It now ends with the target's answer.

The test also showed that a call held back until a crash counts could go on before it did, as one timer served several crashes. The timer is now set for the next one, and a question that comes before it fires counts first. The memory of answered parts and the choice of what to drop are modules of their own.

--- a/src/crash/createCrashEvidence/index.ts
+++ b/src/crash/createCrashEvidence/index.ts
@@ -12,6 +12,8 @@
 import type { EventLog } from '../../event/types.js'
 import type { Target } from '../../fleet/types.js'
 import type { Runtime } from '../../runtime/types.js'
+import { ANSWER_VALID_MS, createAnsweredParts, partKey } from '../_lib/createAnsweredParts.js'
+import { findLeastUseful } from '../_lib/findLeastUseful.js'
 import { findCrashingParts } from '../findCrashingParts/index.js'
 import type { CrashingParts, CrashNews, CrashSighting } from '../types.js'
 
@@ -47,9 +49,6 @@
   onVerdict?: (verdict: CrashVerdict) => void
 }
 
-/** How long an answer shows that a crash around its time had another cause, in milliseconds. */
-const ANSWER_VALID_MS = 60_000
-
 /** Time after a crash for which it counts, in milliseconds; a fleet whose engines were repaired serves the part again after it. */
 const CRASH_VALID_MS = 3_600_000
 
@@ -63,7 +62,6 @@
 const MAX_SIGHTINGS = 512
 const MAX_SIGHTINGS_PER_PART = 16
 const MAX_PARTS_PER_CRASH = 8
-const MAX_ANSWERED = 4_096
 
 /** How long something new is told in each digest, in milliseconds; a few digests, as one may be lost. */
 const TOLD_MS = 350
@@ -90,8 +88,6 @@
   learnedMs: number
 }
 
-const keyOf = (service: string, part: string): string => `${service} ${part}`
-
 /**
  * @name createCrashEvidence
  * @summary Creates the evidence of one host, which is empty.
@@ -104,13 +100,13 @@
  */
 export function createCrashEvidence ({ runtime, log, onVerdict = () => {} }: EvidenceOptions): CrashEvidence {
   const sightings = new Map<string, KeptSighting>()
-  /** When each part was last answered; the latest at the end. */
-  const answeredMs = new Map<string, number>()
+  const answered = createAnsweredParts()
   const objections = new Map<string, Objection>()
   const retoldMs = new Map<string, number>()
   const listeners = new Set<() => void>()
   let crashing: CrashingParts[] = []
-  let settlingTimer: Disposable | undefined
+  /** When the next crash counts, in monotonic milliseconds, with the timer for it. */
+  let settling: { dueMs: number, timer: Disposable } | undefined
 
   const listKept = (service: string, part: string): KeptSighting[] =>
     [...sightings.values()].filter(sighting => sighting.service === service && sighting.part === part)
@@ -125,30 +121,24 @@
   }
 
   function updateWhenSettled (): void {
-    settlingTimer ??= runtime.setTimer(SETTLING_MS, () => {
-      settlingTimer = undefined
-      update()
-      const isSettling = [...sightings.values()].some(({ learnedMs }) => runtime.monotonicMs() - learnedMs < SETTLING_MS)
-      if (isSettling) updateWhenSettled()
-    })
+    if (settling !== undefined) return
+    const nowMs = runtime.monotonicMs()
+    const dueMs = Math.min(...[...sightings.values()].map(({ learnedMs }) => learnedMs + SETTLING_MS).filter(atMs => atMs > nowMs))
+    if (Number.isFinite(dueMs)) settling = { dueMs, timer: runtime.setTimer(dueMs - nowMs, updateSettled) }
   }
 
-  const isCrashing = (service: string, part: string): boolean => crashing.some(found => found.service === service && found.parts.includes(part))
-
-  /** Whether an answer shows that a crash had another cause. */
-  const isVoid = (service: string, part: string, atMs: number): boolean => (answeredMs.get(keyOf(service, part)) ?? -Infinity) + ANSWER_VALID_MS > atMs
-
-  function recordAnswer (service: string, part: string, atMs: number): void {
-    const key = keyOf(service, part)
-    const latestMs = Math.max(atMs, answeredMs.get(key) ?? -Infinity)
-    answeredMs.delete(key)
-    answeredMs.set(key, latestMs)
-    if (answeredMs.size > MAX_ANSWERED) answeredMs.delete(answeredMs.keys().next().value!)
+  function updateSettled (): void {
+    settling?.timer[Symbol.dispose]()
+    settling = undefined
+    update()
+    updateWhenSettled()
   }
 
+  const isCrashing = (service: string, part: string): boolean => crashing.some(found => found.service === service && found.parts.includes(part))
+
   /** Tells the other hosts that a part was answered. */
   function object (service: string, part: string): void {
-    objections.set(keyOf(service, part), { service, part, learnedMs: runtime.monotonicMs() })
+    objections.set(partKey(service, part), { service, part, learnedMs: runtime.monotonicMs() })
     if (objections.size > MAX_SIGHTINGS) objections.delete(objections.keys().next().value!)
   }
 
@@ -157,13 +147,13 @@
     const wasCrashing = isCrashing(service, part)
     let hasDropped = false
     for (const [key, sighting] of sightings) {
-      if (sighting.service !== service || sighting.part !== part || !isVoid(service, part, sighting.atMs)) continue
+      if (sighting.service !== service || sighting.part !== part || !answered.isVoid(service, part, sighting.atMs)) continue
       sightings.delete(key)
       hasDropped = true
     }
     if (!hasDropped) return false
     object(service, part)
-    log.emit('promptPartSound', { service, part, wasCrashing, answeredAgeMs: Math.round(runtime.monotonicMs() - answeredMs.get(keyOf(service, part))!) })
+    log.emit('promptPartSound', { service, part, wasCrashing, answeredAgeMs: Math.round(runtime.monotonicMs() - answered.latestMs(service, part)) })
     onVerdict('sound')
     return true
   }
@@ -176,7 +166,7 @@
     const kept = listKept(service, part)
     if (kept.length >= MAX_SIGHTINGS_PER_PART) return false
     sightings.set(key, sighting)
-    if (sightings.size > MAX_SIGHTINGS) dropLeastUseful()
+    if (sightings.size > MAX_SIGHTINGS) sightings.delete(findLeastUseful(sightings)!)
     updateWhenSettled()
     if (kept.length === 0) {
       log.emit('promptPartSuspected', { service, part, target: targetId, ageMs: Math.round(runtime.monotonicMs() - sighting.atMs) })
@@ -185,15 +175,6 @@
     return true
   }
 
-  /** Drops a sighting of a part with few, so that many different parts cannot push out one that crashes engines. */
-  function dropLeastUseful (): void {
-    const counts = new Map<string, number>()
-    for (const { service, part } of sightings.values()) counts.set(keyOf(service, part), (counts.get(keyOf(service, part)) ?? 0) + 1)
-    const countOf = ({ service, part }: KeptSighting): number => counts.get(keyOf(service, part))!
-    const [least] = [...sightings].sort(([, a], [, b]) => countOf(a) - countOf(b) || a.atMs - b.atMs)
-    sightings.delete(least![0])
-  }
-
   function dropExpired (): void {
     const nowMs = runtime.monotonicMs()
     for (const [key, { atMs }] of sightings) if (nowMs - atMs > CRASH_VALID_MS) sightings.delete(key)
@@ -219,7 +200,7 @@
     noteCrash (service, promptParts, { id, bornMs }) {
       const request = promptParts.at(-1)
       const nowMs = runtime.monotonicMs()
-      const shared = [...new Set(promptParts.slice(0, -1))].filter(part => !isVoid(service, part, nowMs))
+      const shared = [...new Set(promptParts.slice(0, -1))].filter(part => !answered.isVoid(service, part, nowMs))
       const known = shared.filter(part => listKept(service, part).length > 0)
       const others = shared.filter(part => !known.includes(part))
       for (const part of [...known, ...others].slice(0, MAX_PARTS_PER_CRASH)) {
@@ -228,12 +209,14 @@
     },
     noteAnswered (service, promptParts) {
       const dropped = promptParts.slice(0, -1).filter(part => {
-        recordAnswer(service, part, runtime.monotonicMs())
+        answered.record(service, part, runtime.monotonicMs())
         return sightings.size > 0 && acquit(service, part)
       })
       if (dropped.length > 0) update()
     },
     findCrashing (service, promptParts) {
+      // A call that was held back until now may ask before the timer has fired.
+      if (settling !== undefined && settling.dueMs <= runtime.monotonicMs()) updateSettled()
       if (crashing.length === 0) return undefined
       const shared = new Set(promptParts.slice(0, -1))
       const found = crashing.find(candidate => candidate.service === service && candidate.parts.every(part => shared.has(part)))
@@ -263,15 +246,15 @@
       const told = select(sightings.values()).sort((a, b) => Number(isCrashing(b.service, b.part)) - Number(isCrashing(a.service, a.part)) || b.learnedMs - a.learnedMs)
       return {
         sightings: told.slice(0, MAX_TOLD).map(({ atMs, learnedMs, ...sighting }) => ({ ...sighting, ageMs: Math.max(0, Math.round(nowMs - atMs)) })),
-        answered: select(objections.values()).slice(-MAX_TOLD).map(({ service, part }) => ({ service, part, ageMs: Math.max(0, Math.round(nowMs - (answeredMs.get(keyOf(service, part)) ?? -Infinity))) })).filter(({ ageMs }) => Number.isFinite(ageMs))
+        answered: select(objections.values()).slice(-MAX_TOLD).map(({ service, part }) => ({ service, part, ageMs: Math.max(0, Math.round(nowMs - answered.latestMs(service, part))) })).filter(({ ageMs }) => Number.isFinite(ageMs))
       }
     },
     applyNews (news) {
       const nowMs = runtime.monotonicMs()
       let hasNews = false
       for (const { service, part, ageMs } of news.answered) {
-        const knownMs = answeredMs.get(keyOf(service, part)) ?? -Infinity
-        recordAnswer(service, part, nowMs - ageMs)
+        const knownMs = answered.latestMs(service, part)
+        answered.record(service, part, nowMs - ageMs)
         const isNews = nowMs - ageMs > knownMs + MIN_ANSWER_PROGRESS_MS
         if (isNews) object(service, part)
         hasNews = acquit(service, part) || isNews || hasNews
@@ -279,8 +262,8 @@
       for (const { ageMs, ...sighting } of news.sightings) {
         const atMs = nowMs - ageMs
         if (ageMs > CRASH_VALID_MS) continue
-        if (!isVoid(sighting.service, sighting.part, atMs)) hasNews = addSighting({ ...sighting, atMs, learnedMs: nowMs }) || hasNews
-        else if (!objections.has(keyOf(sighting.service, sighting.part))) {
+        if (!answered.isVoid(sighting.service, sighting.part, atMs)) hasNews = addSighting({ ...sighting, atMs, learnedMs: nowMs }) || hasNews
+        else if (!objections.has(partKey(sighting.service, sighting.part))) {
           object(sighting.service, sighting.part)
           hasNews = true
         }
@@ -289,8 +272,8 @@
       return hasNews
     },
     counts () {
-      const parts = new Set([...sightings.values()].map(({ service, part }) => keyOf(service, part)))
-      const found = new Set(crashing.flatMap(({ service, parts: names }) => names.map(part => keyOf(service, part))))
+      const parts = new Set([...sightings.values()].map(({ service, part }) => partKey(service, part)))
+      const found = new Set(crashing.flatMap(({ service, parts: names }) => names.map(part => partKey(service, part))))
       return { suspected: [...parts].filter(part => !found.has(part)).length, crashing: found.size }
     }
   }
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -7,9 +7,9 @@
 import { openExchange } from './openExchange.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
 import { endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
-import { reserveTarget } from './reserveCapacity.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
+import { reserveTarget } from './reserveCapacity.js'
 import { endCrashingCall, noteCrash } from './crashingPrompts.js'
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 
@@ -43,7 +43,7 @@
   while (!signal.aborted) {
     const holdMs = context.crashEvidence.settlingMs(service.name, call.facts.promptParts)
     if (holdMs > 0) await sleep(holdMs, { runtime, signal })
-    if (endCrashingCall(call, context, { mayHaveRun, attempts })) return
+    if (lastFailure === undefined && endCrashingCall(call, context, { mayHaveRun, attempts })) return
     using reservation = reserveTarget(service, excluded, ownDomain, context)
     if (reservation === undefined) break
     if (countedAttempts > 0 && (countedAttempts >= route.maxAttempts || !budget.trySpend(service.name))) break
--- a/test/gateway/crash.test.ts
+++ b/test/gateway/crash.test.ts
@@ -2,7 +2,7 @@
 import type { Target } from '../../src/fleet/types.js'
 import { createEngineControl } from '../../platform/createEngineControl.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
-import { buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript, type PlatformEngineStandin } from '../../standin/platform/servePlatformEngine/index.js'
+import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript, type PlatformEngineStandin } from '../../standin/platform/servePlatformEngine/index.js'
 import { createTestLog } from '../fakes/createTestLog.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
@@ -70,3 +70,22 @@
   t.is((await send('5c1e:40,bad:10,30:250')).status, 503)
   t.like(await send('5c1e:40,3:250'), { status: 200, isComplete: true })
 })
+
+test('a call that a target has failed is not refused as not run when its prompt is found to crash engines', async t => {
+  const prompt = { 'prompt-prefix': 'bad:10,1:250' }
+  let find = (): void => {}
+  await using target = await servePlatformEngine((request, socket) => {
+    find()
+    socket.end(buildAnswer(request, 'no', { status: '500 Failed' }))
+  })
+  const orders = ['o-1', 'o-2'].map((id): Target => ({ id, service: 'orders', address: target.address, failureDomain: 'north', bornMs: 1, isLeaving: false, slots: 4 }))
+  await using gateway = await startTestGateway(orders)
+  const { crashEvidence } = gateway.parts
+  const whenFound = new Promise<void>(resolve => { crashEvidence.onFound(resolve) })
+  for (const [index, id] of ['e-1', 'e-2'].entries()) crashEvidence.noteCrash('orders', ['bad', String(index)], { ...orders[0]!, id })
+  // The third crash is told while the target runs the call.
+  find = () => crashEvidence.noteCrash('orders', ['bad', '9'], { ...orders[0]!, id: 'e-3' })
+  t.is((await gateway.send('/safe/x', prompt)).status, 500)
+  await whenFound
+  t.is((await gateway.send('/safe/x', prompt)).status, 503)
+})
