Refuse calls as overloaded when their targets take no more requests

Found by reading the change: a call to a plain service whose targets had all named a rate was refused with the reason that none could be reached, which is untrue. The test fails without this.

--- a/src/gateway/_lib/reserveCapacity.ts
+++ b/src/gateway/_lib/reserveCapacity.ts
@@ -31,6 +31,11 @@
   return { target: chosen.path[0]!.target, path: chosen.path, [Symbol.dispose]: () => claim[Symbol.dispose]() }
 }
 
+/** Whether a target that is not excluded gets no request now only because of the rate that it names. */
+export function isAnyLimited (service: Service, excluded: ReadonlySet<string>, { fleet, targetLimits }: Pick<GatewayContext, 'fleet' | 'targetLimits'>): boolean {
+  return fleet.servingTargets(service.name).some(({ id }) => !excluded.has(id) && !targetLimits.mayTake(id))
+}
+
 /** Reserves the least busy target of a plain service that is not excluded, or returns `undefined`. */
 export function reserveTarget (service: Service, excluded: ReadonlySet<string>, ownDomain: string, context: GatewayContext): Reservation | undefined {
   const { fleet, loadTracker, suspicions, targetLimits } = context
--- a/test/gateway/limit.test.ts
+++ b/test/gateway/limit.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import type { Target } from '../../src/fleet/types.js'
-import { buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
+import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 /** A model that one engine can hold. */
@@ -44,3 +44,12 @@
   t.deepEqual(counts, [1, 1, 1, 0])
   t.is(log.recent().filter(({ name }) => name === 'answerFieldInvalid').length, 2)
 })
+
+test('a call that no target takes for its rate is refused as overloaded, not as if none could be reached', async t => {
+  await using target = await servePlatformEngine((request, socket) => socket.end(buildAnswer(request, 'done', { headers: ['Server-Limit: 0.5'] })))
+  await using gateway = await startTestGateway([{ ...engine('o-1', target.address), service: 'orders' }])
+  t.is((await gateway.send('/safe/x')).status, 200)
+  t.is((await gateway.send('/safe/x')).status, 200)
+  t.like(await gateway.send('/safe/x'), { status: 503 })
+  t.is(gateway.parts.log.recent().find(({ name }) => name === 'gatewayRefused')?.reason, 'overloaded')
+})
