End a verdict on a prompt when its crashes are an hour old

Found by reading: old crashes were dropped, but the verdict that rested on them stayed until the next change, and a refusal would have named no crash. Both ways in which evidence grows old now update the verdict. The test fails without this.

--- a/src/crash/createCrashEvidence/index.ts
+++ b/src/crash/createCrashEvidence/index.ts
@@ -175,11 +175,14 @@
     return true
   }
 
-  function dropExpired (): void {
+  /** Drops what is too old to count; returns whether that were crashes. */
+  function dropExpired (): boolean {
     const nowMs = runtime.monotonicMs()
+    const countBefore = sightings.size
     for (const [key, { atMs }] of sightings) if (nowMs - atMs > CRASH_VALID_MS) sightings.delete(key)
     for (const [key, { learnedMs }] of objections) if (nowMs - learnedMs > ANSWER_VALID_MS) objections.delete(key)
     for (const [ip, atMs] of retoldMs) if (nowMs - atMs > ANSWER_VALID_MS) retoldMs.delete(ip)
+    return sightings.size < countBefore
   }
 
   function update (): void {
@@ -218,6 +221,7 @@
       // A call that was held back until now may ask before the timer has fired.
       if (settling !== undefined && settling.dueMs <= runtime.monotonicMs()) updateSettled()
       if (crashing.length === 0) return undefined
+      if (dropExpired()) update()
       const shared = new Set(promptParts.slice(0, -1))
       const found = crashing.find(candidate => candidate.service === service && candidate.parts.every(part => shared.has(part)))
       if (found === undefined) return undefined
@@ -239,7 +243,7 @@
       const nowMs = runtime.monotonicMs()
       const isRetold = nowMs - (retoldMs.get(ip) ?? -Infinity) >= RETOLD_INTERVAL_MS
       if (isRetold) {
-        dropExpired()
+        if (dropExpired()) update()
         retoldMs.set(ip, nowMs)
       }
       const select = <Entry extends { learnedMs: number }>(entries: Iterable<Entry>): Entry[] => [...entries].filter(entry => isRetold || isNewsNow(entry))
--- a/src/crash/createCrashEvidence/test.ts
+++ b/src/crash/createCrashEvidence/test.ts
@@ -123,3 +123,14 @@
   await runtime.advance(1)
   t.false(one.isFound('5c1e', '9'))
 })
+
+test('a part is served again once its crashes are an hour old, also at a host that tells others of them', async t => {
+  for (const isTelling of [false, true]) {
+    const { runtime, evidence, crash, isFound } = createHost()
+    for (const request of ['1', '2', '3']) crash('bad', request)
+    await runtime.advance(3_600_001)
+    if (isTelling) evidence.newsFor('a')
+    t.false(isFound('bad', '9'))
+    t.deepEqual(evidence.counts(), { suspected: 0, crashing: 0 })
+  }
+})
