Log the end of an engine with a fingerprint of the requests that it was running

Cause: each attempt of a client has an id of its own, so the lines of two crashes did not tell whether one request, many requests of one caller, or unrelated ones were running. Nothing is decided by it yet. Result: in the new test two repeats have one fingerprint, and a request with another body has another.

--- a/src/gateway/_lib/crashingPrompts.ts
+++ b/src/gateway/_lib/crashingPrompts.ts
@@ -23,12 +23,13 @@
 }
 
 /** Records a run whose target ended, and logs it; returns whether the request should not be sent to another target. */
-export function noteCrash ({ facts, route, service }: Call, { target, sentMs, firstEventMs }: TargetRun, context: GatewayContext): boolean {
+export function noteCrash ({ facts, fingerprint, route, service }: Call, { target, sentMs, firstEventMs }: TargetRun, context: GatewayContext): boolean {
   const { crashEvidence, log, metrics, runtime } = context
   const nowMs = runtime.monotonicMs()
   const isBeginning = firstEventMs === undefined || nowMs - firstEventMs < BEGINNING_MS
   log.emit('targetCrashed', {
     request: facts.requestId,
+    fingerprint,
     route: route.name,
     service: service.name,
     target: target.id,
--- a/src/gateway/createCallHandler/index.ts
+++ b/src/gateway/createCallHandler/index.ts
@@ -3,6 +3,7 @@
  * request, reads its body and dispatches it by the kind of its route.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { fingerprintRequest } from '../../crash/fingerprintRequest/index.js'
 import type { ClientAccount, FleetConfiguration, Route, Service } from '../../fleet/types.js'
 import { readBody } from '../../http/readBody/index.js'
 import type { ReasonName } from '../../verdict/reasons.js'
@@ -72,7 +73,8 @@
     const endMs = startedMs + Math.min(facts.deadlineMs, route.timeoutMs)
     using deadline = withDeadline(endMs - runtime.monotonicMs(), { runtime, parent: endSignal })
     response.once('close', () => deadline.abort())
-    const call: Call = { request, response, body: read.body, facts, ...resolved, startedMs, deadlineAtMs: endMs, signal: deadline.signal, progress: { tries: 0, lastEventId: facts.lastEventId } }
+    const fingerprint = fingerprintRequest({ method: request.method ?? 'GET', host: request.headers.host ?? '', path: request.url ?? '/', account: resolved.account, promptParts: facts.promptParts, body: read.body })
+    const call: Call = { request, response, body: read.body, facts, ...resolved, fingerprint, startedMs, deadlineAtMs: endMs, signal: deadline.signal, progress: { tries: 0, lastEventId: facts.lastEventId } }
     if (open !== undefined) open.call = call
     budget.countRequest(service.name)
     if (response.destroyed) return
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -84,6 +84,8 @@
   route: Route
   service: Service
   account: string | undefined
+  /** Identifies the content of the request, which its repeats share. */
+  fingerprint: string
   rank: number
   startedMs: number
   /** Monotonic time by which the caller must have a final answer. */
--- a/test/gateway/crash.test.ts
+++ b/test/gateway/crash.test.ts
@@ -48,6 +48,17 @@
   t.is(typeof crash?.firstEventAgeMs, 'number')
 })
 
+test('the end of an engine is logged with a fingerprint by which repeats of a request are recognized', async t => {
+  await using fleet = await startCrashingEngines(6, crashOnBadPart)
+  await using gateway = await startTestGateway(fleet.targets, { configuration, control })
+  for (const [requestId, body] of [['r1', 'one'], ['r2', 'one'], ['r3', 'other']] as const) await gateway.send('/stream/x', { 'request-id': requestId, 'prompt-prefix': `bad:10,${body}:250` }, body)
+  const crashes = gateway.parts.log.recent().filter(({ name }) => name === 'targetCrashed')
+  const fingerprintsOf = (requestId: string): unknown[] => [...new Set(crashes.filter(({ request }) => request === requestId).map(({ fingerprint }) => fingerprint))]
+  t.is(fingerprintsOf('r1').length, 1)
+  t.deepEqual(fingerprintsOf('r2'), fingerprintsOf('r1'))
+  t.notDeepEqual(fingerprintsOf('r3'), fingerprintsOf('r1'))
+})
+
 test('an answer that breaks off while its engine goes on is not logged as the end of the engine', async t => {
   await using fleet = await startCrashingEngines(2, () => (request, socket) => { socket.write(buildStreamHead(request) + encodeEvents([1]), () => socket.destroy()) })
   await using gateway = await startTestGateway(fleet.targets, { configuration, control })
