--- a/test/gateway/crash.test.ts
+++ b/test/gateway/crash.test.ts
@@ -82,6 +82,37 @@
   t.like(await send('5c1e:40,3:250'), { status: 200, isComplete: true })
 })
 
+/** Crashes after which a request must be known to crash engines. */
+const CRASHES_OF_ONE_REQUEST = 3
+
+/** A request that crashes engines, and a sound one that differs from it. */
+const REPEATED_REQUESTS: Array<{ name: string, path: string, headers: Record<string, string>, soundPath: string, soundHeaders: Record<string, string>, crashDelayMs: number }> = [
+  { name: 'a safe call that ends its target at once', path: '/safe/bad', headers: {}, soundPath: '/safe/x', soundHeaders: {}, crashDelayMs: 0 },
+  { name: 'a safe call that ends its target later', path: '/safe/bad', headers: {}, soundPath: '/safe/x', soundHeaders: {}, crashDelayMs: 60 },
+  { name: 'an unsafe call', path: '/unsafe/bad', headers: {}, soundPath: '/unsafe/x', soundHeaders: {}, crashDelayMs: 0 },
+  { name: 'a prompt whose other parts are sound', path: '/stream/x', headers: { 'prompt-prefix': '5c1e:40,bad:250' }, soundPath: '/stream/x', soundHeaders: { 'prompt-prefix': '5c1e:40,78:250' }, crashDelayMs: 0 }
+]
+
+for (const { name, path, headers, soundPath, soundHeaders, crashDelayMs } of REPEATED_REQUESTS) {
+  test(`repeats of a request that crashes engines stop reaching them: ${name}`, async t => {
+    await using fleet = await startCrashingEngines(16, crash => (request, socket) => {
+      const isBad = request.path.includes('bad') || request.headers['prompt-prefix']?.includes('bad') === true
+      if (isBad) setTimeout(crash, crashDelayMs)
+      else if (request.path.startsWith('/stream')) WHOLE_STREAM(request, socket)
+      else socket.end(buildAnswer(request, 'ok'))
+    })
+    const service = path.startsWith('/stream') ? 'model' : 'orders'
+    await using gateway = await startTestGateway(fleet.targets.map(target => ({ ...target, service })), { configuration, control })
+    const statuses: number[] = []
+    for (let repeat = 0; repeat < 12; repeat++) statuses.push((await gateway.send(path, { 'request-id': `r${repeat}`, ...headers })).status)
+    const reached = new Set(fleet.engines.flatMap(({ received }) => received).map(request => request.headers['request-id'])).size
+    const arrivals = fleet.engines.flatMap(({ received }) => received).length
+    t.true(arrivals <= CRASHES_OF_ONE_REQUEST + REQUESTS_AFTER, `${arrivals} requests reached engines`)
+    t.deepEqual(statuses.slice(reached).filter(status => status !== 503), [], 'a repeat that was not sent is refused as not run')
+    t.is((await gateway.send(soundPath, soundHeaders)).status, 200)
+  })
+}
+
 test('a call that a target has failed is not refused as not run when its prompt is found to crash engines', async t => {
   const prompt = { 'prompt-prefix': 'bad:10,1:250' }
   let find = (): void => {}
