--- a/src/crash/_lib/findLeastUseful.ts
+++ b/src/crash/_lib/findLeastUseful.ts
@@ -1,13 +1,12 @@
 /**
- * Chooses the sighting to drop when there are too many: an old one of a part with few, so that many
- * different parts cannot push out one that crashes engines.
+ * Chooses the sighting to drop when there are too many: the oldest one of a trait with the fewest, so
+ * that many different requests cannot push out a trait that crashes engines.
  */
-import { partKey } from './createAnsweredParts.js'
 
-/** Key of the least useful sighting; `undefined` if there is none. */
-export function findLeastUseful (sightings: ReadonlyMap<string, { service: string, part: string, atMs: number }>): string | undefined {
-  const counts = new Map<string, number>()
-  for (const { service, part } of sightings.values()) counts.set(partKey(service, part), (counts.get(partKey(service, part)) ?? 0) + 1)
-  const countOf = ({ service, part }: { service: string, part: string }): number => counts.get(partKey(service, part))!
-  return [...sightings].sort(([, a], [, b]) => countOf(a) - countOf(b) || a.atMs - b.atMs)[0]?.[0]
+/** Names of the trait with the least useful sighting and of that sighting; there must be one. */
+export function findLeastUseful (byTrait: ReadonlyMap<string, ReadonlyMap<string, { atMs: number }>>): [trait: string, name: string] {
+  const fewest = Math.min(...[...byTrait.values()].map(({ size }) => size))
+  const candidates = [...byTrait].filter(([, { size }]) => size === fewest).flatMap(([trait, kept]) => [...kept].map(([name, { atMs }]) => ({ trait, name, atMs })))
+  const { trait, name } = candidates.reduce((oldest, candidate) => candidate.atMs < oldest.atMs ? candidate : oldest)
+  return [trait, name]
 }
--- a/src/crash/createCrashEvidence/index.ts
+++ b/src/crash/createCrashEvidence/index.ts
@@ -1,10 +1,11 @@
 /**
- * Evidence of one host, with that of its peers, on parts of prompts that crash engines.
+ * Evidence of one host, with that of its peers, on requests that crash engines.
  *
- * A crash counts against the parts of every prompt whose answer had just begun, except for the last
- * part, which belongs to one request, and for parts that were answered completely a short time
- * before. A complete answer anywhere voids what was held against its parts. Nothing is voided by
- * waiting: a request that is tried to see whether its part is sound may cost another engine.
+ * A crash counts against each request whose answer had just begun: against the request as a whole,
+ * which its repeats share, and against the parts of its prompt that others share. Traits that were
+ * answered completely a short time before are left out, and a complete answer anywhere voids what
+ * was held against its traits. Nothing is voided by waiting: a request that is tried to see whether
+ * it is sound may cost another engine.
  *
  * Hosts tell each other what is new at once, and everything at intervals, so that lost digests do
  * no harm and a host that has just started learns what the others know.
@@ -12,55 +13,60 @@
 import type { EventLog } from '../../event/types.js'
 import type { Target } from '../../fleet/types.js'
 import type { Runtime } from '../../runtime/types.js'
-import { ANSWER_VALID_MS, createAnsweredParts, partKey } from '../_lib/createAnsweredParts.js'
-import { findLeastUseful } from '../_lib/findLeastUseful.js'
-import { findCrashingParts } from '../findCrashingParts/index.js'
-import type { CrashingParts, CrashNews, CrashSighting } from '../types.js'
+import { ANSWER_VALID_MS, createAnswerMemory } from '../_lib/createAnswerMemory.js'
+import { createSightings, engineOf, type KeptSighting } from '../_lib/createSightings.js'
+import { fingerprintOf, isWholeRequest, listTraits, traitKey, type Trait } from '../_lib/listTraits.js'
+import { findCrashingTraits } from '../findCrashingTraits/index.js'
+import type { CrashingTraits, CrashNews, RequestTraits } from '../types.js'
 
-/** A change of what is held against a part. */
+/** A change of what is held against a trait. */
 export type CrashVerdict = 'suspected' | 'crashing' | 'sound'
 
-/** What is known of the parts of prompts. */
+/** Kind of a trait: a part that requests share, or one request as a whole. */
+export type TraitKind = 'part' | 'request'
+
+/** Why a request is kept away from engines. */
+export type CrashingCause = CrashingTraits & { kind: TraitKind, lastCrashAgeMs: number }
+
+/** What is known of requests that crash engines. */
 export interface CrashEvidence {
-  /** Records that an engine ended when it had just begun to answer a prompt. */
-  noteCrash: (service: string, promptParts: readonly string[], target: Target) => void
-  /** Records that a prompt was answered completely, or so far that it does not crash engines. */
-  noteAnswered: (service: string, promptParts: readonly string[]) => void
-  /** The parts of a prompt that crash engines, with the age of the latest crash. */
-  findCrashing: (service: string, promptParts: readonly string[]) => (CrashingParts & { lastCrashAgeMs: number }) | undefined
-  /** Largest number of crashes held against one part of a prompt. */
-  countCrashes: (service: string, promptParts: readonly string[]) => number
-  /** How long to hold a prompt back until the latest of several crashes held against one of its parts counts, in milliseconds. */
-  settlingMs: (service: string, promptParts: readonly string[]) => number
-  /** Calls the listener when more parts are known to crash engines. */
+  /** Records that an engine ended when it had just begun to run a request. */
+  noteCrash: (request: RequestTraits, target: Target) => void
+  /** Records that a request was answered completely, or so far that it does not crash engines. */
+  noteAnswered: (request: RequestTraits) => void
+  /** Why a request crashes engines, with the age of the latest crash; `undefined` unless that is known. */
+  findCrashing: (request: RequestTraits) => CrashingCause | undefined
+  /** Largest number of crashes held against one trait of a request. */
+  countCrashes: (request: RequestTraits) => number
+  /** How long to hold a request back until the latest of several crashes held against one of its traits counts, in milliseconds. */
+  settlingMs: (request: RequestTraits) => number
+  /** Calls the listener when more traits are known to crash engines. */
   onFound: (listener: () => void) => Disposable
   /** What to tell a neighbor now. */
   newsFor: (ip: string) => CrashNews
   /** Applies what a neighbor told; returns whether something was new. */
   applyNews: (news: CrashNews) => boolean
-  /** Numbers of parts that are suspected, and that are known to crash engines. */
-  counts: () => { suspected: number, crashing: number }
+  /** Numbers of traits that are suspected, and that are known to crash engines. */
+  counts: (kind: TraitKind) => { suspected: number, crashing: number }
 }
 
 interface EvidenceOptions {
   runtime: Runtime
   log: EventLog
-  /** Called with each change of what is held against a part. */
-  onVerdict?: (verdict: CrashVerdict) => void
+  /** Called with each change of what is held against a trait. */
+  onVerdict?: (verdict: CrashVerdict, kind: TraitKind) => void
 }
 
-/** Time after a crash for which it counts, in milliseconds; a fleet whose engines were repaired serves the part again after it. */
+/** Time after a crash for which it counts, in milliseconds; a fleet whose engines were repaired serves the request again after it. */
 const CRASH_VALID_MS = 3_600_000
 
-/** Time from the first sighting of a crash until it counts, in milliseconds; until then some hosts have told only that it also struck other prompts. */
+/** Time from the first sighting of a crash until it counts, in milliseconds; until then some hosts have not told which other requests it struck. */
 const SETTLING_MS = 300
 
-/** Crashes held against a part from which its prompts are held back while the latest crash settles. */
+/** Crashes held against a trait from which its requests are held back while the latest crash settles. */
 const MIN_HELD_CRASHES = 2
 
-/** Bounds of what is kept; callers choose the ids of parts. */
-const MAX_SIGHTINGS = 512
-const MAX_SIGHTINGS_PER_PART = 16
+/** Most parts of one prompt against which a crash counts; callers choose them. */
 const MAX_PARTS_PER_CRASH = 8
 
 /** How long something new is told in each digest, in milliseconds; a few digests, as one may be lost. */
@@ -72,21 +78,18 @@
 /** Most entries of each kind in one digest. */
 const MAX_TOLD = 40
 
+/** Most traits of which others are told that they were answered. */
+const MAX_OBJECTIONS = 512
+
 /** Least progress of the time of an answer that is news, in milliseconds. */
 const MIN_ANSWER_PROGRESS_MS = 10_000
 
-/** A sighting with its monotonic times in milliseconds. */
-interface KeptSighting extends Omit<CrashSighting, 'ageMs'> {
-  atMs: number
+/** The latest answer to a trait over which hosts disagreed. */
+interface Objection extends Trait {
   learnedMs: number
 }
 
-/** The latest answer to a part over which hosts disagreed. */
-interface Objection {
-  service: string
-  part: string
-  learnedMs: number
-}
+const kindOf = (trait: Pick<Trait, 'part'>): TraitKind => isWholeRequest(trait) ? 'request' : 'part'
 
 /**
  * @name createCrashEvidence
@@ -95,35 +98,29 @@
  * @returns The evidence.
  *
  * @example
- * evidence.noteCrash(service.name, facts.promptParts, target)
- * if (evidence.findCrashing(service.name, facts.promptParts) !== undefined) refuse()
+ * evidence.noteCrash({ service: service.name, fingerprint, promptParts }, target)
+ * if (evidence.findCrashing({ service: service.name, fingerprint, promptParts }) !== undefined) refuse()
  */
 export function createCrashEvidence ({ runtime, log, onVerdict = () => {} }: EvidenceOptions): CrashEvidence {
-  const sightings = new Map<string, KeptSighting>()
-  const answered = createAnsweredParts()
+  const sightings = createSightings()
+  const answers = createAnswerMemory()
   const objections = new Map<string, Objection>()
   const retoldMs = new Map<string, number>()
   const listeners = new Set<() => void>()
-  let crashing: CrashingParts[] = []
+  let crashing: CrashingTraits[] = []
   /** When the next crash counts, in monotonic milliseconds, with the timer for it. */
   let settling: { dueMs: number, timer: Disposable } | undefined
 
-  const listKept = (service: string, part: string): KeptSighting[] =>
-    [...sightings.values()].filter(sighting => sighting.service === service && sighting.part === part)
-
-  const engineOf = ({ targetId, bornMs }: KeptSighting): string => `${targetId} ${bornMs}`
-  const countEngines = (kept: readonly KeptSighting[]): number => new Set(kept.map(engineOf)).size
-
   /** Sightings of the crashes of which this host has known for long enough. */
   function listSettled (): KeptSighting[] {
-    const settledEngines = new Set([...sightings.values()].filter(({ learnedMs }) => runtime.monotonicMs() - learnedMs >= SETTLING_MS).map(engineOf))
-    return [...sightings.values()].filter(sighting => settledEngines.has(engineOf(sighting)))
+    const settledEngines = new Set(sightings.list().filter(({ learnedMs }) => runtime.monotonicMs() - learnedMs >= SETTLING_MS).map(engineOf))
+    return sightings.list().filter(sighting => settledEngines.has(engineOf(sighting)))
   }
 
   function updateWhenSettled (): void {
     if (settling !== undefined) return
     const nowMs = runtime.monotonicMs()
-    const dueMs = Math.min(...[...sightings.values()].map(({ learnedMs }) => learnedMs + SETTLING_MS).filter(atMs => atMs > nowMs))
+    const dueMs = Math.min(...sightings.list().map(({ learnedMs }) => learnedMs + SETTLING_MS).filter(atMs => atMs > nowMs))
     if (Number.isFinite(dueMs)) settling = { dueMs, timer: runtime.setTimer(dueMs - nowMs, updateSettled) }
   }
 
@@ -134,43 +131,43 @@
     updateWhenSettled()
   }
 
-  const isCrashing = (service: string, part: string): boolean => crashing.some(found => found.service === service && found.parts.includes(part))
+  const isCrashing = ({ service, part }: Trait): boolean => crashing.some(found => found.service === service && found.parts.includes(part))
 
-  /** Tells the other hosts that a part was answered. */
-  function object (service: string, part: string): void {
-    objections.set(partKey(service, part), { service, part, learnedMs: runtime.monotonicMs() })
-    if (objections.size > MAX_SIGHTINGS) objections.delete(objections.keys().next().value!)
+  /** Tells the other hosts that a trait was answered. */
+  function object ({ service, part }: Trait): void {
+    objections.set(traitKey({ service, part }), { service, part, learnedMs: runtime.monotonicMs() })
+    if (objections.size > MAX_OBJECTIONS) objections.delete(objections.keys().next().value!)
   }
 
-  /** Drops what is held against a part; returns whether there was anything. */
-  function acquit (service: string, part: string): boolean {
-    const wasCrashing = isCrashing(service, part)
-    let hasDropped = false
-    for (const [key, sighting] of sightings) {
-      if (sighting.service !== service || sighting.part !== part || !answered.isVoid(service, part, sighting.atMs)) continue
-      sightings.delete(key)
-      hasDropped = true
-    }
+  /** Drops what is held against a trait; returns whether there was anything. */
+  function acquit (trait: Trait): boolean {
+    const wasCrashing = isCrashing(trait)
+    const wasSuspected = isSuspected(trait)
+    const hasDropped = sightings.drop(sighting => sighting.service === trait.service && sighting.part === trait.part && answers.isVoid(trait, sighting.atMs))
     if (!hasDropped) return false
-    object(service, part)
-    log.emit('promptPartSound', { service, part, wasCrashing, answeredAgeMs: Math.round(runtime.monotonicMs() - answered.latestMs(service, part)) })
-    onVerdict('sound')
+    object(trait)
+    if (!wasSuspected) return true
+    const details = { wasCrashing, answeredAgeMs: Math.round(runtime.monotonicMs() - answers.latestMs(trait)) }
+    if (isWholeRequest(trait)) log.emit('requestSound', { fingerprint: fingerprintOf(trait), ...details })
+    else log.emit('promptPartSound', { service: trait.service, part: trait.part, ...details })
+    onVerdict('sound', kindOf(trait))
     return true
   }
 
+  /** One crash makes a part suspected, but not a whole request, as each crash strikes several of these. */
+  const isSuspected = (trait: Trait): boolean => sightings.countEngines(trait) >= (isWholeRequest(trait) ? MIN_HELD_CRASHES : 1)
+
   /** Adds a sighting; returns whether it is new. */
   function addSighting (sighting: KeptSighting): boolean {
-    const { service, part, request, targetId, bornMs } = sighting
-    const key = JSON.stringify([service, part, request, targetId, bornMs])
-    if (sightings.has(key)) return false
-    const kept = listKept(service, part)
-    if (kept.length >= MAX_SIGHTINGS_PER_PART) return false
-    sightings.set(key, sighting)
-    if (sightings.size > MAX_SIGHTINGS) sightings.delete(findLeastUseful(sightings)!)
+    const wasSuspected = isSuspected(sighting)
+    if (!sightings.add(sighting)) return false
     updateWhenSettled()
-    if (kept.length === 0) {
-      log.emit('promptPartSuspected', { service, part, target: targetId, ageMs: Math.round(runtime.monotonicMs() - sighting.atMs) })
-      onVerdict('suspected')
+    if (!wasSuspected && isSuspected(sighting)) {
+      const { service, part, targetId, atMs } = sighting
+      const details = { target: targetId, ageMs: Math.round(runtime.monotonicMs() - atMs) }
+      if (isWholeRequest(sighting)) log.emit('requestSuspected', { fingerprint: fingerprintOf(sighting), ...details })
+      else log.emit('promptPartSuspected', { service, part, ...details })
+      onVerdict('suspected', kindOf(sighting))
     }
     return true
   }
@@ -178,21 +175,22 @@
   /** Drops what is too old to count; returns whether that were crashes. */
   function dropExpired (): boolean {
     const nowMs = runtime.monotonicMs()
-    const countBefore = sightings.size
-    for (const [key, { atMs }] of sightings) if (nowMs - atMs > CRASH_VALID_MS) sightings.delete(key)
     for (const [key, { learnedMs }] of objections) if (nowMs - learnedMs > ANSWER_VALID_MS) objections.delete(key)
     for (const [ip, atMs] of retoldMs) if (nowMs - atMs > ANSWER_VALID_MS) retoldMs.delete(ip)
-    return sightings.size < countBefore
+    return sightings.drop(({ atMs }) => nowMs - atMs > CRASH_VALID_MS)
   }
 
   function update (): void {
     dropExpired()
     const known = new Set(crashing.map(({ service, parts }) => JSON.stringify([service, parts])))
-    crashing = findCrashingParts(listSettled())
+    crashing = findCrashingTraits(listSettled())
     const found = crashing.filter(({ service, parts }) => !known.has(JSON.stringify([service, parts])))
     for (const { service, parts, crashes, requests } of found) {
-      log.emit('promptPartCrashing', { service, parts, crashes, requests, targets: [...new Set(parts.flatMap(part => listKept(service, part).map(({ targetId }) => targetId)))] })
-      onVerdict('crashing')
+      const targets = [...new Set(parts.flatMap(part => sightings.listOf({ service, part }).map(({ targetId }) => targetId)))]
+      const kind = kindOf({ part: parts[0]! })
+      if (kind === 'request') log.emit('requestCrashing', { fingerprint: fingerprintOf({ part: parts[0]! }), crashes, targets })
+      else log.emit('promptPartCrashing', { service, parts, crashes, requests, targets })
+      onVerdict('crashing', kind)
     }
     if (found.length > 0) for (const listener of [...listeners]) listener()
   }
@@ -200,46 +198,45 @@
   const isNewsNow = ({ learnedMs }: { learnedMs: number }): boolean => runtime.monotonicMs() - learnedMs <= TOLD_MS
 
   return {
-    noteCrash (service, promptParts, { id, bornMs }) {
-      const request = promptParts.at(-1)
+    noteCrash (request, { id, bornMs }) {
       const nowMs = runtime.monotonicMs()
-      const shared = [...new Set(promptParts.slice(0, -1))].filter(part => !answered.isVoid(service, part, nowMs))
-      const known = shared.filter(part => listKept(service, part).length > 0)
-      const others = shared.filter(part => !known.includes(part))
-      for (const part of [...known, ...others].slice(0, MAX_PARTS_PER_CRASH)) {
-        addSighting({ service, part, request: request!, targetId: id, bornMs, atMs: nowMs, learnedMs: nowMs })
+      const suspects = listTraits(request).filter(trait => !answers.isVoid(trait, nowMs))
+      const known = suspects.filter(trait => !isWholeRequest(trait) && sightings.listOf(trait).length > 0)
+      const others = suspects.filter(trait => !isWholeRequest(trait) && !known.includes(trait))
+      for (const { service, part } of [...suspects.filter(isWholeRequest), ...[...known, ...others].slice(0, MAX_PARTS_PER_CRASH)]) {
+        addSighting({ service, part, request: request.fingerprint, targetId: id, bornMs, atMs: nowMs, learnedMs: nowMs })
       }
     },
-    noteAnswered (service, promptParts) {
-      const dropped = promptParts.slice(0, -1).filter(part => {
-        answered.record(service, part, runtime.monotonicMs())
-        return sightings.size > 0 && acquit(service, part)
+    noteAnswered (request) {
+      const cleared = listTraits(request).filter(trait => {
+        answers.record(trait, runtime.monotonicMs())
+        return sightings.size() > 0 && acquit(trait)
       })
-      if (dropped.length > 0) update()
+      if (cleared.length > 0) update()
     },
-    findCrashing (service, promptParts) {
+    findCrashing (request) {
       // A call that was held back until now may ask before the timer has fired.
       if (settling !== undefined && settling.dueMs <= runtime.monotonicMs()) updateSettled()
       if (crashing.length === 0) return undefined
       if (dropExpired()) update()
-      const shared = new Set(promptParts.slice(0, -1))
-      const found = crashing.find(candidate => candidate.service === service && candidate.parts.every(part => shared.has(part)))
+      const keys = new Set(listTraits(request).map(traitKey))
+      const found = crashing.find(({ service, parts }) => parts.every(part => keys.has(traitKey({ service, part }))))
       if (found === undefined) return undefined
-      const times = listKept(service, found.parts[0]!).map(({ atMs }) => atMs)
-      return { ...found, lastCrashAgeMs: Math.round(runtime.monotonicMs() - Math.max(...times)) }
+      const timesMs = sightings.listOf({ service: found.service, part: found.parts[0]! }).map(({ atMs }) => atMs)
+      return { ...found, kind: kindOf({ part: found.parts[0]! }), lastCrashAgeMs: Math.round(runtime.monotonicMs() - Math.max(...timesMs)) }
     },
-    settlingMs (service, promptParts) {
-      if (sightings.size === 0) return 0
-      const held = promptParts.slice(0, -1).map(part => listKept(service, part)).filter(kept => countEngines(kept) >= MIN_HELD_CRASHES)
-      return Math.max(0, ...held.flat().map(({ learnedMs }) => learnedMs + SETTLING_MS - runtime.monotonicMs()))
+    settlingMs (request) {
+      if (sightings.size() === 0) return 0
+      const held = listTraits(request).filter(trait => sightings.countEngines(trait) >= MIN_HELD_CRASHES)
+      return Math.max(0, ...held.flatMap(sightings.listOf).map(({ learnedMs }) => learnedMs + SETTLING_MS - runtime.monotonicMs()))
     },
-    countCrashes: (service, promptParts) => Math.max(0, ...promptParts.slice(0, -1).map(part => countEngines(listKept(service, part)))),
+    countCrashes: request => Math.max(0, ...listTraits(request).map(sightings.countEngines)),
     onFound (listener) {
       listeners.add(listener)
       return { [Symbol.dispose]: () => { listeners.delete(listener) } }
     },
     newsFor (ip) {
-      if (sightings.size + objections.size === 0) return { sightings: [], answered: [] }
+      if (sightings.size() + objections.size === 0) return { sightings: [], answered: [] }
       const nowMs = runtime.monotonicMs()
       const isRetold = nowMs - (retoldMs.get(ip) ?? -Infinity) >= RETOLD_INTERVAL_MS
       if (isRetold) {
@@ -247,38 +244,45 @@
         retoldMs.set(ip, nowMs)
       }
       const select = <Entry extends { learnedMs: number }>(entries: Iterable<Entry>): Entry[] => [...entries].filter(entry => isRetold || isNewsNow(entry))
-      const told = select(sightings.values()).sort((a, b) => Number(isCrashing(b.service, b.part)) - Number(isCrashing(a.service, a.part)) || b.learnedMs - a.learnedMs)
       return {
-        sightings: told.slice(0, MAX_TOLD).map(({ atMs, learnedMs, ...sighting }) => ({ ...sighting, ageMs: Math.max(0, Math.round(nowMs - atMs)) })),
-        answered: select(objections.values()).slice(-MAX_TOLD).map(({ service, part }) => ({ service, part, ageMs: Math.max(0, Math.round(nowMs - answered.latestMs(service, part))) })).filter(({ ageMs }) => Number.isFinite(ageMs))
+        sightings: sortByUse(select(sightings.list())).slice(0, MAX_TOLD).map(({ atMs, learnedMs, ...sighting }) => ({ ...sighting, ageMs: Math.max(0, Math.round(nowMs - atMs)) })),
+        answered: select(objections.values()).slice(-MAX_TOLD).map(({ service, part }) => ({ service, part, ageMs: Math.max(0, Math.round(nowMs - answers.latestMs({ service, part }))) })).filter(({ ageMs }) => Number.isFinite(ageMs))
       }
     },
     applyNews (news) {
       const nowMs = runtime.monotonicMs()
       let hasNews = false
-      for (const { service, part, ageMs } of news.answered) {
-        const knownMs = answered.latestMs(service, part)
-        answered.record(service, part, nowMs - ageMs)
+      for (const { ageMs, ...trait } of news.answered) {
+        const knownMs = answers.latestMs(trait)
+        answers.record(trait, nowMs - ageMs)
         const isNews = nowMs - ageMs > knownMs + MIN_ANSWER_PROGRESS_MS
-        if (isNews) object(service, part)
-        hasNews = acquit(service, part) || isNews || hasNews
+        if (isNews) object(trait)
+        hasNews = acquit(trait) || isNews || hasNews
       }
       for (const { ageMs, ...sighting } of news.sightings) {
         const atMs = nowMs - ageMs
         if (ageMs > CRASH_VALID_MS) continue
-        if (!answered.isVoid(sighting.service, sighting.part, atMs)) hasNews = addSighting({ ...sighting, atMs, learnedMs: nowMs }) || hasNews
-        else if (!objections.has(partKey(sighting.service, sighting.part))) {
-          object(sighting.service, sighting.part)
+        if (!answers.isVoid(sighting, atMs)) hasNews = addSighting({ ...sighting, atMs, learnedMs: nowMs }) || hasNews
+        else if (!objections.has(traitKey(sighting))) {
+          object(sighting)
           hasNews = true
         }
       }
       if (hasNews) update()
       return hasNews
     },
-    counts () {
-      const parts = new Set([...sightings.values()].map(({ service, part }) => partKey(service, part)))
-      const found = new Set(crashing.flatMap(({ service, parts: names }) => names.map(part => partKey(service, part))))
-      return { suspected: [...parts].filter(part => !found.has(part)).length, crashing: found.size }
+    counts (kind) {
+      const suspected = new Set(sightings.list().filter(sighting => kindOf(sighting) === kind && isSuspected(sighting)).map(traitKey))
+      const found = new Set(crashing.flatMap(({ service, parts }) => parts.filter(part => kindOf({ part }) === kind).map(part => traitKey({ service, part }))))
+      return { suspected: [...suspected].filter(key => !found.has(key)).length, crashing: found.size }
     }
   }
+
+  /** First what is known to crash engines, then traits with many crashes, then what is new; a digest has room for the first of them only. */
+  function sortByUse (told: readonly KeptSighting[]): KeptSighting[] {
+    const engineCounts = new Map<string, number>()
+    for (const sighting of told) engineCounts.set(traitKey(sighting), sightings.countEngines(sighting))
+    const engines = (sighting: KeptSighting): number => engineCounts.get(traitKey(sighting))!
+    return [...told].sort((a, b) => Number(isCrashing(b)) - Number(isCrashing(a)) || engines(b) - engines(a) || b.learnedMs - a.learnedMs)
+  }
 }
--- a/src/crash/createCrashEvidence/test.ts
+++ b/src/crash/createCrashEvidence/test.ts
@@ -3,6 +3,7 @@
 import { buildEngine } from '../../../test/fakes/buildFleet.js'
 import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
 import { createTestLog } from '../../../test/fakes/createTestLog.js'
+import type { RequestTraits } from '../types.js'
 import { createCrashEvidence } from './index.js'
 
 const TOLD_MS = 350
@@ -10,13 +11,16 @@
 /** Time after which a crash counts. */
 const SETTLING_MS = 300
 
+/** A request whose repeats have the same prompt. */
+const requestOf = (service: string, ...promptParts: string[]): RequestTraits => ({ service, fingerprint: promptParts.join('-'), promptParts })
+
 function createHost (runtime = createManualRuntime()) {
   const log = createTestLog()
   const evidence = createCrashEvidence({ runtime, log })
   let crashes = 0
   /** One more engine ends under a prompt. */
-  const crash = (...parts: string[]): void => evidence.noteCrash('model', parts, buildEngine(`i-${crashes++}`, 'north', 'large'))
-  return { runtime, log, evidence, crash, isFound: (...parts: string[]): boolean => evidence.findCrashing('model', parts) !== undefined }
+  const crash = (...parts: string[]): void => evidence.noteCrash(requestOf('model', ...parts), buildEngine(`i-${crashes++}`, 'north', 'large'))
+  return { runtime, log, evidence, crash, isFound: (...parts: string[]): boolean => evidence.findCrashing(requestOf('model', ...parts)) !== undefined }
 }
 
 test('requests with a part that crashes engines are recognized whatever else they hold', async t => {
@@ -26,22 +30,22 @@
   for (const request of ['1', '2', '3']) crash('5c1e', 'bad', request)
   await runtime.advance(SETTLING_MS)
   crash('f00d', 'bad', '4')
-  t.is(evidence.settlingMs('model', ['bad', '9']), SETTLING_MS)
-  t.is(evidence.settlingMs('model', ['f00d', '9']), 0)
+  t.is(evidence.settlingMs(requestOf('model', 'bad', '9')), SETTLING_MS)
+  t.is(evidence.settlingMs(requestOf('model', 'f00d', '9')), 0)
   await runtime.advance(SETTLING_MS)
   t.true(isFound('0', 'bad', '9'))
   t.false(isFound('5c1e', '9'))
   t.false(isFound('5c1e', 'f00d', 'bad'), 'the last part belongs to the request')
-  t.is(evidence.findCrashing('other', ['bad', '9']), undefined)
+  t.is(evidence.findCrashing(requestOf('other', 'bad', '9')), undefined)
   t.is(calls, 2)
   subscription[Symbol.dispose]()
   t.deepEqual(log.recent().filter(({ name }) => name === 'promptPartCrashing').at(-1)?.parts, ['bad'])
-  t.deepEqual(evidence.counts(), { suspected: 2, crashing: 1 })
+  t.deepEqual(evidence.counts('part'), { suspected: 2, crashing: 1 })
 })
 
 test('a part that was answered shortly before is not suspected, and an answer later clears it', async t => {
   const { runtime, evidence, crash, isFound } = createHost()
-  evidence.noteAnswered('model', ['5c1e', '1'])
+  evidence.noteAnswered(requestOf('model', '5c1e', '1'))
   for (const request of ['1', '2', '3', '4']) crash('5c1e', request)
   await runtime.advance(SETTLING_MS)
   t.false(isFound('5c1e', '9'))
@@ -49,7 +53,7 @@
   for (const request of ['1', '2', '3']) crash('5c1e', request)
   await runtime.advance(SETTLING_MS)
   t.true(isFound('5c1e', '9'))
-  evidence.noteAnswered('model', ['5c1e', '8'])
+  evidence.noteAnswered(requestOf('model', '5c1e', '8'))
   t.false(isFound('5c1e', '9'))
 })
 
@@ -63,8 +67,8 @@
 test('hosts that saw one crash each find the part together', async t => {
   const runtime = createManualRuntime()
   const hosts = [createHost(runtime), createHost(runtime), createHost(runtime)]
-  for (const [index, { evidence }] of hosts.entries()) evidence.noteCrash('model', ['5c1e', 'bad', String(index)], buildEngine(`i-${index}`, 'north', 'large'))
-  hosts[2]!.evidence.noteAnswered('model', ['5c1e', '7'])
+  for (const [index, { evidence }] of hosts.entries()) evidence.noteCrash(requestOf('model', '5c1e', 'bad', String(index)), buildEngine(`i-${index}`, 'north', 'large'))
+  hosts[2]!.evidence.noteAnswered(requestOf('model', '5c1e', '7'))
   for (const from of hosts) for (const to of hosts) if (from !== to) to.evidence.applyNews(from.evidence.newsFor('x'))
   for (const from of hosts) for (const to of hosts) if (from !== to) to.evidence.applyNews(from.evidence.newsFor('x'))
   await runtime.advance(SETTLING_MS)
@@ -74,7 +78,7 @@
 test('an answer that another host gave voids what is held against a part', async t => {
   const runtime = createManualRuntime()
   const [one, other] = [createHost(runtime), createHost(runtime)]
-  one.evidence.noteAnswered('model', ['5c1e', '7'])
+  one.evidence.noteAnswered(requestOf('model', '5c1e', '7'))
   for (const request of ['1', '2', '3']) other.crash('5c1e', request)
   await runtime.advance(SETTLING_MS)
   t.true(other.isFound('5c1e', '9'))
@@ -95,7 +99,7 @@
   late.evidence.applyNews(evidence.newsFor('a'))
   await runtime.advance(SETTLING_MS)
   t.true(late.isFound('bad', '9'))
-  t.is(late.evidence.findCrashing('model', ['bad', '9'])?.lastCrashAgeMs, TOLD_MS + 501 + SETTLING_MS)
+  t.is(late.evidence.findCrashing(requestOf('model', 'bad', '9'))?.lastCrashAgeMs, TOLD_MS + 501 + SETTLING_MS)
 })
 
 test('callers that send many different parts push nothing out and do not fill the memory', async t => {
@@ -103,11 +107,11 @@
   for (const request of ['1', '2', '3']) crash('bad', request)
   for (let index = 0; index < 5_000; index++) {
     crash(`a${index}`, `b${index}`, String(index))
-    evidence.noteAnswered('model', [`c${index}`, String(index)])
+    evidence.noteAnswered(requestOf('model', `c${index}`, String(index)))
   }
   await runtime.advance(SETTLING_MS)
   t.true(isFound('bad', '9'))
-  t.true(evidence.counts().suspected <= 512)
+  t.true(evidence.counts('part').suspected <= 512)
   t.true(evidence.newsFor('a').sightings.length <= 40)
   t.true(evidence.newsFor('b').sightings.some(({ part }) => part === 'bad'))
 })
@@ -116,9 +120,9 @@
   const runtime = createManualRuntime()
   const [one, other] = [createHost(runtime), createHost(runtime)]
   const [first, second, third] = ['i-1', 'i-2', 'i-3'].map(id => buildEngine(id, 'north', 'large')) as [Target, Target, Target]
-  for (const [index, engine] of [first, second, third].entries()) one.evidence.noteCrash('model', ['5c1e', String(index)], engine)
+  for (const [index, engine] of [first, second, third].entries()) one.evidence.noteCrash(requestOf('model', '5c1e', String(index)), engine)
   await runtime.advance(SETTLING_MS - 1)
-  for (const [index, engine] of [first, second, third].entries()) other.evidence.noteCrash('model', ['bad', `b${index}`], engine)
+  for (const [index, engine] of [first, second, third].entries()) other.evidence.noteCrash(requestOf('model', 'bad', `b${index}`), engine)
   one.evidence.applyNews(other.evidence.newsFor('one'))
   await runtime.advance(1)
   t.false(one.isFound('5c1e', '9'))
@@ -131,6 +135,48 @@
     await runtime.advance(3_600_001)
     if (isTelling) evidence.newsFor('a')
     t.false(isFound('bad', '9'))
-    t.deepEqual(evidence.counts(), { suspected: 0, crashing: 0 })
+    t.deepEqual(evidence.counts('part'), { suspected: 0, crashing: 0 })
+  }
+})
+
+test('three crashes under repeats of one request are held against it alone, at every service', async t => {
+  const { runtime, log, evidence, crash, isFound } = createHost()
+  crash('5c1e', '1')
+  t.is(evidence.settlingMs(requestOf('model', '5c1e', '1')), 0)
+  crash('5c1e', '1')
+  t.is(evidence.settlingMs(requestOf('model', '5c1e', '1')), SETTLING_MS)
+  crash('5c1e', '1')
+  await runtime.advance(SETTLING_MS)
+  t.like(evidence.findCrashing(requestOf('other', '5c1e', '1')), { kind: 'request', crashes: 3, lastCrashAgeMs: SETTLING_MS })
+  t.false(isFound('5c1e', '2'))
+  t.deepEqual(evidence.counts('request'), { suspected: 0, crashing: 1 })
+  t.deepEqual(log.recent().filter(({ name }) => name.startsWith('request')).map(({ name }) => name), ['requestSuspected', 'requestCrashing'])
+  evidence.noteAnswered(requestOf('model', '5c1e', '1'))
+  t.is(evidence.findCrashing(requestOf('model', '5c1e', '1')), undefined)
+})
+
+test('a request that many callers send is not suspected while it is answered in between', async t => {
+  const { runtime, evidence, crash } = createHost()
+  for (let index = 0; index < 5; index++) {
+    evidence.noteAnswered(requestOf('model', 'popular'))
+    await runtime.advance(9_000)
+    crash('popular')
   }
+  await runtime.advance(SETTLING_MS)
+  t.is(evidence.findCrashing(requestOf('model', 'popular')), undefined)
+  for (let index = 0; index < 3; index++) {
+    await runtime.advance(2_000)
+    crash('popular')
+  }
+  await runtime.advance(SETTLING_MS)
+  t.not(evidence.findCrashing(requestOf('model', 'popular')), undefined, 'its last answer is too long ago')
+})
+
+test('callers that send many requests that crash one engine each push out none that crashed several', async t => {
+  const { runtime, evidence, crash } = createHost()
+  for (let index = 0; index < 3; index++) crash('repeated')
+  for (let index = 0; index < 3_000; index++) crash(`once-${index}`)
+  await runtime.advance(SETTLING_MS)
+  t.is(evidence.findCrashing(requestOf('model', 'repeated'))?.crashes, 3)
+  t.true(evidence.newsFor('a').sightings.some(({ request }) => request === 'repeated'))
 })
--- /dev/null
+++ b/src/crash/findCrashingTraits/index.ts
@@ -0,0 +1,110 @@
+/**
+ * Finds what the requests that crash engines have in common. It is meant for two load patterns: one
+ * request comes again and again, and requests that share one part of their prompts are otherwise
+ * all different. Either ends each engine that begins to run it, while sound requests run on the
+ * same engines and share their other parts.
+ *
+ * Any request that had just begun on an engine that ended may be the cause, so one crash proves
+ * nothing. Crashes under repeats of one request speak against that request and not against the
+ * parts that it shares with others. The part with the most crashes explains them, and only what
+ * remains counts for other parts and for whole requests. While another part may explain the same
+ * crashes, more of them are needed; then the rarest is taken, and if it is the wrong one, the next
+ * crash gives another part the most. Parts that only ever occurred together cannot be told apart:
+ * they count together, and a request with one of them alone is not affected.
+ */
+import { engineOf } from '../_lib/createSightings.js'
+import { isWholeRequest, traitKey } from '../_lib/listTraits.js'
+import type { CrashingTraits, CrashSighting } from '../types.js'
+
+/** Least number of crashes, and for a part of different requests, that show the cause. */
+const MIN_CRASHES = 3
+const MIN_REQUESTS = 2
+
+/** Number of crashes that shows that a part is the cause even if another part may explain them. */
+const CERTAIN_CRASHES = 5
+
+type Sighting = Pick<CrashSighting, 'service' | 'part' | 'request' | 'targetId' | 'bornMs'>
+
+interface Suspect {
+  service: string
+  part: string
+  engines: Set<string>
+  /** Engines that ended under each request. */
+  enginesByRequest: Map<string, Set<string>>
+  sightings: number
+}
+
+/**
+ * @name findCrashingTraits
+ * @summary Finds the requests and the parts of prompts that explain crashes of engines.
+ * @param sightings - What is known of crashes, without traits that were answered since.
+ * @returns The parts and the whole requests that crash engines.
+ *
+ * @example
+ * findCrashingTraits(sightings).map(({ parts }) => parts)
+ */
+export function findCrashingTraits (sightings: Iterable<Sighting>): CrashingTraits[] {
+  const suspects = collectSuspects(sightings)
+  const explained = new Set<string>()
+  const parts = findCrashingParts(suspects.filter(suspect => !isWholeRequest(suspect)), explained)
+  return [...parts, ...findCrashingRequests(suspects.filter(isWholeRequest), explained)]
+}
+
+function collectSuspects (sightings: Iterable<Sighting>): Suspect[] {
+  const suspects = new Map<string, Suspect>()
+  for (const sighting of sightings) {
+    const { service, part, request } = sighting
+    const suspect = suspects.get(traitKey(sighting)) ?? { service, part, engines: new Set(), enginesByRequest: new Map(), sightings: 0 }
+    suspects.set(traitKey(sighting), suspect)
+    const engine = engineOf(sighting)
+    suspect.engines.add(engine)
+    suspect.enginesByRequest.set(request, (suspect.enginesByRequest.get(request) ?? new Set()).add(engine))
+    suspect.sightings++
+  }
+  return [...suspects.values()]
+}
+
+/** Finds parts of prompts, and adds the engines whose end they explain to `explained`. */
+function findCrashingParts (suspects: readonly Suspect[], explained: Set<string>): CrashingTraits[] {
+  const found: CrashingTraits[] = []
+  const groups = groupBySameEvidence(suspects)
+  for (const group of groups) {
+    const { service, engines, enginesByRequest } = group[0]!
+    const unexplained = [...engines].filter(engine => !explained.has(engine))
+    const crashes = countDistinctCrashes(unexplained, [...enginesByRequest.values()])
+    const hasRival = (): boolean => groups.some(other => other !== group && unexplained.every(engine => other[0]!.engines.has(engine)))
+    const isShown = enginesByRequest.size >= MIN_REQUESTS && (crashes >= CERTAIN_CRASHES || (crashes >= MIN_CRASHES && !hasRival()))
+    if (!isShown) continue
+    for (const engine of engines) explained.add(engine)
+    found.push({ service, parts: group.map(({ part }) => part), crashes: engines.size, requests: enginesByRequest.size })
+  }
+  return found
+}
+
+/** Number of crashes that speak against a part; those that a single request explains count as one. */
+function countDistinctCrashes (engines: readonly string[], enginesOfRequests: ReadonlyArray<ReadonlySet<string>>): number {
+  const ofRepeats = enginesOfRequests.map(ended => engines.filter(engine => ended.has(engine))).filter(ended => ended.length >= MIN_CRASHES)
+  const endedByRepeats = new Set(ofRepeats.flat())
+  const separate = engines.filter(engine => !endedByRepeats.has(engine)).length
+  return separate + (endedByRepeats.size > 0 ? 1 : 0)
+}
+
+/** Finds whole requests. All that were on the same engines are taken, since waiting to tell them apart would cost more of these. */
+function findCrashingRequests (suspects: readonly Suspect[], explained: ReadonlySet<string>): CrashingTraits[] {
+  const remaining = suspects.map(({ part, engines }) => ({ part, engines: [...engines].filter(engine => !explained.has(engine)) })).filter(({ engines }) => engines.length >= MIN_CRASHES)
+  const isExplained = (engines: readonly string[]): boolean =>
+    remaining.some(other => other.engines.length > engines.length && engines.every(engine => other.engines.includes(engine)))
+  return remaining.filter(({ engines }) => !isExplained(engines)).map(({ part, engines }) => ({ service: '', parts: [part], crashes: engines.length, requests: 1 }))
+}
+
+/** Suspects with the same crashes and requests together, in an order on which all hosts agree: most crashes first, then the rarest. */
+function groupBySameEvidence (suspects: readonly Suspect[]): Suspect[][] {
+  const groups = new Map<string, Suspect[]>()
+  for (const suspect of suspects) {
+    const key = JSON.stringify([suspect.service, [...suspect.engines].sort(), [...suspect.enginesByRequest.keys()].sort()])
+    groups.set(key, [...groups.get(key) ?? [], suspect])
+  }
+  for (const group of groups.values()) group.sort((one, other) => one.part < other.part ? -1 : 1)
+  return [...groups.values()].sort(([one], [other]) =>
+    other!.engines.size - one!.engines.size || one!.sightings - other!.sightings || (one!.part < other!.part ? -1 : 1))
+}
--- a/src/crash/findCrashingParts/test.ts
+++ b/src/crash/findCrashingTraits/test.ts
@@ -1,9 +1,10 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { findCrashingParts } from './index.js'
+import { findCrashingTraits } from './index.js'
 
 const sighting = (part: string, request: string, engine: number) => ({ service: 'model', part, request, targetId: `i-${engine}`, bornMs: 1 })
-const partsOf = (sightings: Parameters<typeof findCrashingParts>[0]): string[][] => findCrashingParts(sightings).map(({ parts }) => parts)
+const whole = (request: string, engine: number) => ({ service: '', part: `request:${request}`, request, targetId: `i-${engine}`, bornMs: 1 })
+const partsOf = (sightings: Parameters<typeof findCrashingTraits>[0]): string[][] => findCrashingTraits(sightings).map(({ parts }) => parts)
 
 test('three crashes under two requests show the part, fewer do not', t => {
   t.deepEqual(partsOf([sighting('bad', '1', 1), sighting('bad', '1', 2), sighting('bad', '2', 3)]), [['bad']])
@@ -11,10 +12,24 @@
   t.deepEqual(partsOf([sighting('bad', '1', 1), sighting('bad', '2', 1), sighting('bad', '3', 1)]), [])
 })
 
-test('repeats of one request need five crashes', t => {
-  const crashes = [1, 2, 3, 4, 5].map(engine => sighting('bad', '1', engine))
-  t.deepEqual(partsOf(crashes.slice(0, 4)), [])
-  t.deepEqual(partsOf(crashes), [['bad']])
+test('repeats of one request are held against the request and not against a part that it shares', t => {
+  const crashes = (request: string, engines: number[]) => engines.flatMap(engine => [sighting('shared', request, engine), whole(request, engine)])
+  t.deepEqual(partsOf(crashes('1', [1, 2])), [])
+  t.deepEqual(partsOf(crashes('1', [1, 2, 3])), [['request:1']])
+  t.deepEqual(partsOf(crashes('1', [1, 2, 3, 4, 5, 6])), [['request:1']])
+  t.deepEqual(partsOf([...crashes('1', [1, 2, 3, 4, 5, 6]), ...crashes('2', [7])]), [['request:1']], 'one more crash had another cause')
+  t.deepEqual(partsOf([...crashes('1', [1, 2, 3, 4, 5, 6]), ...crashes('2', [7]), ...crashes('3', [8])]), [['shared']])
+})
+
+test('a request that was on engines that a part crashed is not taken for the cause', t => {
+  const bad = [1, 2, 3, 4].flatMap(engine => [sighting('bad', `b${engine}`, engine), whole(`b${engine}`, engine)])
+  t.deepEqual(partsOf([...bad, ...[1, 2, 3].map(engine => whole('sound', engine))]), [['bad']])
+})
+
+test('a request that was on some of the engines that another one crashed is not taken for the cause', t => {
+  const bad = [1, 2, 3, 4].map(engine => whole('bad', engine))
+  t.deepEqual(partsOf([...bad, ...[1, 2, 3].map(engine => whole('sound', engine))]), [['request:bad']])
+  t.deepEqual(partsOf([...bad.slice(1), ...[2, 3, 4].map(engine => whole('other', engine))]), [['request:bad'], ['request:other']])
 })
 
 test('crashes that another part explains do not count', t => {
--- a/src/crash/types.ts
+++ b/src/crash/types.ts
@@ -1,14 +1,15 @@
 /**
- * Evidence on parts of prompts that crash engines, as hosts tell it each other in their digests.
+ * Evidence on requests that crash engines, as hosts tell it each other in their digests.
  */
 import { z } from 'zod'
 
-/** An engine that ended when it had just begun to answer a prompt with this part. */
+/** An engine that ended when it had just begun to run a request with this trait. */
 export const crashSightingSchema = z.object({
+  /** Empty for a whole request. */
   service: z.string(),
-  /** Id of a part of the prompt that other requests may share. */
+  /** Id of a part of the prompt that other requests may share, or the request as a whole. */
   part: z.string(),
-  /** Id of the last part of the prompt, which tells requests apart; their repeats have the same. */
+  /** Tells requests apart; their repeats have the same. */
   request: z.string(),
   targetId: z.string(),
   /** Start of the target, in Unix milliseconds; tells apart two starts with one id. */
@@ -17,7 +18,7 @@
   ageMs: z.number().min(0)
 })
 
-/** A part of prompts that an engine has answered completely. */
+/** A part of prompts, or a whole request, that an engine has answered completely. */
 export const answeredPartSchema = z.object({
   service: z.string(),
   part: z.string(),
@@ -31,13 +32,23 @@
   answered: z.array(answeredPartSchema)
 })
 
-/** An engine that ended when it had just begun to answer a prompt with this part. */
+/** An engine that ended when it had just begun to run a request with this trait. */
 export type CrashSighting = z.infer<typeof crashSightingSchema>
 /** What a host tells another one. */
 export type CrashNews = z.infer<typeof crashNewsSchema>
 
-/** Parts of prompts that crash engines when they occur together; mostly a single part. */
-export interface CrashingParts {
+/** What a request is recognized by. */
+export interface RequestTraits {
+  service: string
+  /** Identifies the whole content of the request. */
+  fingerprint: string
+  /** Ids of the parts of its prompt, in order; the last one belongs to the request itself. */
+  promptParts: readonly string[]
+}
+
+/** Parts of prompts that crash engines when they occur together, mostly a single part, or one whole request. */
+export interface CrashingTraits {
+  /** Empty for a whole request. */
   service: string
   parts: string[]
   /** Number of engines that ended. */
--- a/src/digest/createDigestExchange/test.ts
+++ b/src/digest/createDigestExchange/test.ts
@@ -2,8 +2,11 @@
 import { createSimulatedHosts, type SimulatedHost } from '../../../test/fakes/createSimulatedHosts.js'
 import { buildEngine } from '../../../test/fakes/buildFleet.js'
 import { hashLoadKey } from '../../path/hashLoadKey/index.js'
+import type { RequestTraits } from '../../crash/types.js'
 import { decodeDigest, encodeDigest, type Digest } from '../types.js'
 
+const requestOf = (...promptParts: string[]): RequestTraits => ({ service: 'model', fingerprint: promptParts.join('-'), promptParts })
+
 const SIZE = { promptTokens: 100, outputTokens: 50 }
 const pathOf = (id: string) => [{ target: buildEngine(id, 'north', 'large'), from: 0, to: 80 }]
 const DIGEST: Digest = {
@@ -95,13 +98,23 @@
   const network = createSimulatedHosts({ seed: 3 })
   network.startAll(195, ['north', 'east', 'south'])
   network.advance(5_000)
-  for (const index of [10, 90, 170]) network.hosts[index]!.crashEvidence.noteCrash('model', ['5c1e', 'bad', String(index)], buildEngine(`i-${index}`, 'north', 'large'))
-  network.hosts[50]!.crashEvidence.noteAnswered('model', ['5c1e', '1'])
+  for (const index of [10, 90, 170]) network.hosts[index]!.crashEvidence.noteCrash(requestOf('5c1e', 'bad', String(index)), buildEngine(`i-${index}`, 'north', 'large'))
+  network.hosts[50]!.crashEvidence.noteAnswered(requestOf('5c1e', '1'))
   network.advance(1_000)
-  const find = (host: SimulatedHost) => host.crashEvidence.findCrashing('model', ['5c1e', 'bad', '9'])
+  const find = (host: SimulatedHost) => host.crashEvidence.findCrashing(requestOf('5c1e', 'bad', '9'))
   t.deepEqual(network.hosts.filter(host => find(host)?.parts.join() !== 'bad').map(({ ip }) => ip), [])
   network.advance(3_000)
   const late = network.startHost('10.1.0.250', 'north', network.hosts.slice(0, 3).map(({ ip }) => ip))
   network.advance(2_000)
   t.is(find(late)?.crashes, 3)
 })
+
+test('a request that crashes engines at three of 195 hosts is known to all of them in a second', t => {
+  const network = createSimulatedHosts({ seed: 4 })
+  network.startAll(195, ['north', 'east', 'south'])
+  network.advance(5_000)
+  for (const index of [10, 90, 170]) network.hosts[index]!.crashEvidence.noteCrash(requestOf('5c1e', '1'), buildEngine(`i-${index}`, 'north', 'large'))
+  network.advance(1_000)
+  t.deepEqual(network.hosts.filter(host => host.crashEvidence.findCrashing(requestOf('5c1e', '1'))?.kind !== 'request').map(({ ip }) => ip), [])
+  t.deepEqual(network.hosts.filter(host => host.crashEvidence.findCrashing(requestOf('5c1e', '2')) !== undefined).map(({ ip }) => ip), [])
+})
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { withConnectionClose, type BufferedAnswer } from './answerCaller.js'
-import { noteProgress } from './crashingPrompts.js'
+import { noteProgress } from './crashingRequests.js'
 import { noteLimit } from './noteLimit.js'
 import { createEventSplitter } from './createEventSplitter.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -10,7 +10,7 @@
 import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
 import { isAnyLimited, reserveTarget } from './reserveCapacity.js'
-import { endCrashingCall, noteCrash } from './crashingPrompts.js'
+import { endCrashingCall, findCrashing, noteCrash, traitsOf } from './crashingRequests.js'
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 
 /** Time without an answer after which a safe call is retried, as a multiple of the route's latency objective. */
@@ -41,9 +41,10 @@
   let mayHaveRun = false
   let lastFailure: Extract<AttemptResult, { kind: 'whole' }> | undefined
   while (!signal.aborted) {
-    const holdMs = context.crashEvidence.settlingMs(service.name, call.facts.promptParts)
+    const holdMs = context.crashEvidence.settlingMs(traitsOf(call))
     if (holdMs > 0) await sleep(holdMs, { runtime, signal })
     if (lastFailure === undefined && endCrashingCall(call, context, { mayHaveRun, attempts })) return
+    if (signal.aborted || findCrashing(call, context) !== undefined) break
     using reservation = reserveTarget(service, excluded, ownDomain, context)
     if (reservation === undefined) break
     if (countedAttempts > 0 && (countedAttempts >= route.maxAttempts || !budget.trySpend(service.name))) break
@@ -87,7 +88,7 @@
   endWithReason(call, context, isAnyLimited(service, excluded, context) ? 'overloaded' : 'targetUnreachable', { attempts, retryAfterMs: RETRY_AFTER_MS })
 
   function finishWithAnswer (result: Extract<AttemptResult, { kind: 'whole' }>): void {
-    if (result.status < 500) context.crashEvidence.noteAnswered(service.name, call.facts.promptParts)
+    if (result.status < 500) context.crashEvidence.noteAnswered(traitsOf(call))
     sendAnswer(call, context, result)
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
     log.emit('gatewayAnswered', {
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -15,7 +15,7 @@
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { DeadlineError } from '../../runtime/withDeadline/index.js'
-import { closeWhenCrashing, endCrashingCall, noteCrash } from './crashingPrompts.js'
+import { closeWhenCrashing, endCrashingCall, findCrashing, noteCrash, traitsOf } from './crashingRequests.js'
 import type { ActiveStream, Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 
 /** Longest useful wait of a new request for a reservation, as a multiple of the route's latency objective; callers give up on a silent stream after four. */
@@ -70,7 +70,7 @@
   const isEndedAsCrashing = (): boolean => endCrashingCall(call, context, { mayHaveRun: progress.mayHaveRun, ...details() })
 
   while (!signal.aborted) {
-    const holdMs = hasBegun() ? 0 : context.crashEvidence.settlingMs(service.name, facts.promptParts)
+    const holdMs = hasBegun() ? 0 : context.crashEvidence.settlingMs(traitsOf(call))
     if (holdMs > 0) await sleep(holdMs, { runtime, signal })
     if (isEndedAsCrashing()) return
     if (progress.tries > 0) {
@@ -113,7 +113,7 @@
       failedIds.add(target.id)
       context.suspicions.note(target.id, result.kind === 'refusedByTarget' ? 'failedAnswer' : 'lostAnswer')
       if (result.kind === 'brokenOff' && result.isBrokenByTarget && await context.hasCrashed(target) && noteCrash(call, run, context)) {
-        if (!isEndedAsCrashing()) endWithoutAnswer('prompt suspected of crashes')
+        if (!isEndedAsCrashing()) endWithoutAnswer('request suspected of crashes')
         return
       }
       if (result.kind === 'refusedByTarget') {
@@ -148,7 +148,7 @@
         return model === undefined ? reserveTarget(service, excluded, ownDomain, context) : reservePath(service, size, excluded, ownDomain, context)
       },
       isPlaceExpected () {
-        if (context.crashEvidence.findCrashing(service.name, facts.promptParts) !== undefined) return false
+        if (findCrashing(call, context) !== undefined) return false
         if (model === undefined) return fleet.servingTargets(service.name).length > 0
         if (context.checkCoverage(service).isWhole) lastCoveredMs = runtime.monotonicMs()
         return runtime.monotonicMs() - lastCoveredMs < RELOAD_WINDOW_MS
@@ -157,12 +157,12 @@
     })
   }
 
-  function endWithoutAnswer (cause: 'retry budget spent' | 'attempts spent' | 'prompt suspected of crashes'): void {
+  function endWithoutAnswer (cause: 'retry budget spent' | 'attempts spent' | 'request suspected of crashes'): void {
     endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, retryAfterMs: RETRY_AFTER_MS, cutCause: 'attempts' })
   }
 
   function recordAnswer (): void {
-    context.crashEvidence.noteAnswered(service.name, facts.promptParts)
+    context.crashEvidence.noteAnswered(traitsOf(call))
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
     log.emit('gatewayAnswered', {
       request: facts.requestId,
--- a/src/gateway/_lib/updateGauges.ts
+++ b/src/gateway/_lib/updateGauges.ts
@@ -15,9 +15,11 @@
   metrics.configurationVersion.set(fleet.configuration()?.version ?? -1)
   metrics.targetsAgeSeconds.set(targetsAgeMs() / MS_PER_S)
   metrics.hosts.set(hostCount())
-  const { suspected, crashing } = crashEvidence.counts()
-  metrics.promptParts.set({ state: 'suspected' }, suspected)
-  metrics.promptParts.set({ state: 'crashing' }, crashing)
+  for (const [kind, gauge] of [['part', metrics.promptParts], ['request', metrics.crashingRequests]] as const) {
+    const { suspected, crashing } = crashEvidence.counts(kind)
+    gauge.set({ state: 'suspected' }, suspected)
+    gauge.set({ state: 'crashing' }, crashing)
+  }
   metrics.loadAgeSeconds.set(loadAgeMs() / MS_PER_S)
   metrics.targets.set({ state: 'listed' }, targets.length)
   metrics.targets.set({ state: 'leaving' }, targets.filter(target => target.isLeaving).length)
--- a/src/gateway/createGatewayMetrics/index.ts
+++ b/src/gateway/createGatewayMetrics/index.ts
@@ -16,6 +16,8 @@
   invalidFields: Counter<'field'>
   promptVerdicts: Counter<'verdict'>
   promptParts: Gauge<'state'>
+  requestVerdicts: Counter<'verdict'>
+  crashingRequests: Gauge<'state'>
   firstEventSeconds: Histogram
   waitSeconds: Histogram
   storeCalls: Counter<'operation'>
@@ -51,6 +53,8 @@
     attempts: new Counter({ name: 'coltsfootlead_gateway_attempts_total', help: 'Requests sent to targets by result', labelNames: ['result'], registers }),
     crashes: new Counter({ name: 'coltsfootlead_gateway_runs_crashed_total', help: 'Runs whose target ended, by whether an event of their answer had arrived', labelNames: ['progress'], registers }),
     promptVerdicts: new Counter({ name: 'coltsfootlead_gateway_prompt_verdicts_total', help: 'Parts of prompts that became suspected, known to crash engines, or sound again', labelNames: ['verdict'], registers }),
+    requestVerdicts: new Counter({ name: 'coltsfootlead_gateway_request_verdicts_total', help: 'Requests whose repeats became suspected, known to crash engines, or sound again', labelNames: ['verdict'], registers }),
+    crashingRequests: new Gauge({ name: 'coltsfootlead_gateway_crashing_requests', help: 'Requests whose repeats are suspected, or known, to crash engines', labelNames: ['state'], registers }),
     promptParts: new Gauge({ name: 'coltsfootlead_gateway_prompt_parts', help: 'Parts of prompts that are suspected, or known, to crash engines', labelNames: ['state'], registers }),
     invalidFields: new Counter({ name: 'coltsfootlead_gateway_invalid_answer_fields_total', help: 'Fields in answers of targets that could not be read and were ignored', labelNames: ['field'], registers }),
     firstEventSeconds: new Histogram({ name: 'coltsfootlead_gateway_first_event_seconds', help: 'Time from arrival to the first event of a stream', buckets: TIME_BUCKETS_S, registers }),
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -85,7 +85,7 @@
   const loadTracker = createLoadTracker({ runtime, hostCount: () => exchange.hostCount() })
   const suspicions = createSuspicions({ runtime })
   const targetLimits = createTargetLimits({ runtime, log, ownIp: settings.ip, otherIps: () => exchange.memberIps() })
-  const crashEvidence = createCrashEvidence({ runtime, log, onVerdict: verdict => metrics.promptVerdicts.inc({ verdict }) })
+  const crashEvidence = createCrashEvidence({ runtime, log, onVerdict: (verdict, kind) => metrics[kind === 'part' ? 'promptVerdicts' : 'requestVerdicts'].inc({ verdict }) })
   const calls = createOpenCalls<OpenRequest>({ runtime })
   const dispatchers = new Map<string, Dispatcher<Reservation>>()
   const startedMs = runtime.nowMs()
--- a/src/verdict/reasons.ts
+++ b/src/verdict/reasons.ts
@@ -33,6 +33,7 @@
   deadlinePassed: { number: 303, status: 504, title: 'The deadline of the request has passed.' },
   targetUnreachable: { number: 304, status: 503, title: 'No target of the service could be reached.' },
   promptCrashesEngines: { number: 305, status: 503, title: 'A part of the prompt has crashed the engines that began to answer it.' },
+  requestCrashesEngines: { number: 306, status: 503, title: 'Each time this request was run, the engine ended that had begun to run it.' },
   bookingInDoubt: { number: 401, status: 409, title: 'An earlier call with this key may have run.' },
   bookingMismatch: { number: 402, status: 422, title: 'This key was used with another request body.' },
   bookingStoreUnavailable: { number: 403, status: 503, title: 'The booking could not be recorded, so this call was not sent.' },
--- a/test/gateway/crash.test.ts
+++ b/test/gateway/crash.test.ts
@@ -124,9 +124,9 @@
   await using gateway = await startTestGateway(orders)
   const { crashEvidence } = gateway.parts
   const whenFound = new Promise<void>(resolve => { crashEvidence.onFound(resolve) })
-  for (const [index, id] of ['e-1', 'e-2'].entries()) crashEvidence.noteCrash('orders', ['bad', String(index)], { ...orders[0]!, id })
+  for (const [index, id] of ['e-1', 'e-2'].entries()) crashEvidence.noteCrash({ service: 'orders', fingerprint: id, promptParts: ['bad', String(index)] }, { ...orders[0]!, id })
   // The third crash is told while the target runs the call.
-  find = () => crashEvidence.noteCrash('orders', ['bad', '9'], { ...orders[0]!, id: 'e-3' })
+  find = () => crashEvidence.noteCrash({ service: 'orders', fingerprint: '9', promptParts: ['bad', '9'] }, { ...orders[0]!, id: 'e-3' })
   t.is((await gateway.send('/safe/x', prompt)).status, 500)
   await whenFound
   t.is((await gateway.send('/safe/x', prompt)).status, 503)
