Read the clock once when crashes come to count

Cause: whether a crash has been known for 300 ms was asked of the clock, and the time of the next crash to count of a second reading. A crash whose time came between the two readings neither counted nor got a timer, and the verdict was lost until the next crash or digest. Change: both go by one reading. Result: a new test that lets timers fire up to 0.2 ms early failed at 0.035 ms before the change, and passes.

--- a/src/crash/createCrashEvidence/index.ts
+++ b/src/crash/createCrashEvidence/index.ts
@@ -111,24 +111,27 @@
   /** When the next crash counts, in monotonic milliseconds, with the timer for it. */
   let settling: { dueMs: number, timer: Disposable } | undefined
 
+  const dueMsOf = ({ learnedMs }: KeptSighting): number => learnedMs + SETTLING_MS
+
   /** Sightings of the crashes of which this host has known for long enough. */
-  function listSettled (): KeptSighting[] {
-    const settledEngines = new Set(sightings.list().filter(({ learnedMs }) => runtime.monotonicMs() - learnedMs >= SETTLING_MS).map(engineOf))
+  function listSettled (nowMs: number): KeptSighting[] {
+    const settledEngines = new Set(sightings.list().filter(sighting => dueMsOf(sighting) <= nowMs).map(engineOf))
     return sightings.list().filter(sighting => settledEngines.has(engineOf(sighting)))
   }
 
-  function updateWhenSettled (): void {
+  function updateWhenSettled (nowMs: number): void {
     if (settling !== undefined) return
-    const nowMs = runtime.monotonicMs()
-    const dueMs = Math.min(...sightings.list().map(({ learnedMs }) => learnedMs + SETTLING_MS).filter(atMs => atMs > nowMs))
+    const dueMs = Math.min(...sightings.list().map(dueMsOf).filter(atMs => atMs > nowMs))
     if (Number.isFinite(dueMs)) settling = { dueMs, timer: runtime.setTimer(dueMs - nowMs, updateSettled) }
   }
 
+  /** Reads the clock once: a crash whose time came between two readings would neither count nor get another timer. */
   function updateSettled (): void {
+    const nowMs = runtime.monotonicMs()
     settling?.timer[Symbol.dispose]()
     settling = undefined
-    update()
-    updateWhenSettled()
+    update(nowMs)
+    updateWhenSettled(nowMs)
   }
 
   const isCrashing = ({ service, part }: Trait): boolean => crashing.some(found => found.service === service && found.parts.includes(part))
@@ -161,7 +164,7 @@
   function addSighting (sighting: KeptSighting): boolean {
     const wasSuspected = isSuspected(sighting)
     if (!sightings.add(sighting)) return false
-    updateWhenSettled()
+    updateWhenSettled(sighting.learnedMs)
     if (!wasSuspected && isSuspected(sighting)) {
       const { service, part, targetId, atMs } = sighting
       const details = { target: targetId, ageMs: Math.round(runtime.monotonicMs() - atMs) }
@@ -180,10 +183,10 @@
     return sightings.drop(({ atMs }) => nowMs - atMs > CRASH_VALID_MS)
   }
 
-  function update (): void {
+  function update (nowMs: number): void {
     dropExpired()
     const known = new Set(crashing.map(({ service, parts }) => JSON.stringify([service, parts])))
-    crashing = findCrashingTraits(listSettled())
+    crashing = findCrashingTraits(listSettled(nowMs))
     const found = crashing.filter(({ service, parts }) => !known.has(JSON.stringify([service, parts])))
     for (const { service, parts, crashes, requests } of found) {
       const targets = [...new Set(parts.flatMap(part => sightings.listOf({ service, part }).map(({ targetId }) => targetId)))]
@@ -212,13 +215,13 @@
         answers.record(trait, runtime.monotonicMs())
         return sightings.size() > 0 && acquit(trait)
       })
-      if (cleared.length > 0) update()
+      if (cleared.length > 0) update(runtime.monotonicMs())
     },
     findCrashing (request) {
       // A call that was held back until now may ask before the timer has fired.
       if (settling !== undefined && settling.dueMs <= runtime.monotonicMs()) updateSettled()
       if (crashing.length === 0) return undefined
-      if (dropExpired()) update()
+      if (dropExpired()) update(runtime.monotonicMs())
       const keys = new Set(listTraits(request).map(traitKey))
       const found = crashing.find(({ service, parts }) => parts.every(part => keys.has(traitKey({ service, part }))))
       if (found === undefined) return undefined
@@ -240,7 +243,7 @@
       const nowMs = runtime.monotonicMs()
       const isRetold = nowMs - (retoldMs.get(ip) ?? -Infinity) >= RETOLD_INTERVAL_MS
       if (isRetold) {
-        if (dropExpired()) update()
+        if (dropExpired()) update(nowMs)
         retoldMs.set(ip, nowMs)
       }
       const select = <Entry extends { learnedMs: number }>(entries: Iterable<Entry>): Entry[] => [...entries].filter(entry => isRetold || isNewsNow(entry))
@@ -268,7 +271,7 @@
           hasNews = true
         }
       }
-      if (hasNews) update()
+      if (hasNews) update(nowMs)
       return hasNews
     },
     counts (kind) {
--- a/src/crash/createCrashEvidence/test.ts
+++ b/src/crash/createCrashEvidence/test.ts
@@ -180,3 +180,31 @@
   t.is(evidence.findCrashing(requestOf('model', 'repeated'))?.crashes, 3)
   t.true(evidence.newsFor('a').sightings.some(({ request }) => request === 'repeated'))
 })
+
+test('a crash counts also if its time comes while the evidence is being looked at', t => {
+  let nowMs = 0
+  const due: Array<{ atMs: number, callback: () => void }> = []
+  const runtime = {
+    ...createManualRuntime(),
+    monotonicMs () {
+      nowMs += 0.01
+      return nowMs
+    },
+    setTimer (delayMs: number, callback: () => void) {
+      due.push({ atMs: nowMs + delayMs, callback })
+      return { [Symbol.dispose]: () => {} }
+    }
+  }
+  for (let earlyMs = 0; earlyMs < 0.2; earlyMs += 0.005) {
+    const { evidence, crash } = createHost(runtime)
+    let isFound = false
+    evidence.onFound(() => { isFound = true })
+    for (const request of ['1', '2', '3']) crash('bad', request)
+    // Each timer fires a little early, so that a later look at the clock finds its time passed.
+    for (let timer = due.shift(); timer !== undefined; timer = due.shift()) {
+      nowMs = Math.max(nowMs, timer.atMs - earlyMs)
+      timer.callback()
+    }
+    t.true(isFound, `timer ${earlyMs} ms early`)
+  }
+})
