Open connections to targets through one function that the gateway is given

Cause: a test could not cut one host off from targets that another host reaches, since each exchange opened its own connection. Change: openExchange sends over a connection that the port connectTarget has opened; a failed connect still proves that nothing was sent. No decision changes.

--- a/src/gateway/_lib/openExchange.ts
+++ b/src/gateway/_lib/openExchange.ts
@@ -5,10 +5,8 @@
  */
 import http from 'node:http'
 import type { IncomingMessage } from 'node:http'
-import type { Runtime } from '../../runtime/types.js'
-
-/** Timeout of a connect, in milliseconds; several times the round trip between any two failure domains of a region. */
-export const CONNECT_TIMEOUT_MS = 100
+import type { Socket } from 'node:net'
+import type { ConnectTarget } from '../../links/types.js'
 
 /** The answer once its headers arrived, or why there is none. */
 export type ExchangeResult =
@@ -36,46 +34,56 @@
   /** Raw headers: names and values alternate. */
   headers: string[]
   body: Buffer
-  runtime: Runtime
+  connect: ConnectTarget
 }
 
 /** Sends a request to `ip:port`. */
 export function openExchange (address: string, options: ExchangeOptions): Exchange {
-  const { method, path, headers, body, runtime } = options
-  const [ip, port] = address.split(':')
-  const request = http.request({ host: ip, port: Number(port), method, path, headers, agent: false })
-  let isConnected = false
+  const { connect } = options
   let hasFailed = false
-  let isClosedHere = false
-  const result = new Promise<ExchangeResult>(resolve => {
-    // After a stall the event loop runs timers before socket events: wait for the poll phase, so that a connect that has succeeded meanwhile counts.
-    const cancelConnect = (): void => { if (!isConnected) request.destroy(new Error('connect timed out')) }
-    const timer = runtime.setTimer(CONNECT_TIMEOUT_MS, () => setImmediate(cancelConnect))
-    request.once('socket', socket => socket.once('connect', () => {
-      isConnected = true
-      socket.setNoDelay(true)
-      timer[Symbol.dispose]()
-    }))
-    request.once('response', answer => resolve({ kind: 'answered', answer }))
+  let closedBy: Error | undefined
+  let request: http.ClientRequest | undefined
+  let noteClosed = (): void => {}
+  const whenClosed = new Promise<undefined>(resolve => { noteClosed = () => resolve(undefined) })
+  const open = async (): Promise<ExchangeResult> => {
+    const connecting = connect(address)
+    let socket: Socket | undefined
+    try {
+      socket = await Promise.race([connecting, whenClosed])
+    } catch (error) {
+      return { kind: 'notSent', cause: error instanceof Error ? error.message : String(error) }
+    }
+    if (socket === undefined || closedBy !== undefined) {
+      connecting.then(unused => unused.destroy(), () => { /* There is no connection to close. */ })
+      return { kind: 'notSent', cause: closedBy!.message }
+    }
+    request = sendOver(socket, options)
     // After this event the HTTP parser ends an answer without a length as if it were complete.
-    request.on('error', error => {
-      hasFailed = true
-      timer[Symbol.dispose]()
-      resolve({ kind: isConnected ? 'lost' : 'notSent', cause: error.message })
-    })
-    request.once('close', () => {
-      timer[Symbol.dispose]()
-      resolve({ kind: isConnected ? 'lost' : 'notSent', cause: 'connection closed' })
-    })
-  })
-  request.end(body)
+    request.on('error', () => { hasFailed = true })
+    return await waitForAnswer(request)
+  }
   return {
-    result,
+    result: open(),
     hasFailed: () => hasFailed,
-    isClosedHere: () => isClosedHere,
+    isClosedHere: () => closedBy !== undefined,
     close (cause) {
-      isClosedHere = true
-      request.destroy(new Error(cause))
+      closedBy ??= new Error(cause)
+      noteClosed()
+      request?.destroy(closedBy)
     }
   }
 }
+
+function sendOver (socket: Socket, { method, path, headers, body }: ExchangeOptions): http.ClientRequest {
+  const request = http.request({ method, path, headers, createConnection: () => socket })
+  request.end(body)
+  return request
+}
+
+function waitForAnswer (request: http.ClientRequest): Promise<ExchangeResult> {
+  return new Promise(resolve => {
+    request.once('response', answer => resolve({ kind: 'answered', answer }))
+    request.on('error', error => resolve({ kind: 'lost', cause: error.message }))
+    request.once('close', () => resolve({ kind: 'lost', cause: 'connection closed' }))
+  })
+}
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -114,7 +114,7 @@
     path: request.url ?? '/',
     headers: format.buildHeaders(request, body, { requestId: facts.requestId, account, leftMs, targetId: reservation.target.id, path: undefined, lastEventId: undefined }),
     body,
-    runtime
+    connect: context.connectTarget
   })
   const closeExchange = (): void => exchange.close('call ended')
   signal.addEventListener('abort', closeExchange, { once: true })
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -209,7 +209,7 @@
     path: request.url ?? '/',
     headers: format.buildHeaders(request, body, { requestId: facts.requestId, account, leftMs, targetId: reservation.target.id, path: reservation.path, lastEventId }),
     body,
-    runtime
+    connect: context.connectTarget
   })
   const closeExchange = (): void => exchange.close('call ended')
   signal.addEventListener('abort', closeExchange, { once: true })
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -72,7 +72,7 @@
  * await using gateway = await startGateway(settings, ports)
  */
 export async function startGateway (settings: GatewaySettings, ports: GatewayPorts): Promise<Gateway> {
-  const { store, control, socket, format, runtime, log, metrics } = ports
+  const { store, control, connectTarget, socket, format, runtime, log, metrics } = ports
   const resources = createResourceStack()
   const controller = new AbortController()
   const { signal } = controller
@@ -151,6 +151,7 @@
     budget,
     streams: new Set(),
     control,
+    connectTarget,
     targetLimits,
     crashEvidence,
     tellPeers: exchange.sendNow,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -10,6 +10,7 @@
 import type { FleetFormat } from '../fleet/followFleet/index.js'
 import type { Path, Route, Service, Target } from '../fleet/types.js'
 import type { OpenCall } from '../http/createOpenCalls/index.js'
+import type { ConnectTarget } from '../links/types.js'
 import type { ObjectStore } from '../objectApi/types.js'
 import type { Coverage } from '../path/createCoverageCheck/index.js'
 import type { LoadTracker } from '../path/createLoadTracker/index.js'
@@ -159,6 +160,7 @@
   dispatcherOf: (service: string) => Dispatcher<Reservation>
   streams: Set<ActiveStream>
   control: EngineControl
+  connectTarget: ConnectTarget
   /** Rates of requests that targets say they take. */
   targetLimits: TargetLimits
   /** Which parts of prompts crash engines. */
@@ -210,6 +212,8 @@
 export interface GatewayPorts {
   store: ObjectStore
   control: EngineControl
+  /** Opens this host's own connections to targets. */
+  connectTarget: ConnectTarget
   socket: DigestSocket
   format: CallFormat
   fleetFormat: FleetFormat
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -9,6 +9,7 @@
 import type { GatewayContext, Reservation } from '../../src/gateway/types.js'
 import { createFleetState } from '../../src/fleet/createFleetState/index.js'
 import type { FleetConfiguration, Route, Target } from '../../src/fleet/types.js'
+import { connectSocket } from '../../src/links/connectSocket/index.js'
 import { listen } from '../../src/http/listen/index.js'
 import { createCoverageCheck } from '../../src/path/createCoverageCheck/index.js'
 import { createLoadTracker } from '../../src/path/createLoadTracker/index.js'
@@ -73,6 +74,7 @@
     budget: createRetryBudget({ ratio: 0.2, extraRetries: 196, windowMs: 10_000, runtime, hostCount: () => 1 }),
     streams: new Set(),
     control: engineControl,
+    connectTarget: address => connectSocket(address, { timeoutMs: 100, runtime }),
     targetLimits: createTargetLimits({ runtime, log, ownIp: '127.0.0.1', otherIps: () => [] }),
     crashEvidence: createCrashEvidence({ runtime, log }),
     tellPeers: () => {},
--- a/test/gateway/startGateway.test.ts
+++ b/test/gateway/startGateway.test.ts
@@ -11,6 +11,7 @@
 import { createGatewayMetrics } from '../../src/gateway/createGatewayMetrics/index.js'
 import { startGateway } from '../../src/gateway/startGateway/index.js'
 import type { CallFormat } from '../../src/gateway/types.js'
+import { connectSocket } from '../../src/links/connectSocket/index.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 import type { Runtime } from '../../src/runtime/types.js'
 import { buildAnswer, servePlatformEngine, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
@@ -55,6 +56,7 @@
   }, {
     store: createPlatformStore({ address: store.address, callTimeoutMs: 60_000, watchWaitMs: 100, watchGraceMs: 60_000, runtime, onCall: () => {} }),
     control: { report: async () => undefined, place: async () => ({ kind: 'begun' }), repath: async () => ({ kind: 'done' }), isReachable: async () => true },
+    connectTarget: address => connectSocket(address, { timeoutMs: 100, runtime }),
     socket: NO_PEERS,
     format,
     fleetFormat: createFleetFormat(log),
