Test that a host cut off from all targets still serves calls and misleads no peer (fails)

Two whole gateways share three targets; the connections of one of them to targets fail. On this code the cut host refuses every call, and its peer, which reaches all targets, refuses calls as well, since the cut host tells it that no target can be reached.

--- /dev/null
+++ b/test/gateway/links.test.ts
@@ -0,0 +1,143 @@
+import { once } from 'node:events'
+import { createServer, type AddressInfo } from 'node:net'
+import test from 'ava'
+import { createEngineControl } from '../../platform/createEngineControl.js'
+import { createPlatformStore } from '../../platform/createPlatformStore.js'
+import { createFleetFormat } from '../../platform/decode.js'
+import { platformHeaders } from '../../platform/headers.js'
+import type { DigestSocket } from '../../src/digest/types.js'
+import { createGatewayMetrics } from '../../src/gateway/createGatewayMetrics/index.js'
+import { startGateway } from '../../src/gateway/startGateway/index.js'
+import { connectSocket } from '../../src/links/connectSocket/index.js'
+import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
+import { buildAnswer, servePlatformEngine } from '../../standin/platform/servePlatformEngine/index.js'
+import { servePlatformStore } from '../../standin/platform/servePlatformStore/index.js'
+import { createTestLog } from '../fakes/createTestLog.js'
+import { sendCall } from '../fakes/startTestGateway.js'
+
+const runtime = createSystemRuntime()
+
+/** Ports that were free when they were asked for. */
+async function findFreePorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, async () => {
+    const server = createServer().listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    return server
+  }))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(server => new Promise(resolve => { server.close(resolve) })))
+  return ports
+}
+
+/** Digest sockets of hosts in one process. */
+function createDigestNetwork () {
+  const listeners = new Map<string, (ip: string, bytes: Buffer) => void>()
+  return (ip: string): DigestSocket => ({
+    send (to, bytes) { setImmediate(() => listeners.get(to)?.(ip, bytes)) },
+    onMessage (listener) { listeners.set(ip, listener) },
+    async [Symbol.asyncDispose] () { listeners.delete(ip) }
+  })
+}
+
+const connectDirectly = (address: string) => connectSocket(address, { timeoutMs: 100, runtime })
+
+/** Two whole gateways, of which the first may be cut off from the targets, in front of three targets. */
+async function startHosts () {
+  const store = await servePlatformStore()
+  const targets = await Promise.all([1, 2, 3].map(async index => {
+    const standin = await servePlatformEngine((request, socket) => { socket.end(buildAnswer(request, 'done')) })
+    store.put('servers', `i-${index}`, { service: 'orders', address: standin.address, zone: 'north', version: 'v1', slots: 100, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 5 })
+    return standin
+  }))
+  const route = (kind: string) => ({ name: kind, host: 'studio.example', path_prefix: `/${kind}/`, kind, timeout_ms: 5_000, target_latency_ms: 2_000, max_attempts: 2, service: 'orders' })
+  store.put('config', 'main', {
+    version: 1,
+    routes: [route('safe'), route('unsafe')],
+    services: [{ name: 'orders' }],
+    limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+    tenants: [{ name: 'studio', api_keys: ['secret'] }]
+  })
+  const [callerPort, readinessPort, internalPort, metricsPort] = await findFreePorts(4) as [number, number, number, number]
+  const createSocket = createDigestNetwork()
+  let isCut = false
+  const ips = ['127.0.0.1', '127.0.0.2']
+  const hosts = await Promise.all(ips.map(async (ip, index) => {
+    const log = createTestLog()
+    const direct = async (address: string) => {
+      if (index === 0 && isCut) throw new Error('connect ECONNREFUSED')
+      return await connectDirectly(address)
+    }
+    const control = createEngineControl({ runtime, log })
+    const gateway = await startGateway({
+      host: `entry-${index}`,
+      ip,
+      failureDomain: 'north',
+      callerAddress: { address: ip, port: callerPort },
+      readinessAddress: { address: ip, port: readinessPort },
+      internalAddress: { address: ip, port: internalPort },
+      metricsAddress: { address: ip, port: metricsPort },
+      seedIps: ips,
+      retryRatio: 0.2,
+      retryExtra: 196,
+      retryWindowMs: 10_000,
+      graceMs: 60_000,
+      balancerLagMs: 50
+    }, {
+      store: createPlatformStore({ address: store.address, callTimeoutMs: 60_000, watchWaitMs: 100, watchGraceMs: 60_000, runtime, onCall: () => {} }),
+      control: { ...control, isReachable: async target => !(index === 0 && isCut) && await control.isReachable(target) },
+      connectTarget: direct,
+      socket: createSocket(ip),
+      format: platformHeaders,
+      fleetFormat: createFleetFormat(log),
+      runtime,
+      log,
+      metrics: createGatewayMetrics()
+    })
+    return { gateway, log, address: `${ip}:${callerPort}` }
+  }))
+  const [cutHost, peer] = hosts as [typeof hosts[0], typeof hosts[0]]
+  return {
+    targets,
+    cutHost,
+    peer,
+    cut (next: boolean) { isCut = next },
+    async [Symbol.asyncDispose] () {
+      for (const { gateway } of hosts) await gateway[Symbol.asyncDispose]()
+      for (const target of targets) await target[Symbol.asyncDispose]()
+      await store[Symbol.asyncDispose]()
+    }
+  }
+}
+
+/** Sends a call until it has the status; the time limit of the test bounds the wait. */
+async function sendUntil (address: string, status: number): Promise<void> {
+  while ((await sendCall(address, '/safe/x', {}, '')).status !== status) await new Promise(resolve => { setImmediate(resolve) })
+}
+
+/** Calls at the cut host of which the first ones may find out that it is cut off. */
+const CALLS_TO_KNOW = 10
+
+test('a host that is cut off from all targets serves calls through a peer that reaches them', async t => {
+  await using hosts = await startHosts()
+  await sendUntil(hosts.peer.address, 200)
+  await sendUntil(hosts.cutHost.address, 200)
+  hosts.cut(true)
+  const send = async (call: number) => (await sendCall(hosts.cutHost.address, call % 2 === 0 ? '/safe/x' : '/unsafe/x', {}, '')).status
+  for (let call = 0; call < CALLS_TO_KNOW; call++) await send(call)
+  const statuses: number[] = []
+  for (let call = 0; call < 20; call++) statuses.push(await send(call))
+  t.deepEqual(statuses.filter(status => status !== 200), [])
+})
+
+test('a host that is cut off does not keep others from targets that they reach', async t => {
+  await using hosts = await startHosts()
+  await sendUntil(hosts.peer.address, 200)
+  await sendUntil(hosts.cutHost.address, 200)
+  hosts.cut(true)
+  const statuses: number[] = []
+  for (let call = 0; call < 20; call++) {
+    await sendCall(hosts.cutHost.address, '/safe/x', {}, '')
+    statuses.push((await sendCall(hosts.peer.address, '/safe/x', {}, '')).status)
+  }
+  t.deepEqual(statuses.filter(status => status !== 200), [])
+})
