--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -13,6 +13,9 @@
 /** Weight of the latest pause in the moving average of a stream's pauses. */
 const PAUSE_WEIGHT = 0.2
 
+/** Largest event of a stream, in bytes; it is kept until it is complete. */
+const MAX_EVENT_BYTES = 2 ** 20
+
 /** Outcome of one try of a stream. */
 export type StreamResult =
   | { kind: 'complete' }
@@ -86,6 +89,7 @@
           response.once('drain', () => answer.resume())
         }
       }
+      if (split.bufferedBytes() > MAX_EVENT_BYTES) return fail('event too large')
       noteProgress(call, run, context)
       if (stream === undefined) return
       if (stream.hasStarted) stream.meanPauseMs += PAUSE_WEIGHT * (nowMs - stream.lastProgressMs - stream.meanPauseMs)
--- /dev/null
+++ b/test/gateway/endlessAnswer.test.ts
@@ -0,0 +1,47 @@
+import type { Socket } from 'node:net'
+import test from 'ava'
+import type { Target } from '../../src/fleet/types.js'
+import { encodeChunk, servePlatformEngine, buildStreamHead } from '../../standin/platform/servePlatformEngine/index.js'
+import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
+
+const MIB = 2 ** 20
+
+/** Bytes that the gateway may keep of one answer, with those that are on their way in buffers of the system. */
+const MAX_KEPT_BYTES = 48 * MIB
+
+/** Sends bytes until the other side closes the connection; returns how many. */
+function sendWithoutEnd (socket: Socket, piece: string): () => number {
+  let sentBytes = 0
+  const send = (): void => {
+    if (socket.destroyed) return
+    sentBytes += piece.length
+    socket.write(piece, send)
+  }
+  send()
+  return () => sentBytes
+}
+
+const targetAt = (id: string, service: string, address: string): Target => ({ id, service, address, failureDomain: 'north', bornMs: 1, isLeaving: false, slots: 4, ...(service === 'model' ? { kind: 'large', slots: 134, layers: { from: 0, to: 80 } } : {}) })
+const configuration = { ...TEST_CONFIGURATION, services: TEST_CONFIGURATION.services.map(service => service.model === undefined ? service : { ...service, model: { ...service.model, layerMb: 100 } }) }
+
+test('an answer without end is given up before it fills the memory', async t => {
+  let sentBytes = (): number => 0
+  await using engine = await servePlatformEngine((request, socket) => {
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${request.headers['request-id']}\r\nServer-Seal: s\r\nConnection: close\r\n\r\n`)
+    sentBytes = sendWithoutEnd(socket, 'x'.repeat(MIB))
+  })
+  await using gateway = await startTestGateway([targetAt('i-1', 'orders', engine.address)], { configuration })
+  t.is((await gateway.send('/unsafe/x')).status, 502)
+  t.true(sentBytes() <= MAX_KEPT_BYTES, `${sentBytes()} bytes`)
+})
+
+test('an event without end is given up before it fills the memory', async t => {
+  let sentBytes = (): number => 0
+  await using engine = await servePlatformEngine((request, socket) => {
+    socket.write(buildStreamHead(request))
+    sentBytes = sendWithoutEnd(socket, encodeChunk('x'.repeat(MIB / 16)))
+  })
+  await using gateway = await startTestGateway(['i-1', 'i-2'].map(id => targetAt(id, 'model', engine.address)), { configuration })
+  t.is((await gateway.send('/stream/x')).status, 502)
+  t.true(sentBytes() <= MAX_KEPT_BYTES, `${sentBytes()} bytes`)
+})
