Give servers in tests ports that no other process asks for

Cause: tests of whole gateways asked the system for a free port, closed it and opened it again later; meanwhile another process may get it. Change: each process tries ports of its own, below those that the system gives to outgoing connections.

--- a/test/gateway/links.test.ts
+++ b/test/gateway/links.test.ts
@@ -1,5 +1,3 @@
-import { once } from 'node:events'
-import { createServer, type AddressInfo } from 'node:net'
 import test from 'ava'
 import { createEngineControl } from '../../platform/createEngineControl.js'
 import { createPlatformStore } from '../../platform/createPlatformStore.js'
@@ -13,22 +11,11 @@
 import { buildAnswer, servePlatformEngine } from '../../standin/platform/servePlatformEngine/index.js'
 import { servePlatformStore } from '../../standin/platform/servePlatformStore/index.js'
 import { createTestLog } from '../fakes/createTestLog.js'
+import { findFreePort } from '../fakes/findFreePort.js'
 import { sendCall } from '../fakes/startTestGateway.js'
 
 const runtime = createSystemRuntime()
 
-/** Ports that were free when they were asked for. */
-async function findFreePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, async () => {
-    const server = createServer().listen(0, '127.0.0.1')
-    await once(server, 'listening')
-    return server
-  }))
-  const ports = servers.map(server => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(server => new Promise(resolve => { server.close(resolve) })))
-  return ports
-}
-
 /** Digest sockets of hosts in one process. */
 function createDigestNetwork () {
   const listeners = new Map<string, (ip: string, bytes: Buffer) => void>()
@@ -57,7 +44,7 @@
     limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
     tenants: [{ name: 'studio', api_keys: ['secret'] }]
   })
-  const [callerPort, readinessPort, internalPort, metricsPort] = await findFreePorts(4) as [number, number, number, number]
+  const [callerPort, readinessPort, internalPort, metricsPort] = [await findFreePort(), await findFreePort(), await findFreePort(), await findFreePort()]
   const createSocket = createDigestNetwork()
   let isCut = false
   const ips = ['127.0.0.1', '127.0.0.2']
--- a/test/gateway/startGateway.test.ts
+++ b/test/gateway/startGateway.test.ts
@@ -17,19 +17,11 @@
 import { buildAnswer, servePlatformEngine, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
 import { servePlatformStore } from '../../standin/platform/servePlatformStore/index.js'
 import { createTestLog } from '../fakes/createTestLog.js'
+import { findFreePort } from '../fakes/findFreePort.js'
 import { sendCall } from '../fakes/startTestGateway.js'
 
 const NO_PEERS: DigestSocket = { send () {}, onMessage () {}, async [Symbol.asyncDispose] () {} }
 
-/** A port that was free when it was asked for. */
-async function findFreePort (): Promise<number> {
-  const server = http.createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as { port: number }
-  await new Promise(resolve => { server.close(resolve) })
-  return port
-}
-
 /** A whole gateway in front of one target, with a store that has no configuration and no target until `configure`; the end of its balancer lag is noticed `lateMs` late. */
 async function startConfigurableGateway (script: EngineScript, options: { graceMs?: number, balancerLagMs?: number, lateMs?: number, format?: CallFormat } = {}) {
   const { graceMs = 60_000, balancerLagMs = 50, lateMs = 0, format = platformHeaders } = options
