--- a/test/gateway/startGateway.test.ts
+++ b/test/gateway/startGateway.test.ts
@@ -1,5 +1,4 @@
 import { once } from 'node:events'
-import http from 'node:http'
 import net from 'node:net'
 import test from 'ava'
 import { request } from 'undici'
