Ask peers again before a target is taken for ended, and let a relaying host finish before it stops

Found by reading. A host that shuts down ended the connections that it relays for others, which would break their answers off: it says in its digests that it should not be asked any more, and waits for them within the grace period. Its port waited for these connections in turn when it was disposed of; they are closed first.

--- a/src/digest/types.ts
+++ b/src/digest/types.ts
@@ -42,7 +42,7 @@
   isStoreConnected: z.boolean(),
   /** Fencing token of the control lease while the host may give orders, otherwise 0. */
   leaseFencing: z.number(),
-  /** Whether the host does not reach some targets that its peers reach; absent in digests of earlier versions. */
+  /** Whether the host should not be asked for connections to targets: it has lost links to some itself, or shuts down; absent in digests of earlier versions. */
   isImpaired: z.boolean().default(false)
 })
 
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -158,7 +158,7 @@
     onChange: isImpaired => metrics.isImpaired.set(isImpaired ? 1 : 0),
     onRelay: result => metrics.relayedConnections.inc({ result })
   })
-  const relayHandler = resources.use(createRelayHandler({ targets: fleet.targets, connect: links.connectForPeer, onResult: result => metrics.relaysServed.inc({ result }) }))
+  const relayHandler = createRelayHandler({ targets: fleet.targets, connect: links.connectForPeer, onResult: result => metrics.relaysServed.inc({ result }) })
   const context: GatewayContext = {
     fleet,
     loadTracker,
@@ -216,6 +216,8 @@
   }, { ...settings.readinessAddress, onHandlerError: logError }))
   const internal = createInternalHandler({ fleet, metrics, runtime, updateMetrics: () => updateGauges(context) })
   resources.use(await listen(internal, { ...settings.internalAddress, onConnect: relayHandler.handle, onHandlerError: logError }))
+  // Disposed of before the port, which waits for its connections to close.
+  resources.use(relayHandler)
   resources.use(await listen(internal, { ...settings.metricsAddress, onHandlerError: logError }))
   log.emit('processStarted', { address: callers.address, failureDomain: settings.failureDomain })
 
@@ -244,7 +246,7 @@
       targetsFingerprint: fleet.fingerprint(),
       isStoreConnected: follower.isConnected() && drainingSinceMs === undefined,
       leaseFencing: election.fencing() ?? 0,
-      isImpaired: links.isImpaired()
+      isImpaired: links.isImpaired() || drainingSinceMs !== undefined
     }
   }
 
@@ -297,6 +299,7 @@
       callers.stopAccepting()
       await calls.whenIdle(drainDeadline.signal)
       if (calls.size() > 0) await endOpenCalls()
+      await relayHandler.whenIdle(drainDeadline.signal)
       log.emit('processStopped')
     },
     async [Symbol.asyncDispose] () {
--- a/src/links/createRelayHandler/index.ts
+++ b/src/links/createRelayHandler/index.ts
@@ -25,6 +25,8 @@
 /** Handler of CONNECT requests; its disposal closes the relayed connections. */
 export interface RelayHandler extends AsyncDisposable {
   handle: (request: IncomingMessage, peer: Duplex, head: Buffer) => Promise<void>
+  /** Resolves once no relayed connection is open, or when the signal aborts. */
+  whenIdle: (signal: AbortSignal) => Promise<void>
 }
 
 /**
@@ -38,6 +40,7 @@
  */
 export function createRelayHandler ({ targets, connect, onResult }: RelayHandlerOptions): RelayHandler {
   const open = new Set<Socket>()
+  const waiters = new Set<() => void>()
 
   function refuse (peer: Duplex, status: number): void {
     onResult(status === TARGET_UNREACHABLE_STATUS ? 'targetUnreachable' : 'refused')
@@ -59,6 +62,7 @@
       peer.once('close', () => {
         open.delete(peer)
         target.destroy()
+        if (open.size === 0) for (const resolve of [...waiters]) resolve()
       })
       peer.setNoDelay(true)
       peer.write('HTTP/1.1 200 Connected\r\n\r\n')
@@ -66,6 +70,18 @@
       peer.pipe(target)
       target.pipe(peer)
     },
+    whenIdle (signal) {
+      if (open.size === 0 || signal.aborted) return Promise.resolve()
+      return new Promise(resolve => {
+        const finish = (): void => {
+          waiters.delete(finish)
+          signal.removeEventListener('abort', finish)
+          resolve()
+        }
+        waiters.add(finish)
+        signal.addEventListener('abort', finish, { once: true })
+      })
+    },
     async [Symbol.asyncDispose] () {
       for (const peer of open) peer.destroy()
     }
--- a/src/links/createTargetLinks/index.ts
+++ b/src/links/createTargetLinks/index.ts
@@ -41,6 +41,12 @@
   onRelay?: (result: RelayResult['kind']) => void
 }
 
+/** What a peer found out about a target. */
+interface Opinion {
+  relay: string
+  result: RelayResult
+}
+
 /** Peers that are asked for one connection. */
 const MAX_RELAYS_ASKED = 2
 
@@ -63,6 +69,7 @@
 export function createTargetLinks (options: TargetLinksOptions): TargetLinks {
   const { connectDirectly, isReachable, relays, targets, runtime, log, signal, onChange = () => {}, onRelay = () => {} } = options
   const pausedUntilMs = new Map<string, number>()
+  let nextProbe = 0
   const state = createLinkState({
     runtime,
     onChange (isImpaired, addresses) {
@@ -72,18 +79,19 @@
   })
 
   /** Asks peers in turn until one knows whether the target can be reached; `undefined` if there is none to ask. */
-  async function askPeers (address: string): Promise<{ relay: string, result: RelayResult } | undefined> {
+  async function askPeers (address: string): Promise<Opinion | undefined> {
     const nowMs = runtime.monotonicMs()
     for (const [relay, untilMs] of pausedUntilMs) if (untilMs <= nowMs) pausedUntilMs.delete(relay)
-    let last: { relay: string, result: RelayResult } | undefined
-    for (const relay of relays().filter(candidate => !pausedUntilMs.has(candidate)).slice(0, MAX_RELAYS_ASKED)) {
+    const known = relays()
+    let opinion: Opinion | undefined = known.length === 0 ? undefined : { relay: known[0]!, result: { kind: 'unavailable', cause: 'no peer could help lately' } }
+    for (const relay of known.filter(candidate => !pausedUntilMs.has(candidate)).slice(0, MAX_RELAYS_ASKED)) {
       const result = await openRelay(relay, address, { runtime })
       onRelay(result.kind)
-      last = { relay, result }
-      if (result.kind !== 'unavailable') return last
+      opinion = { relay, result }
+      if (result.kind !== 'unavailable') break
       pausedUntilMs.set(relay, runtime.monotonicMs() + RELAY_PAUSE_MS)
     }
-    return last
+    return opinion
   }
 
   /** Connects to another target, which shows whether this host's own links are sound. */
@@ -95,6 +103,7 @@
 
   /** Tries some of the lost links, each in its turn. */
   async function probe (): Promise<void> {
+    if (state.lostAddresses().length === 0) return
     const byAddress = new Map(targets().map(target => [target.address, target]))
     state.retain(new Set(byAddress.keys()))
     const lost = state.lostAddresses()
@@ -103,7 +112,6 @@
       if (await isReachable(target)) state.noteConnected(target.address)
     }))
   }
-  let nextProbe = 0
   repeatTask(probe, { intervalMs: PROBE_INTERVAL_MS, task: 'links', runtime, log, signal })
 
   return {
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -32,6 +32,7 @@
   const host = createTargetLinks({ ...options, connectDirectly: () => Promise.reject(new Error('cut')), isReachable: async () => false, relays: () => [server.address] })
   return {
     host,
+    handler,
     address,
     target: targets[0]!,
     exchange: () => openExchange(address, { method: 'GET', path: '/x', headers: ['Host', 'x', 'Connection', 'close'], body: Buffer.alloc(0), connect: host.connect }),
@@ -87,3 +88,28 @@
   await using relay = await startRelay(socket => socket.end(LAST_WORDS))
   t.is(await relay.host.check(relay.target, { isPeerAlwaysAsked: true }), 'relayed')
 })
+
+test('a host whose peers could not help lately does not take a target for ended', async t => {
+  await using relay = await startRelay(socket => socket.end(LAST_WORDS))
+  const controller = new AbortController()
+  const host = createTargetLinks({ connectDirectly: () => Promise.reject(new Error('cut')), isReachable: async () => false, relays: () => ['127.0.0.1:1'], targets: () => [relay.target], runtime, log: createTestLog(), signal: controller.signal })
+  t.is(await host.check(relay.target, { isPeerAlwaysAsked: true }), 'unknown')
+  t.is(await host.check(relay.target, { isPeerAlwaysAsked: true }), 'unknown')
+  controller.abort()
+})
+
+test('a host that shuts down waits for the connections that it relays', async t => {
+  let noteArrival = (_socket: Socket): void => {}
+  const arrived = new Promise<Socket>(resolve => { noteArrival = resolve })
+  await using relay = await startRelay(socket => noteArrival(socket))
+  const exchange = relay.exchange()
+  const socket = await arrived
+  let isIdle = false
+  const idle = relay.handler.whenIdle(new AbortController().signal).then(() => { isIdle = true })
+  t.false(isIdle)
+  socket.end(LAST_WORDS)
+  const result = await exchange.result
+  if (result.kind === 'answered') await readAnswerBody(result.answer, exchange.hasFailed)
+  await idle
+  t.true(isIdle)
+})
