Log when an engine turns a request away and asks for a pause

The lines of a host said 'status 503' and nothing of Retry-After, so that requests to an engine that had asked for a pause could not be told from requests to one that had only refused. The header is now decoded in platform/, like the rate, and logged (6046); a value that cannot be read is logged and counted as 6040. Nothing decides by it yet.

--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage } from 'node:http'
 import { withConnectionClose, type BufferedAnswer } from './answerCaller.js'
 import { noteProgress } from './crashingRequests.js'
-import { noteLimit } from './noteLimit.js'
+import { noteStatements } from './noteStatements.js'
 import { createEventSplitter } from './createEventSplitter.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
 import type { Exchange } from './openExchange.js'
@@ -48,8 +48,8 @@
 /** Checks the status and headers of an answer and relays its events. */
 export async function relayStream (answer: IncomingMessage, exchange: Pick<Exchange, 'hasFailed' | 'isClosedHere'>, call: Call, progress: CallProgress, { run, stream }: ObservedRun, context: GatewayContext): Promise<StreamResult> {
   const metadata = context.format.readAnswer(answer.headers)
-  noteLimit(metadata, call, run.target.id, context)
   const status = answer.statusCode ?? 0
+  noteStatements(metadata, status, call, run.target.id, context)
   if (status !== 200) {
     const body = await readAnswerBody(answer, exchange.hasFailed)
     if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: metadata.faultyAddress, hasReachedTarget: true }
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -3,7 +3,7 @@
  * within its attempts and the retry budget; an unsafe one only if the previous target provably
  * did not run it.
  */
-import { noteLimit } from './noteLimit.js'
+import { noteStatements } from './noteStatements.js'
 import { openExchange } from './openExchange.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
 import { endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
@@ -127,11 +127,11 @@
     if (result.kind === 'lost') return { kind: 'mayHaveRun', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
     const { answer } = result
     const metadata = format.readAnswer(answer.headers)
-    noteLimit(metadata, call, reservation.target.id, context)
+    const status = answer.statusCode ?? 0
+    noteStatements(metadata, status, call, reservation.target.id, context)
     const answerBody = await readAnswerBody(answer, exchange.hasFailed)
     const isBrokenByTarget = answerBody === undefined && !exchange.isClosedHere()
     exchange.close('answer read')
-    const status = answer.statusCode ?? 0
     if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true }
     if (answerBody === undefined) return { kind: 'mayHaveRun', cause: 'answer truncated', isBrokenByTarget }
     if (metadata.requestId !== undefined && metadata.requestId !== facts.requestId) return { kind: 'mayHaveRun', cause: 'answer has another request id' }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -63,6 +63,8 @@
   faultyAddress: string | undefined
   /** Requests a second that the target takes from all hosts together, while it says so; `malformed` if that could not be read. */
   limitPerS: number | 'malformed' | undefined
+  /** Time in which the target wants no requests from this host, in milliseconds; `malformed` if that could not be read. */
+  retryAfterMs: number | 'malformed' | undefined
 }
 
 /** Reads and writes the headers of calls and answers, whose names the platform defines. */
