Test that an engine that asks for a pause gets no stream before its end (fails)

The best engine of a site turns a stream away with Retry-After: 3 and goes on doing so, another one serves. A clock that a test sets forward takes the place of waits.

--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -18,6 +18,7 @@
 import { createTargetLimits } from '../../src/rateLimit/createTargetLimits/index.js'
 import { createRetryBudget } from '../../src/retry/createRetryBudget/index.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
+import type { Runtime } from '../../src/runtime/types.js'
 import { createSuspicions } from '../../src/suspicion/createSuspicions/index.js'
 import { createDispatcher, type Dispatcher } from '../../src/waiting/createDispatcher/index.js'
 import { platformHeaders } from '../../platform/headers.js'
@@ -56,10 +57,17 @@
   isComplete: boolean
 }
 
-/** Starts the handler; `control` replaces methods of the client for orders to engines. */
-export async function startTestGateway (targets: readonly Target[], options: { configuration?: FleetConfiguration | undefined, control?: Partial<EngineControl>, endSignal?: AbortSignal } = {}) {
-  const { control = {}, endSignal = new AbortController().signal } = options
-  const runtime = createSystemRuntime()
+interface TestGatewayOptions {
+  configuration?: FleetConfiguration | undefined
+  /** Replaces methods of the client for orders to engines. */
+  control?: Partial<EngineControl>
+  endSignal?: AbortSignal
+  runtime?: Runtime
+}
+
+/** Starts the handler. */
+export async function startTestGateway (targets: readonly Target[], options: TestGatewayOptions = {}) {
+  const { control = {}, endSignal = new AbortController().signal, runtime = createSystemRuntime() } = options
   const fleet = createFleetState({ runtime })
   const configuration = 'configuration' in options ? options.configuration : TEST_CONFIGURATION
   if (configuration !== undefined) fleet.applyConfiguration(configuration)
--- /dev/null
+++ b/test/gateway/retryAfter.test.ts
@@ -0,0 +1,34 @@
+import test from 'ava'
+import type { Target } from '../../src/fleet/types.js'
+import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
+import { createShiftedRuntime } from '../fakes/createShiftedRuntime.js'
+import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
+
+/** A model that one engine can hold. */
+const configuration = { ...TEST_CONFIGURATION, services: TEST_CONFIGURATION.services.map(service => service.model === undefined ? service : { ...service, model: { ...service.model, layerMb: 100 } }) }
+
+const engine = (id: string, address: string): Target => ({ id, service: 'model', address, failureDomain: 'north', bornMs: 1, isLeaving: false, kind: 'large', slots: 134, layers: { from: 0, to: 80 } })
+
+const streaming: EngineScript = (request, socket) => { socket.end(buildStreamHead(request) + encodeEvents([1, 2]) + STREAM_END) }
+
+/** Turns requests away and asks for a pause. */
+const pausing = (retryAfterS: string): EngineScript => (request, socket) => {
+  socket.end(buildAnswer(request, '', { status: '503 Service Unavailable', headers: ['Not-Executed: 1', `Retry-After: ${retryAfterS}`] }))
+}
+
+test('an engine that asks for a pause gets no stream before its end', async t => {
+  const runtime = createShiftedRuntime()
+  await using paused = await servePlatformEngine(pausing('3'))
+  await using free = await servePlatformEngine(streaming)
+  await using gateway = await startTestGateway([engine('i-1', paused.address)], { configuration, runtime })
+  const first = gateway.send('/stream/x')
+  while (paused.received.length === 0) await new Promise(resolve => { setImmediate(resolve) })
+  gateway.parts.fleet.applyChanges({ revision: 2, changed: [{ ...engine('i-2', free.address), kind: 'small', failureDomain: 'south' }], removedIds: [] })
+  t.is((await first).status, 200)
+  const asked = paused.received.length
+  for (const stepMs of [600, 600, 600, 600, 500]) {
+    runtime.skip(stepMs)
+    t.is((await gateway.send('/stream/x')).status, 200)
+  }
+  t.is(paused.received.length - asked, 0)
+})
