Keep streams away from an engine for the time that it asked for

Cause: Retry-After of an engine's answer was read nowhere. A refusal only raised the suspicion of the engine, which ends after 250 ms, and which any part of an older stream set back. Class: what a target says of itself was taken for a guess. Change: pauses are statements with an end, kept apart from suspicions, and bind the first engine of a path (decision 68). After a pause the engine gets one stream before the others. Works since the choice of a path asks for the pause itself, which nothing but its end lifts.

--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -85,6 +85,7 @@
   targetLimited: { number: 6009, level: 'warn', text: 'target names another rate of requests that it takes, or none any more' },
   answerFieldInvalid: { number: 6040, level: 'warn', text: 'field in an answer of a target could not be read and is ignored' },
   targetPauseRequested: { number: 6046, level: 'warn', text: 'target turned a request away and wants none from this host for a time' },
+  targetPauseEnded: { number: 6047, level: 'info', text: 'target takes requests again after a pause' },
   layersLoaded: { number: 6022, level: 'info', text: 'engine has loaded the ordered layers' },
   leaseAcquired: { number: 6010, level: 'info', text: 'control lease acquired' },
   leaseLost: { number: 6011, level: 'warn', text: 'control lease lost' },
--- a/src/gateway/_lib/noteStatements.ts
+++ b/src/gateway/_lib/noteStatements.ts
@@ -7,16 +7,16 @@
 /** Statuses of an answer that turns a request away; only there does a time to retry speak of the target itself. */
 const TURNED_AWAY_STATUSES = new Set([429, 503])
 
-interface StatementContext extends Pick<GatewayContext, 'targetLimits' | 'log' | 'metrics'> {}
+interface StatementContext extends Pick<GatewayContext, 'targetLimits' | 'targetPauses' | 'log' | 'metrics'> {}
 
 /** Records what an answer says of its target; one that belongs to another request says nothing. */
 export function noteStatements ({ requestId, limitPerS, retryAfterMs }: AnswerMetadata, status: number, { facts }: Call, targetId: string, context: StatementContext): void {
   if (requestId !== facts.requestId) return
   if (limitPerS === 'malformed') reportMalformed('limitPerS')
   else context.targetLimits.note(targetId, limitPerS)
-  if (!TURNED_AWAY_STATUSES.has(status) || retryAfterMs === undefined) return
-  if (retryAfterMs === 'malformed') reportMalformed('retryAfterMs')
-  else context.log.emit('targetPauseRequested', { request: facts.requestId, target: targetId, status, retryAfterMs })
+  if (!TURNED_AWAY_STATUSES.has(status)) context.targetPauses.noteTaken(targetId)
+  else if (retryAfterMs === 'malformed') reportMalformed('retryAfterMs')
+  else if (retryAfterMs !== undefined) context.targetPauses.note(targetId, retryAfterMs, { request: facts.requestId, status })
 
   function reportMalformed (field: 'limitPerS' | 'retryAfterMs'): void {
     context.log.emit('answerFieldInvalid', { request: facts.requestId, target: targetId, field })
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -21,8 +21,8 @@
   | { kind: 'complete' }
   /** The engine answered with an error status, which is relayed to the caller. */
   | { kind: 'refusedByTarget' } & BufferedAnswer
-  /** `isOwnLink`: the request could not be sent, which says nothing of the engine. */
-  | { kind: 'notRun', cause: string, faultyAddress: string | undefined, hasReachedTarget: boolean, isOwnLink?: boolean }
+  /** `isOwnLink`: the request could not be sent, which says nothing of the engine; `isPause`: the engine asked for a pause. */
+  | { kind: 'notRun', cause: string, faultyAddress: string | undefined, hasReachedTarget: boolean, isOwnLink?: boolean, isPause?: boolean }
   /** `isBrokenByTarget` is false if this host closed the connection. */
   | { kind: 'brokenOff', cause: string, isBrokenByTarget: boolean }
 
@@ -52,7 +52,7 @@
   noteStatements(metadata, status, call, run.target.id, context)
   if (status !== 200) {
     const body = await readAnswerBody(answer, exchange.hasFailed)
-    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: metadata.faultyAddress, hasReachedTarget: true }
+    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: metadata.faultyAddress, hasReachedTarget: true, isPause: context.targetPauses.leftMs(run.target.id) > 0 }
     if (body === undefined || !metadata.isSigned || metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
     return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: isFramed(answer) }
   }
--- a/src/gateway/_lib/reserveCapacity.ts
+++ b/src/gateway/_lib/reserveCapacity.ts
@@ -13,20 +13,26 @@
 /** Links between failure domains that a path may cross when no path within the usual limit covers the model. */
 const FALLBACK_MAX_CROSSINGS = 4
 
+/** Factor on the expected time of an engine in a pause as a later stage of a path: it does not get the request itself, but it has no room to spare. */
+const PAUSED_SLOWNESS = 2
+
 /** Size of a request to a plain target; for these only the number of requests matters. */
 const PLAIN_SIZE: RequestSize = { promptTokens: 0, outputTokens: 0 }
 
 /** Reserves a path over engines, or returns `undefined` while no path has enough memory. */
 export function reservePath (service: Service, size: RequestSize, excluded: ReadonlySet<string>, ownDomain: string, context: GatewayContext): Reservation | undefined {
   const model = service.model!
-  const { fleet, loadTracker, suspicions, targetLimits, runtime } = context
+  const { fleet, loadTracker, suspicions, targetLimits, targetPauses, runtime } = context
   const engines = fleet.servingTargets(service.name).filter(target => !excluded.has(target.id))
   const crossings = context.checkCoverage(service).isWithinCrossingLimit ? {} : { maxCrossings: FALLBACK_MAX_CROSSINGS }
-  const options = { model, loadOf: loadTracker.loadOf, slownessOf: suspicions.slownessOf, mayBeFirst: targetLimits.mayTake, ownDomain, ...crossings }
-  const jitter = jitterPathOptions(suspicions.slownessOf, { loadAgeMs: context.loadAgeMs(), random: runtime.random })
+  const slownessOf = (targetId: string): number => suspicions.slownessOf(targetId) * (targetPauses.leftMs(targetId) > 0 ? PAUSED_SLOWNESS : 1)
+  const mayBeFirst = (targetId: string): boolean => targetLimits.mayTake(targetId) && targetPauses.mayTake(targetId)
+  const options = { model, loadOf: loadTracker.loadOf, slownessOf, mayBeFirst, ownDomain, ...crossings }
+  const jitter = jitterPathOptions(slownessOf, { loadAgeMs: context.loadAgeMs(), random: runtime.random })
   const chosen = choosePath(engines, size, { ...options, ...jitter }) ?? choosePath(engines, size, options)
   if (chosen === undefined) return undefined
   targetLimits.take(chosen.path[0]!.target.id)
+  targetPauses.take(chosen.path[0]!.target.id)
   const claim = loadTracker.claim(chosen.path, size)
   return { target: chosen.path[0]!.target, path: chosen.path, [Symbol.dispose]: () => claim[Symbol.dispose]() }
 }
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -103,7 +103,8 @@
     if (result.kind === 'notRun') {
       if (call.deadlineAtMs <= runtime.monotonicMs()) break
       const faultyId = findTargetAt(reservation, result.faultyAddress) ?? target.id
-      if (result.isOwnLink !== true) context.suspicions.note(faultyId, result.hasReachedTarget ? 'refused' : 'unreachable')
+      const isPause = result.isPause === true && faultyId === target.id
+      if (result.isOwnLink !== true && !isPause) context.suspicions.note(faultyId, result.hasReachedTarget ? 'refused' : 'unreachable')
       notRunIds.add(faultyId)
       refusalsInRow++
     } else {
--- a/src/gateway/_lib/updateGauges.ts
+++ b/src/gateway/_lib/updateGauges.ts
@@ -7,7 +7,7 @@
 const MS_PER_S = 1_000
 
 /** Sets all gauges to the current state. */
-export function updateGauges ({ fleet, suspicions, streams, budget, metrics, queueLengths, targetsAgeMs, hostCount, loadAgeMs, crashEvidence, targetLimits }: GatewayContext): void {
+export function updateGauges ({ fleet, suspicions, streams, budget, metrics, queueLengths, targetsAgeMs, hostCount, loadAgeMs, crashEvidence, targetLimits, targetPauses }: GatewayContext): void {
   const targets = fleet.targets()
   const services = fleet.configuration()?.services ?? []
   metrics.streams.set(streams.size)
@@ -25,5 +25,6 @@
   metrics.targets.set({ state: 'leaving' }, targets.filter(target => target.isLeaving).length)
   metrics.targets.set({ state: 'suspected' }, targets.filter(target => suspicions.isDown(target.id)).length)
   metrics.targets.set({ state: 'limited' }, targetLimits.count())
+  metrics.targets.set({ state: 'paused' }, targetPauses.count())
   for (const { name } of services) metrics.retryBudgetLeft.set({ service: name }, budget.left(name))
 }
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -19,6 +19,7 @@
 import { createLoadTracker } from '../../path/createLoadTracker/index.js'
 import { runPlacement } from '../../placement/runPlacement/index.js'
 import { createTargetLimits } from '../../rateLimit/createTargetLimits/index.js'
+import { createTargetPauses } from '../../pause/createTargetPauses/index.js'
 import { createRetryBudget } from '../../retry/createRetryBudget/index.js'
 import { repeatTask } from '../../runtime/repeatTask/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
@@ -88,6 +89,7 @@
   const loadTracker = createLoadTracker({ runtime, hostCount: () => exchange.hostCount() })
   const suspicions = createSuspicions({ runtime })
   const targetLimits = createTargetLimits({ runtime, log, ownIp: settings.ip, otherIps: () => exchange.memberIps() })
+  const targetPauses = createTargetPauses({ runtime, log })
   const crashEvidence = createCrashEvidence({ runtime, log, onVerdict: (verdict, kind) => metrics[kind === 'part' ? 'promptVerdicts' : 'requestVerdicts'].inc({ verdict }) })
   const calls = createOpenCalls<OpenRequest>({ runtime })
   const dispatchers = new Map<string, Dispatcher<Reservation>>()
@@ -168,6 +170,7 @@
     control,
     links,
     targetLimits,
+    targetPauses,
     crashEvidence,
     tellPeers: exchange.sendNow,
     hasCrashed: createCrashDetector({ links, runtime }),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -17,6 +17,7 @@
 import type { LoadTracker } from '../path/createLoadTracker/index.js'
 import type { RequestSize } from '../path/choosePath/index.js'
 import type { EngineControl } from '../placement/types.js'
+import type { TargetPauses } from '../pause/createTargetPauses/index.js'
 import type { RetryBudget } from '../retry/createRetryBudget/index.js'
 import type { TargetLimits } from '../rateLimit/createTargetLimits/index.js'
 import type { Runtime } from '../runtime/types.js'
@@ -172,6 +173,8 @@
   links: TargetLinks
   /** Rates of requests that targets say they take. */
   targetLimits: TargetLimits
+  /** Times in which targets want no requests from this host. */
+  targetPauses: TargetPauses
   /** Which parts of prompts crash engines. */
   crashEvidence: CrashEvidence
   /** Sends digests at once. */
--- /dev/null
+++ b/src/pause/createTargetPauses/test.ts
@@ -0,0 +1,76 @@
+import test from 'ava'
+import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
+import { createTestLog } from '../../../test/fakes/createTestLog.js'
+import { createTargetPauses } from './index.js'
+
+const DETAILS = { request: 'r1', status: 503 }
+
+function createPauses () {
+  const runtime = createManualRuntime()
+  const log = createTestLog()
+  return { runtime, log, pauses: createTargetPauses({ runtime, log }) }
+}
+
+test('a target gets no request until its pause has ended', async t => {
+  const { runtime, pauses } = createPauses()
+  pauses.note('i-1', 3_000, DETAILS)
+  await runtime.advance(2_999)
+  t.false(pauses.mayTake('i-1'))
+  t.is(pauses.leftMs('i-1'), 1)
+  await runtime.advance(1)
+  t.true(pauses.mayTake('i-1'))
+})
+
+test('a request that the target takes during a pause does not end it', async t => {
+  const { runtime, pauses } = createPauses()
+  pauses.note('i-1', 3_000, DETAILS)
+  await runtime.advance(1_000)
+  pauses.noteTaken('i-1')
+  t.false(pauses.mayTake('i-1'))
+  t.is(pauses.count(), 1)
+})
+
+test('a shorter pause does not shorten one that is known', async t => {
+  const { runtime, pauses } = createPauses()
+  pauses.note('i-1', 3_000, DETAILS)
+  await runtime.advance(500)
+  pauses.note('i-1', 500, DETAILS)
+  await runtime.advance(2_000)
+  t.false(pauses.mayTake('i-1'))
+})
+
+test('after a pause a target gets one request, and the others once it has taken that', async t => {
+  const { runtime, log, pauses } = createPauses()
+  pauses.note('i-1', 3_000, DETAILS)
+  await runtime.advance(3_000)
+  t.true(pauses.mayTake('i-1'))
+  pauses.take('i-1')
+  t.false(pauses.mayTake('i-1'))
+  pauses.noteTaken('i-1')
+  t.true(pauses.mayTake('i-1'))
+  t.deepEqual(log.recent().map(({ name }) => name), ['targetPauseRequested', 'targetPauseEnded'])
+})
+
+test('a first request that is never answered does not hold back others for long', async t => {
+  const { runtime, pauses } = createPauses()
+  pauses.note('i-1', 3_000, DETAILS)
+  await runtime.advance(3_000)
+  pauses.take('i-1')
+  await runtime.advance(1_000)
+  t.true(pauses.mayTake('i-1'))
+})
+
+test('a pause of years is bounded', async t => {
+  const { runtime, log, pauses } = createPauses()
+  pauses.note('i-1', 1e12, DETAILS)
+  await runtime.advance(300_000)
+  t.true(pauses.mayTake('i-1'))
+  t.like(log.recent()[0], { name: 'targetPauseRequested', isBounded: true })
+})
+
+test('a target of which nothing is known takes any number of requests', t => {
+  const { pauses } = createPauses()
+  pauses.take('i-1')
+  pauses.take('i-1')
+  t.true(pauses.mayTake('i-1'))
+})
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -16,6 +16,7 @@
 import { createLoadTracker } from '../../src/path/createLoadTracker/index.js'
 import type { EngineControl } from '../../src/placement/types.js'
 import { createTargetLimits } from '../../src/rateLimit/createTargetLimits/index.js'
+import { createTargetPauses } from '../../src/pause/createTargetPauses/index.js'
 import { createRetryBudget } from '../../src/retry/createRetryBudget/index.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 import type { Runtime } from '../../src/runtime/types.js'
@@ -87,6 +88,7 @@
     control: engineControl,
     links,
     targetLimits: createTargetLimits({ runtime, log, ownIp: '127.0.0.1', otherIps: () => [] }),
+    targetPauses: createTargetPauses({ runtime, log }),
     crashEvidence: createCrashEvidence({ runtime, log }),
     tellPeers: () => {},
     hasCrashed: createCrashDetector({ links, runtime }),
