--- a/test/gateway/retryAfter.test.ts
+++ b/test/gateway/retryAfter.test.ts
@@ -11,6 +11,8 @@
 
 const streaming: EngineScript = (request, socket) => { socket.end(buildStreamHead(request) + encodeEvents([1, 2]) + STREAM_END) }
 
+const nextTurn = (): Promise<void> => new Promise(resolve => { setImmediate(resolve) })
+
 /** Turns requests away and asks for a pause. */
 const pausing = (retryAfterS: string): EngineScript => (request, socket) => {
   socket.end(buildAnswer(request, '', { status: '503 Service Unavailable', headers: ['Not-Executed: 1', `Retry-After: ${retryAfterS}`] }))
@@ -22,7 +24,7 @@
   await using free = await servePlatformEngine(streaming)
   await using gateway = await startTestGateway([engine('i-1', paused.address)], { configuration, runtime })
   const first = gateway.send('/stream/x')
-  while (paused.received.length === 0) await new Promise(resolve => { setImmediate(resolve) })
+  while (paused.received.length === 0) await nextTurn()
   gateway.parts.fleet.applyChanges({ revision: 2, changed: [{ ...engine('i-2', free.address), kind: 'small', failureDomain: 'south' }], removedIds: [] })
   t.is((await first).status, 200)
   const asked = paused.received.length
@@ -32,3 +34,46 @@
   }
   t.is(paused.received.length - asked, 0)
 })
+
+test('a stream that goes on does not end the pause that its engine asked for', async t => {
+  const runtime = createShiftedRuntime()
+  let sendNext = (_bytes: string): void => {}
+  await using paused = await servePlatformEngine((request, socket) => {
+    socket.write(buildStreamHead(request) + encodeEvents([1]))
+    sendNext = bytes => { socket.write(bytes) }
+  })
+  await using free = await servePlatformEngine(streaming)
+  await using gateway = await startTestGateway([engine('i-1', paused.address)], { configuration, runtime })
+  const older = gateway.send('/stream/x', { 'deadline-ms': '20000' })
+  while (gateway.parts.streams.size === 0 || ![...gateway.parts.streams][0]!.hasStarted) await nextTurn()
+  paused.setScript(pausing('3'))
+  gateway.parts.fleet.applyChanges({ revision: 2, changed: [{ ...engine('i-2', free.address), kind: 'small', failureDomain: 'south' }], removedIds: [] })
+  t.is((await gateway.send('/stream/x')).status, 200)
+  const asked = paused.received.length
+  for (const [index, stepMs] of [600, 600, 600, 600, 500].entries()) {
+    runtime.skip(stepMs)
+    const previousMs = [...gateway.parts.streams][0]!.lastProgressMs
+    sendNext(encodeEvents([index + 2]))
+    while ([...gateway.parts.streams][0]!.lastProgressMs === previousMs) await nextTurn()
+    t.is((await gateway.send('/stream/x')).status, 200)
+  }
+  sendNext(STREAM_END)
+  t.is((await older).status, 200)
+  t.is(paused.received.length - asked, 0)
+})
+
+test('a plain target that asks for a pause is no last resort', async t => {
+  const runtime = createShiftedRuntime()
+  await using paused = await servePlatformEngine(pausing('3'))
+  await using gateway = await startTestGateway([{ ...engine('o-1', paused.address), service: 'orders' }], { runtime })
+  t.is((await gateway.send('/safe/x')).status, 503)
+  const asked = paused.received.length
+  for (const stepMs of [600, 600, 600, 600, 500]) {
+    runtime.skip(stepMs)
+    t.is((await gateway.send('/unsafe/x')).status, 503)
+  }
+  t.is(paused.received.length - asked, 0)
+  runtime.skip(200)
+  paused.setScript((request, socket) => { socket.end(buildAnswer(request, 'done')) })
+  t.is((await gateway.send('/unsafe/x')).status, 200)
+})
