Keep plain calls away from a target for the time that it asked for

What callers saw: calls of a plain service were sent to a target that had asked for a pause, and refused by it. Cause: as for streams nobody read Retry-After, and the choice of a plain target takes one that only refused a call when there is no other. Class: what a target says of itself was taken for a guess. Change: reserveTarget asks for the pause as for the rate, before its last resort; the refusal is 'overloaded', as the target is up. A target that asked for a pause is no longer suspected for it. The steps of these tests are longer now, since calls themselves took up to the 100 ms that were left of the pause beside other tests.

--- a/src/gateway/_lib/reserveCapacity.ts
+++ b/src/gateway/_lib/reserveCapacity.ts
@@ -26,8 +26,7 @@
   const engines = fleet.servingTargets(service.name).filter(target => !excluded.has(target.id))
   const crossings = context.checkCoverage(service).isWithinCrossingLimit ? {} : { maxCrossings: FALLBACK_MAX_CROSSINGS }
   const slownessOf = (targetId: string): number => suspicions.slownessOf(targetId) * (targetPauses.leftMs(targetId) > 0 ? PAUSED_SLOWNESS : 1)
-  const mayBeFirst = (targetId: string): boolean => targetLimits.mayTake(targetId) && targetPauses.mayTake(targetId)
-  const options = { model, loadOf: loadTracker.loadOf, slownessOf, mayBeFirst, ownDomain, ...crossings }
+  const options = { model, loadOf: loadTracker.loadOf, slownessOf, mayBeFirst: (targetId: string) => mayTake(targetId, context), ownDomain, ...crossings }
   const jitter = jitterPathOptions(slownessOf, { loadAgeMs: context.loadAgeMs(), random: runtime.random })
   const chosen = choosePath(engines, size, { ...options, ...jitter }) ?? choosePath(engines, size, options)
   if (chosen === undefined) return undefined
@@ -37,24 +36,32 @@
   return { target: chosen.path[0]!.target, path: chosen.path, [Symbol.dispose]: () => claim[Symbol.dispose]() }
 }
 
-/** Whether a target that is not excluded gets no request now only because of the rate that it names. */
-export function isAnyLimited (service: Service, excluded: ReadonlySet<string>, { fleet, targetLimits }: Pick<GatewayContext, 'fleet' | 'targetLimits'>): boolean {
-  return fleet.servingTargets(service.name).some(({ id }) => !excluded.has(id) && !targetLimits.mayTake(id))
+type StatementContext = Pick<GatewayContext, 'targetLimits' | 'targetPauses'>
+
+/** Whether the target may be sent a request now, by what it said itself. */
+function mayTake (targetId: string, { targetLimits, targetPauses }: StatementContext): boolean {
+  return targetLimits.mayTake(targetId) && targetPauses.mayTake(targetId)
+}
+
+/** Whether a target gets no request now only because of what it said: it names a rate, or asked for a pause. */
+export function isAnyHeldBack (service: Service, excluded: ReadonlySet<string>, { fleet, ...context }: StatementContext & Pick<GatewayContext, 'fleet'>): boolean {
+  return fleet.servingTargets(service.name).some(({ id }) => context.targetPauses.leftMs(id) > 0 || (!excluded.has(id) && !mayTake(id, context)))
 }
 
 /** Reserves the least busy target of a plain service that is not excluded, or returns `undefined`. */
 export function reserveTarget (service: Service, excluded: ReadonlySet<string>, ownDomain: string, context: GatewayContext): Reservation | undefined {
-  const { fleet, loadTracker, suspicions, targetLimits } = context
+  const { fleet, loadTracker, suspicions, targetLimits, targetPauses } = context
   const cost = (target: Target): number => {
     const otherDomain = target.failureDomain === ownDomain ? 0 : OTHER_DOMAIN_PENALTY
     return (1 + loadTracker.loadOf(target.id).sequences + otherDomain) * suspicions.slownessOf(target.id)
   }
-  const candidates = fleet.servingTargets(service.name).filter(candidate => !excluded.has(candidate.id) && targetLimits.mayTake(candidate.id))
+  const candidates = fleet.servingTargets(service.name).filter(candidate => !excluded.has(candidate.id) && mayTake(candidate.id, context))
   const usable = candidates.filter(candidate => Number.isFinite(cost(candidate))).sort((a, b) => cost(a) - cost(b))
   // A target that only refused a request recently is better than none.
   const target = usable[0] ?? candidates.find(candidate => !suspicions.isUnfit(candidate.id))
   if (target === undefined) return undefined
   targetLimits.take(target.id)
+  targetPauses.take(target.id)
   const claim = loadTracker.claim([{ target, from: 0, to: 1 }], PLAIN_SIZE)
   return { target, path: undefined, [Symbol.dispose]: () => claim[Symbol.dispose]() }
 }
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -9,7 +9,7 @@
 import { endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
-import { isAnyLimited, reserveTarget } from './reserveCapacity.js'
+import { isAnyHeldBack, reserveTarget } from './reserveCapacity.js'
 import { endCrashingCall, findCrashing, noteCrash, traitsOf } from './crashingRequests.js'
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 
@@ -27,8 +27,8 @@
 
 type AttemptResult =
   | { kind: 'whole' } & BufferedAnswer
-  /** `isOwnLink`: the request could not be sent, which says nothing of the target. */
-  | { kind: 'notRun', cause: string, hasReachedTarget: boolean, isOwnLink?: boolean }
+  /** `isOwnLink`: the request could not be sent, which says nothing of the target; `isPause`: the target asked for a pause. */
+  | { kind: 'notRun', cause: string, hasReachedTarget: boolean, isOwnLink?: boolean, isPause?: boolean }
   /** `isBrokenByTarget`: the connection ended before the answer was complete, and this host did not close it. */
   | { kind: 'mayHaveRun', cause: string, isBrokenByTarget?: boolean }
 
@@ -64,7 +64,8 @@
       continue
     }
     if (result.kind === 'notRun') {
-      if (result.hasReachedTarget || (result.cause !== NO_TIME_LEFT && result.isOwnLink !== true)) suspicions.note(reservation.target.id, result.hasReachedTarget ? 'refused' : 'unreachable')
+      const saysNothing = result.cause === NO_TIME_LEFT || result.isOwnLink === true || result.isPause === true
+      if (!saysNothing) suspicions.note(reservation.target.id, result.hasReachedTarget ? 'refused' : 'unreachable')
       if (result.hasReachedTarget) countedAttempts++
       continue
     }
@@ -86,7 +87,7 @@
   if (lastFailure !== undefined) return finishWithAnswer(lastFailure)
   if (signal.aborted) return endStopped(call, context, { mayHaveRun, notRunReason: 'targetUnreachable', attempts })
   if (mayHaveRun) return endWithReason(call, context, 'targetFailed', { attempts })
-  endWithReason(call, context, isAnyLimited(service, excluded, context) ? 'overloaded' : 'targetUnreachable', { attempts, retryAfterMs: RETRY_AFTER_MS })
+  endWithReason(call, context, isAnyHeldBack(service, excluded, context) ? 'overloaded' : 'targetUnreachable', { attempts, retryAfterMs: RETRY_AFTER_MS })
 
   function finishWithAnswer (result: Extract<AttemptResult, { kind: 'whole' }>): void {
     if (result.status < 500) context.crashEvidence.noteAnswered(traitsOf(call))
@@ -132,7 +133,7 @@
     const answerBody = await readAnswerBody(answer, exchange.hasFailed)
     const isBrokenByTarget = answerBody === undefined && !exchange.isClosedHere()
     exchange.close('answer read')
-    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true }
+    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true, isPause: context.targetPauses.leftMs(reservation.target.id) > 0 }
     if (answerBody === undefined) return { kind: 'mayHaveRun', cause: 'answer truncated', isBrokenByTarget }
     if (metadata.requestId !== undefined && metadata.requestId !== facts.requestId) return { kind: 'mayHaveRun', cause: 'answer has another request id' }
     if (answer.headers['content-encoding'] !== undefined || !metadata.isSigned) return { kind: 'mayHaveRun', cause: 'answer unsigned or encoded' }
--- a/test/gateway/retryAfter.test.ts
+++ b/test/gateway/retryAfter.test.ts
@@ -11,6 +11,10 @@
 
 const streaming: EngineScript = (request, socket) => { socket.end(buildStreamHead(request) + encodeEvents([1, 2]) + STREAM_END) }
 
+/** Pause in seconds, and steps of the clock within it; what is left is for the time that the calls take. */
+const PAUSE_S = '10'
+const STEPS_MS = [600, 1_600, 1_600, 1_600, 1_600]
+
 const nextTurn = (): Promise<void> => new Promise(resolve => { setImmediate(resolve) })
 
 /** Turns requests away and asks for a pause. */
@@ -20,7 +24,7 @@
 
 test('an engine that asks for a pause gets no stream before its end', async t => {
   const runtime = createShiftedRuntime()
-  await using paused = await servePlatformEngine(pausing('3'))
+  await using paused = await servePlatformEngine(pausing(PAUSE_S))
   await using free = await servePlatformEngine(streaming)
   await using gateway = await startTestGateway([engine('i-1', paused.address)], { configuration, runtime })
   const first = gateway.send('/stream/x')
@@ -28,7 +32,7 @@
   gateway.parts.fleet.applyChanges({ revision: 2, changed: [{ ...engine('i-2', free.address), kind: 'small', failureDomain: 'south' }], removedIds: [] })
   t.is((await first).status, 200)
   const asked = paused.received.length
-  for (const stepMs of [600, 600, 600, 600, 500]) {
+  for (const stepMs of STEPS_MS) {
     runtime.skip(stepMs)
     t.is((await gateway.send('/stream/x')).status, 200)
   }
@@ -46,11 +50,11 @@
   await using gateway = await startTestGateway([engine('i-1', paused.address)], { configuration, runtime })
   const older = gateway.send('/stream/x', { 'deadline-ms': '20000' })
   while (gateway.parts.streams.size === 0 || ![...gateway.parts.streams][0]!.hasStarted) await nextTurn()
-  paused.setScript(pausing('3'))
+  paused.setScript(pausing(PAUSE_S))
   gateway.parts.fleet.applyChanges({ revision: 2, changed: [{ ...engine('i-2', free.address), kind: 'small', failureDomain: 'south' }], removedIds: [] })
   t.is((await gateway.send('/stream/x')).status, 200)
   const asked = paused.received.length
-  for (const [index, stepMs] of [600, 600, 600, 600, 500].entries()) {
+  for (const [index, stepMs] of STEPS_MS.entries()) {
     runtime.skip(stepMs)
     const previousMs = [...gateway.parts.streams][0]!.lastProgressMs
     sendNext(encodeEvents([index + 2]))
@@ -64,16 +68,16 @@
 
 test('a plain target that asks for a pause is no last resort', async t => {
   const runtime = createShiftedRuntime()
-  await using paused = await servePlatformEngine(pausing('3'))
+  await using paused = await servePlatformEngine(pausing(PAUSE_S))
   await using gateway = await startTestGateway([{ ...engine('o-1', paused.address), service: 'orders' }], { runtime })
   t.is((await gateway.send('/safe/x')).status, 503)
   const asked = paused.received.length
-  for (const stepMs of [600, 600, 600, 600, 500]) {
+  for (const stepMs of STEPS_MS) {
     runtime.skip(stepMs)
     t.is((await gateway.send('/unsafe/x')).status, 503)
   }
   t.is(paused.received.length - asked, 0)
-  runtime.skip(200)
+  runtime.skip(3_000)
   paused.setScript((request, socket) => { socket.end(buildAnswer(request, 'done')) })
   t.is((await gateway.send('/unsafe/x')).status, 200)
 })
