Test that a host cut off before any digest reached it serves calls through its seeds (fails)

A host that has lost its links before it knows a peer takes the failure for the targets', although nobody confirmed it: all its calls get 503, its peers are told that the targets are unreachable and refuse as well.

--- a/test/gateway/links.test.ts
+++ b/test/gateway/links.test.ts
@@ -16,11 +16,11 @@
 
 const runtime = createSystemRuntime()
 
-/** Digest sockets of hosts in one process. */
-function createDigestNetwork () {
+/** Digest sockets of hosts in one process; all digests may be lost. */
+function createDigestNetwork ({ isLossy }: { isLossy: boolean }) {
   const listeners = new Map<string, (ip: string, bytes: Buffer) => void>()
   return (ip: string): DigestSocket => ({
-    send (to, bytes) { setImmediate(() => listeners.get(to)?.(ip, bytes)) },
+    send (to, bytes) { if (!isLossy) setImmediate(() => listeners.get(to)?.(ip, bytes)) },
     onMessage (listener) { listeners.set(ip, listener) },
     async [Symbol.asyncDispose] () { listeners.delete(ip) }
   })
@@ -29,7 +29,7 @@
 const connectDirectly = (address: string) => connectSocket(address, { timeoutMs: 100, runtime })
 
 /** Two whole gateways, of which the first may be cut off from the targets, in front of three targets. */
-async function startHosts () {
+async function startHosts ({ areDigestsLost = false } = {}) {
   const store = await servePlatformStore()
   const targets = await Promise.all([1, 2, 3].map(async index => {
     const standin = await servePlatformEngine((request, socket) => { socket.end(buildAnswer(request, 'done')) })
@@ -45,7 +45,7 @@
     tenants: [{ name: 'studio', api_keys: ['secret'] }]
   })
   const [callerPort, readinessPort, internalPort, metricsPort] = [await findFreePort(), await findFreePort(), await findFreePort(), await findFreePort()]
-  const createSocket = createDigestNetwork()
+  const createSocket = createDigestNetwork({ isLossy: areDigestsLost })
   let isCut = false
   const ips = ['127.0.0.1', '127.0.0.2']
   const hosts = await Promise.all(ips.map(async (ip, index) => {
@@ -128,3 +128,16 @@
   }
   t.deepEqual(statuses.filter(status => status !== 200), [])
 })
+
+test('a host that is cut off before any digest reached it serves calls through its seeds', async t => {
+  await using hosts = await startHosts({ areDigestsLost: true })
+  await sendUntil(hosts.peer.address, 200)
+  await sendUntil(hosts.cutHost.address, 200)
+  hosts.cut(true)
+  const statuses: number[] = []
+  for (let call = 0; call < 20; call++) {
+    const path = call % 2 === 0 ? '/safe/x' : '/unsafe/x'
+    statuses.push((await sendCall(hosts.cutHost.address, path, {}, '')).status, (await sendCall(hosts.peer.address, path, {}, '')).status)
+  }
+  t.deepEqual(statuses.slice(2 * CALLS_TO_KNOW).filter(status => status !== 200), [])
+})
