--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -152,7 +152,7 @@
   const links = createTargetLinks({
     connectDirectly,
     isReachable: control.isReachable,
-    relays: () => listRelays({ ownIp: settings.ip, neighbors: exchange.peers(), memberIps: exchange.memberIps(), internalPort: settings.internalAddress.port, random: runtime.random }),
+    relays: () => listRelays({ ownIp: settings.ip, neighbors: exchange.peers(), memberIps: exchange.memberIps(), seedIps: settings.seedIps, internalPort: settings.internalAddress.port, random: runtime.random }),
     targets: fleet.targets,
     runtime,
     log,
