--- a/test/gateway/links.test.ts
+++ b/test/gateway/links.test.ts
@@ -80,7 +80,7 @@
       log,
       metrics: createGatewayMetrics()
     })
-    return { gateway, log, address: `${ip}:${callerPort}` }
+    return { gateway, address: `${ip}:${callerPort}`, knowsPeer: () => log.recent().some(({ name }) => name === 'memberJoined') }
   }))
   const [cutHost, peer] = hosts as [typeof hosts[0], typeof hosts[0]]
   return {
@@ -101,6 +101,11 @@
   while ((await sendCall(address, '/safe/x', {}, '')).status !== status) await new Promise(resolve => { setImmediate(resolve) })
 }
 
+/** Waits until both hosts have heard each other's digests; the time limit of the test bounds the wait. */
+async function untilHostsKnowEachOther ({ cutHost, peer }: Awaited<ReturnType<typeof startHosts>>): Promise<void> {
+  while (!cutHost.knowsPeer() || !peer.knowsPeer()) await new Promise(resolve => { setImmediate(resolve) })
+}
+
 /** Calls at the cut host of which the first ones may find out that it is cut off. */
 const CALLS_TO_KNOW = 10
 
@@ -108,6 +113,7 @@
   await using hosts = await startHosts()
   await sendUntil(hosts.peer.address, 200)
   await sendUntil(hosts.cutHost.address, 200)
+  await untilHostsKnowEachOther(hosts)
   hosts.cut(true)
   const send = async (call: number) => (await sendCall(hosts.cutHost.address, call % 2 === 0 ? '/safe/x' : '/unsafe/x', {}, '')).status
   for (let call = 0; call < CALLS_TO_KNOW; call++) await send(call)
@@ -120,6 +126,7 @@
   await using hosts = await startHosts()
   await sendUntil(hosts.peer.address, 200)
   await sendUntil(hosts.cutHost.address, 200)
+  await untilHostsKnowEachOther(hosts)
   hosts.cut(true)
   const statuses: number[] = []
   for (let call = 0; call < 20; call++) {
