Test that a refusal without the id of its request asks for a pause all the same (fails)

The example of a refusal on the platform's wire has no Request-Id, and an answer without it was taken for that of another request: no pause would ever be kept there.

--- a/test/gateway/retryAfter.test.ts
+++ b/test/gateway/retryAfter.test.ts
@@ -81,3 +81,34 @@
   paused.setScript((request, socket) => { socket.end(buildAnswer(request, 'done')) })
   t.is((await gateway.send('/unsafe/x')).status, 200)
 })
+
+test('a refusal that does not repeat the id of its request asks for a pause all the same', async t => {
+  const runtime = createShiftedRuntime()
+  await using paused = await servePlatformEngine((_request, socket) => {
+    socket.end('HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 10\r\nContent-Length: 0\r\nConnection: close\r\n\r\n')
+  })
+  await using gateway = await startTestGateway([{ ...engine('o-1', paused.address), service: 'orders' }], { runtime })
+  t.is((await gateway.send('/safe/x')).status, 503)
+  const asked = paused.received.length
+  for (const stepMs of STEPS_MS) {
+    runtime.skip(stepMs)
+    t.is((await gateway.send('/safe/x')).status, 503)
+  }
+  t.is(paused.received.length - asked, 0)
+})
+
+test('a refusal of another request, and a time that cannot be read, ask for no pause', async t => {
+  const heads = ['Request-Id: other\r\nRetry-After: 10', 'Request-Id: r1\r\nRetry-After: -1', 'Request-Id: r1\r\nRetry-After: Fri, 04 Dec 2026 12:00:00 GMT', 'Request-Id: r1\r\nRetry-After: soon']
+  await using target = await servePlatformEngine((_request, socket) => {
+    socket.end(`HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n${heads.shift()}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
+  })
+  await using gateway = await startTestGateway([{ ...engine('o-1', target.address), service: 'orders' }])
+  const { targetPauses, log } = gateway.parts
+  for (let call = 0; call < 4; call++) {
+    gateway.parts.suspicions.retain(new Set())
+    await gateway.send('/safe/x')
+    t.is(targetPauses.count(), 0)
+  }
+  t.is(target.received.length, 4)
+  t.is(log.recent().filter(({ name }) => name === 'answerFieldInvalid').length, 3)
+})
