Keep pauses that a refusal without the id of its request asks for; 429 asks for none

Cause: an answer without an id was taken for that of another request, although each request has a connection of its own. Change: a 503 without an id counts as the answer to the request on its connection; one with another id still says nothing. The case without an id follows from the example of the wire alone.

--- a/src/gateway/_lib/noteStatements.ts
+++ b/src/gateway/_lib/noteStatements.ts
@@ -4,19 +4,25 @@
  */
 import type { AnswerMetadata, Call, GatewayContext } from '../types.js'
 
-/** Statuses of an answer that turns a request away; only there does a time to retry speak of the target itself. */
-const TURNED_AWAY_STATUSES = new Set([429, 503])
+/** Status with which a target turns requests away for its own sake; a time to retry speaks of the target only there, while 429 speaks of the requests. */
+const TURNED_AWAY_STATUS = 503
 
 interface StatementContext extends Pick<GatewayContext, 'targetLimits' | 'targetPauses' | 'log' | 'metrics'> {}
 
 /** Records what an answer says of its target; one that belongs to another request says nothing. */
-export function noteStatements ({ requestId, limitPerS, retryAfterMs }: AnswerMetadata, status: number, { facts }: Call, targetId: string, context: StatementContext): void {
-  if (requestId !== facts.requestId) return
+export function noteStatements (metadata: AnswerMetadata, status: number, { facts }: Call, targetId: string, context: StatementContext): void {
+  const { requestId, limitPerS, retryAfterMs } = metadata
+  const isTurnedAway = status === TURNED_AWAY_STATUS
+  // A target may turn a request away before it has read its id; each request has a connection of its own.
+  const isOwnAnswer = requestId === facts.requestId
+  if (isTurnedAway && (isOwnAnswer || requestId === undefined)) {
+    if (retryAfterMs === 'malformed') reportMalformed('retryAfterMs')
+    else if (retryAfterMs !== undefined) context.targetPauses.note(targetId, retryAfterMs, { request: facts.requestId })
+  }
+  if (!isOwnAnswer) return
+  if (!isTurnedAway) context.targetPauses.noteTaken(targetId)
   if (limitPerS === 'malformed') reportMalformed('limitPerS')
   else context.targetLimits.note(targetId, limitPerS)
-  if (!TURNED_AWAY_STATUSES.has(status)) context.targetPauses.noteTaken(targetId)
-  else if (retryAfterMs === 'malformed') reportMalformed('retryAfterMs')
-  else if (retryAfterMs !== undefined) context.targetPauses.note(targetId, retryAfterMs, { request: facts.requestId, status })
 
   function reportMalformed (field: 'limitPerS' | 'retryAfterMs'): void {
     context.log.emit('answerFieldInvalid', { request: facts.requestId, target: targetId, field })
--- a/src/pause/createTargetPauses/index.ts
+++ b/src/pause/createTargetPauses/index.ts
@@ -14,7 +14,7 @@
 /** The pauses that targets asked this host for. */
 export interface TargetPauses {
   /** Records that a target turned a request away and wants none for a time, in milliseconds. */
-  note: (targetId: string, pauseMs: number, details: { request: string, status: number }) => void
+  note: (targetId: string, pauseMs: number, details: { request: string }) => void
   /** Records that a target took a request. */
   noteTaken: (targetId: string) => void
   /** Whether the target may be sent a request now. */
@@ -72,11 +72,11 @@
   }
 
   return {
-    note (targetId, pauseMs, { request, status }) {
+    note (targetId, pauseMs, { request }) {
       deleteEnded()
       const untilMs = runtime.monotonicMs() + Math.min(MAX_PAUSE_MS, pauseMs)
       const knownUntilMs = records.get(targetId)?.untilMs ?? -Infinity
-      if (untilMs > knownUntilMs + MIN_LOGGED_EXTENSION_MS) log.emit('targetPauseRequested', { target: targetId, request, status, pauseMs, isBounded: pauseMs > MAX_PAUSE_MS })
+      if (untilMs > knownUntilMs + MIN_LOGGED_EXTENSION_MS) log.emit('targetPauseRequested', { target: targetId, request, pauseMs, isBounded: pauseMs > MAX_PAUSE_MS })
       records.set(targetId, { untilMs: Math.max(untilMs, knownUntilMs), trialMs: undefined })
     },
     noteTaken (targetId) {
--- a/src/pause/createTargetPauses/test.ts
+++ b/src/pause/createTargetPauses/test.ts
@@ -3,7 +3,7 @@
 import { createTestLog } from '../../../test/fakes/createTestLog.js'
 import { createTargetPauses } from './index.js'
 
-const DETAILS = { request: 'r1', status: 503 }
+const DETAILS = { request: 'r1' }
 
 function createPauses () {
   const runtime = createManualRuntime()
--- a/test/gateway/retryAfter.test.ts
+++ b/test/gateway/retryAfter.test.ts
@@ -98,6 +98,7 @@
 })
 
 test('a refusal of another request, and a time that cannot be read, ask for no pause', async t => {
+  const answers = ['503 Service Unavailable', '503 Service Unavailable', '503 Service Unavailable', '503 Service Unavailable', '429 Too Many Requests']
   const heads = ['Request-Id: other\r\nRetry-After: 10', 'Request-Id: r1\r\nRetry-After: -1', 'Request-Id: r1\r\nRetry-After: Fri, 04 Dec 2026 12:00:00 GMT', 'Request-Id: r1\r\nRetry-After: soon']
   await using target = await servePlatformEngine((_request, socket) => {
     socket.end(`HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n${heads.shift()}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
