--- a/test/gateway/retryAfter.test.ts
+++ b/test/gateway/retryAfter.test.ts
@@ -97,19 +97,25 @@
   t.is(paused.received.length - asked, 0)
 })
 
-test('a refusal of another request, and a time that cannot be read, ask for no pause', async t => {
-  const answers = ['503 Service Unavailable', '503 Service Unavailable', '503 Service Unavailable', '503 Service Unavailable', '429 Too Many Requests']
-  const heads = ['Request-Id: other\r\nRetry-After: 10', 'Request-Id: r1\r\nRetry-After: -1', 'Request-Id: r1\r\nRetry-After: Fri, 04 Dec 2026 12:00:00 GMT', 'Request-Id: r1\r\nRetry-After: soon']
+test('a refusal of another request, a time that cannot be read, and a 429 ask for no pause', async t => {
+  const answers = [
+    ['503 Service Unavailable', 'Request-Id: other\r\nRetry-After: 10'],
+    ['503 Service Unavailable', 'Request-Id: r1\r\nRetry-After: -1'],
+    ['503 Service Unavailable', 'Request-Id: r1\r\nRetry-After: Fri, 04 Dec 2026 12:00:00 GMT'],
+    ['503 Service Unavailable', 'Request-Id: r1\r\nRetry-After: soon'],
+    ['429 Too Many Requests', 'Request-Id: r1\r\nRetry-After: 10']
+  ]
   await using target = await servePlatformEngine((_request, socket) => {
-    socket.end(`HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n${heads.shift()}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
+    const [status, headers] = answers.shift()!
+    socket.end(`HTTP/1.1 ${status}\r\nNot-Executed: 1\r\n${headers}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
   })
   await using gateway = await startTestGateway([{ ...engine('o-1', target.address), service: 'orders' }])
   const { targetPauses, log } = gateway.parts
-  for (let call = 0; call < 4; call++) {
+  for (let call = 0; call < 5; call++) {
     gateway.parts.suspicions.retain(new Set())
     await gateway.send('/safe/x')
     t.is(targetPauses.count(), 0)
   }
-  t.is(target.received.length, 4)
+  t.is(target.received.length, 5)
   t.is(log.recent().filter(({ name }) => name === 'answerFieldInvalid').length, 3)
 })
