Refuse on arrival what no engine can take before its pause ends, and say when to return

What callers saw: while every engine wanted no requests, a stream waited for up to three objectives and was then refused with a fixed Retry-After of a second (plain calls 0.5 s), although the first pause ended seconds later. Cause: the queue did not know of pauses; engines that had refused a call stayed excluded for it. Change: a new call whose wait would end before the first pause does, or which every engine has refused, is refused at once; Retry-After is the time until the first pause ends, spread over a second. A shorter pause is waited for, and the engine that asked for it may take the call then. After a pause an engine gets eight requests before it has taken one. Evidence: three new tests fail without the change.

--- a/src/gateway/_lib/reserveCapacity.ts
+++ b/src/gateway/_lib/reserveCapacity.ts
@@ -16,6 +16,9 @@
 /** Factor on the expected time of an engine in a pause as a later stage of a path: it does not get the request itself, but it has no room to spare. */
 const PAUSED_SLOWNESS = 2
 
+/** Time over which callers return after the end of a pause, in milliseconds. */
+const RETURN_SPREAD_MS = 1_000
+
 /** Size of a request to a plain target; for these only the number of requests matters. */
 const PLAIN_SIZE: RequestSize = { promptTokens: 0, outputTokens: 0 }
 
@@ -48,6 +51,23 @@
   return fleet.servingTargets(service.name).some(({ id }) => context.targetPauses.leftMs(id) > 0 || (!excluded.has(id) && !mayTake(id, context)))
 }
 
+/**
+ * Time until the first target that may get a request has ended its pause, in milliseconds: 0 if one
+ * is in none or no target is up, infinite if all of them are excluded.
+ */
+export function pauseLeftMs (service: Service, excluded: ReadonlySet<string>, { fleet, suspicions, targetPauses }: Pick<GatewayContext, 'fleet' | 'suspicions' | 'targetPauses'>): number {
+  const canBeFirst = ({ id, layers }: Target): boolean => !suspicions.isDown(id) && (service.model === undefined || layers?.from === 0)
+  const targets = fleet.servingTargets(service.name).filter(canBeFirst)
+  if (targets.length === 0) return 0
+  return Math.min(...targets.filter(({ id }) => !excluded.has(id)).map(({ id }) => targetPauses.leftMs(id)))
+}
+
+/** Time after which a caller should return, in milliseconds: when a target ends its pause, spread so that callers don't return together, or the default if that is longer. */
+export function chooseRetryAfterMs (service: Service, defaultMs: number, context: GatewayContext): number {
+  const leftMs = pauseLeftMs(service, new Set(), context)
+  return leftMs === 0 ? defaultMs : Math.round(Math.max(defaultMs, leftMs + context.runtime.random() * RETURN_SPREAD_MS))
+}
+
 /** Reserves the least busy target of a plain service that is not excluded, or returns `undefined`. */
 export function reserveTarget (service: Service, excluded: ReadonlySet<string>, ownDomain: string, context: GatewayContext): Reservation | undefined {
   const { fleet, loadTracker, suspicions, targetLimits, targetPauses } = context
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -10,7 +10,7 @@
 import type { RequestSize } from '../../path/choosePath/index.js'
 import type { Target } from '../../fleet/types.js'
 import { endStopped, endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
-import { reservePath, reserveTarget } from './reserveCapacity.js'
+import { chooseRetryAfterMs, pauseLeftMs, reservePath, reserveTarget } from './reserveCapacity.js'
 import { openExchange, type Exchange } from './openExchange.js'
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 import { sleep } from '../../runtime/sleep/index.js'
@@ -84,7 +84,7 @@
     progress.waitedMs += outcome.waitedMs
     metrics.waitSeconds.observe(outcome.waitedMs / MS_PER_S)
     if (outcome.kind === 'refused') {
-      if (!isEndedAsCrashing()) endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: RETRY_AFTER_MS })
+      if (!isEndedAsCrashing()) endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: chooseRetryAfterMs(service, RETRY_AFTER_MS, context) })
       return
     }
     using reservation = outcome.place
@@ -105,7 +105,8 @@
       const faultyId = findTargetAt(reservation, result.faultyAddress) ?? target.id
       const isPause = result.isPause === true && faultyId === target.id
       if (result.isOwnLink !== true && !isPause) context.suspicions.note(faultyId, result.hasReachedTarget ? 'refused' : 'unreachable')
-      notRunIds.add(faultyId)
+      // A pause itself keeps the call away, for as long as it lasts.
+      if (!isPause) notRunIds.add(faultyId)
       refusalsInRow++
     } else {
       progress.mayHaveRun = true
@@ -138,18 +139,21 @@
     const elapsedMs = runtime.monotonicMs() - call.startedMs
     let lastCoveredMs = runtime.monotonicMs()
     const model = service.model
+    const maxWaitMs = Math.min(MAX_WAIT_OBJECTIVES * route.objectiveMs - (progress.tries === 0 ? elapsedMs : 0), call.deadlineAtMs - runtime.monotonicMs())
+    const waitUntilMs = runtime.monotonicMs() + maxWaitMs
+    // Engines that refused an answer that has begun may take it later.
+    const excluded = hasBegun() ? failedIds : new Set([...failedIds, ...notRunIds])
     return context.dispatcherOf(service.name).request({
       rank: call.rank,
       account: call.account ?? '',
       hasBegun: hasBegun(),
-      maxWaitMs: Math.min(MAX_WAIT_OBJECTIVES * route.objectiveMs - (progress.tries === 0 ? elapsedMs : 0), call.deadlineAtMs - runtime.monotonicMs()),
+      maxWaitMs,
       tryReservePlace () {
-        // Engines that refused an answer that has begun may take it later; until then the suspicion of them keeps it away.
-        const excluded = hasBegun() ? failedIds : new Set([...failedIds, ...notRunIds])
         return model === undefined ? reserveTarget(service, excluded, ownDomain, context) : reservePath(service, size, excluded, ownDomain, context)
       },
       isPlaceExpected () {
         if (findCrashing(call, context) !== undefined) return false
+        if (runtime.monotonicMs() + pauseLeftMs(service, excluded, context) > waitUntilMs) return false
         if (model === undefined) return fleet.servingTargets(service.name).length > 0
         if (context.checkCoverage(service).isWhole) lastCoveredMs = runtime.monotonicMs()
         return runtime.monotonicMs() - lastCoveredMs < RELOAD_WINDOW_MS
@@ -159,7 +163,7 @@
   }
 
   function endWithoutAnswer (cause: 'retry budget spent' | 'attempts spent' | 'request suspected of crashes'): void {
-    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, retryAfterMs: RETRY_AFTER_MS, cutCause: 'attempts' })
+    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, retryAfterMs: chooseRetryAfterMs(service, RETRY_AFTER_MS, context), cutCause: 'attempts' })
   }
 
   function recordAnswer (): void {
--- a/src/pause/createTargetPauses/index.ts
+++ b/src/pause/createTargetPauses/index.ts
@@ -5,7 +5,7 @@
  * answer lifts it.
  *
  * It is meant for the load pattern in which engines shed load while requests keep coming. When a
- * pause ends, the target first gets one request, and the others once it has taken that one;
+ * pause ends, the target first gets a few requests, and the others once it has taken one of them;
  * otherwise everything that waited would go to it in the same instant.
  */
 import type { EventLog } from '../../event/types.js'
@@ -35,17 +35,21 @@
 /** Longest pause that is kept, in milliseconds; a target that asks for more by mistake is asked again after it. */
 const MAX_PAUSE_MS = 300_000
 
-/** Time after which the first request after a pause no longer holds back others, in milliseconds, if the target has not answered it. */
+/** Time after which the first requests after a pause no longer hold back others, in milliseconds, if the target has not answered them. */
 const TRIAL_MS = 1_000
 
 /** Pauses that were extended by less are not logged again, in milliseconds. */
 const MIN_LOGGED_EXTENSION_MS = 250
 
+/** Requests that a target gets after a pause before it has taken one of them. */
+const MAX_TRIALS = 8
+
 interface PauseRecord {
   /** Monotonic time of its end, in milliseconds. */
   untilMs: number
-  /** Monotonic time of the first request after it, in milliseconds. */
-  trialMs: number | undefined
+  /** Requests since its end, and the monotonic time of the last one, in milliseconds. */
+  trials: number
+  trialMs: number
 }
 
 /**
@@ -77,7 +81,7 @@
       const untilMs = runtime.monotonicMs() + Math.min(MAX_PAUSE_MS, pauseMs)
       const knownUntilMs = records.get(targetId)?.untilMs ?? -Infinity
       if (untilMs > knownUntilMs + MIN_LOGGED_EXTENSION_MS) log.emit('targetPauseRequested', { target: targetId, request, pauseMs, isBounded: pauseMs > MAX_PAUSE_MS })
-      records.set(targetId, { untilMs: Math.max(untilMs, knownUntilMs), trialMs: undefined })
+      records.set(targetId, { untilMs: Math.max(untilMs, knownUntilMs), trials: 0, trialMs: -Infinity })
     },
     noteTaken (targetId) {
       if (leftMs(targetId) === 0 && records.delete(targetId)) log.emit('targetPauseEnded', { target: targetId })
@@ -85,12 +89,14 @@
     mayTake (targetId) {
       const record = records.get(targetId)
       if (record === undefined) return true
-      const isTrialOpen = record.trialMs !== undefined && runtime.monotonicMs() - record.trialMs < TRIAL_MS
-      return leftMs(targetId) === 0 && !isTrialOpen
+      const areTrialsOpen = record.trials >= MAX_TRIALS && runtime.monotonicMs() - record.trialMs < TRIAL_MS
+      return leftMs(targetId) === 0 && !areTrialsOpen
     },
     take (targetId) {
       const record = records.get(targetId)
-      if (record !== undefined) record.trialMs = runtime.monotonicMs()
+      if (record === undefined) return
+      record.trials++
+      record.trialMs = runtime.monotonicMs()
     },
     leftMs,
     count: () => [...records.keys()].filter(id => leftMs(id) > 0).length
--- a/src/pause/createTargetPauses/test.ts
+++ b/src/pause/createTargetPauses/test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
 import { createTestLog } from '../../../test/fakes/createTestLog.js'
-import { createTargetPauses } from './index.js'
+import { createTargetPauses, type TargetPauses } from './index.js'
 
 const DETAILS = { request: 'r1' }
 
@@ -11,6 +11,16 @@
   return { runtime, log, pauses: createTargetPauses({ runtime, log }) }
 }
 
+/** Sends a target whatever it may get, up to a bound; returns how many requests that were. */
+function takeAll (pauses: TargetPauses): number {
+  let count = 0
+  while (count < 100 && pauses.mayTake('i-1')) {
+    pauses.take('i-1')
+    count++
+  }
+  return count
+}
+
 test('a target gets no request until its pause has ended', async t => {
   const { runtime, pauses } = createPauses()
   pauses.note('i-1', 3_000, DETAILS)
@@ -39,23 +49,21 @@
   t.false(pauses.mayTake('i-1'))
 })
 
-test('after a pause a target gets one request, and the others once it has taken that', async t => {
+test('after a pause a target gets a few requests, and the others once it has taken one', async t => {
   const { runtime, log, pauses } = createPauses()
   pauses.note('i-1', 3_000, DETAILS)
   await runtime.advance(3_000)
-  t.true(pauses.mayTake('i-1'))
-  pauses.take('i-1')
-  t.false(pauses.mayTake('i-1'))
+  t.is(takeAll(pauses), 8)
   pauses.noteTaken('i-1')
   t.true(pauses.mayTake('i-1'))
   t.deepEqual(log.recent().map(({ name }) => name), ['targetPauseRequested', 'targetPauseEnded'])
 })
 
-test('a first request that is never answered does not hold back others for long', async t => {
+test('first requests that are never answered do not hold back others for long', async t => {
   const { runtime, pauses } = createPauses()
   pauses.note('i-1', 3_000, DETAILS)
   await runtime.advance(3_000)
-  pauses.take('i-1')
+  takeAll(pauses)
   await runtime.advance(1_000)
   t.true(pauses.mayTake('i-1'))
 })
--- a/test/gateway/retryAfter.test.ts
+++ b/test/gateway/retryAfter.test.ts
@@ -119,3 +119,30 @@
   t.is(target.received.length, 5)
   t.is(log.recent().filter(({ name }) => name === 'answerFieldInvalid').length, 3)
 })
+
+test('a stream is refused on arrival with the time until the first engine ends its pause', async t => {
+  await using longer = await servePlatformEngine(pausing('20'))
+  await using shorter = await servePlatformEngine(pausing('10'))
+  await using gateway = await startTestGateway([engine('i-1', longer.address), engine('i-2', shorter.address)], { configuration })
+  t.is((await gateway.send('/stream/x')).status, 503)
+  const { status, headers } = await gateway.send('/stream/x', { 'request-id': 'r2' })
+  t.is(status, 503)
+  const retryAfterS = Number(headers['retry-after'])
+  t.true(retryAfterS > 5 && retryAfterS <= 11, `${retryAfterS}`)
+  t.like(gateway.parts.log.recent().find(({ name, request }) => name === 'gatewayRefused' && request === 'r2'), { reason: 'overloaded', waitedMs: 0, attempts: [] })
+})
+
+test('a plain call is told when the first target ends its pause', async t => {
+  await using target = await servePlatformEngine(pausing('10'))
+  await using gateway = await startTestGateway([{ ...engine('o-1', target.address), service: 'orders' }])
+  const retryAfterS = Number((await gateway.send('/unsafe/x')).headers['retry-after'])
+  t.true(retryAfterS > 5 && retryAfterS <= 11, `${retryAfterS}`)
+})
+
+test('a stream waits for a pause that ends soon', async t => {
+  await using target = await servePlatformEngine(pausing('0.2'))
+  await using gateway = await startTestGateway([engine('i-1', target.address)], { configuration })
+  t.is((await gateway.send('/stream/x', { 'deadline-ms': '100' })).status, 503)
+  target.setScript(streaming)
+  t.is((await gateway.send('/stream/x')).status, 200)
+})
