Ask once more whether a target wants a request when its connection is open

What callers saw: nothing; a target could get a request that was chosen before it asked for a pause and whose connection opened after it, up to 0.1 s later for a direct connection and 0.5 s through peers. Cause: the choice alone asked for the pause. Class: a decision that is carried out later than it is made.

--- a/src/gateway/_lib/openExchange.ts
+++ b/src/gateway/_lib/openExchange.ts
@@ -11,8 +11,8 @@
 /** The answer once its headers arrived, or why there is none. */
 export type ExchangeResult =
   | { kind: 'answered', answer: IncomingMessage }
-  /** The connection was never established, so no byte of the request was sent; `isOwnLink`: that says nothing of the target. */
-  | { kind: 'notSent', cause: string, isOwnLink: boolean }
+  /** No byte of the request was sent; `isOwnLink`: that says nothing of the target; `isPause`: the target asked for a pause while the connection was opened. */
+  | { kind: 'notSent', cause: string, isOwnLink: boolean, isPause?: boolean }
   /** The connection was established, but no headers of an answer arrived. */
   | { kind: 'lost', cause: string }
 
@@ -37,11 +37,13 @@
   headers: string[]
   body: Buffer
   connect: ConnectTarget
+  /** Whether the target still wants the request, asked once the connection is open; it does by default. */
+  mayStillSend?: () => boolean
 }
 
 /** Sends a request to `ip:port`. */
 export function openExchange (address: string, options: ExchangeOptions): Exchange {
-  const { connect } = options
+  const { connect, mayStillSend = () => true } = options
   let hasFailed = false
   let closedBy: Error | undefined
   let request: http.ClientRequest | undefined
@@ -60,6 +62,10 @@
       connecting.then(({ socket }) => socket.destroy(), () => { /* There is no connection to close. */ })
       return { kind: 'notSent', cause: closedBy!.message, isOwnLink: false }
     }
+    if (!mayStillSend()) {
+      connection.socket.destroy()
+      return { kind: 'notSent', cause: 'target asked for a pause meanwhile', isOwnLink: false, isPause: true }
+    }
     relay = connection.relay
     request = sendOver(connection.socket, options)
     // After this event the HTTP parser ends an answer without a length as if it were complete.
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -116,7 +116,8 @@
     path: request.url ?? '/',
     headers: format.buildHeaders(request, body, { requestId: facts.requestId, account, leftMs, targetId: reservation.target.id, path: undefined, lastEventId: undefined }),
     body,
-    connect: context.links.connect
+    connect: context.links.connect,
+    mayStillSend: () => context.targetPauses.leftMs(reservation.target.id) === 0
   })
   const closeExchange = (): void => exchange.close('call ended')
   signal.addEventListener('abort', closeExchange, { once: true })
@@ -124,7 +125,7 @@
   if (route.kind === 'safe') answerTimeout.signal.addEventListener('abort', () => exchange.close('no answer in time'), { once: true })
   try {
     const result = await exchange.result
-    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, hasReachedTarget: false, isOwnLink: result.isOwnLink }
+    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.isPause === true }
     if (result.kind === 'lost') return { kind: 'mayHaveRun', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
     const { answer } = result
     const metadata = format.readAnswer(answer.headers)
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -214,7 +214,8 @@
     path: request.url ?? '/',
     headers: format.buildHeaders(request, body, { requestId: facts.requestId, account, leftMs, targetId: reservation.target.id, path: reservation.path, lastEventId }),
     body,
-    connect: context.links.connect
+    connect: context.links.connect,
+    mayStillSend: () => context.targetPauses.leftMs(reservation.target.id) === 0
   })
   const closeExchange = (): void => exchange.close('call ended')
   signal.addEventListener('abort', closeExchange, { once: true })
@@ -222,7 +223,7 @@
   using stream = reservation.path === undefined ? undefined : registerStream(call, reservation, size, exchange, run, mayInterrupt, context)
   try {
     const result = await exchange.result
-    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, hasReachedTarget: false, isOwnLink: result.isOwnLink }
+    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.isPause === true }
     if (result.kind === 'lost') return { kind: 'brokenOff', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
     return await relayStream(result.answer, exchange, call, progress, { run, stream: stream?.active }, context)
   } finally {
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -10,6 +10,7 @@
 import { createFleetState } from '../../src/fleet/createFleetState/index.js'
 import type { FleetConfiguration, Route, Target } from '../../src/fleet/types.js'
 import { connectSocket } from '../../src/links/connectSocket/index.js'
+import type { ConnectDirectly } from '../../src/links/types.js'
 import { createTargetLinks } from '../../src/links/createTargetLinks/index.js'
 import { listen } from '../../src/http/listen/index.js'
 import { createCoverageCheck } from '../../src/path/createCoverageCheck/index.js'
@@ -63,12 +64,14 @@
   /** Replaces methods of the client for orders to engines. */
   control?: Partial<EngineControl>
   endSignal?: AbortSignal
+  connectDirectly?: ConnectDirectly
   runtime?: Runtime
 }
 
 /** Starts the handler. */
 export async function startTestGateway (targets: readonly Target[], options: TestGatewayOptions = {}) {
   const { control = {}, endSignal = new AbortController().signal, runtime = createSystemRuntime() } = options
+  const { connectDirectly = address => connectSocket(address, { timeoutMs: 100, runtime }) } = options
   const fleet = createFleetState({ runtime })
   const configuration = 'configuration' in options ? options.configuration : TEST_CONFIGURATION
   if (configuration !== undefined) fleet.applyConfiguration(configuration)
@@ -78,7 +81,7 @@
   const log = createTestLog()
   const linksController = new AbortController()
   const engineControl: EngineControl = { report: async () => undefined, place: async () => ({ kind: 'begun' }), repath: async () => ({ kind: 'done' }), isReachable: async () => true, ...control }
-  const links = createTargetLinks({ connectDirectly: address => connectSocket(address, { timeoutMs: 100, runtime }), isReachable: engineControl.isReachable, relays: () => [], targets: fleet.targets, runtime, log, signal: linksController.signal })
+  const links = createTargetLinks({ connectDirectly, isReachable: engineControl.isReachable, relays: () => [], targets: fleet.targets, runtime, log, signal: linksController.signal })
   const context: GatewayContext = {
     fleet,
     loadTracker: createLoadTracker({ runtime }),
--- a/test/gateway/retryAfter.test.ts
+++ b/test/gateway/retryAfter.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { connectSocket } from '../../src/links/connectSocket/index.js'
 import type { Target } from '../../src/fleet/types.js'
 import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
 import { createShiftedRuntime } from '../fakes/createShiftedRuntime.js'
@@ -146,3 +147,23 @@
   target.setScript(streaming)
   t.is((await gateway.send('/stream/x')).status, 200)
 })
+
+test('a call whose connection opens after its target asked for a pause is not sent', async t => {
+  const runtime = createShiftedRuntime()
+  let release = (): void => {}
+  const isReleased = new Promise<void>(resolve => { release = resolve })
+  const connects: string[] = []
+  const connectDirectly = async (address: string) => {
+    const socket = await connectSocket(address, { timeoutMs: 100, runtime })
+    if (connects.push(address) > 1) await isReleased
+    return socket
+  }
+  await using target = await servePlatformEngine(pausing(PAUSE_S))
+  await using gateway = await startTestGateway([{ ...engine('o-1', target.address), service: 'orders' }], { runtime, connectDirectly })
+  const [first, second] = [gateway.send('/unsafe/x'), gateway.send('/unsafe/x')]
+  t.is((await Promise.race([first, second])).status, 503)
+  while (connects.length < 2) await nextTurn()
+  release()
+  t.deepEqual((await Promise.all([first, second])).map(({ status }) => status), [503, 503])
+  t.is(target.received.length, 1)
+})
