--- a/test/gateway/links.test.ts
+++ b/test/gateway/links.test.ts
@@ -8,7 +8,7 @@
 import { startGateway } from '../../src/gateway/startGateway/index.js'
 import { connectSocket } from '../../src/links/connectSocket/index.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
-import { buildAnswer, servePlatformEngine } from '../../standin/platform/servePlatformEngine/index.js'
+import { buildAnswer, servePlatformEngine, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
 import { servePlatformStore } from '../../standin/platform/servePlatformStore/index.js'
 import { createTestLog } from '../fakes/createTestLog.js'
 import { findFreePort } from '../fakes/findFreePort.js'
@@ -148,3 +148,35 @@
   }
   t.deepEqual(statuses.slice(2 * CALLS_TO_KNOW).filter(status => status !== 200), [])
 })
+
+/** Turns requests away and asks for a pause that outlasts the test. */
+const pausing: EngineScript = (request, socket) => { socket.end(buildAnswer(request, '', { status: '503 Service Unavailable', headers: ['Not-Executed: 1', 'Retry-After: 100'] })) }
+
+test('a peer opens no connection to a target that wants no requests from it', async t => {
+  await using hosts = await startHosts()
+  await sendUntil(hosts.peer.address, 200)
+  await sendUntil(hosts.cutHost.address, 200)
+  await untilHostsKnowEachOther(hosts)
+  for (const target of hosts.targets) target.setScript(pausing)
+  const countReceived = (): number => hosts.targets.reduce((sum, { received }) => sum + received.length, 0)
+  for (let call = 0; call < 5; call++) await sendCall(hosts.peer.address, '/safe/x', {}, '')
+  const before = countReceived()
+  hosts.cut(true)
+  for (let call = 0; call < CALLS_TO_KNOW; call++) await sendCall(hosts.cutHost.address, '/safe/x', {}, '')
+  t.is(countReceived() - before, 0)
+})
+
+test('a pause that a target asks for through a peer binds the peer', async t => {
+  await using hosts = await startHosts()
+  await sendUntil(hosts.peer.address, 200)
+  await sendUntil(hosts.cutHost.address, 200)
+  await untilHostsKnowEachOther(hosts)
+  hosts.cut(true)
+  for (let call = 0; call < CALLS_TO_KNOW; call++) await sendCall(hosts.cutHost.address, '/safe/x', {}, '')
+  for (const target of hosts.targets) target.setScript(pausing)
+  const countReceived = (): number => hosts.targets.reduce((sum, { received }) => sum + received.length, 0)
+  for (let call = 0; call < CALLS_TO_KNOW; call++) await sendCall(hosts.cutHost.address, '/safe/x', {}, '')
+  const before = countReceived()
+  for (let call = 0; call < 5; call++) await sendCall(hosts.peer.address, '/safe/x', {}, '')
+  t.is(countReceived() - before, 0)
+})
