End a pause when its target has started again under the same id

Cause: pauses were kept by id, which may be that of a later start: it was told nothing, and got no requests for the rest of the pause. Change: a record names the start, and is deleted when the list shows another one; while the entry is missing it is kept. Evidence: the new test of createTargetPauses, which does not compile without the change.

--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -130,7 +130,7 @@
     const { answer } = result
     const metadata = format.readAnswer(answer.headers)
     const status = answer.statusCode ?? 0
-    noteStatements(metadata, status, call, reservation.target.id, context)
+    noteStatements(metadata, status, call, reservation.target, context)
     const answerBody = await readAnswerBody(answer, exchange.hasFailed)
     const isBrokenByTarget = answerBody === undefined && !exchange.isClosedHere()
     exchange.close('answer read')
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -165,7 +165,7 @@
     targets: fleet.targets,
     connect: links.connectForPeer,
     pauseLeftMs: targetPauses.leftMs,
-    onAnswerHead: ({ id }, head) => noteRelayedStatements(head, id, context),
+    onAnswerHead: (target, head) => noteRelayedStatements(head, target, context),
     onResult: result => metrics.relaysServed.inc({ result })
   })
   const context: GatewayContext = {
@@ -198,6 +198,7 @@
     const targetIds = new Set(fleet.targets().map(target => target.id))
     suspicions.retain(targetIds)
     targetLimits.retain(targetIds)
+    targetPauses.forgetRestarted(fleet.targets())
   })
 
   const logError = (error: unknown, fields: EventFields = {}): void => log.emit('unexpectedError', { ...fields, cause: error instanceof Error ? error.stack : String(error) })
--- a/src/pause/createTargetPauses/index.ts
+++ b/src/pause/createTargetPauses/index.ts
@@ -9,12 +9,16 @@
  * otherwise everything that waited would go to it in the same instant.
  */
 import type { EventLog } from '../../event/types.js'
+import type { Target } from '../../fleet/types.js'
 import type { Runtime } from '../../runtime/types.js'
 
+/** One start of a target. */
+type Instance = Pick<Target, 'id' | 'bornMs'>
+
 /** The pauses that targets asked this host for. */
 export interface TargetPauses {
   /** Records that a target turned a request away and wants none for a time, in milliseconds. */
-  note: (targetId: string, pauseMs: number, details: { request: string }) => void
+  note: (target: Instance, pauseMs: number, details: { request: string }) => void
   /** Records that a target took a request. */
   noteTaken: (targetId: string) => void
   /** Whether the target may be sent a request now. */
@@ -25,6 +29,8 @@
   leftMs: (targetId: string) => number
   /** Number of targets in a pause. */
   count: () => number
+  /** Deletes the pauses of listed targets that have started again; targets that are not listed keep theirs. */
+  forgetRestarted: (listed: readonly Instance[]) => void
 }
 
 interface TargetPausesOptions {
@@ -45,6 +51,8 @@
 const MAX_TRIALS = 8
 
 interface PauseRecord {
+  /** Start of the instance that asked for it. */
+  bornMs: number
   /** Monotonic time of its end, in milliseconds. */
   untilMs: number
   /** Requests since its end, and the monotonic time of the last one, in milliseconds. */
@@ -76,12 +84,12 @@
   }
 
   return {
-    note (targetId, pauseMs, { request }) {
+    note ({ id, bornMs }, pauseMs, { request }) {
       deleteEnded()
       const untilMs = runtime.monotonicMs() + Math.min(MAX_PAUSE_MS, pauseMs)
-      const knownUntilMs = records.get(targetId)?.untilMs ?? -Infinity
-      if (untilMs > knownUntilMs + MIN_LOGGED_EXTENSION_MS) log.emit('targetPauseRequested', { target: targetId, request, pauseMs, isBounded: pauseMs > MAX_PAUSE_MS })
-      records.set(targetId, { untilMs: Math.max(untilMs, knownUntilMs), trials: 0, trialMs: -Infinity })
+      const knownUntilMs = records.get(id)?.untilMs ?? -Infinity
+      if (untilMs > knownUntilMs + MIN_LOGGED_EXTENSION_MS) log.emit('targetPauseRequested', { target: id, request, pauseMs, isBounded: pauseMs > MAX_PAUSE_MS })
+      records.set(id, { bornMs, untilMs: Math.max(untilMs, knownUntilMs), trials: 0, trialMs: -Infinity })
     },
     noteTaken (targetId) {
       if (leftMs(targetId) === 0 && records.delete(targetId)) log.emit('targetPauseEnded', { target: targetId })
@@ -99,6 +107,9 @@
       record.trialMs = runtime.monotonicMs()
     },
     leftMs,
-    count: () => [...records.keys()].filter(id => leftMs(id) > 0).length
+    count: () => [...records.keys()].filter(id => leftMs(id) > 0).length,
+    forgetRestarted (listed) {
+      for (const { id, bornMs } of listed) if ((records.get(id)?.bornMs ?? bornMs) !== bornMs) records.delete(id)
+    }
   }
 }
--- a/src/pause/createTargetPauses/test.ts
+++ b/src/pause/createTargetPauses/test.ts
@@ -3,6 +3,7 @@
 import { createTestLog } from '../../../test/fakes/createTestLog.js'
 import { createTargetPauses, type TargetPauses } from './index.js'
 
+const ENGINE = { id: 'i-1', bornMs: 1 }
 const DETAILS = { request: 'r1' }
 
 function createPauses () {
@@ -23,7 +24,7 @@
 
 test('a target gets no request until its pause has ended', async t => {
   const { runtime, pauses } = createPauses()
-  pauses.note('i-1', 3_000, DETAILS)
+  pauses.note(ENGINE, 3_000, DETAILS)
   await runtime.advance(2_999)
   t.false(pauses.mayTake('i-1'))
   t.is(pauses.leftMs('i-1'), 1)
@@ -33,7 +34,7 @@
 
 test('a request that the target takes during a pause does not end it', async t => {
   const { runtime, pauses } = createPauses()
-  pauses.note('i-1', 3_000, DETAILS)
+  pauses.note(ENGINE, 3_000, DETAILS)
   await runtime.advance(1_000)
   pauses.noteTaken('i-1')
   t.false(pauses.mayTake('i-1'))
@@ -42,16 +43,16 @@
 
 test('a shorter pause does not shorten one that is known', async t => {
   const { runtime, pauses } = createPauses()
-  pauses.note('i-1', 3_000, DETAILS)
+  pauses.note(ENGINE, 3_000, DETAILS)
   await runtime.advance(500)
-  pauses.note('i-1', 500, DETAILS)
+  pauses.note(ENGINE, 500, DETAILS)
   await runtime.advance(2_000)
   t.false(pauses.mayTake('i-1'))
 })
 
 test('after a pause a target gets a few requests, and the others once it has taken one', async t => {
   const { runtime, log, pauses } = createPauses()
-  pauses.note('i-1', 3_000, DETAILS)
+  pauses.note(ENGINE, 3_000, DETAILS)
   await runtime.advance(3_000)
   t.is(takeAll(pauses), 8)
   pauses.noteTaken('i-1')
@@ -61,7 +62,7 @@
 
 test('first requests that are never answered do not hold back others for long', async t => {
   const { runtime, pauses } = createPauses()
-  pauses.note('i-1', 3_000, DETAILS)
+  pauses.note(ENGINE, 3_000, DETAILS)
   await runtime.advance(3_000)
   takeAll(pauses)
   await runtime.advance(1_000)
@@ -70,7 +71,7 @@
 
 test('a pause of years is bounded', async t => {
   const { runtime, log, pauses } = createPauses()
-  pauses.note('i-1', 1e12, DETAILS)
+  pauses.note(ENGINE, 1e12, DETAILS)
   await runtime.advance(300_000)
   t.true(pauses.mayTake('i-1'))
   t.like(log.recent()[0], { name: 'targetPauseRequested', isBounded: true })
@@ -82,3 +83,12 @@
   pauses.take('i-1')
   t.true(pauses.mayTake('i-1'))
 })
+
+test('a target that has started again is in no pause, one whose entry is missing still is', t => {
+  const { pauses } = createPauses()
+  pauses.note(ENGINE, 3_000, DETAILS)
+  pauses.forgetRestarted([])
+  t.false(pauses.mayTake('i-1'))
+  pauses.forgetRestarted([{ id: 'i-1', bornMs: 2 }])
+  t.true(pauses.mayTake('i-1'))
+})
