--- /dev/null
+++ b/test/gateway/leaving.test.ts
@@ -0,0 +1,63 @@
+import test from 'ava'
+import type { Target } from '../../src/fleet/types.js'
+import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
+import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
+
+/** A model that one engine can hold. */
+const configuration = { ...TEST_CONFIGURATION, services: TEST_CONFIGURATION.services.map(service => service.model === undefined ? service : { ...service, model: { ...service.model, layerMb: 100 } }) }
+
+const engine = (id: string, address: string, bornMs = 1): Target => ({ id, service: 'model', address, failureDomain: 'north', bornMs, isLeaving: false, kind: 'large', slots: 134, layers: { from: 0, to: 80 } })
+const service = (id: string, address: string): Target => ({ ...engine(id, address), service: 'orders' })
+
+/** Answers a stream with the given header lines. */
+const streaming = (...headers: string[]): EngineScript => (request, socket) => {
+  const head = headers.reduce((lines, header) => lines.replace('\r\n', `\r\n${header}\r\n`), buildStreamHead(request))
+  socket.end(head + encodeEvents([1, 2]) + STREAM_END)
+}
+
+/** Answers a plain call, or turns it away, with the header of a target that leaves. */
+const leaving = (status = '200 OK', ...headers: string[]): EngineScript => (request, socket) => {
+  socket.end(buildAnswer(request, 'done', { status, headers: ['Server-Leaving: 1', ...headers] }))
+}
+
+test('an engine that says in a stream that it leaves gets no further stream', async t => {
+  await using leaver = await servePlatformEngine(streaming('Server-Leaving: 1'))
+  await using other = await servePlatformEngine(streaming())
+  await using gateway = await startTestGateway([engine('i-1', leaver.address)], { configuration })
+  t.is((await gateway.send('/stream/x')).status, 200)
+  gateway.parts.fleet.applyChanges({ revision: 2, changed: [{ ...engine('i-2', other.address), kind: 'small', failureDomain: 'south' }], removedIds: [] })
+  for (let call = 0; call < 5; call++) t.is((await gateway.send('/stream/x')).status, 200)
+  t.is(leaver.received.length, 1)
+})
+
+test('a target that says in any answer that it leaves gets no further call', async t => {
+  for (const script of [leaving(), leaving('500 Internal Server Error'), leaving('503 Service Unavailable', 'Not-Executed: 1'), leaving('429 Too Many Requests', 'Not-Executed: 1')]) {
+    await using leaver = await servePlatformEngine(script)
+    await using gateway = await startTestGateway([service('o-1', leaver.address)])
+    await gateway.send('/unsafe/x')
+    for (let call = 0; call < 5; call++) t.is((await gateway.send('/unsafe/x')).status, 503)
+    t.is(leaver.received.length, 1)
+  }
+})
+
+test('a target that left by its own word is still leaving when its entry comes back, and another start of it is not', async t => {
+  await using leaver = await servePlatformEngine(leaving())
+  const target = service('o-1', leaver.address)
+  await using gateway = await startTestGateway([target])
+  const { fleet } = gateway.parts
+  t.is((await gateway.send('/safe/x')).status, 200)
+  fleet.applyChanges({ revision: 2, changed: [], removedIds: ['o-1'] })
+  fleet.applyChanges({ revision: 3, changed: [target], removedIds: [] })
+  t.is((await gateway.send('/safe/x')).status, 503)
+  fleet.applyChanges({ revision: 4, changed: [{ ...target, bornMs: 2 }], removedIds: [] })
+  t.is((await gateway.send('/safe/x')).status, 200)
+})
+
+test('an answer of another target at the same address does not say that the expected one leaves', async t => {
+  await using other = await servePlatformEngine((request, socket) => {
+    socket.end(buildAnswer(request, '', { status: '421 Misdirected Request', headers: ['Not-Executed: 1', 'Server-Leaving: 1'] }))
+  })
+  await using gateway = await startTestGateway([service('o-1', other.address)])
+  await gateway.send('/safe/x')
+  t.is(gateway.parts.fleet.servingTargets('orders').length, 1)
+})
--- a/test/gateway/links.test.ts
+++ b/test/gateway/links.test.ts
@@ -180,3 +180,18 @@
   for (let call = 0; call < 5; call++) await sendCall(hosts.peer.address, '/safe/x', {}, '')
   t.is(countReceived() - before, 0)
 })
+
+test('a target that says through a peer that it leaves gets no more calls of the peer', async t => {
+  await using hosts = await startHosts()
+  await sendUntil(hosts.peer.address, 200)
+  await sendUntil(hosts.cutHost.address, 200)
+  await untilHostsKnowEachOther(hosts)
+  hosts.cut(true)
+  for (let call = 0; call < CALLS_TO_KNOW; call++) await sendCall(hosts.cutHost.address, '/safe/x', {}, '')
+  for (const target of hosts.targets) target.setScript((request, socket) => { socket.end(buildAnswer(request, 'done', { headers: ['Server-Leaving: 1'] })) })
+  const countReceived = (): number => hosts.targets.reduce((sum, { received }) => sum + received.length, 0)
+  for (let call = 0; call < CALLS_TO_KNOW; call++) await sendCall(hosts.cutHost.address, '/safe/x', {}, '')
+  const before = countReceived()
+  for (let call = 0; call < 5; call++) await sendCall(hosts.peer.address, '/safe/x', {}, '')
+  t.is(countReceived() - before, 0)
+})
