Give a target that says in an answer that it leaves no further requests

What callers saw: while the store was away or behind, requests went to engines that had said in their answers that they leave, and were refused or cut there. Cause: leaving was known from the store only. Class: what a target says of itself was read at one of the places where it says it. Change: an answer's word is recorded for that start of the target and overrides its entry, at the host that sent the request and at a peer that passed the answer on (decision 69).

--- a/src/fleet/createFleetState/index.ts
+++ b/src/fleet/createFleetState/index.ts
@@ -1,6 +1,7 @@
 /**
  * This host's copy of the fleet: the configuration, which is only ever replaced by a higher
  * version, and the targets at the highest store revision seen, read from the store or from peers.
+ * What engines were seen to hold, and which targets said that they leave, overrides their entries.
  */
 import { createHash } from 'node:crypto'
 import { isDeepStrictEqual } from 'node:util'
@@ -60,6 +61,8 @@
   applyChanges: (changes: TargetChanges, options?: { keepMissingMs?: number }) => void
   /** Records layers seen on an engine, unless the target is unknown or was started at another time. */
   recordSeenLayers: (seen: SeenLayers) => void
+  /** Records that a target said itself that it leaves, whatever its entry says; returns whether that is new. It holds for that start of the target. */
+  recordLeaving: (target: Pick<Target, 'id' | 'bornMs'>) => boolean
   /** Recent sightings that the entries do not show yet. */
   seenLayers: () => SeenLayers[]
   /** Calls the listener after each change of configuration or targets, until the subscription is disposed of. */
@@ -69,6 +72,9 @@
 /** How long seen layers override the engine's entry, in milliseconds; engines write their entry about every second. */
 const SEEN_LAYERS_TTL_MS = 5_000
 
+/** Targets kept that said that they leave; the first ones are gone by then. */
+const MAX_LEAVING = 1_000
+
 /** Changes kept to answer `updateSince`: more than one second's worth, even while the whole fleet starts. */
 const MAX_HISTORY_CHANGES = 100
 
@@ -95,6 +101,8 @@
   /** Targets kept although their entries are missing, with the monotonic time at which they are removed. */
   const missingUntilMs = new Map<string, number>()
   const sightings = new Map<string, TimedSeenLayers>()
+  /** Start of each target that said that it leaves. */
+  const leavingBornMs = new Map<string, number>()
   const listeners = new Set<() => void>()
   let targetList: Target[] | undefined
   let fingerprint = ''
@@ -169,10 +177,18 @@
     return { ...target, layers: sighting.layers ?? undefined }
   }
 
+  const isLeaving = ({ id, bornMs, isLeaving }: Target): boolean => isLeaving || leavingBornMs.get(id) === bornMs
+
+  /** The target as this host knows it, beyond its entry. */
+  function withObservations (target: Target): Target {
+    const seen = withSeenLayers(target)
+    return isLeaving(target) === target.isLeaving ? seen : { ...seen, isLeaving: true }
+  }
+
   const isListed = (target: Target): boolean => targets.get(target.id)?.bornMs === target.bornMs
 
   const listTargets = (): Target[] => {
-    targetList ??= [...targets.values()].map(withSeenLayers)
+    targetList ??= [...targets.values()].map(withObservations)
     return targetList
   }
 
@@ -189,7 +205,7 @@
     targets: listTargets,
     servingTargets: service => listTargets().filter(target => target.service === service && !target.isLeaving),
     isListed,
-    isServing: target => isListed(target) && !targets.get(target.id)!.isLeaving,
+    isServing: target => isListed(target) && !isLeaving(targets.get(target.id)!),
     revision: () => revision,
     fingerprint: () => fingerprint,
     updateSince (known) {
@@ -220,6 +236,14 @@
       runtime.setTimer(SEEN_LAYERS_TTL_MS + 1, () => { targetList = undefined })
       notify()
     },
+    recordLeaving ({ id, bornMs }) {
+      if (leavingBornMs.get(id) === bornMs) return false
+      leavingBornMs.delete(id)
+      leavingBornMs.set(id, bornMs)
+      if (leavingBornMs.size > MAX_LEAVING) leavingBornMs.delete(leavingBornMs.keys().next().value!)
+      notify()
+      return true
+    },
     seenLayers: () => [...sightings.values()]
       .filter(sighting => runtime.monotonicMs() - sighting.seenMs <= SEEN_LAYERS_TTL_MS && !isShownByEntry(sighting, targets.get(sighting.targetId)))
       .map(({ targetId, bornMs, layers }) => ({ targetId, bornMs, layers })),
--- a/src/gateway/_lib/noteStatements.ts
+++ b/src/gateway/_lib/noteStatements.ts
@@ -1,6 +1,6 @@
 /**
  * Records what a target says of itself in the headers of its answers: the rate of requests that it
- * takes, and that it wants none from this host for a time.
+ * takes, that it wants none from this host for a time, and that it leaves.
  */
 import type { Target } from '../../fleet/types.js'
 import type { AnswerMetadata, Call, GatewayContext } from '../types.js'
@@ -8,7 +8,10 @@
 /** Status with which a target turns requests away for its own sake; a time to retry speaks of the target only there, while 429 speaks of the requests. */
 const TURNED_AWAY_STATUS = 503
 
-interface StatementContext extends Pick<GatewayContext, 'targetLimits' | 'targetPauses' | 'log' | 'metrics'> {}
+/** Status with which another target at the address of the expected one answers. */
+const OTHER_TARGET_STATUS = 421
+
+interface StatementContext extends Pick<GatewayContext, 'fleet' | 'targetLimits' | 'targetPauses' | 'log' | 'metrics'> {}
 
 /** Records what an answer says of its target; one that belongs to another request says nothing. */
 export function noteStatements (metadata: AnswerMetadata, status: number, { facts }: Call, target: Target, context: StatementContext): void {
@@ -20,6 +23,7 @@
     if (retryAfterMs === 'malformed') reportMalformed('retryAfterMs')
     else if (retryAfterMs !== undefined) context.targetPauses.note(target, retryAfterMs, { request: facts.requestId })
   }
+  noteLeaving({ status, metadata }, target, { request: facts.requestId }, context)
   if (!isOwnAnswer) return
   if (!isTurnedAway) context.targetPauses.noteTaken(target.id)
   if (limitPerS === 'malformed') reportMalformed('limitPerS')
@@ -31,10 +35,17 @@
   }
 }
 
-/** Records what a target asks of this host in an answer that passes through to a peer; the peer records the rest. */
-export function noteRelayedStatements (head: string, target: Target, { format, targetPauses }: Pick<GatewayContext, 'format' | 'targetPauses'>): void {
-  const answer = format.readAnswerHead(head)
-  if (answer?.status !== TURNED_AWAY_STATUS) return
-  const { requestId, retryAfterMs } = answer.metadata
-  if (typeof retryAfterMs === 'number') targetPauses.note(target, retryAfterMs, { request: requestId ?? '' })
+/** Records what a target says to this host in an answer that passes through to a peer; the peer records the rest. */
+export function noteRelayedStatements (head: string, target: Target, context: StatementContext & Pick<GatewayContext, 'format'>): void {
+  const answer = context.format.readAnswerHead(head)
+  if (answer === undefined) return
+  const { requestId: request = '', retryAfterMs } = answer.metadata
+  noteLeaving(answer, target, { request }, context)
+  if (answer.status === TURNED_AWAY_STATUS && typeof retryAfterMs === 'number') context.targetPauses.note(target, retryAfterMs, { request })
+}
+
+/** Records that a target leaves, if an answer says so; even a late answer to another request says it of its sender. */
+function noteLeaving ({ status, metadata }: { status: number, metadata: AnswerMetadata }, target: Target, { request }: { request: string }, { fleet, log }: StatementContext): void {
+  if (!metadata.isLeaving || status === OTHER_TARGET_STATUS || !fleet.recordLeaving(target)) return
+  log.emit('targetLeaving', { leavingIds: [target.id], request })
 }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -66,6 +66,8 @@
   limitPerS: number | 'malformed' | undefined
   /** Time in which the target wants no requests from this host, in milliseconds; `malformed` if that could not be read. */
   retryAfterMs: number | 'malformed' | undefined
+  /** The target states that it leaves. */
+  isLeaving: boolean
 }
 
 /** Reads and writes the headers of calls and answers, whose names the platform defines. */
