--- a/src/digest/_lib/createNoticeRelay.ts
+++ b/src/digest/_lib/createNoticeRelay.ts
@@ -40,6 +40,7 @@
 type Suspicion = Notices['suspicions'][number]
 type SeenLayers = Notices['seenLayers'][number]
 type Limit = Notices['limits'][number]
+type Leaving = Notices['leaving'][number]
 
 /** Creates a relay without any notices. */
 export function createNoticeRelay (options: { runtime: Runtime }): NoticeRelay {
@@ -47,6 +48,7 @@
   const suspicions = new Map<string, Entry<Suspicion>>()
   const seenLayers = new Map<string, Entry<SeenLayers>>()
   const limits = new Map<string, Entry<Limit>>()
+  const leaving = new Map<string, Entry<Leaving>>()
 
   /** Whether the suspicion says more than the known one: that it lasts longer, or that the target is unfit. */
   function isNewSuspicion (next: Suspicion, known: Entry<Suspicion> | undefined): boolean {
@@ -64,7 +66,7 @@
 
   function add (notices: Notices, from: Entry<unknown>['from']): Notices {
     const nowMs = runtime.monotonicMs()
-    const news: Notices = { suspicions: [], seenLayers: [], limits: [] }
+    const news: Notices = { suspicions: [], seenLayers: [], limits: [], leaving: [] }
     for (const notice of notices.suspicions) {
       if (!isNewSuspicion(notice, suspicions.get(notice.targetId))) continue
       suspicions.set(notice.targetId, { notice, learnedMs: nowMs, from })
@@ -80,9 +82,15 @@
       limits.set(notice.targetId, { notice, learnedMs: nowMs, from })
       news.limits.push(notice)
     }
+    for (const notice of notices.leaving) {
+      if (leaving.get(notice.targetId)?.notice.bornMs === notice.bornMs) continue
+      leaving.set(notice.targetId, { notice, learnedMs: nowMs, from })
+      news.leaving.push(notice)
+    }
     forget(suspicions)
     forget(seenLayers)
     forget(limits)
+    forget(leaving)
     return news
   }
 
@@ -104,7 +112,7 @@
     },
     addReceived (notices, ip, role) {
       const news = add(notices, { ip, role })
-      return news.suspicions.length + news.seenLayers.length + news.limits.length > 0 ? news : undefined
+      return news.suspicions.length + news.seenLayers.length + news.limits.length + news.leaving.length > 0 ? news : undefined
     },
     noticesFor (ip, role) {
       const nowMs = runtime.monotonicMs()
@@ -113,7 +121,8 @@
           ...notice, ageMs: Math.round(notice.ageMs + nowMs - learnedMs), leftMs: Math.max(0, Math.round(notice.leftMs - (nowMs - learnedMs)))
         })),
         seenLayers: list(seenLayers, ip, role).map(({ notice }) => notice),
-        limits: list(limits, ip, role).map(({ notice, learnedMs }) => ({ ...notice, ageMs: Math.round(notice.ageMs + nowMs - learnedMs) }))
+        limits: list(limits, ip, role).map(({ notice, learnedMs }) => ({ ...notice, ageMs: Math.round(notice.ageMs + nowMs - learnedMs) })),
+        leaving: list(leaving, ip, role).map(({ notice }) => notice)
       }
     }
   }
--- a/src/digest/createDigestExchange/index.ts
+++ b/src/digest/createDigestExchange/index.ts
@@ -118,7 +118,7 @@
       hostCount: 1 + countHostsBehind(sources),
       loadAgeMs: Math.round(meanAgeMs(sources, { nowMs, ownHosts: 1 })),
       reader: firstReader(state.isStoreConnected ? [{ ip: ownIp, depth: plan.depth, ageMs: 0 }, ...readers] : readers),
-      notices: isLoadRole(role) ? relay.noticesFor(ip, role) : { suspicions: [], seenLayers: [], limits: [] },
+      notices: isLoadRole(role) ? relay.noticesFor(ip, role) : { suspicions: [], seenLayers: [], limits: [], leaving: [] },
       crashes: isLoadRole(role) ? crashEvidence.newsFor(ip) : { sightings: [], answered: [] },
       members: view.takeReport(ip, reportOptions(role)),
       load: isLoadRole(role) ? load.sumWith(sources.map(loadKeyOf)) : new Map()
--- a/src/digest/types.ts
+++ b/src/digest/types.ts
@@ -22,7 +22,9 @@
   suspicions: z.array(z.object({ targetId: z.string(), ageMs: z.number(), leftMs: z.number(), isUnfit: z.boolean() })),
   seenLayers: z.array(z.object({ targetId: z.string(), bornMs: z.number(), layers: layerRangeSchema.nullable() })),
   /** Rates that targets say they take; absent in digests of earlier versions. */
-  limits: z.array(z.object({ targetId: z.string(), limitPerS: z.number().min(0).nullable(), ageMs: z.number().min(0) })).default([])
+  limits: z.array(z.object({ targetId: z.string(), limitPerS: z.number().min(0).nullable(), ageMs: z.number().min(0) })).default([]),
+  /** Targets that said that they leave; absent in digests of earlier versions. */
+  leaving: z.array(z.object({ targetId: z.string(), bornMs: z.number() })).default([])
 })
 
 /** State of the sending host. */
--- a/src/fleet/createFleetState/index.ts
+++ b/src/fleet/createFleetState/index.ts
@@ -63,6 +63,8 @@
   recordSeenLayers: (seen: SeenLayers) => void
   /** Records that a target said itself that it leaves, whatever its entry says; returns whether that is new. It holds for that start of the target. */
   recordLeaving: (target: Pick<Target, 'id' | 'bornMs'>) => boolean
+  /** Listed targets that said that they leave. */
+  leavingByOwnWord: () => Array<{ targetId: string, bornMs: number }>
   /** Recent sightings that the entries do not show yet. */
   seenLayers: () => SeenLayers[]
   /** Calls the listener after each change of configuration or targets, until the subscription is disposed of. */
@@ -244,6 +246,7 @@
       notify()
       return true
     },
+    leavingByOwnWord: () => [...leavingBornMs].flatMap(([targetId, bornMs]) => targets.get(targetId)?.bornMs === bornMs ? [{ targetId, bornMs }] : []),
     seenLayers: () => [...sightings.values()]
       .filter(sighting => runtime.monotonicMs() - sighting.seenMs <= SEEN_LAYERS_TTL_MS && !isShownByEntry(sighting, targets.get(sighting.targetId)))
       .map(({ targetId, bornMs, layers }) => ({ targetId, bornMs, layers })),
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -110,7 +110,7 @@
     signal,
     load: loadTracker,
     buildState,
-    ownNotices: () => ({ suspicions: suspicions.share(), seenLayers: fleet.seenLayers(), limits: targetLimits.share() }),
+    ownNotices: () => ({ suspicions: suspicions.share(), seenLayers: fleet.seenLayers(), limits: targetLimits.share(), leaving: fleet.leavingByOwnWord() }),
     onNotices: applyNotices,
     crashEvidence,
     isFollowingStore: () => follower.isConnected() || readerFollower.isConnected(),
@@ -271,6 +271,7 @@
   function applyNotices (notices: Notices): void {
     notices.suspicions.forEach(suspicions.applyPeerSuspicion)
     notices.limits.forEach(targetLimits.applyPeerLimit)
+    for (const { targetId, bornMs } of notices.leaving) if (fleet.recordLeaving({ id: targetId, bornMs })) log.emit('targetLeaving', { leavingIds: [targetId], source: 'peer' })
     for (const seen of notices.seenLayers) if (!areLayersKnown(seen)) fleet.recordSeenLayers(seen)
   }
 
--- a/test/fakes/createSimulatedHosts.ts
+++ b/test/fakes/createSimulatedHosts.ts
@@ -108,7 +108,7 @@
     running.set(ip, controller)
     const sent = { datagrams: 0, bytes: 0 }
     const state: HostState = { host: `host ${ip}`, failureDomain, startedMs: Math.round(nowMs), statePort: 80, configurationVersion: 1, targetsRevision: 1, targetsFingerprint: 'f', isStoreConnected: false, leaseFencing: 0, isImpaired: false }
-    const ownNotices: Notices = { suspicions: [], seenLayers: [], limits: [] }
+    const ownNotices: Notices = { suspicions: [], seenLayers: [], limits: [], leaving: [] }
     const receivedNotices: Notices[] = []
     const fetched: string[] = []
     const log = createTestLog()
--- a/test/gateway/leaving.test.ts
+++ b/test/gateway/leaving.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava'
 import type { Target } from '../../src/fleet/types.js'
 import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
-import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
+import { sendUntil, startTwoHosts, untilHostsKnowEachOther } from '../fakes/startTwoHosts.js'
+import { sendCall, startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 /** A model that one engine can hold. */
 const configuration = { ...TEST_CONFIGURATION, services: TEST_CONFIGURATION.services.map(service => service.model === undefined ? service : { ...service, model: { ...service.model, layerMb: 100 } }) }
@@ -61,3 +62,18 @@
   await gateway.send('/safe/x')
   t.is(gateway.parts.fleet.servingTargets('orders').length, 1)
 })
+
+test('a target that says that it leaves gets no more calls of hosts that hear of it', async t => {
+  await using hosts = await startTwoHosts()
+  await sendUntil(hosts.peer.address, 200)
+  await sendUntil(hosts.cutHost.address, 200)
+  await untilHostsKnowEachOther(hosts)
+  for (const target of hosts.targets) target.setScript(leaving())
+  while ((await sendCall(hosts.cutHost.address, '/safe/x', {}, '')).status === 200);
+  const countHeard = (): number => hosts.peer.log.recent().filter(({ name, source }) => name === 'targetLeaving' && source === 'peer').length
+  while (countHeard() < hosts.targets.length) await new Promise(resolve => { setImmediate(resolve) })
+  const countReceived = (): number => hosts.targets.reduce((sum, { received }) => sum + received.length, 0)
+  const before = countReceived()
+  t.is((await sendCall(hosts.peer.address, '/safe/x', {}, '')).status, 503)
+  t.is(countReceived() - before, 0)
+})
