Let targets of the soak ask for pauses and leave by their answers alone, and check that hosts keep to both

The soak's targets turned requests away without Retry-After and said only in the store that they leave. Half of the shedding targets now ask for pauses of up to 3 s, every answer of a leaving one says so, and half of these do not tell the store. Findings: more than two requests of a host within a pause, and requests sent later than 2 s after an answer that said that the target leaves; hosts with a fault in between are left out.

--- a/soak/_lib/checkRecords.ts
+++ b/soak/_lib/checkRecords.ts
@@ -45,6 +45,13 @@
 const CRASH_PROPAGATION_MS = 3_000
 const MAX_LATE_CRASHING_REQUESTS = 3
 
+/** Requests that may reach a target within a pause, and the time after it was asked for from which they count, in milliseconds. */
+const MAX_REQUESTS_IN_PAUSE = 2
+const PAUSE_SLACK_MS = 500
+
+/** Time after an answer with which a target says that it leaves, from which callers' requests must not reach it, in milliseconds. */
+const DRAIN_MS = 2_000
+
 /** Input of the checks. */
 export interface Evidence {
   records: readonly CallRecord[]
@@ -72,7 +79,7 @@
     const problems = [...checkAnswer(record, isUndisturbed(record)), ...checkLoss(record, ownTries, evidence), ...checkRuns(record, ownTries.filter(entry => entry.hasRun)), ...checkKey(record, evidence)]
     return problems.map(problem => `${record.requestId} (${record.kind} at ${record.host.name}, sent at ${Math.round(record.sentMs)} ms, status ${record.status}): ${problem}`)
   })
-  return [...findings, ...checkRetries(evidence), ...checkCrashes(evidence, isUndisturbed)]
+  return [...findings, ...checkRetries(evidence), ...checkCrashes(evidence, isUndisturbed), ...checkStatements(evidence, isUndisturbed)]
 }
 
 function checkAnswer (record: CallRecord, isUndisturbed: boolean): string[] {
@@ -149,6 +156,27 @@
   })
 }
 
+/** Checks that hosts keep to what targets told them: that they want no requests for a time, and that they leave. */
+function checkStatements ({ records, ledger }: Evidence, isUndisturbed: IsUndisturbed): string[] {
+  const recordsById = new Map(records.filter(isUndisturbed).map(record => [record.requestId, record]))
+  const byPair = new Map<string, LedgerEntry[]>()
+  for (const entry of ledger) {
+    const record = recordsById.get(entry.requestId)
+    if (record === undefined) continue
+    const pair = `${record.host.name} to ${entry.targetId}`
+    byPair.set(pair, [...byPair.get(pair) ?? [], entry])
+  }
+  return [...byPair].flatMap(([pair, entries]) => {
+    const inPause = entries.filter(({ pauseMs }) => pauseMs > 0).map(asked => entries.filter(({ atMs }) => atMs > asked.atMs + PAUSE_SLACK_MS && atMs < asked.atMs + asked.pauseMs).length)
+    const toldMs = Math.min(...entries.filter(({ saidLeaving, outcome }) => saidLeaving && (outcome === 'answered' || outcome === 'shed')).map(({ endedMs }) => endedMs))
+    const afterLeaving = entries.filter(({ requestId }) => recordsById.get(requestId)!.sentMs > toldMs + DRAIN_MS).length
+    return [
+      ...Math.max(0, ...inPause) > MAX_REQUESTS_IN_PAUSE ? [`${Math.max(...inPause)} requests of ${pair} within a pause that it had asked for`] : [],
+      ...afterLeaving > 0 ? [`${afterLeaving} requests of ${pair} after it had said that it leaves`] : []
+    ]
+  })
+}
+
 /** Checks that every host serves every kind of call once the faults are over; returns one line for each finding. */
 export function checkRecovery (records: readonly CallRecord[], settledMs: number): string[] {
   const callsAfterFaults = records.filter(record => record.sentMs > settledMs && record.status !== 401)
--- a/soak/_lib/createTargetHandler.ts
+++ b/soak/_lib/createTargetHandler.ts
@@ -18,6 +18,10 @@
   outcome: 'running' | 'answered' | 'shed' | 'brokenOff' | 'closed'
   /** Monotonic time of its end, in milliseconds. */
   endedMs: number
+  /** Time for which the target then wanted no requests from the host, in milliseconds. */
+  pauseMs: number
+  /** Whether the target said in its answer that it leaves. */
+  saidLeaving: boolean
 }
 
 /** State of one target. */
@@ -31,8 +35,9 @@
   isBusy: boolean
   isUp: boolean
   leavingSinceMs: number | undefined
-  /** Whether the target is full and refuses requests without running them. */
+  /** Whether the target is full and refuses requests without running them, and the longest pause that it asks for then, in milliseconds; 0 to ask for none. */
   isShedding: boolean
+  maxPauseMs: number
   /** Number of times the target broke off all its streams. */
   breakOffCount: number
   renewalCount: number
@@ -58,6 +63,9 @@
 const WORK_MS = 30
 const EVENT_MS = 12
 
+/** Milliseconds in a second. */
+const MS_PER_S = 1_000
+
 /** Number of different stream lengths; a stream has 5 to 44 events. */
 const STREAM_LENGTHS = 40
 
@@ -90,7 +98,7 @@
     const requestId = String(request.headers['request-id'])
     const promptParts = String(request.headers['prompt-prefix'] ?? '').split(',').map(entry => entry.split(':')[0]!)
     const recordRequest = (hasRun: boolean): LedgerEntry => {
-      const entry: LedgerEntry = { requestId, targetId: state.id, service, promptParts, atMs: performance.now(), hasRun, outcome: hasRun ? 'running' : 'shed', endedMs: Infinity }
+      const entry: LedgerEntry = { requestId, targetId: state.id, service, promptParts, atMs: performance.now(), hasRun, outcome: hasRun ? 'running' : 'shed', endedMs: Infinity, pauseMs: 0, saidLeaving: state.leavingSinceMs !== undefined }
       const { bornMs } = state
       ledger.push(entry)
       response.once('close', () => {
@@ -102,12 +110,24 @@
       })
       return entry
     }
-    const refuseRequest = (status: number, faultyAddress?: string): void => {
-      recordRequest(false)
-      response.writeHead(status, { 'Request-Id': requestId, 'Not-Executed': '1', ...(faultyAddress === undefined ? {} : { 'At-Server': faultyAddress }), 'Content-Length': 0 }).end()
+    const refuseRequest = (status: number, headers: Record<string, string> = {}): LedgerEntry => {
+      const entry = recordRequest(false)
+      response.writeHead(status, { 'Request-Id': requestId, 'Not-Executed': '1', ...headers, ...ownHeaders(), 'Content-Length': 0 }).end()
+      return entry
+    }
+    if (request.headers['expect-instance'] !== state.id) {
+      refuseRequest(421).saidLeaving = false
+      return
+    }
+    if (state.isShedding) {
+      const pauseMs = Math.round(random() * state.maxPauseMs)
+      refuseRequest(503, pauseMs === 0 ? {} : { 'Retry-After': String(pauseMs / MS_PER_S) }).pauseMs = pauseMs
+      return
+    }
+    if (state.leavingSinceMs !== undefined && service === 'model') {
+      refuseRequest(503)
+      return
     }
-    if (request.headers['expect-instance'] !== state.id) return refuseRequest(421)
-    if (state.isShedding || (state.leavingSinceMs !== undefined && service === 'model')) return refuseRequest(503)
     if (service !== 'model') {
       const entry = recordRequest(true)
       setTimeout(() => sendPlainAnswer(entry, response), WORK_MS)
@@ -115,13 +135,21 @@
     }
     const path = String(request.headers['hop-count'])
     const faultyAddress = findFaultyStage(path)
-    if (faultyAddress !== undefined) return refuseRequest(503, faultyAddress)
+    if (faultyAddress !== undefined) {
+      refuseRequest(503, { 'At-Server': faultyAddress })
+      return
+    }
     const entry = recordRequest(true)
     state.pathsByRequest.set(requestId, path)
-    response.writeHead(200, { 'Request-Id': requestId, 'Server-Seal': 's', 'Content-Type': 'text/event-stream' })
+    response.writeHead(200, { 'Request-Id': requestId, 'Server-Seal': 's', 'Content-Type': 'text/event-stream', ...ownHeaders() })
     sendEvents(entry, Number(request.headers['last-event-id'] ?? 0), response)
   }
 
+  /** What the target says of itself in each answer. */
+  function ownHeaders (): Record<string, string> {
+    return state.leavingSinceMs === undefined ? {} : { 'Server-Leaving': '1' }
+  }
+
   function sendPlainAnswer (entry: LedgerEntry, response: ServerResponse): void {
     const { requestId } = entry
     const sample = random()
@@ -131,7 +159,7 @@
       return
     }
     const status = sample < ABORT_RATIO + FAILURE_RATIO ? 500 : 200
-    response.writeHead(status, { 'Request-Id': requestId, 'Server-Seal': 's', 'Content-Type': 'text/plain' }).end(`answer to ${requestId}`)
+    response.writeHead(status, { 'Request-Id': requestId, 'Server-Seal': 's', 'Content-Type': 'text/plain', ...ownHeaders() }).end(`answer to ${requestId}`)
   }
 
   /** Sends events while every stage of the path is up; while one is down, the stream pauses until it gets another path. */
--- a/soak/_lib/faults.ts
+++ b/soak/_lib/faults.ts
@@ -19,6 +19,10 @@
 /** Longest time between two parts of a series, in milliseconds. */
 const MAX_SERIES_INTERVAL_MS = 600
 
+/** Longest pause that a target asks for, and time from its word that it leaves to its end, in milliseconds. */
+const MAX_ASKED_PAUSE_MS = 3_000
+const LEAVING_MS = 3_500
+
 /** How long callers send prompts that crash engines, in milliseconds. */
 const CRASHING_PROMPT_MS = 6_000
 
@@ -119,8 +123,8 @@
   async targetLeaves (context) {
     const target = pickRunningTarget(context)
     if (target === undefined) return
-    target.leave()
-    await pause(2_000)
+    target.leave({ isStoreTold: context.random() < 0.5 })
+    await pause(LEAVING_MS)
     target.crash('reset')
     target.restart({ keepsIdentity: false })
   },
@@ -156,7 +160,7 @@
 }
 
 async function shed (targets: readonly SoakTarget[], context: FaultContext): Promise<void> {
-  for (const target of targets) target.setShedding(true)
+  for (const target of targets) target.setShedding(true, context.random() < 0.5 ? MAX_ASKED_PAUSE_MS : 0)
   await context.pauseRandomly(2 * MAX_SERIES_INTERVAL_MS)
   for (const target of targets) target.setShedding(false)
 }
--- a/soak/_lib/startTargets.ts
+++ b/soak/_lib/startTargets.ts
@@ -17,12 +17,12 @@
   crash: (fault: 'refuse' | 'reset' | 'silence') => void
   /** Starts again without layers, under the same identity or a new one. */
   restart: (options: { keepsIdentity: boolean }) => void
-  /** Announces that the target leaves; requests that are running may end. */
-  leave: () => void
+  /** Announces in its answers, and in the store unless `isStoreTold` is false, that the target leaves; requests that are running may end. */
+  leave: (options: { isStoreTold: boolean }) => void
   /** Breaks off all streams at once. */
   breakOff: () => void
-  /** Refuses all requests without running them, or no longer does. */
-  setShedding: (isShedding: boolean) => void
+  /** Refuses all requests without running them, and asks for pauses of up to `maxPauseMs`, or no longer does. */
+  setShedding: (isShedding: boolean, maxPauseMs?: number) => void
   /** Monotonic time at which the target announced that it leaves, in milliseconds. */
   leavingSinceMs: () => number | undefined
   isUp: () => boolean
@@ -62,13 +62,14 @@
   const targets = await Promise.all(targetPlans.map(({ failureDomain, service }) => startTarget(failureDomain, service)))
 
   async function startTarget (failureDomain: string, service: string): Promise<SoakTarget> {
-    const state: TargetState = { id: '', bornMs: 0, layers: undefined, orders: 0, isBusy: false, isUp: true, leavingSinceMs: undefined, isShedding: false, breakOffCount: 0, renewalCount: 0, pathsByRequest: new Map() }
+    const state: TargetState = { id: '', bornMs: 0, layers: undefined, orders: 0, isBusy: false, isUp: true, leavingSinceMs: undefined, isShedding: false, maxPauseMs: 0, breakOffCount: 0, renewalCount: 0, pathsByRequest: new Map() }
     const server = http.createServer((request, response) => { serve(request, response) })
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
     const proxy = await startProxy(`127.0.0.1:${(server.address() as AddressInfo).port}`)
     statesByAddress.set(proxy.address, state)
     const serve = createTargetHandler(state, { service, ledger, random, renewEntry, findFaultyStage, crashUnder })
     let expiryTimer: NodeJS.Timeout | undefined
+    let isStoreTold = true
     const renewalTimer = setInterval(renewEntry, ENTRY_RENEWAL_MS)
     resetState(false)
 
@@ -87,7 +88,7 @@
         zone: failureDomain,
         version: 'v1',
         slots: 32,
-        state: state.leavingSinceMs === undefined ? 'ready' : 'draining',
+        state: state.leavingSinceMs === undefined || !isStoreTold ? 'ready' : 'draining',
         cold_remaining_ms: 0,
         sequence: ++state.renewalCount,
         born: state.bornMs,
@@ -121,12 +122,13 @@
         if (!keepsIdentity) store.remove('servers', state.id)
         resetState(keepsIdentity)
       },
-      leave () {
+      leave (options) {
         state.leavingSinceMs = performance.now()
+        isStoreTold = options.isStoreTold
         renewEntry()
       },
       breakOff () { state.breakOffCount++ },
-      setShedding (isShedding) { state.isShedding = isShedding },
+      setShedding (isShedding, maxPauseMs = 0) { Object.assign(state, { isShedding, maxPauseMs }) },
       async [Symbol.asyncDispose] () {
         clearInterval(renewalTimer)
         clearTimeout(expiryTimer)
--- a/soak/test.ts
+++ b/soak/test.ts
@@ -11,7 +11,7 @@
 const record = (change: Partial<CallRecord>): CallRecord => ({
   requestId: 'r1', kind: 'unsafe', host: HOST, startCount: 1, plannedWork: { stoppedMs: undefined, reloadsMs: [] }, isSound: true, key: 'steady', sentMs: 0, lastByteMs: 1, endedMs: 100, lastDataMs: 99, deadlineMs: 4_000, errorCode: undefined, status: 200, retryAfter: undefined, body: 'answer to r1', isComplete: true, ...change
 })
-const run = (change: Partial<LedgerEntry> = {}): LedgerEntry => ({ requestId: 'r1', targetId: 'orders-1', service: 'orders', promptParts: [], atMs: 50, hasRun: true, outcome: 'answered', endedMs: 80, ...change })
+const run = (change: Partial<LedgerEntry> = {}): LedgerEntry => ({ requestId: 'r1', targetId: 'orders-1', service: 'orders', promptParts: [], atMs: 50, hasRun: true, outcome: 'answered', endedMs: 80, pauseMs: 0, saidLeaving: false, ...change })
 const events = (ids: number[]): string => ids.map(id => `id: ${id}\ndata: piece ${id}\n\n`).join('')
 const wholeStream = Array.from({ length: countEvents('r1') }, (_, index) => index + 1)
 
@@ -68,6 +68,18 @@
   t.regex(check(record({ kind: 'safe' }), ledger).join('\n'), /129 retries/)
 })
 
+test('requests in a pause, or to a target that has said that it leaves, are findings', t => {
+  const records = Array.from({ length: 5 }, (_, index) => record({ requestId: `r${index}`, status: 503, retryAfter: '1', body: '', sentMs: index * 1_000 }))
+  const refused = (index: number, change: Partial<LedgerEntry>): LedgerEntry => run({ requestId: `r${index}`, hasRun: false, outcome: 'shed', atMs: index * 1_000, endedMs: index * 1_000 + 1, ...change })
+  const checkAll = (entries: LedgerEntry[], isUndisturbed = true): string => checkRecords({ records, ledger: entries, crashesMs: new Map(), keys: new Map(), configurationsMs: [], storeRecoveredMs: 0, budgetWindows: 1 }, () => isUndisturbed).join('\n')
+  const pause = refused(0, { pauseMs: 3_500 })
+  t.regex(checkAll([pause, refused(1, {}), refused(2, {}), refused(3, {})]), /3 requests of host-0 to orders-1 within a pause/)
+  t.is(checkAll([pause, refused(1, {}), refused(2, {}), refused(4, {})]), '')
+  t.is(checkAll([pause, refused(1, {}), refused(2, {}), refused(3, {})], false), '')
+  t.regex(checkAll([refused(0, { saidLeaving: true }), refused(3, {})]), /1 requests of host-0 to orders-1 after it had said/)
+  t.is(checkAll([refused(0, { saidLeaving: true }), refused(1, {}), refused(2, {})]), '')
+})
+
 test('a missing answer of a killed host is no finding', t => {
   t.deepEqual(check(record({ status: 0, isComplete: false }), [run()], {}, false), [])
 })
