--- a/src/gateway/rerouteStreams/test.ts
+++ b/src/gateway/rerouteStreams/test.ts
@@ -142,3 +142,12 @@
     t.false(suspicions.isDown('a-0'))
   }
 })
+
+test('a stream that progresses stays on a later engine that a peer reports as unfit', async t => {
+  const { suspicions, moves, controller, sendEventsFor } = start()
+  await sendEventsFor(50)
+  suspicions.applyPeerSuspicion({ targetId: 'a-40', ageMs: 0, leftMs: 2_500, isUnfit: true })
+  await sendEventsFor(200)
+  controller.abort()
+  t.deepEqual(moves, [])
+})
