Let streams that progress stay on engines that a peer reports as unfit

What callers saw: under more load than engines take, streams paused and broke off on a site of 66 hosts although no engine had failed. Cause: what a peer says of an engine counted for streams at once; a peer reports an engine as unfit after three refusals, which may only mean that it is full. Each stream that left had its tokens processed again elsewhere, which filled the next engine. Class: a refusal taken for a failure, and a peer's guess for a fact. Change: streams leave at once only what this host itself found unfit; for a peer's word they must have paused. Evidence: 'a stream that progresses stays on a later engine that a peer reports as unfit' failed and passes; the other tests of rerouting are unchanged and pass. The effect on the site of 66 hosts is not measured yet.

--- a/src/gateway/rerouteStreams/index.ts
+++ b/src/gateway/rerouteStreams/index.ts
@@ -100,12 +100,12 @@
     }
   }
 
-  /** An engine that refuses new requests may only be full: streams that still progress through it are not lost. */
+  /** An engine that refuses new requests, here or at a peer, may only be full: streams that still progress through it are not lost. */
   function isLostFor (stream: ActiveStream, { id }: Target): boolean {
-    const isFirst = id === stream.path[0]!.target.id
-    const limitMs = isFirst ? FIRST_ENGINE_PAUSE_MS : pauseLimitMs(stream)
-    const isPaused = runtime.monotonicMs() - stream.lastProgressMs >= limitMs
-    return suspicions.isUnfit(id) || (isPaused && suspicions.isDown(id))
+    if (suspicions.isFoundUnfit(id)) return true
+    const mayOnlyBeFull = id === stream.path[0]!.target.id && !suspicions.isUnfit(id)
+    const limitMs = mayOnlyBeFull ? FIRST_ENGINE_PAUSE_MS : pauseLimitMs(stream)
+    return suspicions.isDown(id) && runtime.monotonicMs() - stream.lastProgressMs >= limitMs
   }
 
   async function reroute (stream: ActiveStream, cause: 'engine down' | 'engine leaving'): Promise<void> {
--- a/src/suspicion/createSuspicions/index.ts
+++ b/src/suspicion/createSuspicions/index.ts
@@ -33,6 +33,8 @@
   isDown: (targetId: string) => boolean
   /** Whether the target is down because it was unreachable or refused repeatedly, so that another target should load its layers. */
   isUnfit: (targetId: string) => boolean
+  /** Whether this host itself found it unfit; peers may only have been refused. */
+  isFoundUnfit: (targetId: string) => boolean
   /** Whether work passed through the target within the last `withinMs` milliseconds. */
   hasProgressed: (targetId: string, withinMs: number) => boolean
   /** Factor by which to multiply the expected time of the target; 1 if no failure is known, infinite while it is down. */
@@ -111,10 +113,9 @@
 
   const isDown = (targetId: string): boolean => (records.get(targetId)?.downUntilMs ?? -Infinity) > runtime.monotonicMs()
 
-  function isUnfit (targetId: string): boolean {
-    const record = records.get(targetId)
-    return record !== undefined && isDown(targetId) && (record.refusals >= UNFIT_REFUSALS || record.isUnfitByPeer)
-  }
+  const isFoundUnfit = (targetId: string): boolean => isDown(targetId) && records.get(targetId)!.refusals >= UNFIT_REFUSALS
+
+  const isUnfit = (targetId: string): boolean => isFoundUnfit(targetId) || (isDown(targetId) && records.get(targetId)!.isUnfitByPeer)
 
   return {
     note (targetId, observation) {
@@ -148,6 +149,7 @@
     },
     isDown,
     isUnfit,
+    isFoundUnfit,
     hasProgressed: (targetId, withinMs) => runtime.monotonicMs() - (records.get(targetId)?.progressedMs ?? -Infinity) < withinMs,
     slownessOf (targetId) {
       if (isDown(targetId)) return Infinity
