Build earlier versions of the gateway, and run the soak with several side by side

Checks of what only the current build does (pauses, leaving targets, prompts that crash engines) look at hosts while they run it.

--- a/soak/_lib/checkRecords.ts
+++ b/soak/_lib/checkRecords.ts
@@ -150,7 +150,7 @@
     const knownMs = (timesMs[CRASHES_TO_KNOW - 1] ?? Infinity) + CRASH_PROPAGATION_MS
     const late = ledger.filter(({ requestId, promptParts, atMs }) => {
       const record = recordsById.get(requestId)
-      return atMs > knownMs && promptParts.includes(part) && record !== undefined && record.isSound && isUndisturbed(record)
+      return atMs > knownMs && promptParts.includes(part) && record !== undefined && record.isSound && isUndisturbed(record) && record.host.wasCurrentBuild(record.startCount)
     })
     return late.length > MAX_LATE_CRASHING_REQUESTS ? [`${late.length} requests with part ${part} reached engines later than ${CRASH_PROPAGATION_MS} ms after its fifth crash; ${timesMs.length} crashes`] : []
   })
@@ -158,7 +158,9 @@
 
 /** Checks that hosts keep to what targets told them: that they want no requests for a time, and that they leave. */
 function checkStatements ({ records, ledger }: Evidence, isUndisturbed: IsUndisturbed): string[] {
-  const recordsById = new Map(records.filter(isUndisturbed).map(record => [record.requestId, record]))
+  // Earlier versions do not read what targets say of themselves.
+  const checked = records.filter(record => isUndisturbed(record) && record.host.wasCurrentBuild(record.startCount))
+  const recordsById = new Map(checked.map(record => [record.requestId, record]))
   const byPair = new Map<string, LedgerEntry[]>()
   for (const entry of ledger) {
     const record = recordsById.get(entry.requestId)
--- a/soak/_lib/faults.ts
+++ b/soak/_lib/faults.ts
@@ -54,6 +54,14 @@
     }
     await Promise.all(restarts)
   },
+  async hostReplacedByOtherVersion (context) {
+    const host = pickRunningHost(context)
+    if (host === undefined) return
+    const others = context.programs.filter(program => program !== host.program())
+    // Replacements go forward more often than back.
+    const program = context.random() < 0.6 ? context.programs.at(-1) : others[context.randomInt(others.length)]
+    await restartHost(host, context, program)
+  },
   async hostPaused (context) {
     await pickRunningHost(context)?.pause(context.random() * MAX_PAUSE_MS)
   },
@@ -153,10 +161,10 @@
   }
 }
 
-async function restartHost (host: SoakHost, context: FaultContext): Promise<void> {
+async function restartHost (host: SoakHost, context: FaultContext, program = host.program()): Promise<void> {
   const problem = await host.stop()
   if (problem !== undefined) context.report(`${host.name} ${problem}`)
-  host.start({ atNewAddress: context.random() < 0.4 })
+  host.start({ atNewAddress: context.random() < 0.4, program })
 }
 
 async function shed (targets: readonly SoakTarget[], context: FaultContext): Promise<void> {
--- a/soak/_lib/startHosts.ts
+++ b/soak/_lib/startHosts.ts
@@ -37,7 +37,10 @@
   kill: () => Promise<void>
   /** Stops the process with SIGTERM; resolves with a description of the problem, if there was one. */
   stop: () => Promise<string | undefined>
-  start: (options?: { atNewAddress: boolean }) => void
+  start: (options?: { atNewAddress?: boolean, program?: string }) => void
+  /** The program that runs now, and whether it was the current build at a start. */
+  program: () => string
+  wasCurrentBuild: (startCount: number) => boolean
   pause: (forMs: number) => Promise<void>
   signal: (signal: 'SIGHUP' | 'SIGUSR2') => void
   metricsUrl: () => string
@@ -54,9 +57,14 @@
   nextIp: () => string
   /** Folder for settings and logs. */
   folder: string
+  /** Path of the program that runs first. */
+  program: string
   onUnexpectedExit: (cause: string) => void
 }
 
+/** Path of the program of the current build. */
+export const CURRENT_PROGRAM = 'target/gateway.cjs'
+
 /** Grace period for a stop, and how much longer it may take on a busy machine, in milliseconds. */
 export const GRACE_MS = 8_000
 const STOP_TOLERANCE_MS = 1_500
@@ -74,6 +82,8 @@
   const { name, failureDomain, storeAddress, seedIps, nextIp, folder, onUnexpectedExit } = options
   const storeProxy = await startProxy(storeAddress)
   let ip = nextIp()
+  let { program } = options
+  const startedPrograms: string[] = []
   let child: ChildProcess | undefined
   let exited: Promise<{ code: number | null, signal: string | null }> = Promise.resolve({ code: 0, signal: null })
   let startCount = 0
@@ -93,8 +103,10 @@
   }
   start()
 
-  function start ({ atNewAddress } = { atNewAddress: false }): void {
+  function start ({ atNewAddress = false, program: nextProgram = program } = {}): void {
     if (atNewAddress) ip = nextIp()
+    program = nextProgram
+    startedPrograms.push(program)
     const file = join(folder, `${name}.json`)
     writeFileSync(file, JSON.stringify({
       node_name: name,
@@ -107,7 +119,7 @@
       platform: { address: storeProxy.address }
     }))
     const log = openSync(join(folder, `${name}.log`), 'a')
-    const started = spawn(process.execPath, ['--require', join(import.meta.dirname, 'stepClock.cjs'), 'target/gateway.cjs'], {
+    const started = spawn(process.execPath, ['--require', join(import.meta.dirname, 'stepClock.cjs'), program], {
       env: { ...process.env, COLTSFOOTLEAD_NODE_FILE: file }, stdio: ['ignore', log, log]
     })
     closeSync(log)
@@ -141,6 +153,8 @@
     readinessUrl: () => `http://${ip}:${PORTS.readiness}/`,
     storeProxy,
     startCount: () => startCount,
+    program: () => program,
+    wasCurrentBuild: count => startedPrograms[count - 1] === CURRENT_PROGRAM,
     plannedWork: () => work,
     beginUnplanned,
     isSoundSince: sinceMs => unplannedCount === 0 && lastUnplannedMs + STABILITY_MS < sinceMs,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,8 +1,9 @@
 /**
- * `npm run soak -- [--seeds N] [--from SEED] [--seconds S] [--hosts N] [--jobs N] [--regressions]`:
+ * `npm run soak -- [--seeds N] [--from SEED] [--seconds S] [--hosts N] [--jobs N] [--production COMMIT] [--regressions]`:
  * runs the soak test with one or more seeds and prints the findings of each. Logs of a seed with
  * findings are kept under `target/soak`.
  */
+import { execFileSync } from 'node:child_process'
 import { readFileSync } from 'node:fs'
 import { Builtins, Cli, Command, Option } from 'clipanion'
 import { z } from 'zod'
@@ -31,6 +32,7 @@
   hosts = Option.String('--hosts', '5', { description: 'number of gateway processes' })
   jobs = Option.String('--jobs', '2', { description: 'number of seeds that run in parallel' })
   regressions = Option.Boolean('--regressions', false, { description: 'runs the seeds that have failed before' })
+  production = Option.Array('--production', [], { description: 'commit whose build the hosts begin with; further ones take part as well' })
   kinds = Option.Array('--fault', { description: 'kind of fault; all kinds by default' })
 
   override async execute (): Promise<number> {
@@ -39,11 +41,12 @@
     const fresh: z.infer<typeof regressionsSchema> = Array.from({ length: seeds }, (_, index) => ({ seed: first + index, seconds, kinds: this.kinds, cause: '' }))
     const queue = this.regressions ? regressionsSchema.parse(JSON.parse(readFileSync(REGRESSIONS_FILE, 'utf8'))) : fresh
     const total = queue.length
+    const earlierPrograms = this.production.map(commit => execFileSync('scripts/build-version.sh', [commit], { encoding: 'utf8', stdio: ['ignore', 'pipe', 'inherit'] }).trim())
     let failed = 0
     const runQueue = async (): Promise<void> => {
       for (let run = queue.shift(); run !== undefined; run = queue.shift()) {
         const { seed } = run
-        const { findings, calls, statuses, faults, longestStallMs } = await runSoak({ seed, durationMs: run.seconds * 1_000, hostCount, folder: FOLDER, ...(run.kinds === undefined ? {} : { kinds: run.kinds }) })
+        const { findings, calls, statuses, faults, longestStallMs } = await runSoak({ seed, durationMs: run.seconds * 1_000, hostCount, earlierPrograms, folder: FOLDER, ...(run.kinds === undefined ? {} : { kinds: run.kinds }) })
         this.context.stdout.write(`seed ${seed}: ${findings.length} findings, ${calls} calls, by status ${JSON.stringify(statuses)}, ${faults.length} faults, longest stall ${longestStallMs} ms\n`)
         if (findings.length === 0) continue
         failed++
--- a/soak/runSoak/index.ts
+++ b/soak/runSoak/index.ts
@@ -14,13 +14,15 @@
 import { checkRecords, checkRecovery, type KeyValidity } from '../_lib/checkRecords.js'
 import { FAULTS } from '../_lib/faults.js'
 import { isReady, pause, startCallers, type CallRecord } from '../_lib/startCallers.js'
-import { startHost, type SoakHost } from '../_lib/startHosts.js'
+import { CURRENT_PROGRAM, startHost, type SoakHost } from '../_lib/startHosts.js'
 import { startTargets, type SoakTargets } from '../_lib/startTargets.js'
 
 /** What the faults act on, and their source of randomness. */
 export interface FaultContext {
   hosts: SoakHost[]
   targets: SoakTargets
+  /** Paths of the programs of all versions, the current build last. */
+  programs: readonly string[]
   store: PlatformStoreStandin
   random: () => number
   /** Returns a random integer from 0 to below the limit. */
@@ -40,6 +42,8 @@
   hostCount: number
   /** Folder for the hosts' settings and logs; those of a run without findings are removed. */
   folder: string
+  /** Programs of earlier versions; hosts begin with the first one and are replaced by others meanwhile. */
+  earlierPrograms?: readonly string[]
   /** Names of the kinds of faults to inject; all of them by default. */
   kinds?: readonly string[]
 }
@@ -86,7 +90,9 @@
 
 /** Runs the soak test with one seed; the built program must be in `target/`. */
 export async function runSoak (options: SoakOptions): Promise<SoakOutcome> {
-  const { seed, durationMs, hostCount, kinds = Object.keys(FAULTS) } = options
+  const { seed, durationMs, hostCount, earlierPrograms = [] } = options
+  const programs = [...earlierPrograms, CURRENT_PROGRAM]
+  const kinds = (options.kinds ?? Object.keys(FAULTS)).filter(kind => programs.length > 1 || kind !== 'hostReplacedByOtherVersion')
   const folder = join(options.folder, `seed-${seed}`)
   await rm(folder, { recursive: true, force: true })
   await mkdir(folder, { recursive: true })
@@ -112,12 +118,13 @@
   for (let index = 0; index < hostCount; index++) {
     const name = `host-${index}`
     soakHosts.push(hosts.use(await startHost({
-      name, failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!, storeAddress: store.address, seedIps: () => seedIps, nextIp, folder, onUnexpectedExit: cause => report(`${name} ended unexpectedly: ${cause}`)
+      name, failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!, storeAddress: store.address, seedIps: () => seedIps, nextIp, folder, program: programs[0]!, onUnexpectedExit: cause => report(`${name} ended unexpectedly: ${cause}`)
     })))
   }
   const context: FaultContext = {
     hosts: soakHosts,
     targets,
+    programs,
     store,
     random,
     randomInt: limit => Math.floor(random() * limit),
--- a/soak/test.ts
+++ b/soak/test.ts
@@ -6,7 +6,7 @@
 import type { CallRecord } from './_lib/startCallers.js'
 import { runSoak } from './runSoak/index.js'
 
-const HOST = { name: 'host-0' } as SoakHost
+const HOST = { name: 'host-0', wasCurrentBuild: () => true } as unknown as SoakHost
 
 const record = (change: Partial<CallRecord>): CallRecord => ({
   requestId: 'r1', kind: 'unsafe', host: HOST, startCount: 1, plannedWork: { stoppedMs: undefined, reloadsMs: [] }, isSound: true, key: 'steady', sentMs: 0, lastByteMs: 1, endedMs: 100, lastDataMs: 99, deadlineMs: 4_000, errorCode: undefined, status: 200, retryAfter: undefined, body: 'answer to r1', isComplete: true, ...change
