Probe engines of paused streams at a rate that does not grow with the fleet

Cause: each host probed each engine through which a stream had paused up to 2.5 times a second, whatever the others found. Class: a cost that grows with hosts times engines. Change: beyond eight hosts the interval grows with their number, since a host that finds an engine unreachable tells the others at once. The first probe after a pause comes as soon as before.

--- a/src/gateway/rerouteStreams/index.ts
+++ b/src/gateway/rerouteStreams/index.ts
@@ -24,8 +24,9 @@
 /** Pause after which a stream leaves a first engine that is reachable but refuses requests, in milliseconds: interrupting it costs an attempt, and a full engine is slow. */
 const FIRST_ENGINE_PAUSE_MS = 400
 
-/** Shortest time between two probes of one engine, in milliseconds. */
+/** Shortest time between two probes of one engine by a host, in milliseconds, and number of hosts beyond which it grows with them: hosts tell each other what they find. */
 const PROBE_INTERVAL_MS = 400
+const MAX_PROBING_HOSTS = 8
 
 /** Pause before another path is ordered for a stream that may not be interrupted, in milliseconds; an engine drops work that depends on a dead one after seconds. */
 const REPATH_INTERVAL_MS = 250
@@ -40,7 +41,7 @@
 const MAX_LINK_BIAS = 3
 
 /** Part of the gateway's context that rerouting uses. */
-export type RerouteContext = Pick<GatewayContext, 'fleet' | 'suspicions' | 'loadTracker' | 'streams' | 'control' | 'links' | 'runtime' | 'log' | 'metrics'>
+export type RerouteContext = Pick<GatewayContext, 'fleet' | 'suspicions' | 'loadTracker' | 'streams' | 'control' | 'links' | 'hostCount' | 'runtime' | 'log' | 'metrics'>
 
 /** Checks the active streams until the signal aborts; `onSuspicion` is called when a target is found unreachable. */
 export async function rerouteStreams (context: RerouteContext, options: { signal: AbortSignal, onSuspicion: () => void }): Promise<void> {
@@ -58,12 +59,13 @@
 
   function listTargetsToProbe (): Target[] {
     const nowMs = runtime.monotonicMs()
+    const intervalMs = PROBE_INTERVAL_MS * Math.max(1, context.hostCount() / MAX_PROBING_HOSTS)
     const targets = new Map<string, Target>()
     for (const stream of streams) {
       const limitMs = pauseLimitMs(stream)
       if (nowMs - stream.lastProgressMs < limitMs) continue
       for (const { target } of stream.path) {
-        const isDue = nowMs - (lastProbedMs.get(target.id) ?? -Infinity) >= PROBE_INTERVAL_MS
+        const isDue = nowMs - (lastProbedMs.get(target.id) ?? -Infinity) >= intervalMs
         if (isDue && !suspicions.hasProgressed(target.id, limitMs)) targets.set(target.id, target)
       }
     }
--- a/src/gateway/rerouteStreams/test.ts
+++ b/src/gateway/rerouteStreams/test.ts
@@ -14,13 +14,14 @@
 const ENGINES = ['a', 'b'].flatMap(set => [[0, 40], [40, 80]].map(([from, to]) => buildEngine(`${set}-${from}`, 'north', 'large', { from: from!, to: to! })))
 
 /** A stream over the first of two sets of engines that each cover the model. */
-function start ({ mayInterrupt = true, repathResult = { kind: 'done' }, check = 'reached', isRelayed = false }: { mayInterrupt?: boolean, repathResult?: OrderResult, check?: LinkCheck, isRelayed?: boolean } = {}) {
+function start ({ mayInterrupt = true, repathResult = { kind: 'done' }, check = 'reached', isRelayed = false, hostCount = 1 }: { mayInterrupt?: boolean, repathResult?: OrderResult, check?: LinkCheck, isRelayed?: boolean, hostCount?: number } = {}) {
   const runtime = createManualRuntime()
   const fleet = createFleetState({ runtime })
   fleet.applySnapshot({ revision: 1, targets: ENGINES })
   const suspicions = createSuspicions({ runtime })
   const moves: string[] = []
   const abandoned: string[] = []
+  const checked: string[] = []
   const stream: ActiveStream = {
     requestId: 'r1',
     service: { name: 'model', model: TEST_MODEL },
@@ -51,7 +52,8 @@
         return repathResult
       }
     },
-    links: { connect: () => Promise.reject(new Error('not used')), connectForPeer: async () => 'unknown' as const, check: async () => check, isImpaired: () => false },
+    links: { connect: () => Promise.reject(new Error('not used')), connectForPeer: async () => 'unknown' as const, check: async ({ id }) => { checked.push(id); return check }, isImpaired: () => false },
+    hostCount: () => hostCount,
     runtime,
     log: createTestLog(),
     metrics: createGatewayMetrics()
@@ -63,7 +65,7 @@
       await runtime.advance(10)
     }
   }
-  return { runtime, suspicions, stream, moves, abandoned, controller, sendEventsFor }
+  return { runtime, suspicions, stream, moves, abandoned, checked, controller, sendEventsFor }
 }
 
 test('streams that progress through engines that refuse other requests are not moved', async t => {
@@ -151,3 +153,24 @@
   controller.abort()
   t.deepEqual(moves, [])
 })
+
+test('the hosts of a large fleet together probe an engine as often as those of a small one', async t => {
+  const probesPerS = async (hostCount: number): Promise<number> => {
+    const { runtime, checked, controller, sendEventsFor } = start({ hostCount })
+    await sendEventsFor(50)
+    await runtime.advance(20_000)
+    controller.abort()
+    return checked.filter(id => id === 'a-40').length * hostCount / 20
+  }
+  const small = await probesPerS(8)
+  const large = await probesPerS(195)
+  t.true(large <= 1.5 * small, `${small} a second by 8 hosts, ${large} by 195`)
+})
+
+test('an engine is probed at once when a stream through it pauses, however many hosts there are', async t => {
+  const { runtime, checked, controller, sendEventsFor } = start({ hostCount: 195 })
+  await sendEventsFor(50)
+  await runtime.advance(100)
+  controller.abort()
+  t.deepEqual([...checked].sort(), ['a-0', 'a-40'])
+})
