Say in a refusal, and in its explanation, that targets wanted no requests

'coltsfootlead explain' said of a call that was refused on arrival during pauses 'no path had capacity within 0 ms; 0 other calls waited', which is true of nothing. The refusal logs how long the pauses last (pauseLeftMs), and the explanation names them. A check in the test of the refusal failed before.

--- a/src/event/explainCall/index.ts
+++ b/src/event/explainCall/index.ts
@@ -37,7 +37,7 @@
 
 /** Cause of a refusal in words, by its reason. */
 const REFUSAL_CAUSES: Record<string, (event: LoggedEvent) => string> = {
-  overloaded: event => `no path had capacity within ${formatValue(event.waitedMs)} ms; ${formatValue(event.queueLength)} other calls waited`,
+  overloaded: event => Number(event.pauseLeftMs) > 0 ? `each target that could take it wanted no requests from this host for ${formatValue(event.pauseLeftMs)} ms or more` : `no path had capacity within ${formatValue(event.waitedMs)} ms; ${formatValue(event.queueLength)} other calls waited`,
   noPipeline: () => 'every engine that it was sent to refused it without running it',
   targetUnreachable: () => 'no target of the service accepted it',
   promptCrashesEngines: event => `part ${formatValue(event.parts)} of its prompt had crashed ${formatValue(event.crashes)} engines under ${formatValue(event.crashedRequests)} requests, the last ${formatValue(event.lastCrashAgeMs)} ms before`,
--- a/src/gateway/_lib/reserveCapacity.ts
+++ b/src/gateway/_lib/reserveCapacity.ts
@@ -62,10 +62,14 @@
   return Math.min(...targets.filter(({ id }) => !excluded.has(id)).map(({ id }) => targetPauses.leftMs(id)))
 }
 
-/** Time after which a caller should return, in milliseconds: when a target ends its pause, spread so that callers don't return together, or the default if that is longer. */
-export function chooseRetryAfterMs (service: Service, defaultMs: number, context: GatewayContext): number {
+/**
+ * When a caller that is refused should return, and why: when a target ends its pause, spread so that
+ * callers don't return together, or after the default if that is longer.
+ */
+export function describeReturn (service: Service, defaultMs: number, context: GatewayContext): { retryAfterMs: number, pauseLeftMs?: number } {
   const leftMs = pauseLeftMs(service, new Set(), context)
-  return leftMs === 0 ? defaultMs : Math.round(Math.max(defaultMs, leftMs + context.runtime.random() * RETURN_SPREAD_MS))
+  if (leftMs === 0) return { retryAfterMs: defaultMs }
+  return { retryAfterMs: Math.round(Math.max(defaultMs, leftMs + context.runtime.random() * RETURN_SPREAD_MS)), pauseLeftMs: Math.round(leftMs) }
 }
 
 /** Reserves the least busy target of a plain service that is not excluded, or returns `undefined`. */
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -10,7 +10,7 @@
 import type { RequestSize } from '../../path/choosePath/index.js'
 import type { Target } from '../../fleet/types.js'
 import { endStopped, endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
-import { chooseRetryAfterMs, pauseLeftMs, reservePath, reserveTarget } from './reserveCapacity.js'
+import { describeReturn, pauseLeftMs, reservePath, reserveTarget } from './reserveCapacity.js'
 import { openExchange, type Exchange } from './openExchange.js'
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 import { sleep } from '../../runtime/sleep/index.js'
@@ -84,7 +84,7 @@
     progress.waitedMs += outcome.waitedMs
     metrics.waitSeconds.observe(outcome.waitedMs / MS_PER_S)
     if (outcome.kind === 'refused') {
-      if (!isEndedAsCrashing()) endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), retryAfterMs: chooseRetryAfterMs(service, RETRY_AFTER_MS, context) })
+      if (!isEndedAsCrashing()) endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), ...describeReturn(service, RETRY_AFTER_MS, context) })
       return
     }
     using reservation = outcome.place
@@ -163,7 +163,7 @@
   }
 
   function endWithoutAnswer (cause: 'retry budget spent' | 'attempts spent' | 'request suspected of crashes'): void {
-    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, retryAfterMs: chooseRetryAfterMs(service, RETRY_AFTER_MS, context), cutCause: 'attempts' })
+    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, ...describeReturn(service, RETRY_AFTER_MS, context), cutCause: 'attempts' })
   }
 
   function recordAnswer (): void {
--- a/test/gateway/retryAfter.test.ts
+++ b/test/gateway/retryAfter.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { explainCall } from '../../src/event/explainCall/index.js'
 import { connectSocket } from '../../src/links/connectSocket/index.js'
 import type { Target } from '../../src/fleet/types.js'
 import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
@@ -131,6 +132,7 @@
   const retryAfterS = Number(headers['retry-after'])
   t.true(retryAfterS > 5 && retryAfterS <= 11, `${retryAfterS}`)
   t.like(gateway.parts.log.recent().find(({ name, request }) => name === 'gatewayRefused' && request === 'r2'), { reason: 'overloaded', waitedMs: 0, attempts: [] })
+  t.regex(explainCall(gateway.parts.log.recent(), 'r2')!.cause, /each target that could take it wanted no requests from this host for \d+ ms or more/)
 })
 
 test('a plain call is told when the first target ends its pause', async t => {
