Tell a pause from another refusal by the answer itself, and look for pauses only while there are any

A refusal without Retry-After, or a 421, during a pause counted as the pause and was not held against the engine, and the engine was not excluded for the call. The answer decides now. Queued calls asked for pauses of all targets many times a second also while there were none.

--- a/src/gateway/_lib/noteStatements.ts
+++ b/src/gateway/_lib/noteStatements.ts
@@ -13,21 +13,22 @@
 
 interface StatementContext extends Pick<GatewayContext, 'fleet' | 'targetLimits' | 'targetPauses' | 'log' | 'metrics'> {}
 
-/** Records what an answer says of its target; one that belongs to another request says nothing. */
-export function noteStatements (metadata: AnswerMetadata, status: number, { facts }: Call, target: Target, context: StatementContext): void {
+/** Records what an answer says of its target; one that belongs to another request says nothing. Returns whether the target asked for a pause. */
+export function noteStatements (metadata: AnswerMetadata, status: number, { facts }: Call, target: Target, context: StatementContext): boolean {
   const { requestId, limitPerS, retryAfterMs } = metadata
   const isTurnedAway = status === TURNED_AWAY_STATUS
   // A target may turn a request away before it has read its id; each request has a connection of its own.
   const isOwnAnswer = requestId === facts.requestId
-  if (isTurnedAway && (isOwnAnswer || requestId === undefined)) {
-    if (retryAfterMs === 'malformed') reportMalformed('retryAfterMs')
-    else if (retryAfterMs !== undefined) context.targetPauses.note(target, retryAfterMs, { request: facts.requestId })
-  }
+  const asked = isTurnedAway && (isOwnAnswer || requestId === undefined) ? retryAfterMs : undefined
+  if (asked === 'malformed') reportMalformed('retryAfterMs')
+  else if (asked !== undefined) context.targetPauses.note(target, asked, { request: facts.requestId })
   noteLeaving({ status, metadata }, target, { request: facts.requestId }, context)
-  if (!isOwnAnswer) return
-  if (!isTurnedAway) context.targetPauses.noteTaken(target.id)
-  if (limitPerS === 'malformed') reportMalformed('limitPerS')
-  else context.targetLimits.note(target.id, limitPerS)
+  if (isOwnAnswer) {
+    if (!isTurnedAway) context.targetPauses.noteTaken(target.id)
+    if (limitPerS === 'malformed') reportMalformed('limitPerS')
+    else context.targetLimits.note(target.id, limitPerS)
+  }
+  return typeof asked === 'number'
 
   function reportMalformed (field: 'limitPerS' | 'retryAfterMs'): void {
     context.log.emit('answerFieldInvalid', { request: facts.requestId, target: target.id, field })
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -49,10 +49,10 @@
 export async function relayStream (answer: IncomingMessage, exchange: Pick<Exchange, 'hasFailed' | 'isClosedHere'>, call: Call, progress: CallProgress, { run, stream }: ObservedRun, context: GatewayContext): Promise<StreamResult> {
   const metadata = context.format.readAnswer(answer.headers)
   const status = answer.statusCode ?? 0
-  noteStatements(metadata, status, call, run.target, context)
+  const isPause = noteStatements(metadata, status, call, run.target, context)
   if (status !== 200) {
     const body = await readAnswerBody(answer, exchange.hasFailed)
-    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: metadata.faultyAddress, hasReachedTarget: true, isPause: context.targetPauses.leftMs(run.target.id) > 0 }
+    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: metadata.faultyAddress, hasReachedTarget: true, isPause }
     if (body === undefined || !metadata.isSigned || metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
     return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: isFramed(answer) }
   }
--- a/src/gateway/_lib/reserveCapacity.ts
+++ b/src/gateway/_lib/reserveCapacity.ts
@@ -56,6 +56,8 @@
  * is in none or no target is up, infinite if all of them are excluded.
  */
 export function pauseLeftMs (service: Service, excluded: ReadonlySet<string>, { fleet, suspicions, targetPauses }: Pick<GatewayContext, 'fleet' | 'suspicions' | 'targetPauses'>): number {
+  // Asked for each queued call many times a second.
+  if (excluded.size === 0 && targetPauses.isEmpty()) return 0
   const canBeFirst = ({ id, layers }: Target): boolean => !suspicions.isDown(id) && (service.model === undefined || layers?.from === 0)
   const targets = fleet.servingTargets(service.name).filter(canBeFirst)
   if (targets.length === 0) return 0
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -130,11 +130,11 @@
     const { answer } = result
     const metadata = format.readAnswer(answer.headers)
     const status = answer.statusCode ?? 0
-    noteStatements(metadata, status, call, reservation.target, context)
+    const isPause = noteStatements(metadata, status, call, reservation.target, context)
     const answerBody = await readAnswerBody(answer, exchange.hasFailed)
     const isBrokenByTarget = answerBody === undefined && !exchange.isClosedHere()
     exchange.close('answer read')
-    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true, isPause: context.targetPauses.leftMs(reservation.target.id) > 0 }
+    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true, isPause }
     if (answerBody === undefined) return { kind: 'mayHaveRun', cause: 'answer truncated', isBrokenByTarget }
     if (metadata.requestId !== undefined && metadata.requestId !== facts.requestId) return { kind: 'mayHaveRun', cause: 'answer has another request id' }
     if (answer.headers['content-encoding'] !== undefined || !metadata.isSigned) return { kind: 'mayHaveRun', cause: 'answer unsigned or encoded' }
--- a/src/pause/createTargetPauses/index.ts
+++ b/src/pause/createTargetPauses/index.ts
@@ -27,6 +27,8 @@
   take: (targetId: string) => void
   /** Time left of a target's pause, in milliseconds; 0 without one. */
   leftMs: (targetId: string) => number
+  /** Whether nothing is known of any target. */
+  isEmpty: () => boolean
   /** Number of targets in a pause. */
   count: () => number
   /** Deletes the pauses of listed targets that have started again; targets that are not listed keep theirs. */
@@ -107,6 +109,7 @@
       record.trialMs = runtime.monotonicMs()
     },
     leftMs,
+    isEmpty: () => records.size === 0,
     count: () => [...records.keys()].filter(id => leftMs(id) > 0).length,
     forgetRestarted (listed) {
       for (const { id, bornMs } of listed) if ((records.get(id)?.bornMs ?? bornMs) !== bornMs) records.delete(id)
