Load the first layers elsewhere while every engine that holds them is in a pause

What callers saw: when all first engines of paths had asked for pauses, nothing was served until they ended, although engines stood by. Cause: a pause is no suspicion, so that placement, which replaces engines that are unfit, did not act any more. Change: while every first engine has been in a pause for half a second at the leader, placement plans without them.

--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -235,7 +235,7 @@
   registerHost(settings, { exchange, store, runtime, log, signal })
   discoverPeers({ exchange, store, runtime, log, signal })
   rerouteStreams(context, { signal, onSuspicion: exchange.sendNow })
-  runPlacement({ fleet, suspicions, control, runtime, log, metrics, signal, fencing: election.fencing, onLoaded: exchange.sendNow })
+  runPlacement({ fleet, suspicions, pauseLeftMs: targetPauses.leftMs, control, runtime, log, metrics, signal, fencing: election.fencing, onLoaded: exchange.sendNow })
   repeatTask(election.step, { intervalMs: LEASE_RENEWAL_MS, task: 'lease', runtime, log, signal })
 
   function dispatcherOf (service: string): Dispatcher<Reservation> {
--- a/src/placement/runPlacement/index.ts
+++ b/src/placement/runPlacement/index.ts
@@ -34,10 +34,15 @@
 /** Wait before an engine that did not carry out an order gets another, in milliseconds; an order may take effect this much later. */
 const REORDER_MS = 2_500
 
+/** Time for which every first engine must be in a pause before others load their layers, in milliseconds; short pauses are waited for. */
+const FIRSTS_PAUSED_MS = 500
+
 /** Dependencies of placement. */
 export interface PlacementOptions {
   fleet: FleetState
   suspicions: Suspicions
+  /** Time for which a target wants no requests from this host, in milliseconds. */
+  pauseLeftMs: (targetId: string) => number
   control: EngineControl
   runtime: Runtime
   log: EventLog
@@ -57,9 +62,11 @@
 
 /** Places layers until the signal aborts. */
 export async function runPlacement (options: PlacementOptions): Promise<void> {
-  const { fleet, suspicions, control, runtime, log, metrics, signal, fencing, onLoaded } = options
+  const { fleet, suspicions, pauseLeftMs, control, runtime, log, metrics, signal, fencing, onLoaded } = options
   const pending = new Map<string, PendingLoad>()
   const nextOrderMs = new Map<string, number>()
+  /** Since when every first engine of a service has been in a pause. */
+  const firstsPausedSinceMs = new Map<string, number>()
   let targetCount = -1
   let lastGrowthMs = runtime.monotonicMs()
 
@@ -75,7 +82,7 @@
   function planService (name: string, model: EngineModel): void {
     const targets = fleet.targets().filter(target => target.service === name)
     if (isStillRegistering(targets)) return
-    const engines = targets.map(describeEngine)
+    const engines = withoutPausedFirsts(name, targets.map(describeEngine))
     const freeLoads = model.loadsAtOnce - pending.size
     const loads = planPlacement(engines, { model })
     const isFirstPlan = engines.every(engine => engine.layers === undefined)
@@ -104,6 +111,23 @@
     }
   }
 
+  /**
+   * Marks the first engines of paths as not usable while all of them are in a pause, so that others
+   * load their layers. While one takes requests, the pauses of others are left to the choice of paths.
+   */
+  function withoutPausedFirsts (service: string, engines: PlacementEngine[]): PlacementEngine[] {
+    const firsts = engines.filter(({ isUsable, layers }) => isUsable && layers?.from === 0)
+    const nowMs = runtime.monotonicMs()
+    if (firsts.length === 0 || !firsts.every(({ target }) => pauseLeftMs(target.id) > 0)) {
+      firstsPausedSinceMs.delete(service)
+      return engines
+    }
+    const sinceMs = firstsPausedSinceMs.get(service) ?? nowMs
+    firstsPausedSinceMs.set(service, sinceMs)
+    if (nowMs - sinceMs < FIRSTS_PAUSED_MS) return engines
+    return engines.map(engine => firsts.includes(engine) ? { ...engine, isUsable: false } : engine)
+  }
+
   async function orderLoad (load: PlannedLoad, model: EngineModel): Promise<void> {
     const { target, range } = load
     pending.set(target.id, { bornMs: target.bornMs, range })
