--- a/src/gateway/_lib/noteStatements.ts
+++ b/src/gateway/_lib/noteStatements.ts
@@ -11,7 +11,7 @@
 /** Status with which another target at the address of the expected one answers. */
 const OTHER_TARGET_STATUS = 421
 
-interface StatementContext extends Pick<GatewayContext, 'fleet' | 'targetLimits' | 'targetPauses' | 'log' | 'metrics'> {}
+type StatementContext = Pick<GatewayContext, 'fleet' | 'targetLimits' | 'targetPauses' | 'log' | 'metrics'>
 
 /** Records what an answer says of its target; one that belongs to another request says nothing. Returns whether the target asked for a pause. */
 export function noteStatements (metadata: AnswerMetadata, status: number, { facts }: Call, target: Target, context: StatementContext): boolean {
--- a/test/fakes/startTwoHosts.ts
+++ b/test/fakes/startTwoHosts.ts
@@ -108,3 +108,17 @@
 export async function untilHostsKnowEachOther ({ cutHost, peer }: Awaited<ReturnType<typeof startTwoHosts>>): Promise<void> {
   while (!cutHost.knowsPeer() || !peer.knowsPeer()) await new Promise(resolve => { setImmediate(resolve) })
 }
+
+/** Starts two hosts that serve callers and know each other. */
+export async function startServingHosts (): ReturnType<typeof startTwoHosts> {
+  const hosts = await startTwoHosts()
+  await sendUntil(hosts.peer.address, 200)
+  await sendUntil(hosts.cutHost.address, 200)
+  await untilHostsKnowEachOther(hosts)
+  return hosts
+}
+
+/** Number of requests that reached the targets. */
+export function countReceived ({ targets }: Awaited<ReturnType<typeof startTwoHosts>>): number {
+  return targets.reduce((sum, { received }) => sum + received.length, 0)
+}
--- a/test/gateway/leaving.test.ts
+++ b/test/gateway/leaving.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import type { Target } from '../../src/fleet/types.js'
 import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
-import { sendUntil, startTwoHosts, untilHostsKnowEachOther } from '../fakes/startTwoHosts.js'
+import { countReceived, startServingHosts } from '../fakes/startTwoHosts.js'
 import { sendCall, startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 /** A model that one engine can hold. */
@@ -64,16 +64,12 @@
 })
 
 test('a target that says that it leaves gets no more calls of hosts that hear of it', async t => {
-  await using hosts = await startTwoHosts()
-  await sendUntil(hosts.peer.address, 200)
-  await sendUntil(hosts.cutHost.address, 200)
-  await untilHostsKnowEachOther(hosts)
+  await using hosts = await startServingHosts()
   for (const target of hosts.targets) target.setScript(leaving())
   while ((await sendCall(hosts.cutHost.address, '/safe/x', {}, '')).status === 200);
   const countHeard = (): number => hosts.peer.log.recent().filter(({ name, source }) => name === 'targetLeaving' && source === 'peer').length
   while (countHeard() < hosts.targets.length) await new Promise(resolve => { setImmediate(resolve) })
-  const countReceived = (): number => hosts.targets.reduce((sum, { received }) => sum + received.length, 0)
-  const before = countReceived()
+  const before = countReceived(hosts)
   t.is((await sendCall(hosts.peer.address, '/safe/x', {}, '')).status, 503)
-  t.is(countReceived() - before, 0)
+  t.is(countReceived(hosts) - before, 0)
 })
--- a/test/gateway/links.test.ts
+++ b/test/gateway/links.test.ts
@@ -1,16 +1,13 @@
 import test from 'ava'
 import { buildAnswer, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
-import { sendUntil, startTwoHosts, untilHostsKnowEachOther } from '../fakes/startTwoHosts.js'
+import { countReceived, sendUntil, startServingHosts, startTwoHosts } from '../fakes/startTwoHosts.js'
 import { sendCall } from '../fakes/startTestGateway.js'
 
 /** Calls at the cut host of which the first ones may find out that it is cut off. */
 const CALLS_TO_KNOW = 10
 
 test('a host that is cut off from all targets serves calls through a peer that reaches them', async t => {
-  await using hosts = await startTwoHosts()
-  await sendUntil(hosts.peer.address, 200)
-  await sendUntil(hosts.cutHost.address, 200)
-  await untilHostsKnowEachOther(hosts)
+  await using hosts = await startServingHosts()
   hosts.cut(true)
   const send = async (call: number) => (await sendCall(hosts.cutHost.address, call % 2 === 0 ? '/safe/x' : '/unsafe/x', {}, '')).status
   for (let call = 0; call < CALLS_TO_KNOW; call++) await send(call)
@@ -20,10 +17,7 @@
 })
 
 test('a host that is cut off does not keep others from targets that they reach', async t => {
-  await using hosts = await startTwoHosts()
-  await sendUntil(hosts.peer.address, 200)
-  await sendUntil(hosts.cutHost.address, 200)
-  await untilHostsKnowEachOther(hosts)
+  await using hosts = await startServingHosts()
   hosts.cut(true)
   const statuses: number[] = []
   for (let call = 0; call < 20; call++) {
@@ -50,45 +44,33 @@
 const pausing: EngineScript = (request, socket) => { socket.end(buildAnswer(request, '', { status: '503 Service Unavailable', headers: ['Not-Executed: 1', 'Retry-After: 100'] })) }
 
 test('a peer opens no connection to a target that wants no requests from it', async t => {
-  await using hosts = await startTwoHosts()
-  await sendUntil(hosts.peer.address, 200)
-  await sendUntil(hosts.cutHost.address, 200)
-  await untilHostsKnowEachOther(hosts)
+  await using hosts = await startServingHosts()
   for (const target of hosts.targets) target.setScript(pausing)
-  const countReceived = (): number => hosts.targets.reduce((sum, { received }) => sum + received.length, 0)
   for (let call = 0; call < 5; call++) await sendCall(hosts.peer.address, '/safe/x', {}, '')
-  const before = countReceived()
+  const before = countReceived(hosts)
   hosts.cut(true)
   for (let call = 0; call < CALLS_TO_KNOW; call++) await sendCall(hosts.cutHost.address, '/safe/x', {}, '')
-  t.is(countReceived() - before, 0)
+  t.is(countReceived(hosts) - before, 0)
 })
 
 test('a pause that a target asks for through a peer binds the peer', async t => {
-  await using hosts = await startTwoHosts()
-  await sendUntil(hosts.peer.address, 200)
-  await sendUntil(hosts.cutHost.address, 200)
-  await untilHostsKnowEachOther(hosts)
+  await using hosts = await startServingHosts()
   hosts.cut(true)
   for (let call = 0; call < CALLS_TO_KNOW; call++) await sendCall(hosts.cutHost.address, '/safe/x', {}, '')
   for (const target of hosts.targets) target.setScript(pausing)
-  const countReceived = (): number => hosts.targets.reduce((sum, { received }) => sum + received.length, 0)
   for (let call = 0; call < CALLS_TO_KNOW; call++) await sendCall(hosts.cutHost.address, '/safe/x', {}, '')
-  const before = countReceived()
+  const before = countReceived(hosts)
   for (let call = 0; call < 5; call++) await sendCall(hosts.peer.address, '/safe/x', {}, '')
-  t.is(countReceived() - before, 0)
+  t.is(countReceived(hosts) - before, 0)
 })
 
 test('a target that says through a peer that it leaves gets no more calls of the peer', async t => {
-  await using hosts = await startTwoHosts()
-  await sendUntil(hosts.peer.address, 200)
-  await sendUntil(hosts.cutHost.address, 200)
-  await untilHostsKnowEachOther(hosts)
+  await using hosts = await startServingHosts()
   hosts.cut(true)
   for (let call = 0; call < CALLS_TO_KNOW; call++) await sendCall(hosts.cutHost.address, '/safe/x', {}, '')
   for (const target of hosts.targets) target.setScript((request, socket) => { socket.end(buildAnswer(request, 'done', { headers: ['Server-Leaving: 1'] })) })
-  const countReceived = (): number => hosts.targets.reduce((sum, { received }) => sum + received.length, 0)
   for (let call = 0; call < CALLS_TO_KNOW; call++) await sendCall(hosts.cutHost.address, '/safe/x', {}, '')
-  const before = countReceived()
+  const before = countReceived(hosts)
   for (let call = 0; call < 5; call++) await sendCall(hosts.peer.address, '/safe/x', {}, '')
-  t.is(countReceived() - before, 0)
+  t.is(countReceived(hosts) - before, 0)
 })
