--- /dev/null
+++ b/src/gateway/_lib/attemptStream.ts
@@ -0,0 +1,82 @@
+/**
+ * Runs one try of a stream on a reserved path, and registers it as a stream in progress so that it
+ * can be moved to another path.
+ */
+import type { RequestSize } from '../../path/choosePath/index.js'
+import type { ActiveStream, Call, GatewayContext, Reservation, TargetRun } from '../types.js'
+import { closeWhenCrashing } from './crashingRequests.js'
+import { openExchange, type Exchange } from './openExchange.js'
+import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
+
+/** Runs one try, from sending the request to the end of the engine's stream. */
+export async function attemptStream (call: Call, reservation: Reservation, size: RequestSize, progress: CallProgress, run: TargetRun, mayInterrupt: () => boolean, context: GatewayContext): Promise<StreamResult> {
+  const { request, body, facts, account, signal } = call
+  const { format, runtime } = context
+  const leftMs = Math.floor(call.deadlineAtMs - runtime.monotonicMs())
+  if (leftMs <= 0 || signal.aborted) return { kind: 'notRun', cause: 'no time left', faultyAddress: undefined, hasReachedTarget: false }
+  const { lastEventId } = progress
+  const exchange = openExchange(reservation.target.address, {
+    method: request.method ?? 'POST',
+    path: request.url ?? '/',
+    headers: format.buildHeaders(request, body, { requestId: facts.requestId, account, leftMs, targetId: reservation.target.id, path: reservation.path, lastEventId }),
+    body,
+    connect: context.links.connect,
+    mayStillSend: () => context.targetPauses.leftMs(reservation.target.id) === 0
+  })
+  const closeExchange = (): void => exchange.close('call ended')
+  signal.addEventListener('abort', closeExchange, { once: true })
+  const crashWatch = closeWhenCrashing(call, run, exchange, context)
+  using stream = reservation.path === undefined ? undefined : registerStream(call, reservation, size, exchange, run, mayInterrupt, context)
+  try {
+    const result = await exchange.result
+    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.isPause === true }
+    if (result.kind === 'lost') return { kind: 'brokenOff', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
+    return await relayStream(result.answer, exchange, call, progress, { run, stream: stream?.active }, context)
+  } finally {
+    crashWatch[Symbol.dispose]()
+    signal.removeEventListener('abort', closeExchange)
+    exchange.close('exchange ended')
+  }
+}
+
+interface RegisteredStream extends Disposable {
+  active: ActiveStream
+}
+
+function registerStream (call: Call, reservation: Reservation, size: RequestSize, exchange: Exchange, run: TargetRun, mayInterrupt: () => boolean, context: GatewayContext): RegisteredStream {
+  const { loadTracker, streams, runtime } = context
+  let reroutedClaim: Disposable | undefined
+  const active: ActiveStream = {
+    requestId: call.facts.requestId,
+    service: call.service,
+    size,
+    path: reservation.path!,
+    lastProgressMs: runtime.monotonicMs(),
+    hasStarted: false,
+    meanPauseMs: 0,
+    isRerouting: false,
+    assignPath (path) {
+      // An order for another path can fail after its stream has ended; nothing would release the claim.
+      if (!streams.has(active)) return
+      reservation[Symbol.dispose]()
+      reroutedClaim?.[Symbol.dispose]()
+      reroutedClaim = loadTracker.claim(path, size, { previousPath: active.path })
+      active.path = path
+    },
+    mayInterrupt,
+    isRelayed: () => exchange.relay() !== undefined,
+    interrupt: cause => exchange.close(cause),
+    leaveLink () {
+      run.isLinkLost = true
+      exchange.close('own link to the engine lost')
+    }
+  }
+  streams.add(active)
+  return {
+    active,
+    [Symbol.dispose] () {
+      streams.delete(active)
+      reroutedClaim?.[Symbol.dispose]()
+    }
+  }
+}
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -7,22 +7,17 @@
  * deadline or until the caller leaves; it ends early only when its runs have used up the attempts
  * of the route.
  */
-import type { RequestSize } from '../../path/choosePath/index.js'
 import type { Target } from '../../fleet/types.js'
-import { endStopped, endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
-import { describeReturn, pauseLeftMs, reservePath, reserveTarget } from './reserveCapacity.js'
-import { openExchange, type Exchange } from './openExchange.js'
-import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { DeadlineError } from '../../runtime/withDeadline/index.js'
-import { closeWhenCrashing, endCrashingCall, findCrashing, noteCrash, traitsOf } from './crashingRequests.js'
-import type { ActiveStream, Call, GatewayContext, Reservation, TargetRun } from '../types.js'
-
-/** Longest useful wait of a new request for a reservation, as a multiple of the route's latency objective; callers give up on a silent stream after four. */
-const MAX_WAIT_OBJECTIVES = 3
-
-/** Time in which lost layers are likely to be loaded again, in milliseconds, counted from when engines last covered the whole model. */
-const RELOAD_WINDOW_MS = 2_500
+import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
+import { endStopped, endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
+import { attemptStream } from './attemptStream.js'
+import { endCrashingCall, noteCrash, traitsOf } from './crashingRequests.js'
+import { estimateRequestSize } from './estimateRequestSize.js'
+import type { CallProgress, StreamResult } from './relayStream.js'
+import { requestPlace } from './requestPlace.js'
+import { describeReturn } from './reserveCapacity.js'
 
 /** Tries of a call that has not begun beyond the route's attempts, for engines that refused it without running it or left meanwhile. */
 const MAX_EXTRA_TRIES = 2
@@ -31,23 +26,12 @@
 const REFUSAL_PAUSE_MS = 25
 const MAX_REFUSAL_PAUSE_MS = 400
 
-/** Weight of the caller's estimate against the usual output; the estimate is often inaccurate. */
-const HINT_WEIGHT = 0.5
-
 /** Milliseconds in a second. */
 const MS_PER_S = 1_000
 
 /** Retry delay sent to callers when no capacity could be reserved, in milliseconds. */
 const RETRY_AFTER_MS = 1_000
 
-/** Estimates the size of a request from the caller's parameters and the model's usual output. */
-export function estimateRequestSize (call: Pick<Call, 'facts' | 'service'>): RequestSize {
-  const { facts, service } = call
-  const usual = service.model?.usualOutputTokens ?? facts.maxOutputTokens
-  const expected = facts.hintedOutputTokens === undefined ? usual : HINT_WEIGHT * facts.hintedOutputTokens + (1 - HINT_WEIGHT) * usual
-  return { promptTokens: facts.promptTokens, outputTokens: Math.min(facts.maxOutputTokens, Math.round(expected)) }
-}
-
 /** Serves one stream until it is complete or has failed. */
 export async function serveStream (call: Call, ownDomain: string, context: GatewayContext): Promise<void> {
   const { route, service, signal, facts } = call
@@ -79,7 +63,9 @@
         if (!await budget.spendWhenLeft(service.name, signal)) break
       } else if (budget.left(service.name) < 1) return endWithoutAnswer('retry budget spent')
     }
-    const outcome = await requestReservation()
+    // Engines that refused an answer that has begun may take it later.
+    const excluded = hasBegun() ? failedIds : new Set([...failedIds, ...notRunIds])
+    const outcome = await requestPlace(call, { size, excluded, hasBegun: hasBegun(), tries: progress.tries }, ownDomain, context)
     if (outcome.kind === 'aborted') break
     progress.waitedMs += outcome.waitedMs
     metrics.waitSeconds.observe(outcome.waitedMs / MS_PER_S)
@@ -135,33 +121,6 @@
   log.emit('callerGone', { request: facts.requestId, route: route.name, tookMs: Math.round(runtime.monotonicMs() - call.startedMs), lastEventId: progress.lastEventId, ...details() })
   metrics.calls.inc({ kind: route.kind, outcome: 'callerGone' })
 
-  function requestReservation (): ReturnType<ReturnType<GatewayContext['dispatcherOf']>['request']> {
-    const elapsedMs = runtime.monotonicMs() - call.startedMs
-    let lastCoveredMs = runtime.monotonicMs()
-    const model = service.model
-    const maxWaitMs = Math.min(MAX_WAIT_OBJECTIVES * route.objectiveMs - (progress.tries === 0 ? elapsedMs : 0), call.deadlineAtMs - runtime.monotonicMs())
-    const waitUntilMs = runtime.monotonicMs() + maxWaitMs
-    // Engines that refused an answer that has begun may take it later.
-    const excluded = hasBegun() ? failedIds : new Set([...failedIds, ...notRunIds])
-    return context.dispatcherOf(service.name).request({
-      rank: call.rank,
-      account: call.account ?? '',
-      hasBegun: hasBegun(),
-      maxWaitMs,
-      tryReservePlace () {
-        return model === undefined ? reserveTarget(service, excluded, ownDomain, context) : reservePath(service, size, excluded, ownDomain, context)
-      },
-      isPlaceExpected () {
-        if (findCrashing(call, context) !== undefined) return false
-        if (runtime.monotonicMs() + pauseLeftMs(service, excluded, context) > waitUntilMs) return false
-        if (model === undefined) return fleet.servingTargets(service.name).length > 0
-        if (context.checkCoverage(service).isWhole) lastCoveredMs = runtime.monotonicMs()
-        return runtime.monotonicMs() - lastCoveredMs < RELOAD_WINDOW_MS
-      },
-      signal
-    })
-  }
-
   function endWithoutAnswer (cause: 'retry budget spent' | 'attempts spent' | 'request suspected of crashes'): void {
     endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, ...describeReturn(service, RETRY_AFTER_MS, context), cutCause: 'attempts' })
   }
@@ -201,76 +160,3 @@
 function describePath (reservation: Reservation): string {
   return reservation.path === undefined ? reservation.target.id : reservation.path.map(stage => `${stage.target.id}:${stage.from}-${stage.to}`).join(',')
 }
-
-/** Runs one try, from sending the request to the end of the engine's stream. */
-async function attemptStream (call: Call, reservation: Reservation, size: RequestSize, progress: CallProgress, run: TargetRun, mayInterrupt: () => boolean, context: GatewayContext): Promise<StreamResult> {
-  const { request, body, facts, account, signal } = call
-  const { format, runtime } = context
-  const leftMs = Math.floor(call.deadlineAtMs - runtime.monotonicMs())
-  if (leftMs <= 0 || signal.aborted) return { kind: 'notRun', cause: 'no time left', faultyAddress: undefined, hasReachedTarget: false }
-  const { lastEventId } = progress
-  const exchange = openExchange(reservation.target.address, {
-    method: request.method ?? 'POST',
-    path: request.url ?? '/',
-    headers: format.buildHeaders(request, body, { requestId: facts.requestId, account, leftMs, targetId: reservation.target.id, path: reservation.path, lastEventId }),
-    body,
-    connect: context.links.connect,
-    mayStillSend: () => context.targetPauses.leftMs(reservation.target.id) === 0
-  })
-  const closeExchange = (): void => exchange.close('call ended')
-  signal.addEventListener('abort', closeExchange, { once: true })
-  const crashWatch = closeWhenCrashing(call, run, exchange, context)
-  using stream = reservation.path === undefined ? undefined : registerStream(call, reservation, size, exchange, run, mayInterrupt, context)
-  try {
-    const result = await exchange.result
-    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.isPause === true }
-    if (result.kind === 'lost') return { kind: 'brokenOff', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
-    return await relayStream(result.answer, exchange, call, progress, { run, stream: stream?.active }, context)
-  } finally {
-    crashWatch[Symbol.dispose]()
-    signal.removeEventListener('abort', closeExchange)
-    exchange.close('exchange ended')
-  }
-}
-
-interface RegisteredStream extends Disposable {
-  active: ActiveStream
-}
-
-function registerStream (call: Call, reservation: Reservation, size: RequestSize, exchange: Exchange, run: TargetRun, mayInterrupt: () => boolean, context: GatewayContext): RegisteredStream {
-  const { loadTracker, streams, runtime } = context
-  let reroutedClaim: Disposable | undefined
-  const active: ActiveStream = {
-    requestId: call.facts.requestId,
-    service: call.service,
-    size,
-    path: reservation.path!,
-    lastProgressMs: runtime.monotonicMs(),
-    hasStarted: false,
-    meanPauseMs: 0,
-    isRerouting: false,
-    assignPath (path) {
-      // An order for another path can fail after its stream has ended; nothing would release the claim.
-      if (!streams.has(active)) return
-      reservation[Symbol.dispose]()
-      reroutedClaim?.[Symbol.dispose]()
-      reroutedClaim = loadTracker.claim(path, size, { previousPath: active.path })
-      active.path = path
-    },
-    mayInterrupt,
-    isRelayed: () => exchange.relay() !== undefined,
-    interrupt: cause => exchange.close(cause),
-    leaveLink () {
-      run.isLinkLost = true
-      exchange.close('own link to the engine lost')
-    }
-  }
-  streams.add(active)
-  return {
-    active,
-    [Symbol.dispose] () {
-      streams.delete(active)
-      reroutedClaim?.[Symbol.dispose]()
-    }
-  }
-}
