Place layers on every engine of a large domain, replicas of one kind

The fast replica kept every fast engine of its domains and used a few of them, and replicas that engines don't close exactly were not begun.

Change: members of the fast replica are the engines that hold or load its layers. In a domain whose engines can hold each layer twice, replicas are planned by what they make of their engines (memory and speed, one figure), and engines that are left hold the narrowest layers once more. Smaller domains are planned as before.

'every engine of a large domain holds layers' fails on the planner before (run with planPlacement and planFastReplica of the parent).

--- a/src/placement/planFastReplica/index.ts
+++ b/src/placement/planFastReplica/index.ts
@@ -10,7 +10,7 @@
 
 /** Loads of the fast replica: engines that together hold every layer of the model. */
 export interface FastReplicaPlan {
-  /** Ids of the engines that belong to it and to no other replica. */
+  /** Ids of the engines that hold or load its layers; they belong to no other replica. */
   memberIds: ReadonlySet<string>
   loads: PlannedLoad[]
 }
@@ -54,17 +54,32 @@
   const domainEngines = chooseDomains(fast, model)
   const capacity = domainEngines.reduce((sum, domain) => sum + domain.layers, 0)
   if (capacity < model.layerCount) return NO_REPLICA
-  const memberIds = new Set(domainEngines.flatMap(domain => domain.engines.map(engine => engine.target.id)))
+  const memberIds = new Set<string>()
   const loads: PlannedLoad[] = []
   let from = 0
   for (const domain of domainEngines) {
     const range = { from, to: Math.min(model.layerCount, from + domain.layers) }
-    loads.push(...planDomainLoads(domain, range, model))
+    const domainLoads = planDomainLoads(domain, range, model)
+    for (const { target } of [...listHolders(domain, range, model), ...domainLoads]) memberIds.add(target.id)
+    loads.push(...domainLoads)
     from = range.to
   }
   return { memberIds, loads }
 }
 
+/** As few engines of the domain as hold what its fast engines hold of a range; at each layer the one that holds the most layers from there on, of equals the first by id. */
+function listHolders (domain: DomainEngines, range: LayerRange, model: EngineModel): PlacementEngine[] {
+  const holders: PlacementEngine[] = []
+  const reach = (engine: PlacementEngine): number => Math.min(engine.layers?.to ?? 0, model.layerCount)
+  const engines = [...domain.engines].sort((a, b) => reach(b) - reach(a) || (a.target.id < b.target.id ? -1 : 1))
+  for (let layer = range.from; layer < range.to;) {
+    const holder = engines.find(({ layers }) => layers !== undefined && layers.from <= layer && layer < layers.to)
+    if (holder !== undefined) holders.push(holder)
+    layer = holder === undefined ? layer + 1 : reach(holder)
+  }
+  return holders
+}
+
 function isFast (target: Target, model: EngineModel): boolean {
   const slowest = Math.max(...Object.values(model.kinds).map(kind => kind.pace))
   return (model.kinds[target.kind ?? '']?.pace ?? Infinity) <= slowest * FAST_PACE_SHARE
--- a/src/placement/planPlacement/index.ts
+++ b/src/placement/planPlacement/index.ts
@@ -1,12 +1,14 @@
 /**
  * Decides which layers empty engines load, in fleets where engines fail, leave and come back all
  * the time. Every failure domain gets complete replicas of the model, so that requests need not
- * cross the link of low bandwidth between domains. Some engines stay empty to replace lost ones,
- * and an engine that serves is not moved unless other engines of its domain hold all its layers.
+ * cross the link of low bandwidth between domains. A domain that stays whole without any one
+ * pipeline loads all its engines; in a smaller one some stay empty to replace lost ones. An engine
+ * that serves is not moved unless other engines of its domain hold all its layers.
  */
 import type { EngineModel, LayerRange, Target } from '../../fleet/types.js'
 import { countCoverage, fillGapsWithCache, findGaps, countFittingLayers } from '../_lib/coverage.js'
 import { planFastReplica } from '../planFastReplica/index.js'
+import { planReplicas } from '../planReplicas/index.js'
 import type { PlacementEngine, PlannedLoad } from '../types.js'
 
 /** Cache sizes to plan engines with, in tokens, tried from the largest to the smallest that is worth serving with. */
@@ -30,9 +32,11 @@
  */
 export function planPlacement (engines: readonly PlacementEngine[], options: { model: EngineModel }): PlannedLoad[] {
   const { model } = options
-  const fastReplica = planFastReplica(engines, { model })
   const domains = [...new Set(engines.map(engine => engine.target.failureDomain))].sort()
-  const plans = domains.map(domain => planDomain(engines.filter(engine => engine.target.failureDomain === domain), fastReplica.memberIds, model))
+    .map(name => engines.filter(engine => engine.target.failureDomain === name))
+  const richPlans = domains.map(members => planRichDomain(members, model))
+  const fastReplica = planFastReplica(domains.filter((_, index) => richPlans[index] === undefined).flat(), { model })
+  const plans = domains.map((members, index) => richPlans[index] ?? planDomain(members, fastReplica.memberIds, model))
   const loads = [...fastReplica.loads, ...plans.sort((a, b) => a.missingLayers - b.missingLayers).flatMap(plan => plan.loads)]
   return [...loads, ...fillModelGaps(engines, loads, model)]
 }
@@ -44,6 +48,17 @@
   missingLayers: number
 }
 
+/** Plans a domain whose engines hold every layer at least twice; `undefined` for others. */
+function planRichDomain (engines: readonly PlacementEngine[], model: EngineModel): DomainPlan | undefined {
+  const usable = engines.filter(engine => engine.isUsable)
+  const held = usable.flatMap(({ target, layers }) => layers === undefined ? [] : [{ target, range: layers }])
+  const missingLayers = countCoverage(held.map(({ range }) => range), model).filter(count => count === 0).length
+  const loads = planReplicas(listEmpty(usable), { held, model })
+  return loads === undefined ? undefined : { loads, missingLayers }
+}
+
+const listEmpty = (engines: readonly PlacementEngine[]): Target[] => engines.filter(engine => engine.isIdle && engine.layers === undefined).map(engine => engine.target)
+
 /**
  * Plans replicas on the engines of a domain outside the fast replica, as many as leave enough
  * spare capacity. If that gives no load although no engine of the domain holds some layers,
@@ -55,7 +70,7 @@
   const held = countCoverage(usable.flatMap(engine => engine.layers ?? []), model)
   const heldByOthers = countCoverage(others.flatMap(engine => engine.layers ?? []), model)
   const missingLayers = held.filter(count => count === 0).length
-  const empty = others.filter(engine => engine.isIdle && engine.layers === undefined).map(engine => engine.target)
+  const empty = listEmpty(others)
   const loads = fillReplicas(heldByOthers, empty, others, model)
   if (loads.length > 0 || missingLayers === 0) return { loads, missingLayers }
   const redundant = others.find(engine => isRedundant(engine, held))
--- a/src/placement/planPlacement/test.ts
+++ b/src/placement/planPlacement/test.ts
@@ -1,19 +1,14 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { buildEngine, buildFleet, describeEngines, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
+import { applyLoads, buildEngine, buildFleet, describeEngines, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
+import { FEW_FAST, MANY_MIDDLE } from '../../../test/fakes/unevenFleets.js'
 import type { Target } from '../../fleet/types.js'
 import { choosePath } from '../../path/choosePath/index.js'
-import type { PlannedLoad } from '../types.js'
 import { planPlacement } from './index.js'
 
 const NO_LOAD = { tokenLayers: 0, sequences: 0, firstSequences: 0 }
 const SIZE = { promptTokens: 770, outputTokens: 174 }
 
-function applyLoads (targets: readonly Target[], loads: readonly PlannedLoad[]): Target[] {
-  const ranges = new Map(loads.map(load => [load.target.id, load.range]))
-  return targets.map(target => ranges.has(target.id) ? { ...target, layers: ranges.get(target.id)! } : target)
-}
-
 const hasPath = (targets: readonly Target[], maxCrossings: number): boolean => choosePath(targets, SIZE, {
   model: TEST_MODEL, loadOf: () => NO_LOAD, slownessOf: () => 1, isOvercommitted: true, maxCrossings
 }) !== undefined
@@ -26,6 +21,26 @@
   t.true(hasPath(placed.filter(target => target.kind === 'large' || target.kind === 'medium'), 1))
 })
 
+test('every engine of a large domain holds layers, no more than its memory', t => {
+  for (const { counts, model } of [MANY_MIDDLE, FEW_FAST]) {
+    const fleet = buildFleet(counts)
+    const loads = planPlacement(describeEngines(fleet), { model })
+    t.is(loads.length, fleet.length)
+    for (const { target, range: { from, to } } of loads) t.true((to - from) * model.layerMb < model.kinds[target.kind!]!.memoryMb && to <= model.layerCount)
+    t.deepEqual(planPlacement(describeEngines(applyLoads(fleet, loads)), { model }), [])
+  }
+})
+
+test('the fastest engines of a domain share paths', t => {
+  const { counts, model } = MANY_MIDDLE
+  const placed = applyLoads(buildFleet(counts), planPlacement(describeEngines(buildFleet(counts)), { model }))
+  for (const domain of Object.keys(counts)) {
+    const fast = placed.filter(({ failureDomain, kind }) => failureDomain === domain && kind !== 'small')
+    const size = { promptTokens: model.usualPromptTokens, outputTokens: model.usualOutputTokens }
+    t.truthy(choosePath(fast, size, { model, loadOf: () => NO_LOAD, slownessOf: () => 1, maxCrossings: 0 }), domain)
+  }
+})
+
 test('the loss of any one engine leaves paths without a crossing', t => {
   const placed = planAndApply(buildFleet())
   for (const lost of placed) t.true(hasPath(placed.filter(target => target !== lost), 0), lost.id)
--- /dev/null
+++ b/src/placement/planReplicas/index.ts
@@ -0,0 +1,52 @@
+/**
+ * Plans one replica after the other in a failure domain, and widens the narrowest layers with the
+ * engines that are left. Answers load of a whole fleet: no engine stays without layers where the
+ * domain loses any one pipeline and still holds every layer.
+ */
+import type { EngineModel, Target } from '../../fleet/types.js'
+import { countCoverage, findGaps } from '../_lib/coverage.js'
+import type { HeldRange } from '../estimateCapacity/index.js'
+import { planReplica } from '../planReplica/index.js'
+import type { PlannedLoad } from '../types.js'
+import { widenNarrowest } from '../widenNarrowest/index.js'
+
+/** Holders of each layer with which a failure domain stays whole when it loses one pipeline, so that no engine has to stay empty to replace the lost ones. */
+const HOLDERS_WITHOUT_SPARE = 2
+
+/**
+ * @name planReplicas
+ * @summary Plans loads for all empty engines of a failure domain.
+ * @param empty - Its engines without layers.
+ * @param options - Ranges that its other engines hold, and the model.
+ * @returns The loads, or `undefined` where some layer would be left with one holder or none.
+ *
+ * @example
+ * planReplicas(empty, { held, model })
+ */
+export function planReplicas (empty: readonly Target[], options: { held: readonly HeldRange[], model: EngineModel }): PlannedLoad[] | undefined {
+  const { held, model } = options
+  const loads: PlannedLoad[] = []
+  const listRanges = (): HeldRange[] => [...held, ...loads]
+  const listEmpty = (): Target[] => empty.filter(target => !loads.some(load => load.target.id === target.id))
+  for (let holders = 1; listEmpty().length > 0; holders++) {
+    const added = fillGapsOnce(holders, listEmpty(), listRanges(), model)
+    if (added === undefined) break
+    loads.push(...added)
+  }
+  const coverage = countCoverage(listRanges().map(({ range }) => range), model)
+  if (coverage.some(count => count < HOLDERS_WITHOUT_SPARE)) return undefined
+  return [...loads, ...widenNarrowest(listEmpty(), { held: listRanges(), model })]
+}
+
+/** Loads that give each layer a number of holders; `undefined` where the engines do not suffice. */
+function fillGapsOnce (holders: number, empty: readonly Target[], held: readonly HeldRange[], model: EngineModel): PlannedLoad[] | undefined {
+  const gaps = findGaps(countCoverage(held.map(({ range }) => range), model), holders)
+  const loads: PlannedLoad[] = []
+  for (const gap of gaps.sort((a, b) => (b.to - b.from) - (a.to - a.from))) {
+    const available = empty.filter(target => !loads.some(load => load.target.id === target.id))
+    const plan = planReplica(gap, available, { model })
+    if (plan === undefined) return undefined
+    loads.push(...plan.loads)
+  }
+  return loads
+}
--- a/test/fakes/buildFleet.ts
+++ b/test/fakes/buildFleet.ts
@@ -29,7 +29,9 @@
 }
 
 /** Number of engines of each kind in each failure domain. */
-const COUNTS: Record<string, Record<string, number>> = {
+export type FleetCounts = Record<string, Record<string, number>>
+
+const COUNTS: FleetCounts = {
   north: { large: 1, medium: 1, small: 5, tiny: 7 },
   east: { medium: 1, small: 8, tiny: 3 },
   south: { medium: 2, small: 4, tiny: 7 }
@@ -41,8 +43,8 @@
 }
 
 /** Every engine of the fleet, without layers. */
-export function buildFleet (): Target[] {
-  return Object.entries(COUNTS).flatMap(([domain, kinds]) => Object.entries(kinds).flatMap(([kind, count]) =>
+export function buildFleet (counts: FleetCounts = COUNTS): Target[] {
+  return Object.entries(counts).flatMap(([domain, kinds]) => Object.entries(kinds).flatMap(([kind, count]) =>
     Array.from({ length: count }, (_, index) => buildEngine(`${domain}-${kind}-${index}`, domain, kind))))
 }
 
@@ -50,3 +52,9 @@
 export function describeEngines (targets: readonly Target[], lostIds: ReadonlySet<string> = new Set()): PlacementEngine[] {
   return targets.map(target => ({ target, layers: target.layers, isUsable: !lostIds.has(target.id), isIdle: true }))
 }
+
+/** The engines with the layers that loads give them. */
+export function applyLoads (targets: readonly Target[], loads: ReadonlyArray<{ target: Target, range: LayerRange }>): Target[] {
+  const ranges = new Map(loads.map(load => [load.target.id, load.range]))
+  return targets.map(target => ranges.has(target.id) ? { ...target, layers: ranges.get(target.id)! } : target)
+}
