--- a/src/path/_lib/linkCost.ts
+++ b/src/path/_lib/linkCost.ts
@@ -27,6 +27,12 @@
   return `link ${domainA < domainB ? `${domainA} ${domainB}` : `${domainB} ${domainA}`}`
 }
 
+/** Tokens of a request that a link still accepts. */
+export function countFreeLinkTokens (domainA: string, domainB: string, { model, loadOf }: Pick<PathOptions, 'model' | 'loadOf'>): number {
+  const tokenMs = model.activationBytes * MS_PER_BYTE_AT_1_MBPS / model.pipeMbps
+  return Math.max(0, MAX_LINK_UTILIZATION * LINK_WINDOW_MS / tokenMs - loadOf(linkKey(domainA, domainB)).tokenLayers)
+}
+
 /** Expected time in milliseconds that a crossing adds to the whole request, or `undefined` when its link is full. */
 export function estimateCrossingMs (from: Target, to: Target, size: RequestSize, options: PathOptions): number | undefined {
   const { model } = options
--- a/src/path/_lib/stageCost.ts
+++ b/src/path/_lib/stageCost.ts
@@ -50,7 +50,7 @@
  * @example
  * computeCacheTokenLayers(engine, 8, model)
  */
-export function computeCacheTokenLayers (target: Target, layerCount: number, model: EngineModel): number {
+export function computeCacheTokenLayers (target: Pick<Target, 'kind'>, layerCount: number, model: EngineModel): number {
   const kind = target.kind === undefined ? undefined : model.kinds[target.kind]
   if (kind === undefined) return 0
   return Math.max(0, (kind.memoryMb - layerCount * model.layerMb) / model.tokenLayerMb)
