Let a host tell figures of its own beside the load of targets

The queues of all hosts are to be summed the way the load is: the digests carry hashed keys with three numbers, and any build sums keys that it does not know. setOwn puts such an entry under a key of its own. Test: the figure is summed with that of a peer, told on, and withdrawn.

--- a/src/path/createLoadTracker/index.ts
+++ b/src/path/createLoadTracker/index.ts
@@ -38,6 +38,8 @@
   setNeighborLoad: (neighbor: string, load: LoadByKey) => boolean
   /** Removes the load of a neighbor. */
   removeNeighbor: (neighbor: string) => void
+  /** Replaces what this host tells under a key of its own, such as a figure of its queues, or withdraws it; hosts sum it like the load of a target. */
+  setOwn: (key: string, load: EngineLoad | undefined) => void
   /** Calls the listener when this host's own load changes. */
   onOwnChange: (listener: () => void) => void
 }
@@ -130,6 +132,12 @@
       for (const [key, load] of neighbors.get(neighbor) ?? []) addLoad(neighborSums, key, load, -1)
       neighbors.delete(neighbor)
     },
+    setOwn (key, load) {
+      const hash = hashLoadKey(key)
+      // Copied, as entries are changed in place.
+      if (load === undefined) own.delete(hash)
+      else own.set(hash, { ...load })
+    },
     onOwnChange (listener) {
       listeners.push(listener)
     }
--- a/src/path/createLoadTracker/test.ts
+++ b/src/path/createLoadTracker/test.ts
@@ -91,3 +91,13 @@
   t.deepEqual(loadTracker.sumWith(['child']).get(hashLoadKey('a')), { tokenLayers: 6_010, sequences: 3, firstSequences: 2 })
   t.deepEqual(loadTracker.loadOf('a').sequences > 3, true)
 })
+
+test('a figure under a key of its own is summed like the load of a target until it is withdrawn', t => {
+  const loadTracker = createLoadTracker({ runtime: createManualRuntime() })
+  loadTracker.setNeighborLoad('peer', loads({ 'queue chat 1': { tokenLayers: 5, sequences: 1, firstSequences: 0 } }))
+  loadTracker.setOwn('queue chat 1', { tokenLayers: 2, sequences: 1, firstSequences: 3 })
+  t.deepEqual(loadTracker.loadOf('queue chat 1'), { tokenLayers: 7, sequences: 2, firstSequences: 3 })
+  t.deepEqual(loadTracker.sumWith(['peer']).get(hashLoadKey('queue chat 1')), { tokenLayers: 7, sequences: 2, firstSequences: 3 })
+  loadTracker.setOwn('queue chat 1', undefined)
+  t.is(loadTracker.loadOf('queue chat 1').tokenLayers, 5)
+})
