Decide who waits, who is refused and who returns over the queues of all hosts

Cause: a host refused on arrival by its own rate of places with a floor of 4 a second, which at 63 hosts is more than the whole fleet serves; each request was held for three objectives and refused then; every refused caller was told one second; accounts were forgotten when one host's queue was empty.

Change: hosts tell waiting requests, arrivals, places and slots by rank, and the accounts served most, as entries of the load in their digests. Pure functions decide from the sums: decideAdmission (wait or refuse on arrival), orderQueue (rank, returns, on time, late, account, arrival), takeTurns (share of begun streams and returns), estimatePeakEnd and planReturn (Retry-After within a third of the time left, in slots). Queued requests that turn hopeless are refused as soon as that has been known for 200 ms. describeReturn has a module of its own; the rank of a request is combined in one place.

Tests: src/waiting, gateway.

--- a/src/gateway/_lib/requestPlace.ts
+++ b/src/gateway/_lib/requestPlace.ts
@@ -3,6 +3,7 @@
  * can be expected.
  */
 import type { RequestSize } from '../../path/choosePath/index.js'
+import { MIN_RETURN_MS } from '../../waiting/planReturn/index.js'
 import type { PlaceOutcome } from '../../waiting/createDispatcher/index.js'
 import type { Call, GatewayContext, Reservation } from '../types.js'
 import { findCrashing } from './crashingRequests.js'
@@ -11,6 +12,9 @@
 /** Longest useful wait of a new request for a reservation, as a multiple of the route's latency objective; callers give up on a silent stream after four. */
 const MAX_WAIT_OBJECTIVES = 3
 
+/** Most of the objective that the time from a place to the first event is taken for. */
+const MAX_FIRST_EVENT_OBJECTIVES = 0.6
+
 /** Time in which lost layers are likely to be loaded again, in milliseconds, counted from when engines last covered the whole model. */
 const RELOAD_WINDOW_MS = 2_500
 
@@ -35,11 +39,17 @@
   const elapsedMs = tries === 0 ? startMs - call.startedMs : 0
   const maxWaitMs = Math.min(MAX_WAIT_OBJECTIVES * route.objectiveMs - elapsedMs, call.deadlineAtMs - startMs)
   const waitUntilMs = startMs + maxWaitMs
-  return await context.dispatcherOf(service.name).request({
+  const dispatcher = context.dispatcherOf(service.name)
+  const account = call.account ?? ''
+  const firstTryMs = tries === 0 ? dispatcher.elapsedMs(JSON.stringify([route.name, account]), Math.min(call.facts.deadlineMs, route.timeoutMs)) : 0
+  const firstEventMs = Math.min(dispatcher.firstEventMs(), MAX_FIRST_EVENT_OBJECTIVES * route.objectiveMs)
+  return await dispatcher.request({
     rank: call.rank,
-    account: call.account ?? '',
+    account,
     hasBegun,
     maxWaitMs,
+    onTimeMs: route.objectiveMs - firstEventMs - firstTryMs - (startMs - call.startedMs),
+    isReturning: firstTryMs >= MIN_RETURN_MS,
     tryReservePlace () {
       return model === undefined ? reserveTarget(service, excluded, ownDomain, context) : reservePath(service, size, excluded, ownDomain, context)
     },
--- a/src/gateway/_lib/reserveCapacity.ts
+++ b/src/gateway/_lib/reserveCapacity.ts
@@ -16,9 +16,6 @@
 /** Factor on the expected time of an engine in a pause as a later stage of a path: it does not get the request itself, but it has no room to spare. */
 const PAUSED_SLOWNESS = 2
 
-/** Time over which callers return after the end of a pause, in milliseconds. */
-const RETURN_SPREAD_MS = 1_000
-
 /** Size of a request to a plain target; for these only the number of requests matters. */
 const PLAIN_SIZE: RequestSize = { promptTokens: 0, outputTokens: 0 }
 
@@ -64,16 +61,6 @@
   return Math.min(...targets.filter(({ id }) => !excluded.has(id)).map(({ id }) => targetPauses.leftMs(id)))
 }
 
-/**
- * When a caller that is refused should return, and why: when a target ends its pause, spread so that
- * callers don't return together, or after the default if that is longer.
- */
-export function describeReturn (service: Service, defaultMs: number, context: GatewayContext): { retryAfterMs: number, pauseLeftMs?: number } {
-  const leftMs = pauseLeftMs(service, new Set(), context)
-  if (leftMs === 0) return { retryAfterMs: defaultMs }
-  return { retryAfterMs: Math.round(Math.max(defaultMs, leftMs + context.runtime.random() * RETURN_SPREAD_MS)), pauseLeftMs: Math.round(leftMs) }
-}
-
 /** Reserves the least busy target of a plain service that is not excluded, or returns `undefined`. */
 export function reserveTarget (service: Service, excluded: ReadonlySet<string>, ownDomain: string, context: GatewayContext): Reservation | undefined {
   const { fleet, loadTracker, suspicions, targetLimits, targetPauses } = context
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -9,7 +9,8 @@
 import { endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
-import { describeReturn, isAnyHeldBack, reserveTarget } from './reserveCapacity.js'
+import { describeReturn } from './describeReturn.js'
+import { isAnyHeldBack, reserveTarget } from './reserveCapacity.js'
 import { endCrashingCall, findCrashing, noteCrash, traitsOf } from './crashingRequests.js'
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 
@@ -87,7 +88,7 @@
   if (lastFailure !== undefined) return finishWithAnswer(lastFailure)
   if (signal.aborted) return endStopped(call, context, { mayHaveRun, notRunReason: 'targetUnreachable', attempts })
   if (mayHaveRun) return endWithReason(call, context, 'targetFailed', { attempts })
-  endWithReason(call, context, isAnyHeldBack(service, excluded, context) ? 'overloaded' : 'targetUnreachable', { attempts, ...describeReturn(service, RETRY_AFTER_MS, context) })
+  endWithReason(call, context, isAnyHeldBack(service, excluded, context) ? 'overloaded' : 'targetUnreachable', { attempts, ...describeReturn(call, { defaultMs: RETRY_AFTER_MS }, context) })
 
   function finishWithAnswer (result: Extract<AttemptResult, { kind: 'whole' }>): void {
     if (result.status < 500) context.crashEvidence.noteAnswered(traitsOf(call))
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -14,10 +14,10 @@
 import { endStopped, endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
 import { attemptStream } from './attemptStream.js'
 import { endCrashingCall, noteCrash, traitsOf } from './crashingRequests.js'
+import { describeReturn } from './describeReturn.js'
 import { estimateRequestSize } from './estimateRequestSize.js'
 import type { CallProgress, StreamResult } from './relayStream.js'
 import { requestPlace } from './requestPlace.js'
-import { describeReturn } from './reserveCapacity.js'
 
 /** Tries of a call that has not begun beyond the route's attempts, for engines that refused it without running it or left meanwhile. */
 const MAX_EXTRA_TRIES = 2
@@ -70,7 +70,7 @@
     progress.waitedMs += outcome.waitedMs
     metrics.waitSeconds.observe(outcome.waitedMs / MS_PER_S)
     if (outcome.kind === 'refused') {
-      if (!isEndedAsCrashing()) endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), ...describeReturn(service, RETRY_AFTER_MS, context) })
+      if (!isEndedAsCrashing()) endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), ...outcome.figures, ...describeReturn(call, { defaultMs: RETRY_AFTER_MS, expectedWaitMs: outcome.figures.expectedWaitMs }, context) })
       return
     }
     using reservation = outcome.place
@@ -122,12 +122,13 @@
   metrics.calls.inc({ kind: route.kind, outcome: 'callerGone' })
 
   function endWithoutAnswer (cause: 'retry budget spent' | 'attempts spent' | 'request suspected of crashes'): void {
-    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, ...describeReturn(service, RETRY_AFTER_MS, context), cutCause: 'attempts' })
+    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, ...describeReturn(call, { defaultMs: RETRY_AFTER_MS }, context), cutCause: 'attempts' })
   }
 
   function recordAnswer (): void {
     context.crashEvidence.noteAnswered(traitsOf(call))
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
+    if (progress.firstEventMs !== undefined && progress.attempts.length === 1) context.dispatcherOf(service.name).noteFirstEvent(progress.firstEventMs - call.startedMs - progress.waitedMs)
     log.emit('gatewayAnswered', {
       request: facts.requestId,
       route: route.name,
--- a/src/gateway/createCallHandler/index.ts
+++ b/src/gateway/createCallHandler/index.ts
@@ -10,6 +10,7 @@
 import { REASONS } from '../../verdict/reasons.js'
 import { withConnectionClose } from '../_lib/answerCaller.js'
 import { servePlain } from '../_lib/servePlain.js'
+import { combineRanks } from '../_lib/combineRanks.js'
 import { serveStream } from '../_lib/serveStream.js'
 import { matchRoute } from '../matchRoute/index.js'
 import { withDeadline } from '../../runtime/withDeadline/index.js'
@@ -18,9 +19,6 @@
 /** Retry delay sent to callers while no configuration is known, in milliseconds. */
 const NOT_READY_RETRY_MS = 500
 
-/** Weight of an account's rank over that of a route, so that accounts are compared first. */
-const ACCOUNT_RANK_WEIGHT = 100
-
 interface ResolvedCall {
   route: Route
   service: Service
@@ -91,7 +89,7 @@
   const name = pickService(route, randomFraction)
   const service = configuration.services.find(candidate => candidate.name === name)
   if (service === undefined) return 'unknownService'
-  return { route, service, account: account?.name, rank: (account?.rank ?? 0) * ACCOUNT_RANK_WEIGHT + route.rank }
+  return { route, service, account: account?.name, rank: combineRanks(account?.rank, route.rank) }
 }
 
 function findAccount (configuration: FleetConfiguration, key: string | undefined): ClientAccount | undefined {
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -33,6 +33,7 @@
 import { createCrashDetector } from '../_lib/createCrashDetector.js'
 import { createLeaderElection } from '../_lib/createLeaderElection.js'
 import { createInternalHandler, readPeerState } from '../_lib/internalPort.js'
+import { listRanks } from '../_lib/listRanks.js'
 import { listRelays } from '../_lib/listRelays.js'
 import { isUnanswered, reportUnanswered } from '../_lib/reportCut.js'
 import { noteRelayedStatements } from '../_lib/noteStatements.js'
@@ -241,7 +242,17 @@
   function dispatcherOf (service: string): Dispatcher<Reservation> {
     const known = dispatchers.get(service)
     if (known !== undefined) return known
-    const dispatcher = createDispatcher<Reservation>({ runtime })
+    const sharing = {
+      service,
+      tell: loadTracker.setOwn,
+      sumOf: loadTracker.loadOf,
+      ranks: () => listRanks(fleet.configuration(), service),
+      ageMs: exchange.loadAgeMs,
+      hostCount: exchange.hostCount,
+      isCutOff: () => exchange.peers().length === 0 && exchange.recentHostCount() > 1,
+      places: () => ({ freePlaces: 0, totalPlaces: 0 })
+    }
+    const dispatcher = createDispatcher<Reservation>({ runtime, sharing })
     dispatchers.set(service, dispatcher)
     return dispatcher
   }
--- /dev/null
+++ b/src/waiting/_lib/createQueueJudge.ts
@@ -0,0 +1,150 @@
+/**
+ * Turns what a host counts and hears into what the decisions of its queue need: the view of all
+ * queues, the order of its own, and the facts of one request's admission.
+ */
+import type { Runtime } from '../../runtime/types.js'
+import { decideAdmission, type Admission } from '../decideAdmission/index.js'
+import { isStarved, orderQueue, type ServedShare, type WaitingRequest } from '../orderQueue/index.js'
+import { RETURN_SHARE } from '../planReturn/index.js'
+import { summarizeRoom } from '../summarizeRoom/index.js'
+import type { AdmissionFigures, QueueView, RankFigures } from '../types.js'
+import { createQueueRecord, type QueueRecord } from './createQueueRecord.js'
+import { accountKey, pairOf, readFigures, tellFigures, type QueueSharing } from './queueFigures.js'
+
+/** Ranks of a service, and accounts, whose figures are told. */
+const MAX_TOLD_RANKS = 8
+const MAX_TOLD_ACCOUNTS = 4
+
+/** Rate of places to assume at least, for all hosts together: few or none are assigned right after a fault that is being repaired. */
+const MIN_PLACES_PER_S = 4
+
+/** Part of the usual rate of places to assume at least, and the time over which the usual rate adapts, in milliseconds. */
+const USUAL_SHARE = 0.5
+const USUAL_TIME_MS = 5_000
+
+/** Queued time of all hosts beyond which more is asked for than is served, in milliseconds. */
+const EXCESS_WAIT_MS = 250
+
+/** Time from which an excess is taken to last, in milliseconds; before, the arrivals may be one burst. */
+const LASTING_MS = 500
+
+/** Milliseconds in a second. */
+const MS_PER_S = 1_000
+
+/** A request that is judged. */
+export interface JudgedRequest extends WaitingRequest {
+  /** Time at which its caller leaves, less what an answer needs to begin. */
+  leavesAtMs: number
+}
+
+/** What one host knows of the queues of a service. */
+export interface QueueJudge {
+  record: QueueRecord
+  view: () => QueueView
+  /** Tells peers the figures of this host's queue. */
+  tell: (waiting: readonly JudgedRequest[], promised: (rank: number) => number) => void
+  order: <Request extends JudgedRequest>(requests: readonly Request[], isReturnTurn: boolean) => Request[]
+  /** Judges a request behind `ownAhead` others of this host, while more is asked for than is served since `excessAgeMs`. */
+  judge: (request: JudgedRequest, ownAhead: readonly JudgedRequest[], excessAgeMs: number | undefined) => { admission: Admission, figures: AdmissionFigures }
+  /** Rate at which places are expected to become free, at all hosts. */
+  expectedPlacesPerS: () => number
+  isExcess: () => boolean
+}
+
+/** Creates the judge of a queue. */
+export function createQueueJudge ({ runtime, sharing }: { runtime: Runtime, sharing: QueueSharing }): QueueJudge {
+  const record = createQueueRecord({ runtime })
+  /** Number of requests that this host told to be waiting, by rank. */
+  const toldWaiting = new Map<number, number>()
+  const toldAccounts = new Map<string, ServedShare>()
+  let usualPlacesPerS = 0
+  let usualAtMs = runtime.monotonicMs()
+
+  const listRanks = (): number[] => [...new Set([...sharing.ranks(), ...record.ranks()])].sort((a, b) => a - b).slice(0, MAX_TOLD_RANKS)
+
+  function view (): QueueView {
+    return summarizeRoom(listRanks().map(rank => readFigures(rank, sharing)), { ...sharing.places(), ageMs: sharing.ageMs(), hostCount: sharing.hostCount(), isCutOff: sharing.isCutOff() })
+  }
+
+  /** What was served of an account by this host and, as far as they tell it, by others. */
+  function accountShare (account: string): ServedShare {
+    const own = record.accountShare(account)
+    const told = toldAccounts.get(account) ?? { asked: 0, served: 0 }
+    const { tokenLayers, firstSequences } = sharing.sumOf(accountKey(account))
+    return { served: own.served + Math.max(0, tokenLayers - told.served), asked: own.asked + Math.max(0, firstSequences - told.asked) }
+  }
+
+  function tellAccounts (isWaiting: boolean): void {
+    const largest = isWaiting ? record.accounts().sort((a, b) => record.accountShare(b).served - record.accountShare(a).served).slice(0, MAX_TOLD_ACCOUNTS) : []
+    for (const account of toldAccounts.keys()) if (!largest.includes(account)) sharing.tell(accountKey(account), undefined)
+    toldAccounts.clear()
+    for (const account of largest) {
+      const { asked, served } = record.accountShare(account)
+      const told = { asked: Math.round(asked), served: Math.round(served) }
+      toldAccounts.set(account, told)
+      sharing.tell(accountKey(account), pairOf(told.served, told.asked))
+    }
+  }
+
+  function updateUsualRate (placesPerS: number): void {
+    const nowMs = runtime.monotonicMs()
+    usualPlacesPerS += (placesPerS - usualPlacesPerS) * (1 - Math.exp((usualAtMs - nowMs) / USUAL_TIME_MS))
+    usualAtMs = nowMs
+  }
+
+  const expectedRate = (placesPerS: number): number => Math.max(placesPerS, USUAL_SHARE * usualPlacesPerS, MIN_PLACES_PER_S)
+  const isStarvedRank = (rank: number): boolean => isStarved(record.rankShare(rank), record.overall())
+  const sumWaiting = (ranks: readonly RankFigures[]): number => ranks.reduce((sum, { waiting }) => sum + waiting, 0)
+
+  return {
+    record,
+    view,
+    tell (waiting, promised) {
+      for (const rank of listRanks()) {
+        toldWaiting.set(rank, waiting.filter(request => request.rank === rank).length)
+        tellFigures(rank, { ...record.rates(rank), waiting: toldWaiting.get(rank)!, promised: promised(rank) }, sharing)
+      }
+      const { ranks, room } = view()
+      tellAccounts(sumWaiting(ranks) > 0)
+      updateUsualRate(room.placesPerS)
+    },
+    order: (requests, isReturnTurn) => orderQueue(requests, {
+      nowMs: runtime.monotonicMs(),
+      isReturnTurn,
+      rankShare: record.rankShare,
+      accountShare,
+      overall: { accounts: record.overall(), ranks: record.overall() }
+    }),
+    judge (request, ownAhead, excessAgeMs = 0) {
+      const nowMs = runtime.monotonicMs()
+      const { ranks, room } = view()
+      const { rank, isReturning } = request
+      const isFirst = isStarvedRank(rank)
+      const before = ranks.filter(figures => figures.rank <= rank)
+      const own = before.find(figures => figures.rank === rank)
+      const total = expectedRate(room.placesPerS)
+      const urgentArrivalsPerS = before.filter(figures => figures !== own).reduce((sum, { arrivalsPerS }) => sum + arrivalsPerS, 0)
+      const ratePerS = isFirst ? total : Math.max(own?.placesPerS ?? 0, total - urgentArrivalsPerS)
+      const arrivalsPerS = excessAgeMs < LASTING_MS ? 0 : own?.arrivalsPerS ?? 0
+      const returnRatePerS = Math.max(RETURN_SHARE * ratePerS, ratePerS - arrivalsPerS)
+      const elsewhere = isFirst || isReturning ? 0 : before.reduce((sum, figures) => sum + Math.max(0, figures.waiting - (toldWaiting.get(figures.rank) ?? 0)), 0)
+      // Hosts that have requests waiting get places at about the same rate, whatever the length of their queues.
+      const waitingHosts = Math.max(1, ...before.map(figures => figures.waitingHosts))
+      const waitingAhead = Math.max(ownAhead.length + elsewhere, ownAhead.length * waitingHosts)
+      const placesPerS = isReturning ? returnRatePerS : ratePerS
+      const admission = decideAdmission({ waitingAhead, freePlaces: room.freePlaces, placesPerS, arrivalsPerS, onTimeMs: request.onTimeUntilMs - nowMs, patienceMs: request.leavesAtMs - nowMs, isReturning })
+      const figures = { expectedWaitMs: roundMs(admission.expectedWaitMs), waitingAhead, placesPerS: Math.round(placesPerS), freePlaces: room.freePlaces, knownAgeMs: roundMs(room.ageMs) }
+      return { admission, figures }
+    },
+    expectedPlacesPerS: () => expectedRate(view().room.placesPerS),
+    isExcess () {
+      const { ranks, room } = view()
+      return sumWaiting(ranks) * MS_PER_S > EXCESS_WAIT_MS * expectedRate(room.placesPerS)
+    }
+  }
+}
+
+/** Whole milliseconds; `null` for an infinite time. */
+function roundMs (timeMs: number): number | null {
+  return Number.isFinite(timeMs) ? Math.round(timeMs) : null
+}
--- a/src/waiting/createDispatcher/index.ts
+++ b/src/waiting/createDispatcher/index.ts
@@ -1,17 +1,24 @@
 /**
  * Queue of the requests that wait for capacity of one service. It is meant for the load pattern
- * in which part of the fleet is lost and more requests arrive than the rest can hold.
+ * in which part of the fleet is lost, or demand swings, and more requests arrive than the rest can hold.
  *
  * A place is capacity reserved for one request on a target or on a path of engines. Requests wait
- * on the host and not in the engines, ordered by rank, then by the number of requests that their
- * account had served, then by arrival. A request is refused on arrival if the requests ahead of
- * it would take longer than its maximum wait, estimated from the rate at which places were
- * assigned recently.
+ * on the host and not in the engines. Whether a request waits, in which order places are assigned
+ * and when a refused caller returns is decided by pure functions beside this module, from the
+ * queues of all hosts as far as this one hears of them. A queued request is refused as soon as it
+ * is known that it cannot be served before its caller leaves.
  *
- * A request whose answer has begun can no longer be refused, only cut off. It therefore goes before
- * all others and waits until it has a place or is aborted.
+ * A request whose answer has begun can no longer be refused, only cut off. It waits until it has a
+ * place or is aborted, and goes before new ones for its share of the places.
  */
 import type { Runtime } from '../../runtime/types.js'
+import { createPlaceCounts } from '../_lib/createPlaceCounts.js'
+import { createQueueJudge, type JudgedRequest } from '../_lib/createQueueJudge.js'
+import { createReturnBook, type ReturnBook } from '../_lib/createReturnBook.js'
+import { createOwnSharing, type QueueSharing } from '../_lib/queueFigures.js'
+import { RETURN_SHARE, type ReturnPlan } from '../planReturn/index.js'
+import { isPreferredTurn, takeTurns } from '../takeTurns/index.js'
+import type { AdmissionFigures, QueueView } from '../types.js'
 
 /** A request that needs a place. */
 export interface PlaceRequest<Place> {
@@ -23,6 +30,10 @@
   hasBegun: boolean
   /** Longest time to wait for a place, in milliseconds; at 0 or less the request is never queued. Has no effect once the answer has begun. */
   maxWaitMs: number
+  /** Longest wait after which the answer is still in time, in milliseconds; `maxWaitMs` by default. */
+  onTimeMs?: number
+  /** Whether its caller was refused before and returns no earlier than it was told. */
+  isReturning?: boolean
   /** Reserves a place and returns it, or returns `undefined` if none is free. */
   tryReservePlace: () => Place | undefined
   /** Whether a place may still become free; if not, the request is refused instead of queued, unless its answer has begun. */
@@ -34,8 +45,8 @@
 /** Result of a request for a place. */
 export type PlaceOutcome<Place> =
   | { kind: 'placed', place: Place, waitedMs: number }
-  /** No place became free within the maximum wait, or none is expected to. */
-  | { kind: 'refused', waitedMs: number, queueLength: number }
+  /** No place is expected before the caller leaves. */
+  | { kind: 'refused', waitedMs: number, queueLength: number, figures: AdmissionFigures }
   | { kind: 'aborted' }
 
 /** The queue of one service. */
@@ -45,33 +56,46 @@
   /** Assigns free places to queued requests and refuses those for which no place is expected. */
   dispatch: () => void
   queueLength: () => number
+  /** Room and queues of the service, as this host knows them. */
+  view: () => QueueView
+  /** Plans when a refused caller returns; `undefined` while no more is asked for than is served. */
+  planReturn: (refused: { rank: number, leftMs: number, expectedWaitMs: number }) => ReturnPlan | undefined
+  /** Time since the first try of a request, from the time that it brings; 0 if it is as long as that of new ones of its kind. */
+  elapsedMs: ReturnBook['elapsedMs']
+  /** Notes the time from a place to the first event of an answer, in milliseconds. */
+  noteFirstEvent: (tookMs: number) => void
+  /** Usual time from a place to the first event, in milliseconds; 0 before the first. */
+  firstEventMs: () => number
 }
 
 /** Interval at which free places are assigned to queued requests, in milliseconds; each round may choose several paths. */
 const DISPATCH_INTERVAL_MS = 25
 
+/** Interval at which figures are told while nothing is queued, in milliseconds. */
+const TELL_INTERVAL_MS = 250
+
 /** Maximum number of queued requests; a request that arrives at a full queue is refused. */
 const MAX_QUEUE_LENGTH = 300
 
-/** Time over which the rate of assigned places is measured, in milliseconds; about the longest maximum wait. */
-const RATE_WINDOW_MS = 1_500
+/** Failed reservations after which a round stops; the rest of the queue is tried in the next round. */
+const MAX_FAILED_TRIES_PER_ROUND = 2
 
-/** Least rate of places to assume, as few or none are assigned right after a fault that is being repaired. */
-const MIN_RATE_PER_S = 4
+/** Share of the places that requests whose answer has begun get while new ones wait; a cut answer loses its caller more than a refusal. */
+const BEGUN_SHARE = 2 / 3
 
-/** Milliseconds in a second. */
-const MS_PER_S = 1_000
+/** Time for which a queued request must be found hopeless before it is refused, in milliseconds: longer than the figures of other hosts are old. */
+const HOPELESS_MS = 200
 
-/** Failed reservations after which a round stops; the rest of the queue is tried in the next round. */
-const MAX_FAILED_TRIES_PER_ROUND = 2
+/** Weight of the latest time to a first event in the usual one. */
+const FIRST_EVENT_WEIGHT = 0.05
 
 /** A queued request. */
-interface QueueEntry<Place> {
+interface QueueEntry<Place> extends JudgedRequest {
   placeRequest: PlaceRequest<Place>
-  /** Monotonic time of arrival, in milliseconds. */
-  arrivedMs: number
   /** Monotonic time of the last try, or of arrival, in milliseconds. */
   triedMs: number
+  /** Since when no place is expected before its caller leaves. */
+  hopelessSinceMs: number | undefined
   /** Releases the timer and the abort listener, and resolves the promise of the request. */
   settle: (outcome: PlaceOutcome<Place>) => void
 }
@@ -79,64 +103,73 @@
 /**
  * @name createDispatcher
  * @summary Creates an empty queue for one service.
- * @param options - The runtime.
+ * @param options - The runtime, and where the queue's figures are shared with other hosts.
  * @returns The dispatcher.
  *
  * @example
  * const outcome = await dispatcher.request({ rank: 1, account, maxWaitMs: 500, tryReservePlace, isPlaceExpected, signal })
  */
-export function createDispatcher<Place> (options: { runtime: Runtime }): Dispatcher<Place> {
-  const { runtime } = options
+export function createDispatcher<Place> (options: { runtime: Runtime, sharing?: QueueSharing }): Dispatcher<Place> {
+  const { runtime, sharing = createOwnSharing() } = options
+  const judge = createQueueJudge({ runtime, sharing })
+  const returns = createReturnBook({ runtime })
+  const begunCounts = createPlaceCounts({ runtime })
+  const returnCounts = createPlaceCounts({ runtime })
   let queue: Array<QueueEntry<Place>> = []
-  /** Number of requests of each account that got a place from the queue since it was last empty. */
-  let servedByAccount = new Map<string, number>()
+  let firstEventMs: number | undefined
+
+  const listBegun = (): Array<QueueEntry<Place>> => queue.filter(({ placeRequest }) => placeRequest.hasBegun)
+  /** Queued requests that can still be refused. */
+  const listNew = (): Array<QueueEntry<Place>> => queue.filter(({ placeRequest }) => !placeRequest.hasBegun)
+  const orderNew = (entries: ReadonlyArray<QueueEntry<Place>>): Array<QueueEntry<Place>> => judge.order(entries, isPreferredTurn(returnCounts.counts(), RETURN_SHARE))
+  const waitedMs = (entry: QueueEntry<Place>): number => runtime.monotonicMs() - entry.arrivedMs
 
   function removeAndSettle (entry: QueueEntry<Place>, outcome: PlaceOutcome<Place>): void {
     queue = queue.filter(other => other !== entry)
-    if (queue.length === 0) servedByAccount = new Map()
     entry.settle(outcome)
   }
 
-  /** Monotonic times at which places were assigned within the rate window, in milliseconds. */
-  let assignmentTimesMs: number[] = []
-
-  function recordAssignment (): void {
-    assignmentTimesMs.push(runtime.monotonicMs())
+  function refuse (entry: QueueEntry<Place>): void {
+    const { figures } = judgeEntry(entry, orderNew(listNew()))
+    removeAndSettle(entry, { kind: 'refused', waitedMs: waitedMs(entry), queueLength: queue.length, figures })
   }
 
-  /** Number of queued requests that can still be refused. */
-  const newLength = (): number => queue.filter(entry => !entry.placeRequest.hasBegun).length
-
-  /** Estimated time until a request at the end of the queue gets a place, in milliseconds. */
-  function estimateWaitMs (): number {
-    assignmentTimesMs = assignmentTimesMs.filter(atMs => runtime.monotonicMs() - atMs < RATE_WINDOW_MS)
-    const ratePerS = Math.max(MIN_RATE_PER_S, assignmentTimesMs.length * MS_PER_S / RATE_WINDOW_MS)
-    return newLength() / ratePerS * MS_PER_S
+  function judgeEntry (entry: QueueEntry<Place>, ordered: ReadonlyArray<QueueEntry<Place>>): ReturnType<typeof judge.judge> {
+    return judge.judge(entry, ordered.slice(0, ordered.indexOf(entry)), returns.peakAgeMs())
   }
 
-  const waitedMs = (entry: QueueEntry<Place>): number => runtime.monotonicMs() - entry.arrivedMs
+  function recordPlace ({ rank, account, hasBegun, isReturning = false }: PlaceRequest<Place>): void {
+    // Counted only while both kinds wait, as a share of the places is due to each only then.
+    if (hasBegun ? listNew().length > 0 : listBegun().length > 0) begunCounts.add(hasBegun)
+    if (hasBegun) return
+    judge.record.countPlace(rank, account)
+    if (isReturning ? listNew().some(entry => !entry.isReturning) : listNew().some(entry => entry.isReturning)) returnCounts.add(isReturning)
+  }
 
-  function refuse (entry: QueueEntry<Place>): void {
-    removeAndSettle(entry, { kind: 'refused', waitedMs: waitedMs(entry), queueLength: queue.length })
+  function tell (): void {
+    judge.tell(listNew(), returns.promised)
   }
 
-  let isDispatchScheduled = false
+  let round: { intervalMs: number, timer: Disposable } | undefined
 
-  /** Dispatches after the interval, and again while requests are queued. */
-  function scheduleDispatch (): void {
-    if (isDispatchScheduled) return
-    isDispatchScheduled = true
-    runtime.setTimer(DISPATCH_INTERVAL_MS, () => {
-      isDispatchScheduled = false
+  /** Dispatches after an interval, and again while requests are queued or the figures of this host are not zero. */
+  function scheduleRound (): void {
+    const intervalMs = queue.length > 0 ? DISPATCH_INTERVAL_MS : TELL_INTERVAL_MS
+    if (round !== undefined && round.intervalMs <= intervalMs) return
+    round?.timer[Symbol.dispose]()
+    const timer = runtime.setTimer(intervalMs, () => {
+      round = undefined
       dispatch()
-      if (queue.length > 0) scheduleDispatch()
+      if (queue.length > 0 || judge.record.isRecent()) scheduleRound()
     })
+    round = { intervalMs, timer }
   }
 
   function dispatch (): void {
     // Counted apart, as a begun request may only fail because it excludes the targets that failed it; begun ones take turns.
     const failedTries = { begun: 0, new: 0 }
-    for (const entry of sortQueue(queue, servedByAccount)) {
+    const begun = listBegun().sort((a, b) => a.triedMs - b.triedMs)
+    for (const entry of takeTurns(begun, orderNew(listNew()), { share: BEGUN_SHARE, assigned: begunCounts.counts() })) {
       const { hasBegun } = entry.placeRequest
       if (!hasBegun && !entry.placeRequest.isPlaceExpected()) {
         refuse(entry)
@@ -150,54 +183,87 @@
         failedTries[group]++
         continue
       }
-      const { account } = entry.placeRequest
-      recordAssignment()
-      servedByAccount.set(account, (servedByAccount.get(account) ?? 0) + 1)
+      recordPlace(entry.placeRequest)
       removeAndSettle(entry, { kind: 'placed', place, waitedMs: waitedMs(entry) })
     }
+    tell()
+    refuseHopeless()
+    returns.noteExcess(judge.isExcess())
+  }
+
+  /** Refuses queued requests that cannot be served before their callers leave, from the end of the order. */
+  function refuseHopeless (): void {
+    const ordered = orderNew(listNew())
+    const nowMs = runtime.monotonicMs()
+    for (const entry of ordered.toReversed()) {
+      const isHopeless = judgeEntry(entry, ordered).admission.kind === 'refuse'
+      entry.hopelessSinceMs = isHopeless ? entry.hopelessSinceMs ?? nowMs : undefined
+      if (entry.hopelessSinceMs !== undefined && nowMs - entry.hopelessSinceMs >= HOPELESS_MS) refuse(entry)
+    }
+  }
+
+  /** Decides on a request that found no place on arrival. */
+  function admit (entry: QueueEntry<Place>): AdmissionFigures | undefined {
+    const { placeRequest } = entry
+    const waiting = listNew()
+    const ordered = orderNew([...waiting, entry])
+    const { admission, figures } = judge.judge(entry, ordered.slice(0, ordered.indexOf(entry)), returns.peakAgeMs())
+    const isRefused = admission.kind === 'refuse' || waiting.length >= MAX_QUEUE_LENGTH || placeRequest.maxWaitMs <= 0
+    if (isRefused) returns.noteExcess(true)
+    return isRefused || !placeRequest.isPlaceExpected() ? figures : undefined
   }
 
   return {
     dispatch,
     queueLength: () => queue.length,
+    view: judge.view,
+    elapsedMs: returns.elapsedMs,
+    firstEventMs: () => firstEventMs ?? 0,
+    noteFirstEvent (tookMs) {
+      firstEventMs = firstEventMs === undefined ? tookMs : firstEventMs + FIRST_EVENT_WEIGHT * (tookMs - firstEventMs)
+    },
+    planReturn ({ rank, leftMs, expectedWaitMs }) {
+      if (returns.peakAgeMs() === undefined) return undefined
+      return returns.plan(rank, { leftMs, expectedWaitMs, placesPerS: judge.expectedPlacesPerS(), hostCount: sharing.hostCount() })
+    },
     request (placeRequest) {
-      const { hasBegun, maxWaitMs, signal } = placeRequest
+      const { rank, account, hasBegun, maxWaitMs, onTimeMs = maxWaitMs, isReturning = false, signal } = placeRequest
+      if (!hasBegun) judge.record.countArrival(rank, account)
+      scheduleRound()
       if (queue.length === 0) {
         const place = placeRequest.tryReservePlace()
         if (place !== undefined) {
-          recordAssignment()
+          recordPlace(placeRequest)
           return Promise.resolve({ kind: 'placed', place, waitedMs: 0 })
         }
       }
-      if (!hasBegun && (newLength() >= MAX_QUEUE_LENGTH || maxWaitMs <= 0 || estimateWaitMs() > maxWaitMs || !placeRequest.isPlaceExpected())) {
-        return Promise.resolve({ kind: 'refused', waitedMs: 0, queueLength: queue.length })
-      }
       return new Promise(resolve => {
+        const arrivedMs = runtime.monotonicMs()
         const entry: QueueEntry<Place> = {
           placeRequest,
-          arrivedMs: runtime.monotonicMs(),
-          triedMs: runtime.monotonicMs(),
+          rank,
+          account,
+          isReturning,
+          arrivedMs,
+          onTimeUntilMs: arrivedMs + onTimeMs,
+          leavesAtMs: arrivedMs + maxWaitMs,
+          triedMs: arrivedMs,
+          hopelessSinceMs: undefined,
           settle (outcome) {
             timer?.[Symbol.dispose]()
             signal.removeEventListener('abort', abort)
             resolve(outcome)
           }
         }
+        const figures = hasBegun ? undefined : admit(entry)
+        if (figures !== undefined) return resolve({ kind: 'refused', waitedMs: 0, queueLength: queue.length, figures })
         const abort = (): void => removeAndSettle(entry, { kind: 'aborted' })
         const timer = hasBegun ? undefined : runtime.setTimer(maxWaitMs, () => refuse(entry))
         if (signal.aborted) return abort()
         signal.addEventListener('abort', abort, { once: true })
         queue.push(entry)
-        scheduleDispatch()
+        scheduleRound()
       })
     }
   }
 }
-
-/** Queued requests: first those that have begun, by their last try; then the others by rank, by how often their account was served, and by arrival. */
-function sortQueue<Place> (queue: ReadonlyArray<QueueEntry<Place>>, servedByAccount: ReadonlyMap<string, number>): Array<QueueEntry<Place>> {
-  const servedCount = (entry: QueueEntry<Place>): number => servedByAccount.get(entry.placeRequest.account) ?? 0
-  const begun = queue.filter(entry => entry.placeRequest.hasBegun).sort((a, b) => a.triedMs - b.triedMs)
-  const others = queue.filter(entry => !entry.placeRequest.hasBegun)
-  return [...begun, ...others.sort((a, b) => a.placeRequest.rank - b.placeRequest.rank || servedCount(a) - servedCount(b) || a.arrivedMs - b.arrivedMs)]
-}
