--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -87,6 +87,8 @@
   targetPauseRequested: { number: 6046, level: 'warn', text: 'target turned a request away and wants none from this host for a time' },
   targetPauseEnded: { number: 6047, level: 'info', text: 'target takes requests again after a pause' },
   layersLoaded: { number: 6022, level: 'info', text: 'engine has loaded the ordered layers' },
+  placementPlanned: { number: 6023, level: 'info', text: 'loads planned from what the engines hold' },
+  engineLeftOut: { number: 6024, level: 'warn', text: 'engine left out of placement' },
   leaseAcquired: { number: 6010, level: 'info', text: 'control lease acquired' },
   leaseLost: { number: 6011, level: 'warn', text: 'control lease lost' },
   orderSent: { number: 6020, level: 'info', text: 'order sent to an engine' },
--- a/src/placement/planPlacement/index.ts
+++ b/src/placement/planPlacement/index.ts
@@ -68,7 +68,7 @@
 /**
  * Plans replicas on the engines of a domain outside the fast replica, as many as leave enough
  * spare capacity. If that gives no load although no engine of the domain holds some layers,
- * plans those layers alone, if need be on an engine whose own layers all have another holder.
+ * plans those layers alone, if need be on engines whose own layers all have another holder.
  */
 function planDomain (engines: readonly PlacementEngine[], fastReplicaIds: ReadonlySet<string>, model: EngineModel): DomainPlan {
   const usable = engines.filter(engine => engine.isUsable)
@@ -79,9 +79,24 @@
   const empty = listEmpty(others)
   const loads = fillReplicas(heldByOthers, empty, others, model)
   if (loads.length > 0 || missingLayers === 0) return { loads, missingLayers }
-  const redundant = others.find(engine => isRedundant(engine, held))
-  const candidates = redundant === undefined ? empty : [...empty, redundant.target]
-  return { loads: fillGaps(findGaps(held, 1), candidates, model) ?? [], missingLayers }
+  return { loads: restoreLayers(held, empty, others, model), missingLayers }
+}
+
+/** Loads the layers that no engine of the domain holds on empty engines and, as far as these do not suffice, on the slowest whose own layers all keep another holder. */
+function restoreLayers (held: readonly number[], empty: readonly Target[], engines: readonly PlacementEngine[], model: EngineModel): PlannedLoad[] {
+  const gaps = findGaps(held, 1)
+  const left = [...held]
+  const candidates = [...empty]
+  const pace = ({ target }: PlacementEngine): number => model.kinds[target.kind ?? '']?.pace ?? 0
+  const moveable = engines.filter(({ isIdle, layers }) => isIdle && layers !== undefined).sort((a, b) => pace(b) - pace(a))
+  for (;;) {
+    const loads = fillGaps(gaps, candidates, model)
+    if (loads !== undefined) return loads
+    const redundant = moveable.find(({ target, layers }) => !candidates.includes(target) && left.slice(layers!.from, layers!.to).every(count => count > 1))
+    if (redundant === undefined) return []
+    candidates.push(redundant.target)
+    for (let layer = redundant.layers!.from; layer < redundant.layers!.to; layer++) left[layer]!--
+  }
 }
 
 /** Loads that complete one replica after the other, at least one and as many as leave the spare capacity. */
@@ -100,11 +115,6 @@
   return loads
 }
 
-/** Whether other engines of the domain hold all layers of an engine, so that it can be moved. */
-function isRedundant (engine: PlacementEngine, held: readonly number[]): boolean {
-  return engine.isIdle && engine.layers !== undefined && held.slice(engine.layers.from, engine.layers.to).every(count => count > 1)
-}
-
 /** Fills every gap with as few engines as have at least `SUFFICIENT_CACHE_TOKENS`, or else with the largest cache that is possible. */
 function fillGaps (gaps: readonly LayerRange[], idle: readonly Target[], model: EngineModel): PlannedLoad[] | undefined {
   let best: PlannedLoad[] | undefined
--- a/src/placement/planPlacement/test.ts
+++ b/src/placement/planPlacement/test.ts
@@ -110,3 +110,39 @@
 function range ({ from, to }: { from: number, to: number }): number[] {
   return Array.from({ length: to - from }, (_, index) => from + index)
 }
+
+test('several engines whose layers have other holders replace a lost group where none is empty', t => {
+  const engines = [0, 1, 2].flatMap(copy => Array.from({ length: 10 }, (_, index) => buildEngine(`${copy}-${index}`, 'north', 'small', { from: 8 * index, to: 8 * index + 8 })))
+  const lostIds = new Set(engines.filter(({ layers }) => layers!.from < 24).map(({ id }) => id))
+  const loads = planPlacement(describeEngines(engines, lostIds), { model: TEST_MODEL })
+  t.deepEqual(loads.flatMap(load => range(load.range)).sort((a, b) => a - b), range({ from: 0, to: 24 }))
+  const after = applyLoads(engines.filter(({ id }) => !lostIds.has(id)), loads)
+  t.true(hasPath(after, 0))
+  t.deepEqual(planPlacement(describeEngines(after), { model: TEST_MODEL }), [])
+})
+
+test('whatever engines are lost, return empty or join, plans come to rest without moving an engine twice', t => {
+  const eventArbitrary = fc.record({ lost: fc.uniqueArray(fc.nat(92), { maxLength: 20 }), returned: fc.uniqueArray(fc.nat(92), { maxLength: 20 }) })
+  fc.assert(fc.property(fc.constantFrom(MANY_MIDDLE, FEW_FAST), fc.array(eventArbitrary, { minLength: 1, maxLength: 4 }), ({ counts, model }, events) => {
+    let engines: Array<Target | undefined> = buildFleet(counts)
+    const all = [...engines]
+    const settle = (): boolean => {
+      const moved = new Set<string>()
+      for (;;) {
+        const present = engines.filter(engine => engine !== undefined)
+        const loads = planPlacement(describeEngines(present), { model })
+        if (loads.length === 0) return true
+        if (loads.some(({ target }) => moved.has(target.id))) return false
+        for (const { target } of loads) moved.add(target.id)
+        const placed = new Map(applyLoads(present, loads).map(target => [target.id, target]))
+        engines = engines.map(engine => engine === undefined ? undefined : placed.get(engine.id))
+      }
+    }
+    return settle() && events.every(({ lost, returned }) => {
+      for (const index of lost) engines[index] = undefined
+      for (const index of returned) engines[index] ??= all[index]
+      return settle()
+    })
+  }), { seed: 20261204, numRuns: 40 })
+  t.pass()
+})
--- a/src/placement/runPlacement/index.ts
+++ b/src/placement/runPlacement/index.ts
@@ -2,16 +2,13 @@
  * Executes the placement plan while this host holds the control lease: plans from the layers that
  * engines hold, orders loads, and notifies the peers as soon as an engine has loaded its layers.
  */
-import type { EventLog } from '../../event/types.js'
-import type { FleetState } from '../../fleet/createFleetState/index.js'
 import type { EngineModel, LayerRange, Target } from '../../fleet/types.js'
-import type { GatewayMetrics } from '../../gateway/createGatewayMetrics/index.js'
 import { repeatTask } from '../../runtime/repeatTask/index.js'
-import { sleep } from '../../runtime/sleep/index.js'
-import type { Runtime } from '../../runtime/types.js'
-import type { Suspicions } from '../../suspicion/createSuspicions/index.js'
+import { describePlacement } from '../describePlacement/index.js'
+import { executeLoad, type LoadOptions } from '../executeLoad/index.js'
+import { findEngineDefect } from '../findEngineDefect/index.js'
 import { planPlacement } from '../planPlacement/index.js'
-import type { EngineControl, PlacementEngine, PlannedLoad } from '../types.js'
+import type { PlacementEngine, PlannedLoad } from '../types.js'
 
 /** Interval of planning; short beside the time that a load takes. */
 const PLAN_INTERVAL_MS = 100
@@ -19,18 +16,6 @@
 /** Time without a new engine after which the first plan of a new deployment is made, in milliseconds; its engines register over several seconds. */
 const REGISTRATION_QUIET_MS = 700
 
-/** Interval at which a loading engine is polled. */
-const POLL_MS = 120
-
-/** Share of the expected load time after which the engine is polled for the first time. */
-const FIRST_POLL_SHARE = 0.6
-
-/** Timeout of a load as a multiple of its expected time. */
-const LOAD_TIMEOUT_FACTOR = 4
-
-/** Shortest timeout of a load. */
-const MIN_LOAD_TIMEOUT_MS = 4_000
-
 /** Wait before an engine that did not carry out an order gets another, in milliseconds; an order may take effect this much later. */
 const REORDER_MS = 2_500
 
@@ -38,20 +23,9 @@
 const FIRSTS_PAUSED_MS = 500
 
 /** Dependencies of placement. */
-export interface PlacementOptions {
-  fleet: FleetState
-  suspicions: Suspicions
+export interface PlacementOptions extends Omit<LoadOptions, 'model'> {
   /** Time for which a target wants no requests from this host, in milliseconds. */
   pauseLeftMs: (targetId: string) => number
-  control: EngineControl
-  runtime: Runtime
-  log: EventLog
-  metrics: GatewayMetrics
-  signal: AbortSignal
-  /** Fencing number while this host holds the control lease, `undefined` otherwise. */
-  fencing: () => number | undefined
-  /** Called when an engine reports that it has loaded its layers. */
-  onLoaded: () => void
 }
 
 /** A load in progress, with the start time of its engine: after a restart the engine no longer has the order. */
@@ -62,9 +36,11 @@
 
 /** Places layers until the signal aborts. */
 export async function runPlacement (options: PlacementOptions): Promise<void> {
-  const { fleet, suspicions, pauseLeftMs, control, runtime, log, metrics, signal, fencing, onLoaded } = options
+  const { fleet, suspicions, pauseLeftMs, runtime, log, signal, fencing } = options
   const pending = new Map<string, PendingLoad>()
   const nextOrderMs = new Map<string, number>()
+  /** Engines of each service that are left out, with the cause that was logged. */
+  const leftOut = new Map<string, ReadonlyMap<string, string>>()
   /** Since when every first engine of a service has been in a pause. */
   const firstsPausedSinceMs = new Map<string, number>()
   let targetCount = -1
@@ -80,13 +56,39 @@
   }
 
   function planService (name: string, model: EngineModel): void {
-    const targets = fleet.targets().filter(target => target.service === name)
+    const targets = leaveOutDefective(name, model)
     if (isStillRegistering(targets)) return
     const engines = withoutPausedFirsts(name, targets.map(describeEngine))
     const freeLoads = model.loadsAtOnce - pending.size
     const loads = planPlacement(engines, { model })
     const isFirstPlan = engines.every(engine => engine.layers === undefined)
-    for (const load of isFirstPlan ? loads : loads.slice(0, Math.max(0, freeLoads))) orderLoad(load, model)
+    const ordered = isFirstPlan ? loads : loads.slice(0, Math.max(0, freeLoads))
+    if (ordered.length === 0) return
+    logPlan(name, ordered, loads.length - ordered.length, targets, model)
+    for (const load of ordered) orderLoad(load, model)
+  }
+
+  /** Logs what is ordered, and what each failure domain serves until the loads are done. */
+  function logPlan (service: string, ordered: readonly PlannedLoad[], deferred: number, targets: readonly Target[], model: EngineModel): void {
+    const placement = describePlacement(targets, { model, isUsable: id => !suspicions.isUnfit(id) })
+    const rates = placement.map(({ failureDomain, requestsPerSecond, narrowest: { from, to } }) => `${failureDomain} ${requestsPerSecond}/s at layers ${from}-${to}`)
+    log.emit('placementPlanned', { service, loads: ordered.length, deferred, pending: pending.size, serving: rates.join(', ') })
+  }
+
+  /** The engines without a defect; logs each defect once. */
+  function leaveOutDefective (service: string, model: EngineModel): Target[] {
+    const defects = new Map<string, string>()
+    const sound = fleet.targets().filter(target => {
+      if (target.service !== service) return false
+      const cause = findEngineDefect(target, { model })
+      if (cause === undefined) return true
+      const key = `${target.id} ${target.bornMs}`
+      defects.set(key, cause)
+      if (leftOut.get(service)?.get(key) !== cause) log.emit('engineLeftOut', { target: target.id, cause })
+      return false
+    })
+    leftOut.set(service, defects)
+    return sound
   }
 
   /** Whether engines of a new deployment still register; the first plan waits for them. */
@@ -132,46 +134,10 @@
     const { target, range } = load
     pending.set(target.id, { bornMs: target.bornMs, range })
     try {
-      const isLoaded = await executeLoad(load, model)
+      const isLoaded = await executeLoad(load, { ...options, model })
       if (!isLoaded) nextOrderMs.set(target.id, runtime.monotonicMs() + REORDER_MS)
     } finally {
       pending.delete(target.id)
     }
   }
-
-  /** Orders one load and waits for its end; resolves to whether the engine reported the layers. */
-  async function executeLoad ({ target, range }: PlannedLoad, model: EngineModel): Promise<boolean> {
-    const orderedMs = runtime.monotonicMs()
-    const before = await control.report(target)
-    if (before === undefined) {
-      suspicions.note(target.id, 'unreachable')
-      return false
-    }
-    const number = fencing()
-    if (before.isBusy || number === undefined || before.bornMs !== target.bornMs) return false
-    const result = await control.place(target, range, { orderCount: before.orderCount, fencing: number })
-    metrics.orders.inc({ operation: 'place', result: result.kind })
-    log.emit('orderSent', { target: target.id, from: range.from, to: range.to, result: result.kind, orderCount: before.orderCount, fencing: number })
-    if (result.kind === 'refused') return false
-    if (result.kind === 'done') return noteLoaded(target, range, orderedMs)
-    const expectedMs = model.loadMs * (range.to - range.from) / model.layerCount
-    const timeoutMs = Math.max(MIN_LOAD_TIMEOUT_MS, expectedMs * LOAD_TIMEOUT_FACTOR)
-    await sleep(expectedMs * FIRST_POLL_SHARE, { runtime, signal })
-    while (!signal.aborted && runtime.monotonicMs() - orderedMs < timeoutMs && fleet.isServing(target)) {
-      const report = await control.report(target)
-      if (report === undefined || report.bornMs !== target.bornMs) break
-      if (!report.isBusy && report.layers?.from === range.from && report.layers.to === range.to) return noteLoaded(target, range, orderedMs)
-      if (result.kind === 'unknown' && !report.isBusy && report.orderCount === before.orderCount) break
-      await sleep(POLL_MS, { runtime, signal })
-    }
-    log.emit('orderRefused', { target: target.id, from: range.from, to: range.to, cause: 'engine did not report the layers as loaded', tookMs: Math.round(runtime.monotonicMs() - orderedMs) })
-    return false
-  }
-
-  function noteLoaded (target: Target, range: LayerRange, orderedMs: number): true {
-    fleet.recordSeenLayers({ targetId: target.id, bornMs: target.bornMs, layers: range })
-    log.emit('layersLoaded', { target: target.id, from: range.from, to: range.to, tookMs: Math.round(runtime.monotonicMs() - orderedMs) })
-    onLoaded()
-    return true
-  }
 }
--- a/src/placement/widenNarrowest/index.ts
+++ b/src/placement/widenNarrowest/index.ts
@@ -25,7 +25,7 @@
   const byLayer = [...estimateCapacity(held, { model }).byLayer]
   const boundaries = [...new Set([0, model.layerCount, ...options.boundaries])].sort((a, b) => a - b)
   const pace = (target: Target): number => model.kinds[target.kind ?? '']?.pace ?? Infinity
-  return [...empty].sort((a, b) => pace(a) - pace(b)).flatMap(target => {
+  return [...empty].sort((a, b) => pace(a) - pace(b) || (a.id < b.id ? -1 : 1)).flatMap(target => {
     const width = chooseWidth(target, model)
     if (width === 0) return []
     const rate = estimateEngineRate(target, width, model)
