--- a/src/gateway/_lib/internalPort.ts
+++ b/src/gateway/_lib/internalPort.ts
@@ -12,6 +12,7 @@
 import { sendJson } from '../../http/sendJson/index.js'
 import { withDeadline } from '../../runtime/withDeadline/index.js'
 import type { Runtime } from '../../runtime/types.js'
+import { describeServices } from '../../placement/describePlacement/index.js'
 import type { GatewayMetrics } from '../createGatewayMetrics/index.js'
 
 /** State as a peer sends it: what the requesting host does not have yet. */
@@ -44,6 +45,8 @@
   runtime: Runtime
   /** Updates the gauges before the metrics are read. */
   updateMetrics: () => void
+  /** Whether requests may be sent to a target; to all by default. */
+  isUsable?: (targetId: string) => boolean
 }
 
 /** Compresses answers; the children of a host mostly ask for the same at the same time, so the last answer is kept. */
@@ -55,8 +58,8 @@
   }
 }
 
-/** Serves `/state` and `/metrics`. */
-export function createInternalHandler ({ fleet, metrics, runtime, updateMetrics: observe }: InternalPortOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
+/** Serves `/state`, `/placement` and `/metrics`. */
+export function createInternalHandler ({ fleet, metrics, runtime, updateMetrics: observe, isUsable = () => true }: InternalPortOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
   /** Resolves once there is something that the requesting host lacks, the wait is over, or the connection has closed. */
   function waitForChange ({ version, fingerprint, waitMs }: z.infer<typeof querySchema>, response: ServerResponse): Promise<void> {
     const isAnswerDue = (): boolean => fleet.fingerprint() !== fingerprint || (fleet.configuration()?.version ?? -1) > version
@@ -88,6 +91,8 @@
       const body = compress(JSON.stringify(state))
       response.writeHead(200, { 'content-type': 'application/json', 'content-encoding': 'gzip', 'content-length': body.length })
       response.end(body)
+    } else if (url.pathname === '/placement') {
+      sendJson(response, 200, describeServices(fleet, isUsable))
     } else if (url.pathname === '/metrics') {
       observe()
       const text = await metrics.registry.metrics()
--- a/src/gateway/_lib/updateGauges.ts
+++ b/src/gateway/_lib/updateGauges.ts
@@ -1,6 +1,7 @@
 /**
  * Sets the gauges, which show the current state; called when the metrics are read.
  */
+import { describeServices } from '../../placement/describePlacement/index.js'
 import type { GatewayContext } from '../types.js'
 
 /** Milliseconds in a second. */
@@ -26,5 +27,11 @@
   metrics.targets.set({ state: 'suspected' }, targets.filter(target => suspicions.isDown(target.id)).length)
   metrics.targets.set({ state: 'limited' }, targetLimits.count())
   metrics.targets.set({ state: 'paused' }, targetPauses.count())
+  for (const [service, domains] of Object.entries(describeServices(fleet, id => !suspicions.isUnfit(id)))) {
+    for (const { failureDomain: domain, requestsPerSecond, engines } of domains) {
+      metrics.placedRate.set({ service, domain }, requestsPerSecond)
+      for (const [state, count] of Object.entries(engines)) metrics.engines.set({ service, domain, state }, count)
+    }
+  }
   for (const { name } of services) metrics.retryBudgetLeft.set({ service: name }, budget.left(name))
 }
--- a/src/gateway/createGatewayMetrics/index.ts
+++ b/src/gateway/createGatewayMetrics/index.ts
@@ -28,6 +28,8 @@
   streams: Gauge
   waiting: Gauge
   targets: Gauge<'state'>
+  placedRate: Gauge<'service' | 'domain'>
+  engines: Gauge<'service' | 'domain' | 'state'>
   configurationVersion: Gauge
   retryBudgetLeft: Gauge<'service'>
   targetsAgeSeconds: Gauge
@@ -70,6 +72,8 @@
     streams: new Gauge({ name: 'coltsfootlead_gateway_streams', help: 'Streams in progress', registers }),
     waiting: new Gauge({ name: 'coltsfootlead_gateway_waiting', help: 'Requests in the queue', registers }),
     targets: new Gauge({ name: 'coltsfootlead_gateway_targets', help: 'Targets by state', labelNames: ['state'], registers }),
+    placedRate: new Gauge({ name: 'coltsfootlead_gateway_placed_requests_per_second', help: 'Usual requests per second that the engines of a failure domain serve by the layers that they hold', labelNames: ['service', 'domain'], registers }),
+    engines: new Gauge({ name: 'coltsfootlead_gateway_engines', help: 'Engines of a failure domain by what they hold', labelNames: ['service', 'domain', 'state'], registers }),
     configurationVersion: new Gauge({ name: 'coltsfootlead_gateway_configuration_version', help: 'Configuration in force', registers }),
     retryBudgetLeft: new Gauge({ name: 'coltsfootlead_gateway_retry_budget_left', help: 'Repeats left by service', labelNames: ['service'], registers }),
     targetsAgeSeconds: new Gauge({ name: 'coltsfootlead_gateway_targets_age_seconds', help: 'Time since the targets were last confirmed by the store or a reader', registers }),
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -225,7 +225,7 @@
     response.writeHead(isReady() ? 200 : 503, { 'content-length': '0' })
     response.end()
   }, { ...settings.readinessAddress, onHandlerError: logError }))
-  const internal = createInternalHandler({ fleet, metrics, runtime, updateMetrics: () => updateGauges(context) })
+  const internal = createInternalHandler({ fleet, metrics, runtime, updateMetrics: () => updateGauges(context), isUsable: id => !suspicions.isUnfit(id) })
   resources.use(await listen(internal, { ...settings.internalAddress, onConnect: relayHandler.handle, onHandlerError: logError }))
   // Disposed of before the port, which waits for its connections to close.
   resources.use(relayHandler)
