--- a/src/event/explainCall/index.ts
+++ b/src/event/explainCall/index.ts
@@ -37,7 +37,7 @@
 
 /** Cause of a refusal in words, by its reason. */
 const REFUSAL_CAUSES: Record<string, (event: LoggedEvent) => string> = {
-  overloaded: event => Number(event.pauseLeftMs) > 0 ? `each target that could take it wanted no requests from this host for ${formatValue(event.pauseLeftMs)} ms or more` : `no path had capacity within ${formatValue(event.waitedMs)} ms; ${formatValue(event.queueLength)} other calls waited`,
+  overloaded: event => Number(event.pauseLeftMs) > 0 ? `each target that could take it wanted no requests from this host for ${formatValue(event.pauseLeftMs)} ms or more` : `no path had capacity within ${formatValue(event.waitedMs)} ms; ${formatValue(event.queueLength)} other calls waited${describeAdmission(event)}`,
   noPipeline: () => 'every engine that it was sent to refused it without running it',
   targetUnreachable: () => 'no target of the service accepted it',
   promptCrashesEngines: event => `part ${formatValue(event.parts)} of its prompt had crashed ${formatValue(event.crashes)} engines under ${formatValue(event.crashedRequests)} requests, the last ${formatValue(event.lastCrashAgeMs)} ms before`,
@@ -129,8 +129,16 @@
   return restart === undefined ? 'no end was logged; log lines of its host are missing' : `its host stopped: the process started again ${restart.wallMs - wallMs} ms after the call's last event`
 }
 
+/** The figures that a refusal for want of places rested on; empty for a line without them. */
+function describeAdmission ({ waitingAhead, placesPerS, expectedWaitMs, knownAgeMs, retryAfterMs }: LoggedEvent): string {
+  if (waitingAhead === undefined) return ''
+  const wait = expectedWaitMs === null ? 'no place was expected' : `a wait of ${formatValue(expectedWaitMs)} ms was expected`
+  const age = knownAgeMs === null ? 'from this host alone, which heard no other' : `known ${formatValue(knownAgeMs)} ms before`
+  return `. At all hosts ${formatValue(waitingAhead)} calls went before it and ${formatValue(placesPerS)} places a second became free (${age}), so ${wait}; its caller was told to return after ${formatValue(retryAfterMs)} ms`
+}
+
 function describeEvidence (event: LoggedEvent, startMs: number): string {
-  const details = ['reason', 'cause', 'status', 'result', 'attempts', 'target', 'removedIds', 'leavingIds', 'waitedMs', 'firstEventMs', 'longestPauseMs', 'leftMs', 'targetsAgeMs', 'version', 'versionAgeMs', 'drainingForMs', 'error', 'prefix']
+  const details = ['reason', 'cause', 'status', 'result', 'attempts', 'target', 'removedIds', 'leavingIds', 'waitedMs', 'expectedWaitMs', 'firstEventMs', 'longestPauseMs', 'leftMs', 'targetsAgeMs', 'version', 'versionAgeMs', 'drainingForMs', 'error', 'prefix']
     .filter(field => event[field] !== undefined)
     .map(field => `${field} ${formatValue(event[field])}`)
   return `+${event.wallMs - startMs} ms ${event.host}: ${event.text}${details.length === 0 ? '' : ` (${details.join(', ')})`}`
--- a/src/event/explainCall/test.ts
+++ b/src/event/explainCall/test.ts
@@ -55,3 +55,9 @@
   const events = [event('gatewayRefused', 1_500, { request: 'r1', reason: 'promptCrashesEngines', parts: ['bad'], crashes: 3, crashedRequests: 2, lastCrashAgeMs: 400, status: 503, attempts: [] })]
   t.regex(explainCall(events, 'r1')!.cause, /^refused without having run: part .*bad.* crashed 3 engines under 2 requests, the last 400 ms before$/)
 })
+
+test('a refusal names the queues of all hosts that it rested on', t => {
+  const refused = (fields: object) => explainCall([event('gatewayRefused', 1_500, { request: 'r1', reason: 'overloaded', waitedMs: 0, queueLength: 3, status: 503, attempts: [], waitingAhead: 189, placesPerS: 110, retryAfterMs: 4_200, ...fields })], 'r1')!.cause
+  t.regex(refused({ expectedWaitMs: 1_718, knownAgeMs: 140 }), /At all hosts 189 calls went before it and 110 places a second became free \(known 140 ms before\), so a wait of 1718 ms was expected; its caller was told to return after 4200 ms$/)
+  t.regex(refused({ expectedWaitMs: null, knownAgeMs: null }), /from this host alone, which heard no other\), so no place was expected/)
+})
--- a/src/gateway/_lib/updateGauges.ts
+++ b/src/gateway/_lib/updateGauges.ts
@@ -1,13 +1,15 @@
 /**
  * Sets the gauges, which show the current state; called when the metrics are read.
  */
+import type { QueueView } from '../../waiting/types.js'
+import type { GatewayMetrics } from '../createGatewayMetrics/index.js'
 import type { GatewayContext } from '../types.js'
 
 /** Milliseconds in a second. */
 const MS_PER_S = 1_000
 
 /** Sets all gauges to the current state. */
-export function updateGauges ({ fleet, suspicions, streams, budget, metrics, queueLengths, targetsAgeMs, hostCount, loadAgeMs, crashEvidence, targetLimits, targetPauses }: GatewayContext): void {
+export function updateGauges ({ fleet, suspicions, streams, budget, metrics, queueLengths, targetsAgeMs, hostCount, loadAgeMs, crashEvidence, targetLimits, targetPauses, dispatcherOf }: GatewayContext): void {
   const targets = fleet.targets()
   const services = fleet.configuration()?.services ?? []
   metrics.streams.set(streams.size)
@@ -27,4 +29,13 @@
   metrics.targets.set({ state: 'limited' }, targetLimits.count())
   metrics.targets.set({ state: 'paused' }, targetPauses.count())
   for (const { name } of services) metrics.retryBudgetLeft.set({ service: name }, budget.left(name))
+  for (const { name, model } of services) if (model !== undefined) setRoom(name, dispatcherOf(name).view(), metrics)
+}
+
+function setRoom (service: string, { room, ranks }: QueueView, { serviceRoom }: GatewayMetrics): void {
+  serviceRoom.set({ service, figure: 'freePlaces' }, room.freePlaces)
+  serviceRoom.set({ service, figure: 'placesPerSecond' }, room.placesPerS)
+  serviceRoom.set({ service, figure: 'waiting' }, ranks.reduce((sum, { waiting }) => sum + waiting, 0))
+  serviceRoom.set({ service, figure: 'arrivalsPerSecond' }, ranks.reduce((sum, { arrivalsPerS }) => sum + arrivalsPerS, 0))
+  serviceRoom.set({ service, figure: 'returnSlots' }, ranks.reduce((sum, { promised }) => sum + promised, 0))
 }
--- a/src/gateway/createGatewayMetrics/index.ts
+++ b/src/gateway/createGatewayMetrics/index.ts
@@ -27,6 +27,7 @@
   orders: Counter<'operation' | 'result'>
   streams: Gauge
   waiting: Gauge
+  serviceRoom: Gauge<'service' | 'figure'>
   targets: Gauge<'state'>
   configurationVersion: Gauge
   retryBudgetLeft: Gauge<'service'>
@@ -69,6 +70,7 @@
     orders: new Counter({ name: 'coltsfootlead_gateway_orders_total', help: 'Orders to engines', labelNames: ['operation', 'result'], registers }),
     streams: new Gauge({ name: 'coltsfootlead_gateway_streams', help: 'Streams in progress', registers }),
     waiting: new Gauge({ name: 'coltsfootlead_gateway_waiting', help: 'Requests in the queue', registers }),
+    serviceRoom: new Gauge({ name: 'coltsfootlead_gateway_service_room', help: 'Room and queues of a service at all hosts as this host knows them', labelNames: ['service', 'figure'], registers }),
     targets: new Gauge({ name: 'coltsfootlead_gateway_targets', help: 'Targets by state', labelNames: ['state'], registers }),
     configurationVersion: new Gauge({ name: 'coltsfootlead_gateway_configuration_version', help: 'Configuration in force', registers }),
     retryBudgetLeft: new Gauge({ name: 'coltsfootlead_gateway_retry_budget_left', help: 'Repeats left by service', labelNames: ['service'], registers }),
