--- a/src/waiting/_lib/createQueueJudge.ts
+++ b/src/waiting/_lib/createQueueJudge.ts
@@ -25,9 +25,12 @@
 /** Queued time of all hosts beyond which more is asked for than is served, in milliseconds. */
 const EXCESS_WAIT_MS = 250
 
-/** Time from which an excess is taken to last, in milliseconds; before, the arrivals may be one burst. */
+/** Time for which requests must have arrived at a rate for it to count as lasting, in milliseconds; they may have come in one burst. */
 const LASTING_MS = 500
 
+/** Mean wait as a part of the longest one, as hosts take places in no common order. */
+const MEAN_WAIT_SHARE = 0.5
+
 /** Milliseconds in a second. */
 const MS_PER_S = 1_000
 
@@ -44,8 +47,8 @@
   /** Tells peers the figures of this host's queue. */
   tell: (waiting: readonly JudgedRequest[], promised: (rank: number) => number) => void
   order: <Request extends JudgedRequest>(requests: readonly Request[], isReturnTurn: boolean) => Request[]
-  /** Judges a request behind `ownAhead` others of this host, while more is asked for than is served since `excessAgeMs`. */
-  judge: (request: JudgedRequest, ownAhead: readonly JudgedRequest[], excessAgeMs: number | undefined) => { admission: Admission, figures: AdmissionFigures }
+  /** Judges a request behind `ownAhead` others of this host: whether it is admitted, or goes on waiting. */
+  judge: (request: JudgedRequest, ownAhead: readonly JudgedRequest[], isQueued: boolean) => { admission: Admission, figures: AdmissionFigures }
   /** Rate at which places are expected to become free, at all hosts. */
   expectedPlacesPerS: () => number
   isExcess: () => boolean
@@ -57,6 +60,8 @@
   /** Number of requests that this host told to be waiting, by rank. */
   const toldWaiting = new Map<number, number>()
   const toldAccounts = new Map<string, ServedShare>()
+  /** Arrivals a second by rank, as they were known within `LASTING_MS`. */
+  let samples: Array<{ atMs: number, arrivalsPerS: ReadonlyMap<number, number> }> = []
   let usualPlacesPerS = 0
   let usualAtMs = runtime.monotonicMs()
 
@@ -86,6 +91,19 @@
     }
   }
 
+  function sampleArrivals (ranks: readonly RankFigures[]): void {
+    const nowMs = runtime.monotonicMs()
+    samples.push({ atMs: nowMs, arrivalsPerS: new Map(ranks.map(({ rank, arrivalsPerS }) => [rank, arrivalsPerS])) })
+    // The last sample from before the time shows what the rate was at its start.
+    while (samples.length > 1 && samples[1]!.atMs <= nowMs - LASTING_MS) samples = samples.slice(1)
+  }
+
+  /** Rate of arrivals of a rank that has lasted. */
+  function lastingArrivalsPerS (rank: number): number {
+    const isLasting = samples.length > 0 && samples[0]!.atMs <= runtime.monotonicMs() - LASTING_MS
+    return isLasting ? Math.min(...samples.map(({ arrivalsPerS }) => arrivalsPerS.get(rank) ?? 0)) : 0
+  }
+
   function updateUsualRate (placesPerS: number): void {
     const nowMs = runtime.monotonicMs()
     usualPlacesPerS += (placesPerS - usualPlacesPerS) * (1 - Math.exp((usualAtMs - nowMs) / USUAL_TIME_MS))
@@ -106,6 +124,7 @@
       }
       const { ranks, room } = view()
       tellAccounts(sumWaiting(ranks) > 0)
+      sampleArrivals(ranks)
       updateUsualRate(room.placesPerS)
     },
     order: (requests, isReturnTurn) => orderQueue(requests, {
@@ -115,7 +134,7 @@
       accountShare,
       overall: { accounts: record.overall(), ranks: record.overall() }
     }),
-    judge (request, ownAhead, excessAgeMs = 0) {
+    judge (request, ownAhead, isQueued) {
       const nowMs = runtime.monotonicMs()
       const { ranks, room } = view()
       const { rank, isReturning } = request
@@ -125,15 +144,19 @@
       const total = expectedRate(room.placesPerS)
       const urgentArrivalsPerS = before.filter(figures => figures !== own).reduce((sum, { arrivalsPerS }) => sum + arrivalsPerS, 0)
       const ratePerS = isFirst ? total : Math.max(own?.placesPerS ?? 0, total - urgentArrivalsPerS)
-      const arrivalsPerS = excessAgeMs < LASTING_MS ? 0 : own?.arrivalsPerS ?? 0
+      const arrivalsPerS = lastingArrivalsPerS(rank)
       const returnRatePerS = Math.max(RETURN_SHARE * ratePerS, ratePerS - arrivalsPerS)
-      const elsewhere = isFirst || isReturning ? 0 : before.reduce((sum, figures) => sum + Math.max(0, figures.waiting - (toldWaiting.get(figures.rank) ?? 0)), 0)
+      // What has come to wait at other hosts since they told it.
+      const unheard = Math.max(0, arrivalsPerS - ratePerS) * Math.min(room.ageMs, MS_PER_S) / MS_PER_S
+      const elsewhere = isFirst || isReturning || isQueued ? 0 : unheard + before.reduce((sum, figures) => sum + Math.max(0, figures.waiting - (toldWaiting.get(figures.rank) ?? 0)), 0)
       // Hosts that have requests waiting get places at about the same rate, whatever the length of their queues.
       const waitingHosts = Math.max(1, ...before.map(figures => figures.waitingHosts))
       const waitingAhead = Math.max(ownAhead.length + elsewhere, ownAhead.length * waitingHosts)
       const placesPerS = isReturning ? returnRatePerS : ratePerS
-      const admission = decideAdmission({ waitingAhead, freePlaces: room.freePlaces, placesPerS, arrivalsPerS, onTimeMs: request.onTimeUntilMs - nowMs, patienceMs: request.leavesAtMs - nowMs, isReturning })
-      const figures = { expectedWaitMs: roundMs(admission.expectedWaitMs), waitingAhead, placesPerS: Math.round(placesPerS), freePlaces: room.freePlaces, knownAgeMs: roundMs(room.ageMs) }
+      const onTimeMs = (request.onTimeUntilMs - nowMs) * (elsewhere > 0 ? MEAN_WAIT_SHARE : 1)
+      // A queued request is reached in its turn at this host, late or not.
+      const admission = decideAdmission({ waitingAhead, freePlaces: room.freePlaces, placesPerS, arrivalsPerS: isQueued ? 0 : arrivalsPerS, onTimeMs, patienceMs: request.leavesAtMs - nowMs, isReturning })
+      const figures = { expectedWaitMs: roundMs(admission.expectedWaitMs), waitingAhead: Math.round(waitingAhead), placesPerS: Math.round(placesPerS), freePlaces: room.freePlaces, knownAgeMs: roundMs(room.ageMs) }
       return { admission, figures }
     },
     expectedPlacesPerS: () => expectedRate(view().room.placesPerS),
--- a/src/waiting/createDispatcher/index.ts
+++ b/src/waiting/createDispatcher/index.ts
@@ -135,7 +135,7 @@
   }
 
   function judgeEntry (entry: QueueEntry<Place>, ordered: ReadonlyArray<QueueEntry<Place>>): ReturnType<typeof judge.judge> {
-    return judge.judge(entry, ordered.slice(0, ordered.indexOf(entry)), returns.peakAgeMs())
+    return judge.judge(entry, ordered.slice(0, ordered.indexOf(entry)), true)
   }
 
   function recordPlace ({ rank, account, hasBegun, isReturning = false }: PlaceRequest<Place>): void {
@@ -207,7 +207,7 @@
     const { placeRequest } = entry
     const waiting = listNew()
     const ordered = orderNew([...waiting, entry])
-    const { admission, figures } = judge.judge(entry, ordered.slice(0, ordered.indexOf(entry)), returns.peakAgeMs())
+    const { admission, figures } = judge.judge(entry, ordered.slice(0, ordered.indexOf(entry)), false)
     const isRefused = admission.kind === 'refuse' || waiting.length >= MAX_QUEUE_LENGTH || placeRequest.maxWaitMs <= 0
     if (isRefused) returns.noteExcess(true)
     return isRefused || !placeRequest.isPlaceExpected() ? figures : undefined
