Let requests that wait at other hosts go before new ones of their rank

A host with an empty queue reserved a place for each arrival although requests of the same or a more urgent rank waited elsewhere; such an arrival now takes its turn in the queue, which spares a search for a path for those that are refused. Accounts are told only from 1.5 times the mean. Types of the queue in src/waiting/types.ts.

--- a/src/waiting/_lib/createQueueJudge.ts
+++ b/src/waiting/_lib/createQueueJudge.ts
@@ -15,6 +15,9 @@
 const MAX_TOLD_RANKS = 8
 const MAX_TOLD_ACCOUNTS = 4
 
+/** What was served of an account, as a multiple of the mean, from which it is told. */
+const LARGE_ACCOUNT_FACTOR = 1.5
+
 /** Rate of places to assume at least, for all hosts together: few or none are assigned right after a fault that is being repaired. */
 const MIN_PLACES_PER_S = 4
 
@@ -31,6 +34,12 @@
 /** Mean wait as a part of the longest one, as hosts take places in no common order. */
 const MEAN_WAIT_SHARE = 0.5
 
+/** Time for which a view of the queues is kept, in milliseconds; far below the age of its figures. */
+const VIEW_MS = 5
+
+/** Wait of requests at other hosts beyond which a new one does not go before them, in milliseconds; two rounds of a queue. */
+const TURN_WAIT_MS = 50
+
 /** Milliseconds in a second. */
 const MS_PER_S = 1_000
 
@@ -49,6 +58,8 @@
   order: <Request extends JudgedRequest>(requests: readonly Request[], isReturnTurn: boolean) => Request[]
   /** Judges a request behind `ownAhead` others of this host: whether it is admitted, or goes on waiting. */
   judge: (request: JudgedRequest, ownAhead: readonly JudgedRequest[], isQueued: boolean) => { admission: Admission, figures: AdmissionFigures }
+  /** Whether so many requests of a rank, or more urgent ones, wait at other hosts that a new one takes its turn among them. */
+  isOthersTurn: (rank: number) => boolean
   /** Rate at which places are expected to become free, at all hosts. */
   expectedPlacesPerS: () => number
   isExcess: () => boolean
@@ -67,7 +78,16 @@
 
   const listRanks = (): number[] => [...new Set([...sharing.ranks(), ...record.ranks()])].sort((a, b) => a - b).slice(0, MAX_TOLD_RANKS)
 
+  let latest: { view: QueueView, atMs: number } | undefined
+
+  /** The view, kept for a moment as a round judges each queued request by it. */
   function view (): QueueView {
+    const nowMs = runtime.monotonicMs()
+    if (latest === undefined || nowMs - latest.atMs >= VIEW_MS) latest = { view: readView(), atMs: nowMs }
+    return latest.view
+  }
+
+  function readView (): QueueView {
     return summarizeRoom(listRanks().map(rank => readFigures(rank, sharing)), { ...sharing.places(), ageMs: sharing.ageMs(), hostCount: sharing.hostCount(), isCutOff: sharing.isCutOff() })
   }
 
@@ -80,7 +100,9 @@
   }
 
   function tellAccounts (isWaiting: boolean): void {
-    const largest = isWaiting ? record.accounts().sort((a, b) => record.accountShare(b).served - record.accountShare(a).served).slice(0, MAX_TOLD_ACCOUNTS) : []
+    const accounts = isWaiting ? record.accounts() : []
+    const leastServed = LARGE_ACCOUNT_FACTOR * record.overall().served / accounts.length
+    const largest = accounts.filter(account => record.accountShare(account).served > leastServed).sort((a, b) => record.accountShare(b).served - record.accountShare(a).served).slice(0, MAX_TOLD_ACCOUNTS)
     for (const account of toldAccounts.keys()) if (!largest.includes(account)) sharing.tell(accountKey(account), undefined)
     toldAccounts.clear()
     for (const account of largest) {
@@ -113,6 +135,8 @@
   const expectedRate = (placesPerS: number): number => Math.max(placesPerS, USUAL_SHARE * usualPlacesPerS, MIN_PLACES_PER_S)
   const isStarvedRank = (rank: number): boolean => isStarved(record.rankShare(rank), record.overall())
   const sumWaiting = (ranks: readonly RankFigures[]): number => ranks.reduce((sum, { waiting }) => sum + waiting, 0)
+  /** Requests that wait at other hosts. */
+  const sumElsewhere = (ranks: readonly RankFigures[]): number => ranks.reduce((sum, { rank, waiting }) => sum + Math.max(0, waiting - (toldWaiting.get(rank) ?? 0)), 0)
 
   return {
     record,
@@ -122,6 +146,7 @@
         toldWaiting.set(rank, waiting.filter(request => request.rank === rank).length)
         tellFigures(rank, { ...record.rates(rank), waiting: toldWaiting.get(rank)!, promised: promised(rank) }, sharing)
       }
+      latest = undefined
       const { ranks, room } = view()
       tellAccounts(sumWaiting(ranks) > 0)
       sampleArrivals(ranks)
@@ -148,7 +173,7 @@
       const returnRatePerS = Math.max(RETURN_SHARE * ratePerS, ratePerS - arrivalsPerS)
       // What has come to wait at other hosts since they told it.
       const unheard = Math.max(0, arrivalsPerS - ratePerS) * Math.min(room.ageMs, MS_PER_S) / MS_PER_S
-      const elsewhere = isFirst || isReturning || isQueued ? 0 : unheard + before.reduce((sum, figures) => sum + Math.max(0, figures.waiting - (toldWaiting.get(figures.rank) ?? 0)), 0)
+      const elsewhere = isFirst || isReturning || isQueued ? 0 : unheard + sumElsewhere(before)
       // Hosts that have requests waiting get places at about the same rate, whatever the length of their queues.
       const waitingHosts = Math.max(1, ...before.map(figures => figures.waitingHosts))
       const waitingAhead = Math.max(ownAhead.length + elsewhere, ownAhead.length * waitingHosts)
@@ -159,6 +184,10 @@
       const figures = { expectedWaitMs: roundMs(admission.expectedWaitMs), waitingAhead: Math.round(waitingAhead), placesPerS: Math.round(placesPerS), freePlaces: room.freePlaces, knownAgeMs: roundMs(room.ageMs) }
       return { admission, figures }
     },
+    isOthersTurn (rank) {
+      const { ranks, room } = view()
+      return sumElsewhere(ranks.filter(figures => figures.rank <= rank)) * MS_PER_S > TURN_WAIT_MS * expectedRate(room.placesPerS)
+    },
     expectedPlacesPerS: () => expectedRate(view().room.placesPerS),
     isExcess () {
       const { ranks, room } = view()
--- a/src/waiting/createDispatcher/index.ts
+++ b/src/waiting/createDispatcher/index.ts
@@ -14,59 +14,13 @@
 import type { Runtime } from '../../runtime/types.js'
 import { createPlaceCounts } from '../_lib/createPlaceCounts.js'
 import { createQueueJudge, type JudgedRequest } from '../_lib/createQueueJudge.js'
-import { createReturnBook, type ReturnBook } from '../_lib/createReturnBook.js'
+import { createReturnBook } from '../_lib/createReturnBook.js'
 import { createOwnSharing, type QueueSharing } from '../_lib/queueFigures.js'
-import { RETURN_SHARE, type ReturnPlan } from '../planReturn/index.js'
+import { RETURN_SHARE } from '../planReturn/index.js'
 import { isPreferredTurn, takeTurns } from '../takeTurns/index.js'
-import type { AdmissionFigures, QueueView } from '../types.js'
+import type { AdmissionFigures, Dispatcher, PlaceOutcome, PlaceRequest } from '../types.js'
 
-/** A request that needs a place. */
-export interface PlaceRequest<Place> {
-  /** Priority; lower values are served first. */
-  rank: number
-  /** Client account; among requests of equal rank, the account that was served least goes first. */
-  account: string
-  /** Whether the caller already has a part of the answer. */
-  hasBegun: boolean
-  /** Longest time to wait for a place, in milliseconds; at 0 or less the request is never queued. Has no effect once the answer has begun. */
-  maxWaitMs: number
-  /** Longest wait after which the answer is still in time, in milliseconds; `maxWaitMs` by default. */
-  onTimeMs?: number
-  /** Whether its caller was refused before and returns no earlier than it was told. */
-  isReturning?: boolean
-  /** Reserves a place and returns it, or returns `undefined` if none is free. */
-  tryReservePlace: () => Place | undefined
-  /** Whether a place may still become free; if not, the request is refused instead of queued, unless its answer has begun. */
-  isPlaceExpected: () => boolean
-  /** Aborts when the caller goes away. */
-  signal: AbortSignal
-}
-
-/** Result of a request for a place. */
-export type PlaceOutcome<Place> =
-  | { kind: 'placed', place: Place, waitedMs: number }
-  /** No place is expected before the caller leaves. */
-  | { kind: 'refused', waitedMs: number, queueLength: number, figures: AdmissionFigures }
-  | { kind: 'aborted' }
-
-/** The queue of one service. */
-export interface Dispatcher<Place> {
-  /** Resolves when the request has a place, is refused or is aborted. */
-  request: (placeRequest: PlaceRequest<Place>) => Promise<PlaceOutcome<Place>>
-  /** Assigns free places to queued requests and refuses those for which no place is expected. */
-  dispatch: () => void
-  queueLength: () => number
-  /** Room and queues of the service, as this host knows them. */
-  view: () => QueueView
-  /** Plans when a refused caller returns; `undefined` while no more is asked for than is served. */
-  planReturn: (refused: { rank: number, leftMs: number, expectedWaitMs: number }) => ReturnPlan | undefined
-  /** Time since the first try of a request, from the time that it brings; 0 if it is as long as that of new ones of its kind. */
-  elapsedMs: ReturnBook['elapsedMs']
-  /** Notes the time from a place to the first event of an answer, in milliseconds. */
-  noteFirstEvent: (tookMs: number) => void
-  /** Usual time from a place to the first event, in milliseconds; 0 before the first. */
-  firstEventMs: () => number
-}
+export type { Dispatcher, PlaceOutcome, PlaceRequest } from '../types.js'
 
 /** Interval at which free places are assigned to queued requests, in milliseconds; each round may choose several paths. */
 const DISPATCH_INTERVAL_MS = 25
@@ -230,7 +184,7 @@
       const { rank, account, hasBegun, maxWaitMs, onTimeMs = maxWaitMs, isReturning = false, signal } = placeRequest
       if (!hasBegun) judge.record.countArrival(rank, account)
       scheduleRound()
-      if (queue.length === 0) {
+      if (queue.length === 0 && (hasBegun || !judge.isOthersTurn(rank))) {
         const place = placeRequest.tryReservePlace()
         if (place !== undefined) {
           recordPlace(placeRequest)
