--- a/src/gateway/createGatewayMetrics/index.ts
+++ b/src/gateway/createGatewayMetrics/index.ts
@@ -27,6 +27,7 @@
   orders: Counter<'operation' | 'result'>
   streams: Gauge
   waiting: Gauge
+  serviceRoom: Gauge<'service' | 'figure'>
   targets: Gauge<'state'>
   placedRate: Gauge<'service' | 'domain'>
   engines: Gauge<'service' | 'domain' | 'state'>
@@ -71,6 +72,7 @@
     orders: new Counter({ name: 'coltsfootlead_gateway_orders_total', help: 'Orders to engines', labelNames: ['operation', 'result'], registers }),
     streams: new Gauge({ name: 'coltsfootlead_gateway_streams', help: 'Streams in progress', registers }),
     waiting: new Gauge({ name: 'coltsfootlead_gateway_waiting', help: 'Requests in the queue', registers }),
+    serviceRoom: new Gauge({ name: 'coltsfootlead_gateway_service_room', help: 'Room and queues of a service at all hosts as this host knows them', labelNames: ['service', 'figure'], registers }),
     targets: new Gauge({ name: 'coltsfootlead_gateway_targets', help: 'Targets by state', labelNames: ['state'], registers }),
     placedRate: new Gauge({ name: 'coltsfootlead_gateway_placed_requests_per_second', help: 'Usual requests per second that the engines of a failure domain serve by the layers that they hold', labelNames: ['service', 'domain'], registers }),
     engines: new Gauge({ name: 'coltsfootlead_gateway_engines', help: 'Engines of a failure domain by what they hold', labelNames: ['service', 'domain', 'state'], registers }),
