--- a/src/bin/coltsfootlead.ts
+++ b/src/bin/coltsfootlead.ts
@@ -5,6 +5,7 @@
 import { Builtins, Cli } from 'clipanion'
 import { PlatformCheckCommand } from '../../platform/checkCommand.js'
 import { TokenCommand } from '../cli/commands/check.js'
+import { OverloadCommand } from '../cli/commands/overload.js'
 import { ExplainCommand, InForceCommand, MembersCommand } from '../cli/commands/read.js'
 import { TicketListCommand, TicketShowCommand, TicketSubmitCommand } from '../cli/commands/ticket.js'
 import { TimelineCommand } from '../cli/commands/timeline.js'
@@ -12,7 +13,7 @@
 const cli = new Cli({ binaryName: 'coltsfootlead', binaryLabel: 'coltsfootlead operator command line', binaryVersion: '0.1.0' })
 const commands = [
   Builtins.HelpCommand, Builtins.VersionCommand, PlatformCheckCommand, TokenCommand, TicketSubmitCommand, TicketShowCommand,
-  TicketListCommand, InForceCommand, ExplainCommand, MembersCommand, TimelineCommand
+  TicketListCommand, InForceCommand, ExplainCommand, MembersCommand, TimelineCommand, OverloadCommand
 ]
 for (const command of commands) cli.register(command)
 await cli.runExit(process.argv.slice(2))
--- a/src/gateway/_lib/answerCaller.ts
+++ b/src/gateway/_lib/answerCaller.ts
@@ -38,12 +38,24 @@
   response.end(answer.body)
 }
 
+/** The fields of a call that every final line has, so that logs alone tell who was served and in time. */
+export function describeRequest ({ facts, route, account }: Call): LogDetails {
+  return {
+    request: facts.requestId,
+    route: route.name,
+    ...(account === undefined ? {} : { account }),
+    objectiveMs: route.objectiveMs,
+    ...(route.gapObjectiveMs === undefined ? {} : { gapObjectiveMs: route.gapObjectiveMs }),
+    ...(facts.promptTokens > 0 ? { promptTokens: facts.promptTokens } : {})
+  }
+}
+
 /** Details of `endWithReason`: `cutCause` is what ended an answer that had begun; a target's failure by default. */
 type EndDetails = LogDetails & { retryAfterMs?: number, cutCause?: CutCause }
 
 /** Ends a call with a status of the gateway itself, or destroys the connection if an answer has already begun. */
 export function endWithReason (call: Call, context: GatewayContext, reason: ReasonName, { cutCause = 'targetFailed', ...details }: EndDetails): void {
-  const { response, facts, route, account, startedMs } = call
+  const { response, route, startedMs } = call
   const { log, metrics, runtime, fleet } = context
   const { status } = REASONS[reason]
   const isCut = response.headersSent && !response.destroyed
@@ -51,9 +63,7 @@
   if (isCut) response.destroy()
   else if (!response.destroyed) writeRefusal(call, context, status, details.retryAfterMs)
   log.emit(isRefusal ? 'gatewayRefused' : 'gatewayFailed', {
-    request: facts.requestId,
-    route: route.name,
-    ...(account === undefined ? {} : { account }),
+    ...describeRequest(call),
     reason,
     ...(isCut ? { isCut } : { status }),
     tookMs: Math.round(runtime.monotonicMs() - startedMs),
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -6,7 +6,7 @@
 import { noteStatements } from './noteStatements.js'
 import { openExchange } from './openExchange.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
-import { endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
+import { describeRequest, endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
 import { describeReturn, isAnyHeldBack, reserveTarget } from './reserveCapacity.js'
@@ -80,7 +80,7 @@
     }
   }
   if (signal.aborted && !(signal.reason instanceof DeadlineError)) {
-    log.emit('callerGone', { request: call.facts.requestId, route: route.name, tookMs: Math.round(runtime.monotonicMs() - call.startedMs), attempts })
+    log.emit('callerGone', { ...describeRequest(call), tookMs: Math.round(runtime.monotonicMs() - call.startedMs), attempts })
     metrics.calls.inc({ kind: route.kind, outcome: 'callerGone' })
     return
   }
@@ -94,9 +94,7 @@
     sendAnswer(call, context, result)
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
     log.emit('gatewayAnswered', {
-      request: call.facts.requestId,
-      route: route.name,
-      ...(call.account === undefined ? {} : { account: call.account }),
+      ...describeRequest(call),
       status: result.status,
       tookMs: Math.round(runtime.monotonicMs() - call.startedMs),
       attempts,
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -11,7 +11,7 @@
 import { sleep } from '../../runtime/sleep/index.js'
 import { DeadlineError } from '../../runtime/withDeadline/index.js'
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
-import { endStopped, endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
+import { describeRequest, endStopped, endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
 import { attemptStream } from './attemptStream.js'
 import { endCrashingCall, noteCrash, traitsOf } from './crashingRequests.js'
 import { estimateRequestSize } from './estimateRequestSize.js'
@@ -118,7 +118,7 @@
   if (!signal.aborted || signal.reason instanceof DeadlineError) {
     return endStopped(call, context, { mayHaveRun: progress.tries > 0, notRunReason: 'overloaded', ...details() })
   }
-  log.emit('callerGone', { request: facts.requestId, route: route.name, tookMs: Math.round(runtime.monotonicMs() - call.startedMs), lastEventId: progress.lastEventId, ...details() })
+  log.emit('callerGone', { ...describeRequest(call), tookMs: Math.round(runtime.monotonicMs() - call.startedMs), lastEventId: progress.lastEventId, ...details() })
   metrics.calls.inc({ kind: route.kind, outcome: 'callerGone' })
 
   function endWithoutAnswer (cause: 'retry budget spent' | 'attempts spent' | 'request suspected of crashes'): void {
@@ -129,9 +129,7 @@
     context.crashEvidence.noteAnswered(traitsOf(call))
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
     log.emit('gatewayAnswered', {
-      request: facts.requestId,
-      route: route.name,
-      ...(call.account === undefined ? {} : { account: call.account }),
+      ...describeRequest(call),
       status: 200,
       tookMs: Math.round(runtime.monotonicMs() - call.startedMs),
       firstEventMs: Math.round((progress.firstEventMs ?? call.startedMs) - call.startedMs),
@@ -147,7 +145,7 @@
     if (call.response.headersSent) return endWithReason(call, context, 'targetFailed', details())
     sendAnswer(call, context, result)
     metrics.calls.inc({ kind: route.kind, outcome: 'failedByTarget' })
-    log.emit('gatewayFailed', { request: facts.requestId, route: route.name, reason: 'targetFailed', status: result.status, ...details() })
+    log.emit('gatewayFailed', { ...describeRequest(call), reason: 'targetFailed', status: result.status, ...details() })
   }
 }
 
