--- a/bench/benches/placement-bound.ts
+++ b/bench/benches/placement-bound.ts
@@ -26,10 +26,11 @@
   const { site, day, share, services, leftOut } = figures as unknown as DayBound
   return [
     `${site} ${day}: ${percent(share)} of the requests can be served in time`,
-    ...services.flatMap(({ service, share: ownShare, lowestRoom, lowestRoomSecond, byFailureDomain, seconds }) => [
+    ...services.flatMap(({ service, share: ownShare, lowestRoom, lowestRoomSecond, byFailureDomain, kinds, seconds }) => [
       '',
       `${service}: ${percent(ownShare)}; least room in second ${lowestRoomSecond}: ${lowestRoom.toFixed(2)} for each request`,
       ...byFailureDomain.map(({ failureDomain, share: domainShare, lowestRoom: room }) => `  ${failureDomain} by itself: ${percent(domainShare)}; least room ${room.toFixed(2)}`),
+      ...kinds.map(({ kind, requestsPerS, layers, batch }) => `  ${kind}: ${requestsPerS.toFixed(1)} whole requests a second an engine, with ${layers} layers and batches of ${batch}`),
       '  second  demand  capacity  served',
       ...seconds.map(({ second, demand, capacity, served }) => `  ${pad(String(second), 6)}  ${pad(demand.toFixed(0), 6)}  ${pad(capacity.toFixed(0), 8)}  ${pad(percent(demand === 0 ? 1 : Math.min(1, served / demand)), 6)}`)
     ]),
--- a/bench/placementBound/computeBound.ts
+++ b/bench/placementBound/computeBound.ts
@@ -29,6 +29,8 @@
   lowestRoom: number
   lowestRoomSecond: number
   seconds: BoundSecond[]
+  /** Best use of one engine of each kind, for the mean request of the first second; empty for plain targets. */
+  kinds: Array<KindCapacity & { kind: string }>
   /** The same where each failure domain serves only its own requests on its own targets. */
   byFailureDomain: Array<{ failureDomain: string, share: number, lowestRoom: number }>
 }
@@ -69,6 +71,7 @@
     share: shareOf(seconds),
     ...room,
     seconds,
+    kinds: listKinds(service, site, day),
     byFailureDomain: site.failureDomains.map(failureDomain => {
       const own = countSeconds(service, site, day, failureDomain)
       return { failureDomain, share: shareOf(own), lowestRoom: findLowestRoom(own).lowestRoom }
@@ -76,13 +79,19 @@
   }
 }
 
+function listKinds (service: string, site: Site, day: SiteDay): ServiceBound['kinds'] {
+  const siteModel = site.models.find(model => model.service === service)
+  if (siteModel === undefined) return []
+  const capacityOf = createCapacities(siteModel, meanRequest(demandByRoute(service, 0, site, day, undefined)), site.linkMs)
+  return Object.keys(siteModel.model.kinds).map(kind => ({ kind, ...capacityOf({ kind, slowness: 1 }) }))
+}
+
 /** Seconds of a service, in one failure domain or (`undefined`) over the site. */
 function countSeconds (service: string, site: Site, day: SiteDay, failureDomain: string | undefined): BoundSecond[] {
-  const routes = site.routes.filter(route => route.service === service)
   const siteModel = site.models.find(model => model.service === service)
   let carried = 0
   return Array.from({ length: Math.ceil(day.lengthS) }, (_, second): BoundSecond => {
-    const byRoute = new Map(routes.map(route => [route, countDemand(route, second, day, failureDomain)]))
+    const byRoute = demandByRoute(service, second, site, day, failureDomain)
     const demand = [...byRoute.values()].reduce((total, count) => total + count, 0)
     const mean = meanRequest(byRoute)
     const capacities = siteModel === undefined ? undefined : createCapacities(siteModel, mean, site.linkMs)
@@ -96,6 +105,11 @@
   })
 }
 
+function demandByRoute (service: string, second: number, site: Site, day: SiteDay, failureDomain: string | undefined): Map<SiteRoute, number> {
+  const routes = site.routes.filter(route => route.service === service)
+  return new Map(routes.map(route => [route, countDemand(route, second, day, failureDomain)]))
+}
+
 /** Requests of a route in one second, at its middle. */
 function countDemand (route: SiteRoute, second: number, day: SiteDay, failureDomain: string | undefined): number {
   const atS = second + 0.5
@@ -120,7 +134,7 @@
 }
 
 /** Capacity of one engine by kind and slowness, each computed once. */
-function createCapacities (siteModel: SiteModel, request: MeanRequest, linkMs: number): (pool: Pool) => KindCapacity {
+function createCapacities (siteModel: SiteModel, request: MeanRequest, linkMs: number): (pool: Pick<Pool, 'kind' | 'slowness'>) => KindCapacity {
   const known = new Map<string, KindCapacity>()
   return ({ kind = '', slowness }) => {
     const key = `${kind} ${slowness}`
--- a/test/platform/readSite.test.ts
+++ b/test/platform/readSite.test.ts
@@ -30,7 +30,7 @@
   const site = readSite(SITE)
   t.like(site.routes[0], { promptTokens: 800, outputTokens: 160, workMs: 0, gapObjectiveMs: 250 })
   t.like(site.routes[1], { promptTokens: 0, workMs: 30, gapObjectiveMs: undefined })
-  t.like(site.models[0]!.model, { layerCount: 80, kinds: { fast: { memoryMb: 50_000, pace: 2, prefillFactor: 3 } } })
+  t.like(site.models[0]!.model, { layerCount: 80, slots: 50, tokenLayerMb: 0.02, perSequenceMs: 0.02, activationBytes: 20, stepMs: 1, kinds: { fast: { memoryMb: 50_000, pace: 2, prefillFactor: 3 } } })
   t.deepEqual(site.targets.map(({ service, count, kind }) => [service, count, kind]), [['writers', 4, 'fast'], ['desk', 2, undefined]])
   t.like(site.days[0]!.demand[0], { requestsPerS: 5, shares: { note: 0.75, order: 0.25 } })
 })
