Expect the length of answers from what earlier ones showed

Cause: estimateRequestSize knew only the caller's estimate and one constant. Change: complete answers teach the cost model through relayStream, cut ones through attemptStream; estimateRequestSize asks it. The tokens of an event come from the platform's engine configuration (stride); without it nothing is learned and sizes are as before. gatewayAnswered has outputTokens, expectedTokens and hintedTokens. Not measured yet. Test: answers teach what is expected next; fails without the call in relayStream (run with it taken out).

--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -67,6 +67,8 @@
   /** Mean size of a request, in prompt and output tokens. */
   usualPromptTokens: z.number(),
   usualOutputTokens: z.number(),
+  /** Tokens in one event of a stream; absent if the operator does not state it, or in the state of an earlier version. */
+  tokensPerEvent: z.number().positive().optional(),
   kinds: z.record(z.string(), engineKindSchema)
 })
 
--- a/src/gateway/_lib/attemptStream.ts
+++ b/src/gateway/_lib/attemptStream.ts
@@ -5,6 +5,7 @@
 import type { RequestSize } from '../../path/choosePath/index.js'
 import type { ActiveStream, Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 import { closeWhenCrashing } from './crashingRequests.js'
+import { learnOutput } from './estimateRequestSize.js'
 import { openExchange, type Exchange } from './openExchange.js'
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 
@@ -31,7 +32,9 @@
     const result = await exchange.result
     if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.isPause === true }
     if (result.kind === 'lost') return { kind: 'brokenOff', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
-    return await relayStream(result.answer, exchange, call, progress, { run, stream: stream?.active }, context)
+    const relayed = await relayStream(result.answer, exchange, call, progress, { run, stream: stream?.active }, context)
+    if (relayed.kind === 'brokenOff' && signal.aborted) learnOutput(call, progress.lastEventId, { isWhole: false }, context)
+    return relayed
   } finally {
     crashWatch[Symbol.dispose]()
     signal.removeEventListener('abort', closeExchange)
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -5,6 +5,7 @@
 import { withConnectionClose, type BufferedAnswer } from './answerCaller.js'
 import { noteProgress } from './crashingRequests.js'
 import { noteStatements } from './noteStatements.js'
+import { learnOutput } from './estimateRequestSize.js'
 import { createEventSplitter } from './createEventSplitter.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
 import type { Exchange } from './openExchange.js'
@@ -101,6 +102,7 @@
       const isWhole = answer.complete && (isFramed(answer) || !exchange.hasFailed())
       if (!isWhole || split.bufferedBytes() > 0 || progress.firstEventMs === undefined) return fail('stream interrupted')
       response.end()
+      learnOutput(call, progress.lastEventId, { isWhole: true }, context)
       resolve({ kind: 'complete' })
     })
     answer.once('error', error => fail(error.message))
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -14,7 +14,7 @@
 import { endStopped, endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
 import { attemptStream } from './attemptStream.js'
 import { endCrashingCall, noteCrash, traitsOf } from './crashingRequests.js'
-import { estimateRequestSize } from './estimateRequestSize.js'
+import { countTokens, estimateRequestSize } from './estimateRequestSize.js'
 import type { CallProgress, StreamResult } from './relayStream.js'
 import { requestPlace } from './requestPlace.js'
 import { describeReturn } from './reserveCapacity.js'
@@ -36,7 +36,7 @@
 export async function serveStream (call: Call, ownDomain: string, context: GatewayContext): Promise<void> {
   const { route, service, signal, facts } = call
   const { budget, fleet, log, metrics, runtime } = context
-  const size = estimateRequestSize(call)
+  const size = estimateRequestSize(call, context)
   /** Engines that failed the call, and engines that did not run it. */
   const failedIds = new Set<string>()
   const notRunIds = new Set<string>()
@@ -138,6 +138,9 @@
       longestPauseMs: Math.round(progress.longestPauseMs),
       pauseEndedMs: Math.round(progress.longestPauseEndMs - call.startedMs),
       lastEventId: progress.lastEventId,
+      outputTokens: countTokens(call, progress.lastEventId),
+      expectedTokens: size.outputTokens,
+      hintedTokens: facts.hintedOutputTokens,
       version: fleet.configuration()?.version,
       ...details()
     })
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -3,6 +3,7 @@
  * digests with its peers and, while it holds the control lease, assigns layers to engines.
  */
 import { setMaxListeners } from 'node:events'
+import { createCostModel } from '../../cost/createCostModel/index.js'
 import { createCrashEvidence } from '../../crash/createCrashEvidence/index.js'
 import { createDigestExchange } from '../../digest/createDigestExchange/index.js'
 import type { HostState, Notices } from '../../digest/types.js'
@@ -178,6 +179,7 @@
     links,
     targetLimits,
     targetPauses,
+    costs: createCostModel({ runtime }),
     crashEvidence,
     tellPeers: exchange.sendNow,
     hasCrashed: createCrashDetector({ links, runtime }),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -3,6 +3,7 @@
  * progress, and the settings and adapters that a gateway starts with.
  */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import type { CostModel } from '../cost/createCostModel/index.js'
 import type { CrashEvidence } from '../crash/createCrashEvidence/index.js'
 import type { DigestSocket } from '../digest/types.js'
 import type { EventLog } from '../event/types.js'
@@ -179,6 +180,8 @@
   targetLimits: TargetLimits
   /** Times in which targets want no requests from this host. */
   targetPauses: TargetPauses
+  /** What requests cost, as earlier answers show. */
+  costs: CostModel
   /** Which parts of prompts crash engines. */
   crashEvidence: CrashEvidence
   /** Sends digests at once. */
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -4,6 +4,7 @@
 import http from 'node:http'
 import { createGatewayMetrics } from '../../src/gateway/createGatewayMetrics/index.js'
 import { createCallHandler } from '../../src/gateway/createCallHandler/index.js'
+import { createCostModel } from '../../src/cost/createCostModel/index.js'
 import { createCrashEvidence } from '../../src/crash/createCrashEvidence/index.js'
 import { createCrashDetector } from '../../src/gateway/_lib/createCrashDetector.js'
 import type { GatewayContext, Reservation } from '../../src/gateway/types.js'
@@ -92,6 +93,7 @@
     links,
     targetLimits: createTargetLimits({ runtime, log, ownIp: '127.0.0.1', otherIps: () => [] }),
     targetPauses: createTargetPauses({ runtime, log }),
+    costs: createCostModel({ runtime }),
     crashEvidence: createCrashEvidence({ runtime, log }),
     tellPeers: () => {},
     hasCrashed: createCrashDetector({ links, runtime }),
--- /dev/null
+++ b/test/gateway/cost.test.ts
@@ -0,0 +1,40 @@
+import test from 'ava'
+import type { EngineModel, Target } from '../../src/fleet/types.js'
+import { buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
+import { TEST_MODEL } from '../fakes/buildFleet.js'
+import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
+
+/** Streams two events, and ends. */
+const SHORT: EngineScript = (request, socket) => { socket.end(buildStreamHead(request) + encodeEvents([1, 2]) + STREAM_END) }
+
+/** A gateway in front of one engine that holds all layers. */
+async function startSingle (script: EngineScript, model: EngineModel) {
+  const standin = await servePlatformEngine(script)
+  const target: Target = { id: 'e-1', service: 'model', address: standin.address, failureDomain: 'north', bornMs: 1, isLeaving: false, kind: 'large', slots: 134, layers: { from: 0, to: 80 } }
+  const configuration = { ...TEST_CONFIGURATION, services: [{ name: 'orders' }, { name: 'model', model }] }
+  const gateway = await startTestGateway([target], { configuration })
+  return {
+    gateway,
+    async [Symbol.asyncDispose] () {
+      await gateway[Symbol.asyncDispose]()
+      await standin[Symbol.asyncDispose]()
+    }
+  }
+}
+
+/** What was expected of each of some answers, in order. */
+async function expectedOf (model: Partial<EngineModel>): Promise<unknown[]> {
+  await using single = await startSingle(SHORT, { ...TEST_MODEL, layerMb: 100, ...model })
+  for (let call = 0; call < 20; call++) await single.gateway.send('/stream/x', { 'token-usage': '100,400' })
+  return single.gateway.parts.log.recent().filter(({ name }) => name === 'gatewayAnswered').map(({ expectedTokens }) => expectedTokens)
+}
+
+test('answers teach what is expected of the next ones, from the first on', async t => {
+  const expected = await expectedOf({ tokensPerEvent: 3 })
+  t.is(expected[0], TEST_MODEL.usualOutputTokens)
+  t.true(Number(expected.at(-1)) < 20)
+})
+
+test('nothing is learned where the tokens of an event are unknown', async t => {
+  t.deepEqual([...new Set(await expectedOf({}))], [TEST_MODEL.usualOutputTokens])
+})
