Let a stream count by what it holds and will hold

Cause: the claim on an engine stays at prompt and expected output from start to end; a stream that outgrew its estimate counts too little. Change: planClaim gives the most cache that streams like this one hold at one time, on average, until the next of a few steps; relayStream reports progress, attemptStream resizes the claim. A resized claim is not assumed of other hosts.

--- a/src/cost/_lib/logNormal.ts
+++ b/src/cost/_lib/logNormal.ts
@@ -26,20 +26,26 @@
   return z >= 0 ? tail : 1 - tail
 }
 
+/** Share of the lengths above one. */
+export function shareAbove ({ mu, sigma }: LogNormal, length: number): number {
+  return length <= 0 ? 1 : upperTail((Math.log(length) - mu) / sigma)
+}
+
 /** Length that nine of ten stay below. */
 export function quantile90 ({ mu, sigma }: LogNormal): number {
   return Math.exp(mu + Z_90 * sigma)
 }
 
 /** Mean length beyond `from` of those that are longer than it, with all lengths cut at `max`. */
-export function meanExcess ({ mu, sigma }: LogNormal, from: number, max: number): number {
+export function meanExcess (distribution: LogNormal, from: number, max: number): number {
+  const { mu, sigma } = distribution
   if (from >= max) return 0
   const zOf = (length: number): number => (Math.log(length) - mu) / sigma
-  const longer = from <= 0 ? 1 : upperTail(zOf(from))
+  const longer = shareAbove(distribution, from)
   // Beyond the range of floating point nothing is known but that it goes on.
   if (longer < Number.MIN_VALUE / Number.EPSILON) return Math.min(max - from, from * sigma)
   const within = (from <= 0 ? 1 : upperTail(zOf(from) - sigma)) - (max === Infinity ? 0 : upperTail(zOf(max) - sigma))
-  const atMax = max === Infinity ? 0 : max * upperTail(zOf(max))
+  const atMax = max === Infinity ? 0 : max * shareAbove(distribution, max)
   return Math.min(max - from, Math.max(0, (Math.exp(mu + sigma * sigma / 2) * within + atMax) / longer - from))
 }
 
--- a/src/gateway/_lib/attemptStream.ts
+++ b/src/gateway/_lib/attemptStream.ts
@@ -2,10 +2,12 @@
  * Runs one try of a stream on a reserved path, and registers it as a stream in progress so that it
  * can be moved to another path.
  */
+import { planClaim } from '../../cost/planClaim/index.js'
 import type { RequestSize } from '../../path/choosePath/index.js'
+import type { Claim } from '../../path/createLoadTracker/index.js'
 import type { ActiveStream, Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 import { closeWhenCrashing } from './crashingRequests.js'
-import { learnOutput } from './estimateRequestSize.js'
+import { countTokens, expectOutput, learnOutput } from './estimateRequestSize.js'
 import { openExchange, type Exchange } from './openExchange.js'
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 
@@ -32,7 +34,7 @@
     const result = await exchange.result
     if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.isPause === true }
     if (result.kind === 'lost') return { kind: 'brokenOff', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
-    const relayed = await relayStream(result.answer, exchange, call, progress, { run, stream: stream?.active }, context)
+    const relayed = await relayStream(result.answer, exchange, call, progress, { run, stream: stream?.active, onProgress: stream?.noteProgress ?? (() => {}) }, context)
     if (relayed.kind === 'brokenOff' && signal.aborted) learnOutput(call, progress.lastEventId, { isWhole: false }, context)
     return relayed
   } finally {
@@ -44,11 +46,17 @@
 
 interface RegisteredStream extends Disposable {
   active: ActiveStream
+  noteProgress: (lastEventId: number | undefined) => void
 }
 
 function registerStream (call: Call, reservation: Reservation, size: RequestSize, exchange: Exchange, run: TargetRun, mayInterrupt: () => boolean, context: GatewayContext): RegisteredStream {
   const { loadTracker, streams, runtime } = context
-  let reroutedClaim: Disposable | undefined
+  /** Replaces the claim of the reservation once the stream makes progress or gets another path. */
+  let claim: Claim | undefined
+  let claimedSize = size
+  /** Tokens at which the claim is planned again. */
+  let untilTokens = 0
+  const estimate = expectOutput(call, context)
   const active: ActiveStream = {
     requestId: call.facts.requestId,
     service: call.service,
@@ -62,8 +70,8 @@
       // An order for another path can fail after its stream has ended; nothing would release the claim.
       if (!streams.has(active)) return
       reservation[Symbol.dispose]()
-      reroutedClaim?.[Symbol.dispose]()
-      reroutedClaim = loadTracker.claim(path, size, { previousPath: active.path })
+      claim?.[Symbol.dispose]()
+      claim = loadTracker.claim(path, claimedSize, { previousPath: active.path })
       active.path = path
     },
     mayInterrupt,
@@ -77,9 +85,19 @@
   streams.add(active)
   return {
     active,
+    noteProgress (lastEventId) {
+      const madeTokens = countTokens(call, lastEventId)
+      if (madeTokens === undefined || madeTokens < untilTokens) return
+      const planned = planClaim(estimate, { promptTokens: size.promptTokens, madeTokens, maxTokens: call.facts.maxOutputTokens })
+      untilTokens = planned.untilTokens
+      claimedSize = { promptTokens: size.promptTokens, outputTokens: Math.round(planned.tokens) - size.promptTokens }
+      if (claim !== undefined) return claim.resize(claimedSize)
+      reservation[Symbol.dispose]()
+      claim = loadTracker.claim(active.path, claimedSize, { previousPath: active.path, isContinued: true })
+    },
     [Symbol.dispose] () {
       streams.delete(active)
-      reroutedClaim?.[Symbol.dispose]()
+      claim?.[Symbol.dispose]()
     }
   }
 }
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -44,10 +44,13 @@
 interface ObservedRun {
   run: TargetRun
   stream: ActiveStream | undefined
+  /** Told the id of the last event that was relayed. */
+  onProgress: (lastEventId: number | undefined) => void
 }
 
 /** Checks the status and headers of an answer and relays its events. */
-export async function relayStream (answer: IncomingMessage, exchange: Pick<Exchange, 'hasFailed' | 'isClosedHere'>, call: Call, progress: CallProgress, { run, stream }: ObservedRun, context: GatewayContext): Promise<StreamResult> {
+export async function relayStream (answer: IncomingMessage, exchange: Pick<Exchange, 'hasFailed' | 'isClosedHere'>, call: Call, progress: CallProgress, observed: ObservedRun, context: GatewayContext): Promise<StreamResult> {
+  const { run } = observed
   const metadata = context.format.readAnswer(answer.headers)
   const status = answer.statusCode ?? 0
   const isPause = noteStatements(metadata, status, call, run.target, context)
@@ -59,10 +62,10 @@
   }
   if (metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: 'answer has another request id', isBrokenByTarget: false }
   if (!metadata.isSigned || answer.headers['content-encoding'] !== undefined) return { kind: 'brokenOff', cause: 'answer unsigned or encoded', isBrokenByTarget: false }
-  return await relayEvents(answer, exchange, call, progress, { run, stream }, context)
+  return await relayEvents(answer, exchange, call, progress, observed, context)
 }
 
-function relayEvents (answer: IncomingMessage, exchange: Pick<Exchange, 'hasFailed' | 'isClosedHere'>, call: Call, progress: CallProgress, { run, stream }: ObservedRun, context: GatewayContext): Promise<StreamResult> {
+function relayEvents (answer: IncomingMessage, exchange: Pick<Exchange, 'hasFailed' | 'isClosedHere'>, call: Call, progress: CallProgress, { run, stream, onProgress }: ObservedRun, context: GatewayContext): Promise<StreamResult> {
   const { response, startedMs } = call
   const { format, metrics, runtime, suspicions } = context
   const split = createEventSplitter()
@@ -92,6 +95,7 @@
       }
       if (split.bufferedBytes() > MAX_EVENT_BYTES) return fail('event too large')
       noteProgress(call, run, context)
+      onProgress(progress.lastEventId)
       if (stream === undefined) return
       if (stream.hasStarted) stream.meanPauseMs += PAUSE_WEIGHT * (nowMs - stream.lastProgressMs - stream.meanPauseMs)
       stream.lastProgressMs = nowMs
--- a/src/path/createLoadTracker/index.ts
+++ b/src/path/createLoadTracker/index.ts
@@ -22,14 +22,27 @@
 
 const NO_LOAD: EngineLoad = { tokenLayers: 0, sequences: 0, firstSequences: 0 }
 
+/** A request that is counted until it is disposed of. */
+export interface Claim extends Disposable {
+  /** Changes the size by which the request counts on the engines of its path. */
+  resize: (size: RequestSize) => void
+}
+
+/** How a claim is counted. */
+export interface ClaimOptions {
+  /** Path of the request until now; a stage that is also in it needs no transfer. */
+  previousPath?: Path
+  /** Whether the request has been counted before, so that nothing follows from it for what other hosts send. */
+  isContinued?: boolean
+}
+
 /** Load of all engines and links. */
 export interface LoadTracker {
   /**
    * Counts a request on every engine of a path until the returned claim is disposed of, and its
-   * transfers on the links of the path for `LINK_WINDOW_MS`. A stage that is also in
-   * `previousPath` needs no transfer.
+   * transfers on the links of the path for `LINK_WINDOW_MS`.
    */
-  claim: (path: Path, size: RequestSize, options?: { previousPath?: Path }) => Disposable
+  claim: (path: Path, size: RequestSize, options?: ClaimOptions) => Claim
   /** Load of a target or link, by all hosts together. */
   loadOf: (targetId: string) => EngineLoad
   /** Load by the requests of this host and of all hosts behind the given neighbors. */
@@ -74,11 +87,11 @@
   }
 
   return {
-    claim (path, size, { previousPath = [] } = {}) {
-      const stages = listStageLoads(path, size)
+    claim (path, size, { previousPath = [], isContinued = false } = {}) {
+      let stages = listStageLoads(path, size)
       const transfers = listTransferLoads(path, size, previousPath)
       // Targets of plain requests are compared by their number of requests alone; assumed requests would make every second choice go to another target.
-      const assumed = [...stages, ...transfers].filter(([, load]) => load.tokenLayers > 0)
+      const assumed = isContinued ? [] : [...stages, ...transfers].filter(([, load]) => load.tokenLayers > 0)
       addOwn([...stages, ...transfers], 1)
       for (const [key, load] of assumed) addLoad(recentClaims, key, load, 1)
       // A link is counted for the window over which its utilization is averaged, an engine until the claim is released.
@@ -86,6 +99,13 @@
       runtime.setTimer(PEER_REPORT_DELAY_MS, () => { for (const [key, load] of assumed) addLoad(recentClaims, key, load, -1) })
       let isReleased = false
       return {
+        resize (newSize) {
+          if (isReleased) return
+          const resized = listStageLoads(path, newSize)
+          for (const [key, load] of stages) addLoad(own, key, load, -1)
+          stages = resized
+          addOwn(stages, 1)
+        },
         [Symbol.dispose] () {
           if (isReleased) return
           isReleased = true
--- a/src/path/createLoadTracker/test.ts
+++ b/src/path/createLoadTracker/test.ts
@@ -91,3 +91,24 @@
   t.deepEqual(loadTracker.sumWith(['child']).get(hashLoadKey('a')), { tokenLayers: 6_010, sequences: 3, firstSequences: 2 })
   t.deepEqual(loadTracker.loadOf('a').sequences > 3, true)
 })
+
+test('a claim that is resized counts by its new size, until it is released', async t => {
+  const runtime = createManualRuntime()
+  const loadTracker = createLoadTracker({ runtime })
+  await runtime.advance(2_000)
+  const claim = loadTracker.claim(PATH, SIZE, { previousPath: PATH, isContinued: true })
+  claim.resize({ promptTokens: 100, outputTokens: 200 })
+  t.deepEqual(loadTracker.loadOf('a'), { tokenLayers: 12_000, sequences: 1, firstSequences: 1 })
+  claim[Symbol.dispose]()
+  claim.resize(SIZE)
+  t.is(loadTracker.sumWith([]).get(hashLoadKey('a')), undefined)
+})
+
+test('a request that was counted before is not assumed of other hosts', async t => {
+  const runtime = createManualRuntime()
+  const loadTracker = createLoadTracker({ runtime, hostCount: () => 3 })
+  await runtime.advance(2_000)
+  loadTracker.claim(PATH, SIZE, { previousPath: PATH, isContinued: true })
+  t.is(loadTracker.loadOf('a').sequences, 1)
+  t.is(loadTracker.loadOf(linkKey('south', 'north')).tokenLayers, 0)
+})
--- a/test/gateway/cost.test.ts
+++ b/test/gateway/cost.test.ts
@@ -1,12 +1,20 @@
 import test from 'ava'
 import type { EngineModel, Target } from '../../src/fleet/types.js'
 import { buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
+import { hashLoadKey } from '../../src/path/hashLoadKey/index.js'
 import { TEST_MODEL } from '../fakes/buildFleet.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 /** Streams two events, and ends. */
 const SHORT: EngineScript = (request, socket) => { socket.end(buildStreamHead(request) + encodeEvents([1, 2]) + STREAM_END) }
 
+/** A promise with the function that resolves it. */
+function createDeferred (): { promise: Promise<void>, resolve: () => void } {
+  let resolve = (): void => {}
+  const promise = new Promise<void>(_resolve => { resolve = _resolve })
+  return { promise, resolve }
+}
+
 /** A gateway in front of one engine that holds all layers. */
 async function startSingle (script: EngineScript, model: EngineModel) {
   const standin = await servePlatformEngine(script)
@@ -38,3 +46,21 @@
 test('nothing is learned where the tokens of an event are unknown', async t => {
   t.deepEqual([...new Set(await expectedOf({}))], [TEST_MODEL.usualOutputTokens])
 })
+
+test('a stream counts on its engine by what it holds and will hold, and no more once it has ended', async t => {
+  const longer = createDeferred()
+  await using single = await startSingle(async (request, socket) => {
+    socket.write(buildStreamHead(request) + encodeEvents([1]))
+    await longer.promise
+    socket.end(encodeEvents(Array.from({ length: 59 }, (_, index) => index + 2)) + STREAM_END)
+  }, { ...TEST_MODEL, layerMb: 100, tokensPerEvent: 10 })
+  const tokens = () => (single.gateway.parts.loadTracker.sumWith([]).get(hashLoadKey('e-1'))?.tokenLayers ?? 0) / 80
+  const sizes: number[] = []
+  single.gateway.parts.loadTracker.onOwnChange(() => sizes.push(tokens()))
+  const answer = single.gateway.send('/stream/x', { 'token-usage': '100,600' })
+  while (sizes.length < 2) await new Promise(resolve => { setImmediate(resolve) })
+  longer.resolve()
+  t.true((await answer).isComplete)
+  t.true(Math.max(...sizes) >= 700, `${sizes}`)
+  t.is(tokens(), 0)
+})
