--- a/src/waiting/_lib/createQueueJudge.ts
+++ b/src/waiting/_lib/createQueueJudge.ts
@@ -5,7 +5,6 @@
 import type { Runtime } from '../../runtime/types.js'
 import { decideAdmission, type Admission } from '../decideAdmission/index.js'
 import { isStarved, orderQueue, type ServedShare, type WaitingRequest } from '../orderQueue/index.js'
-import { RETURN_SHARE } from '../planReturn/index.js'
 import { summarizeRoom } from '../summarizeRoom/index.js'
 import type { AdmissionFigures, QueueView, RankFigures } from '../types.js'
 import { createQueueRecord, type QueueRecord } from './createQueueRecord.js'
@@ -170,18 +169,16 @@
       const urgentArrivalsPerS = before.filter(figures => figures !== own).reduce((sum, { arrivalsPerS }) => sum + arrivalsPerS, 0)
       const ratePerS = isFirst ? total : Math.max(own?.placesPerS ?? 0, total - urgentArrivalsPerS)
       const arrivalsPerS = lastingArrivalsPerS(rank)
-      const returnRatePerS = Math.max(RETURN_SHARE * ratePerS, ratePerS - arrivalsPerS)
       // What has come to wait at other hosts since they told it.
       const unheard = Math.max(0, arrivalsPerS - ratePerS) * Math.min(room.ageMs, MS_PER_S) / MS_PER_S
       const elsewhere = isFirst || isReturning || isQueued ? 0 : unheard + sumElsewhere(before)
       // Hosts that have requests waiting get places at about the same rate, whatever the length of their queues.
       const waitingHosts = Math.max(1, ...before.map(figures => figures.waitingHosts))
       const waitingAhead = Math.max(ownAhead.length + elsewhere, ownAhead.length * waitingHosts)
-      const placesPerS = isReturning ? returnRatePerS : ratePerS
       const onTimeMs = (request.onTimeUntilMs - nowMs) * (elsewhere > 0 ? MEAN_WAIT_SHARE : 1)
       // A queued request is reached in its turn at this host, late or not.
-      const admission = decideAdmission({ waitingAhead, freePlaces: room.freePlaces, placesPerS, arrivalsPerS: isQueued ? 0 : arrivalsPerS, onTimeMs, patienceMs: request.leavesAtMs - nowMs, isReturning })
-      const figures = { expectedWaitMs: roundMs(admission.expectedWaitMs), waitingAhead: Math.round(waitingAhead), placesPerS: Math.round(placesPerS), freePlaces: room.freePlaces, knownAgeMs: roundMs(room.ageMs) }
+      const admission = decideAdmission({ waitingAhead, freePlaces: room.freePlaces, placesPerS: ratePerS, arrivalsPerS: isQueued ? 0 : arrivalsPerS, onTimeMs, patienceMs: request.leavesAtMs - nowMs, isReturning })
+      const figures = { expectedWaitMs: roundMs(admission.expectedWaitMs), waitingAhead: Math.round(waitingAhead), placesPerS: Math.round(ratePerS), freePlaces: room.freePlaces, knownAgeMs: roundMs(room.ageMs) }
       return { admission, figures }
     },
     isOthersTurn (rank) {
