--- a/src/gateway/_lib/updateGauges.ts
+++ b/src/gateway/_lib/updateGauges.ts
@@ -33,7 +33,6 @@
 }
 
 function setRoom (service: string, { room, ranks }: QueueView, { serviceRoom }: GatewayMetrics): void {
-  serviceRoom.set({ service, figure: 'freePlaces' }, room.freePlaces)
   serviceRoom.set({ service, figure: 'placesPerSecond' }, room.placesPerS)
   serviceRoom.set({ service, figure: 'waiting' }, ranks.reduce((sum, { waiting }) => sum + waiting, 0))
   serviceRoom.set({ service, figure: 'arrivalsPerSecond' }, ranks.reduce((sum, { arrivalsPerS }) => sum + arrivalsPerS, 0))
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -249,8 +249,7 @@
       ranks: () => listRanks(fleet.configuration(), service),
       ageMs: exchange.loadAgeMs,
       hostCount: exchange.hostCount,
-      isCutOff: () => exchange.peers().length === 0 && exchange.recentHostCount() > 1,
-      places: () => ({ freePlaces: 0, totalPlaces: 0 })
+      isCutOff: () => exchange.peers().length === 0 && exchange.recentHostCount() > 1
     }
     const dispatcher = createDispatcher<Reservation>({ runtime, sharing })
     dispatchers.set(service, dispatcher)
--- a/src/waiting/_lib/createQueueJudge.ts
+++ b/src/waiting/_lib/createQueueJudge.ts
@@ -87,7 +87,7 @@
   }
 
   function readView (): QueueView {
-    return summarizeRoom(listRanks().map(rank => readFigures(rank, sharing)), { ...sharing.places(), ageMs: sharing.ageMs(), hostCount: sharing.hostCount(), isCutOff: sharing.isCutOff() })
+    return summarizeRoom(listRanks().map(rank => readFigures(rank, sharing)), { ...(sharing.places?.() ?? { freePlaces: 0, totalPlaces: 0 }), ageMs: sharing.ageMs(), hostCount: sharing.hostCount(), isCutOff: sharing.isCutOff() })
   }
 
   /** What was served of an account by this host and, as far as they tell it, by others. */
@@ -178,7 +178,7 @@
       const onTimeMs = (request.onTimeUntilMs - nowMs) * (elsewhere > 0 ? MEAN_WAIT_SHARE : 1)
       // A queued request is reached in its turn at this host, late or not.
       const admission = decideAdmission({ waitingAhead, freePlaces: room.freePlaces, placesPerS: ratePerS, arrivalsPerS: isQueued ? 0 : arrivalsPerS, onTimeMs, patienceMs: request.leavesAtMs - nowMs, isReturning })
-      const figures = { expectedWaitMs: roundMs(admission.expectedWaitMs), waitingAhead: Math.round(waitingAhead), placesPerS: Math.round(ratePerS), freePlaces: room.freePlaces, knownAgeMs: roundMs(room.ageMs) }
+      const figures = { expectedWaitMs: roundMs(admission.expectedWaitMs), waitingAhead: Math.round(waitingAhead), placesPerS: Math.round(ratePerS), ...(sharing.places === undefined ? {} : { freePlaces: room.freePlaces }), knownAgeMs: roundMs(room.ageMs) }
       return { admission, figures }
     },
     isOthersTurn (rank) {
--- a/src/waiting/_lib/queueFigures.ts
+++ b/src/waiting/_lib/queueFigures.ts
@@ -20,8 +20,8 @@
   hostCount: () => number
   /** Whether no other host is heard although there were some lately. */
   isCutOff: () => boolean
-  /** Room of the service's targets. */
-  places: () => { freePlaces: number, totalPlaces: number }
+  /** Room of the service's targets; without it none is taken to be free. */
+  places?: () => { freePlaces: number, totalPlaces: number }
 }
 
 /** Figures of one host for a rank. */
@@ -63,7 +63,6 @@
     ranks: () => [],
     ageMs: () => 0,
     hostCount: () => 1,
-    isCutOff: () => false,
-    places: () => ({ freePlaces: 0, totalPlaces: 0 })
+    isCutOff: () => false
   }
 }
--- a/src/waiting/types.ts
+++ b/src/waiting/types.ts
@@ -31,7 +31,8 @@
   expectedWaitMs: number | null
   waitingAhead: number
   placesPerS: number
-  freePlaces: number
+  /** Absent where the room of the targets is not computed. */
+  freePlaces?: number
   /** Age of what was known of other hosts; `null` for a host that heard none. */
   knownAgeMs: number | null
 }
