--- a/src/waiting/_lib/createReturnBook.ts
+++ b/src/waiting/_lib/createReturnBook.ts
@@ -15,8 +15,9 @@
 /** Peaks that are remembered. */
 const MAX_PEAKS = 8
 
-/** Kinds of request whose time is remembered. */
+/** Kinds of request whose time is remembered, and for how long at least, in milliseconds; configurations and callers change it. */
 const MAX_KINDS = 1_000
+const KIND_MEMORY_MS = 60_000
 
 /** State of the returns of one service. */
 export interface ReturnBook {
@@ -38,7 +39,10 @@
   let lastReturnAtMs = -Infinity
   let peak: { sinceMs: number, seenMs: number } | undefined
   const durationsMs: number[] = []
-  const longestMs = new Map<string, number>()
+  /** Longest time that requests of a kind brought, since the last turn of the memory and before it. */
+  let longest = new Map<string, number>()
+  let formerLongest = new Map<string, number>()
+  let turnedMs = runtime.monotonicMs()
 
   function endPeak (): void {
     if (peak === undefined || runtime.monotonicMs() - peak.seenMs < PEAK_END_MS) return
@@ -74,10 +78,13 @@
       return slots.filter(slot => slot.rank === rank).length
     },
     elapsedMs (kind, deadlineMs) {
-      const longest = Math.max(longestMs.get(kind) ?? 0, deadlineMs)
-      if (longestMs.size >= MAX_KINDS && !longestMs.has(kind)) longestMs.clear()
-      longestMs.set(kind, longest)
-      return longest - deadlineMs
+      if (runtime.monotonicMs() - turnedMs >= KIND_MEMORY_MS || longest.size >= MAX_KINDS) {
+        formerLongest = longest
+        longest = new Map()
+        turnedMs = runtime.monotonicMs()
+      }
+      longest.set(kind, Math.max(longest.get(kind) ?? 0, deadlineMs))
+      return Math.max(longest.get(kind)!, formerLongest.get(kind) ?? 0) - deadlineMs
     }
   }
 }
--- a/src/waiting/createDispatcher/index.ts
+++ b/src/waiting/createDispatcher/index.ts
@@ -162,9 +162,9 @@
     const waiting = listNew()
     const ordered = orderNew([...waiting, entry])
     const { admission, figures } = judge.judge(entry, ordered.slice(0, ordered.indexOf(entry)), false)
-    const isRefused = admission.kind === 'refuse' || waiting.length >= MAX_QUEUE_LENGTH || placeRequest.maxWaitMs <= 0
-    if (isRefused) returns.noteExcess(true)
-    return isRefused || !placeRequest.isPlaceExpected() ? figures : undefined
+    const isExcess = admission.kind === 'refuse' || waiting.length >= MAX_QUEUE_LENGTH
+    if (placeRequest.maxWaitMs > 0 && isExcess) returns.noteExcess(true)
+    return isExcess || placeRequest.maxWaitMs <= 0 || !placeRequest.isPlaceExpected() ? figures : undefined
   }
 
   return {
--- a/src/waiting/createDispatcher/test.ts
+++ b/src/waiting/createDispatcher/test.ts
@@ -141,3 +141,32 @@
   await runtime.advance(100)
   t.deepEqual(order, ['new placed'])
 })
+
+test('a caller that returns goes before new ones of its rank, and one that comes early does not', async t => {
+  const { runtime, dispatcher, places, order, requestPlace } = setUp()
+  requestPlace('new1')
+  requestPlace('early', { onTimeMs: -100 })
+  requestPlace('back', { onTimeMs: -1_500, isReturning: true })
+  for (let count = 0; count < 3; count++) {
+    places.push('p')
+    dispatcher.dispatch()
+    await runtime.settle()
+  }
+  t.deepEqual(order, ['back placed', 'new1 placed', 'early placed'])
+})
+
+test('the time that a request brings tells how long ago its first try was, until callers bring less for minutes', async t => {
+  const { runtime, dispatcher } = setUp()
+  t.is(dispatcher.elapsedMs('chat', 20_000), 0)
+  t.is(dispatcher.elapsedMs('chat', 17_500), 2_500)
+  t.is(dispatcher.elapsedMs('other', 3_000), 0)
+  await runtime.advance(60_000)
+  t.is(dispatcher.elapsedMs('chat', 10_000), 10_000)
+  await runtime.advance(60_000)
+  t.is(dispatcher.elapsedMs('chat', 10_000), 0)
+})
+
+test('without an excess no return is planned', t => {
+  const { dispatcher } = setUp()
+  t.is(dispatcher.planReturn({ rank: 1, leftMs: 20_000, expectedWaitMs: 0 }), undefined)
+})
