Wait through a gap in the layers for as long as it may last

Cause: while layers are missing no place becomes free, so the rate of the last second refused nearly all at once although all room comes back when the layers are loaded. Change: while the service isn't covered, the rate from before the loss counts, and the gap is expected to go on for as long as it has lasted; requests that would outlast their callers by that are refused then, not when their time is over.

--- a/src/gateway/_lib/requestPlace.ts
+++ b/src/gateway/_lib/requestPlace.ts
@@ -60,6 +60,7 @@
       if (context.checkCoverage(service).isWhole) lastCoveredMs = runtime.monotonicMs()
       return runtime.monotonicMs() - lastCoveredMs < RELOAD_WINDOW_MS
     },
+    ...(model === undefined ? {} : { isStalled: () => !context.checkCoverage(service).isWhole }),
     signal
   })
 }
--- a/src/waiting/_lib/createQueueJudge.ts
+++ b/src/waiting/_lib/createQueueJudge.ts
@@ -56,7 +56,7 @@
   tell: (waiting: readonly JudgedRequest[], promised: (rank: number) => number) => void
   order: <Request extends JudgedRequest>(requests: readonly Request[], isReturnTurn: boolean) => Request[]
   /** Judges a request behind `ownAhead` others of this host: whether it is admitted, or goes on waiting. */
-  judge: (request: JudgedRequest, ownAhead: readonly JudgedRequest[], isQueued: boolean) => { admission: Admission, figures: AdmissionFigures }
+  judge: (request: JudgedRequest, ownAhead: readonly JudgedRequest[], options: { isQueued: boolean, stalledMs: number }) => { admission: Admission, figures: AdmissionFigures }
   /** Whether so many requests of a rank, or more urgent ones, wait at other hosts that a new one takes its turn among them. */
   isOthersTurn: (rank: number) => boolean
   /** Rate at which places are expected to become free, at all hosts. */
@@ -158,17 +158,18 @@
       accountShare,
       overall: { accounts: record.overall(), ranks: record.overall() }
     }),
-    judge (request, ownAhead, isQueued) {
+    judge (request, ownAhead, { isQueued, stalledMs }) {
       const nowMs = runtime.monotonicMs()
       const { ranks, room } = view()
       const { rank, isReturning } = request
       const isFirst = isStarvedRank(rank)
       const before = ranks.filter(figures => figures.rank <= rank)
       const own = before.find(figures => figures.rank === rank)
-      const total = expectedRate(room.placesPerS)
+      // Layers that are loaded again give places at the rate from before their loss, whatever has been assigned since.
+      const total = stalledMs > 0 ? Math.max(expectedRate(room.placesPerS), usualPlacesPerS) : expectedRate(room.placesPerS)
       const urgentArrivalsPerS = before.filter(figures => figures !== own).reduce((sum, { arrivalsPerS }) => sum + arrivalsPerS, 0)
       const ratePerS = isFirst ? total : Math.max(own?.placesPerS ?? 0, total - urgentArrivalsPerS)
-      const arrivalsPerS = lastingArrivalsPerS(rank)
+      const arrivalsPerS = stalledMs > 0 ? 0 : lastingArrivalsPerS(rank)
       // What has come to wait at other hosts since they told it.
       const unheard = Math.max(0, arrivalsPerS - ratePerS) * Math.min(room.ageMs, MS_PER_S) / MS_PER_S
       const elsewhere = isFirst || isReturning || isQueued ? 0 : unheard + sumElsewhere(before)
@@ -177,7 +178,7 @@
       const waitingAhead = Math.max(ownAhead.length + elsewhere, ownAhead.length * waitingHosts)
       const onTimeMs = (request.onTimeUntilMs - nowMs) * (elsewhere > 0 ? MEAN_WAIT_SHARE : 1)
       // A queued request is reached in its turn at this host, late or not.
-      const admission = decideAdmission({ waitingAhead, freePlaces: room.freePlaces, placesPerS: ratePerS, arrivalsPerS: isQueued ? 0 : arrivalsPerS, onTimeMs, patienceMs: request.leavesAtMs - nowMs, isReturning })
+      const admission = decideAdmission({ waitingAhead, freePlaces: room.freePlaces, stalledMs, placesPerS: ratePerS, arrivalsPerS: isQueued ? 0 : arrivalsPerS, onTimeMs, patienceMs: request.leavesAtMs - nowMs, isReturning })
       const figures = { expectedWaitMs: roundMs(admission.expectedWaitMs), waitingAhead: Math.round(waitingAhead), placesPerS: Math.round(ratePerS), ...(sharing.places === undefined ? {} : { freePlaces: room.freePlaces }), knownAgeMs: roundMs(room.ageMs) }
       return { admission, figures }
     },
--- a/src/waiting/createDispatcher/index.ts
+++ b/src/waiting/createDispatcher/index.ts
@@ -89,7 +89,7 @@
   }
 
   function judgeEntry (entry: QueueEntry<Place>, ordered: ReadonlyArray<QueueEntry<Place>>): ReturnType<typeof judge.judge> {
-    return judge.judge(entry, ordered.slice(0, ordered.indexOf(entry)), true)
+    return judge.judge(entry, ordered.slice(0, ordered.indexOf(entry)), { isQueued: true, stalledMs: stalledMs() })
   }
 
   function recordPlace ({ rank, account, hasBegun, isReturning = false }: PlaceRequest<Place>): void {
@@ -104,6 +104,15 @@
     judge.tell(listNew(), returns.promised)
   }
 
+  let stalledSinceMs: number | undefined
+
+  /** Notes whether layers are missing, as the latest request finds. */
+  function noteStall ({ isStalled }: PlaceRequest<Place>): void {
+    stalledSinceMs = isStalled?.() === true ? stalledSinceMs ?? runtime.monotonicMs() : undefined
+  }
+
+  const stalledMs = (): number => stalledSinceMs === undefined ? 0 : runtime.monotonicMs() - stalledSinceMs
+
   let round: { intervalMs: number, timer: Disposable } | undefined
 
   /** Dispatches after an interval, and again while requests are queued or the figures of this host are not zero. */
@@ -148,6 +157,7 @@
   /** Refuses queued requests that cannot be served before their callers leave, from the end of the order. */
   function refuseHopeless (): void {
     const ordered = orderNew(listNew())
+    if (ordered[0] !== undefined) noteStall(ordered[0].placeRequest)
     const nowMs = runtime.monotonicMs()
     for (const entry of ordered.toReversed()) {
       const isHopeless = judgeEntry(entry, ordered).admission.kind === 'refuse'
@@ -161,7 +171,8 @@
     const { placeRequest } = entry
     const waiting = listNew()
     const ordered = orderNew([...waiting, entry])
-    const { admission, figures } = judge.judge(entry, ordered.slice(0, ordered.indexOf(entry)), false)
+    noteStall(placeRequest)
+    const { admission, figures } = judge.judge(entry, ordered.slice(0, ordered.indexOf(entry)), { isQueued: false, stalledMs: stalledMs() })
     const isExcess = admission.kind === 'refuse' || waiting.length >= MAX_QUEUE_LENGTH
     if (placeRequest.maxWaitMs > 0 && isExcess) returns.noteExcess(true)
     return isExcess || placeRequest.maxWaitMs <= 0 || !placeRequest.isPlaceExpected() ? figures : undefined
--- a/src/waiting/decideAdmission/index.ts
+++ b/src/waiting/decideAdmission/index.ts
@@ -13,6 +13,8 @@
   waitingAhead: number
   /** Requests that could be placed now beside those in progress. */
   freePlaces: number
+  /** Time for which no place has become free because layers are missing, in milliseconds; 0 if none are. It is expected to go on for as long again. */
+  stalledMs?: number
   /** Rate at which places become free for requests of its rank, at all hosts. */
   placesPerS: number
   /** Rate at which requests arrive that go before it once it is late, at all hosts. */
@@ -44,11 +46,11 @@
  * @example
  * decideAdmission({ waitingAhead: 60, freePlaces: 0, placesPerS: 100, arrivalsPerS: 150, onTimeMs: 300, patienceMs: 1_500, isReturning: false }).kind // => 'refuse'
  */
-export function decideAdmission ({ waitingAhead, freePlaces, placesPerS, arrivalsPerS, onTimeMs, patienceMs, isReturning }: AdmissionFacts): Admission {
+export function decideAdmission ({ waitingAhead, freePlaces, stalledMs = 0, placesPerS, arrivalsPerS, onTimeMs, patienceMs, isReturning }: AdmissionFacts): Admission {
   const ahead = Math.max(0, waitingAhead - freePlaces)
-  const expectedWaitMs = waitMs(ahead, placesPerS)
+  const expectedWaitMs = stalledMs + waitMs(ahead, placesPerS)
   if (expectedWaitMs <= Math.min(isReturning ? patienceMs : onTimeMs, patienceMs)) return { kind: 'wait', expectedWaitMs }
-  const lateWaitMs = isReturning ? expectedWaitMs : waitMs(ahead, placesPerS - arrivalsPerS)
+  const lateWaitMs = isReturning ? expectedWaitMs : stalledMs + waitMs(ahead, placesPerS - arrivalsPerS)
   return { kind: lateWaitMs <= patienceMs ? 'wait' : 'refuse', expectedWaitMs: lateWaitMs }
 }
 
--- a/src/waiting/decideAdmission/test.ts
+++ b/src/waiting/decideAdmission/test.ts
@@ -24,6 +24,12 @@
   t.is(decideAdmission({ ...FACTS, waitingAhead: 160, onTimeMs: -900, isReturning: true }).kind, 'refuse')
 })
 
+test('while layers are missing, requests wait as long as the gap may last, and no longer', t => {
+  const lost = { ...FACTS, waitingAhead: 20, arrivalsPerS: 0 }
+  t.deepEqual(decideAdmission({ ...lost, stalledMs: 400 }), { kind: 'wait', expectedWaitMs: 600 })
+  t.is(decideAdmission({ ...lost, stalledMs: 1_400 }).kind, 'refuse')
+})
+
 test('a request whose caller leaves before it would be in time is refused', t => {
   t.is(decideAdmission({ ...FACTS, waitingAhead: 20, patienceMs: 100 }).kind, 'refuse')
 })
--- a/src/waiting/types.ts
+++ b/src/waiting/types.ts
@@ -55,6 +55,8 @@
   tryReservePlace: () => Place | undefined
   /** Whether a place may still become free; if not, the request is refused instead of queued, unless its answer has begun. */
   isPlaceExpected: () => boolean
+  /** Whether no place can become free until lost layers are loaded again. */
+  isStalled?: () => boolean
   /** Aborts when the caller goes away. */
   signal: AbortSignal
 }
