--- a/src/waiting/_lib/createQueueJudge.ts
+++ b/src/waiting/_lib/createQueueJudge.ts
@@ -5,7 +5,6 @@
 import type { Runtime } from '../../runtime/types.js'
 import { decideAdmission, type Admission } from '../decideAdmission/index.js'
 import { isStarved, orderQueue, type ServedShare, type WaitingRequest } from '../orderQueue/index.js'
-import { RETURN_SHARE } from '../planReturn/index.js'
 import { summarizeRoom } from '../summarizeRoom/index.js'
 import type { AdmissionFigures, QueueView, RankFigures } from '../types.js'
 import { createQueueRecord, type QueueRecord } from './createQueueRecord.js'
@@ -57,7 +56,7 @@
   tell: (waiting: readonly JudgedRequest[], promised: (rank: number) => number) => void
   order: <Request extends JudgedRequest>(requests: readonly Request[], isReturnTurn: boolean) => Request[]
   /** Judges a request behind `ownAhead` others of this host: whether it is admitted, or goes on waiting. */
-  judge: (request: JudgedRequest, ownAhead: readonly JudgedRequest[], isQueued: boolean) => { admission: Admission, figures: AdmissionFigures }
+  judge: (request: JudgedRequest, ownAhead: readonly JudgedRequest[], options: { isQueued: boolean, stalledMs: number }) => { admission: Admission, figures: AdmissionFigures }
   /** Whether so many requests of a rank, or more urgent ones, wait at other hosts that a new one takes its turn among them. */
   isOthersTurn: (rank: number) => boolean
   /** Rate at which places are expected to become free, at all hosts. */
@@ -88,7 +87,7 @@
   }
 
   function readView (): QueueView {
-    return summarizeRoom(listRanks().map(rank => readFigures(rank, sharing)), { ...sharing.places(), ageMs: sharing.ageMs(), hostCount: sharing.hostCount(), isCutOff: sharing.isCutOff() })
+    return summarizeRoom(listRanks().map(rank => readFigures(rank, sharing)), { ...(sharing.places?.() ?? { freePlaces: 0, totalPlaces: 0 }), ageMs: sharing.ageMs(), hostCount: sharing.hostCount(), isCutOff: sharing.isCutOff() })
   }
 
   /** What was served of an account by this host and, as far as they tell it, by others. */
@@ -159,29 +158,28 @@
       accountShare,
       overall: { accounts: record.overall(), ranks: record.overall() }
     }),
-    judge (request, ownAhead, isQueued) {
+    judge (request, ownAhead, { isQueued, stalledMs }) {
       const nowMs = runtime.monotonicMs()
       const { ranks, room } = view()
       const { rank, isReturning } = request
       const isFirst = isStarvedRank(rank)
       const before = ranks.filter(figures => figures.rank <= rank)
       const own = before.find(figures => figures.rank === rank)
-      const total = expectedRate(room.placesPerS)
+      // Layers that are loaded again give places at the rate from before their loss, whatever has been assigned since.
+      const total = stalledMs > 0 ? Math.max(expectedRate(room.placesPerS), usualPlacesPerS) : expectedRate(room.placesPerS)
       const urgentArrivalsPerS = before.filter(figures => figures !== own).reduce((sum, { arrivalsPerS }) => sum + arrivalsPerS, 0)
       const ratePerS = isFirst ? total : Math.max(own?.placesPerS ?? 0, total - urgentArrivalsPerS)
-      const arrivalsPerS = lastingArrivalsPerS(rank)
-      const returnRatePerS = Math.max(RETURN_SHARE * ratePerS, ratePerS - arrivalsPerS)
+      const arrivalsPerS = stalledMs > 0 ? 0 : lastingArrivalsPerS(rank)
       // What has come to wait at other hosts since they told it.
       const unheard = Math.max(0, arrivalsPerS - ratePerS) * Math.min(room.ageMs, MS_PER_S) / MS_PER_S
       const elsewhere = isFirst || isReturning || isQueued ? 0 : unheard + sumElsewhere(before)
       // Hosts that have requests waiting get places at about the same rate, whatever the length of their queues.
       const waitingHosts = Math.max(1, ...before.map(figures => figures.waitingHosts))
       const waitingAhead = Math.max(ownAhead.length + elsewhere, ownAhead.length * waitingHosts)
-      const placesPerS = isReturning ? returnRatePerS : ratePerS
       const onTimeMs = (request.onTimeUntilMs - nowMs) * (elsewhere > 0 ? MEAN_WAIT_SHARE : 1)
       // A queued request is reached in its turn at this host, late or not.
-      const admission = decideAdmission({ waitingAhead, freePlaces: room.freePlaces, placesPerS, arrivalsPerS: isQueued ? 0 : arrivalsPerS, onTimeMs, patienceMs: request.leavesAtMs - nowMs, isReturning })
-      const figures = { expectedWaitMs: roundMs(admission.expectedWaitMs), waitingAhead: Math.round(waitingAhead), placesPerS: Math.round(placesPerS), freePlaces: room.freePlaces, knownAgeMs: roundMs(room.ageMs) }
+      const admission = decideAdmission({ waitingAhead, freePlaces: room.freePlaces, stalledMs, placesPerS: ratePerS, arrivalsPerS: isQueued ? 0 : arrivalsPerS, onTimeMs, patienceMs: request.leavesAtMs - nowMs, isReturning })
+      const figures = { expectedWaitMs: roundMs(admission.expectedWaitMs), waitingAhead: Math.round(waitingAhead), placesPerS: Math.round(ratePerS), ...(sharing.places === undefined ? {} : { freePlaces: room.freePlaces }), knownAgeMs: roundMs(room.ageMs) }
       return { admission, figures }
     },
     isOthersTurn (rank) {
--- a/src/waiting/types.ts
+++ b/src/waiting/types.ts
@@ -31,7 +31,8 @@
   expectedWaitMs: number | null
   waitingAhead: number
   placesPerS: number
-  freePlaces: number
+  /** Absent where the room of the targets is not computed. */
+  freePlaces?: number
   /** Age of what was known of other hosts; `null` for a host that heard none. */
   knownAgeMs: number | null
 }
@@ -54,6 +55,8 @@
   tryReservePlace: () => Place | undefined
   /** Whether a place may still become free; if not, the request is refused instead of queued, unless its answer has begun. */
   isPlaceExpected: () => boolean
+  /** Whether no place can become free until lost layers are loaded again. */
+  isStalled?: () => boolean
   /** Aborts when the caller goes away. */
   signal: AbortSignal
 }
