Move stranded streams as fast as their new engines can read them

Change: planMoves (pure) orders the stranded streams by the tokens that are read again, moves those that find engines with room, and resumes a stream elsewhere only after two refusals or a pause of 1 s; createMoveRecord counts what was moved to each engine in the last 100 ms and leaves an engine that refused alone until its known use has fallen, or for 500 ms. Engines are varied like those of new requests. An overcommitted path is left to streams that could not go on elsewhere.

--- a/src/gateway/rerouteStreams/index.ts
+++ b/src/gateway/rerouteStreams/index.ts
@@ -5,7 +5,10 @@
  * the first engine of a path is down, the exchange with it is closed and the call resumes the stream elsewhere.
  */
 import type { Path, Target } from '../../fleet/types.js'
-import { choosePath } from '../../path/choosePath/index.js'
+import { choosePath, isSameStage } from '../../path/choosePath/index.js'
+import { jitterPathOptions } from '../../path/jitterPathOptions/index.js'
+import { createMoveRecord } from '../../room/createMoveRecord/index.js'
+import { planMoves } from '../../room/planMoves/index.js'
 import { repeatTask } from '../../runtime/repeatTask/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { ActiveStream, GatewayContext } from '../types.js'
@@ -37,6 +40,9 @@
 /** Links between failure domains that the new path of a stream may cross when there is no better one. */
 const MAX_CROSSINGS = 3
 
+/** Share of an engine's cache that moved streams may be planned into; a begun answer takes the reserve for others. */
+const MOVE_CACHE_SHARE = 1
+
 /** Largest random surcharge on a link, as a factor: spreads hosts that reroute streams at the same moment over the links. */
 const MAX_LINK_BIAS = 3
 
@@ -48,6 +54,9 @@
   const { signal, onSuspicion } = options
   const { runtime, streams, suspicions, control, links, fleet, log } = context
   const lastProbedMs = new Map<string, number>()
+  const moveRecord = createMoveRecord({ runtime, hostCount: context.hostCount })
+  /** Moves of a stream that engines refused since its last event. */
+  const refusalsOf = new WeakMap<ActiveStream, number>()
 
   await repeatTask(check, { intervalMs: CHECK_INTERVAL_MS, task: 'rescue', runtime, log, signal })
 
@@ -92,14 +101,41 @@
   }
 
   function rerouteAffected (): void {
-    let moves = 0
+    let leavingMoves = 0
+    const stranded = new Map<string, ActiveStream>()
     for (const stream of streams) {
       if (stream.isRerouting) continue
       const isLost = stream.path.some(stage => isLostFor(stream, stage.target))
       const isLeaving = !isLost && stream.path.slice(1).some(stage => !fleet.isServing(stage.target))
-      if (isLost) reroute(stream, 'engine down')
-      else if (isLeaving && stream.hasStarted && moves++ < MOVES_PER_CHECK) reroute(stream, 'engine leaving')
+      if (isLost && isLostFor(stream, stream.path[0]!.target)) leaveFirstEngine(stream)
+      else if (isLost) stranded.set(stream.requestId, stream)
+      else if (isLeaving && stream.hasStarted && leavingMoves++ < MOVES_PER_CHECK) {
+        const path = chooseNewPath(stream, 'engine leaving')
+        if (path !== undefined) move(stream, path, 'engine leaving')
+      }
     }
+    if (stranded.size > 0) moveStranded(stranded)
+  }
+
+  /** Moves streams off lost engines, as many as the engines can take now. */
+  function moveStranded (stranded: ReadonlyMap<string, ActiveStream>): void {
+    const nowMs = runtime.monotonicMs()
+    const described = [...stranded].map(([id, stream]) => ({ id, tokens: stream.size.promptTokens + stream.size.outputTokens, pausedMs: nowMs - stream.lastProgressMs, refusals: refusalsOf.get(stream) ?? 0, mayResume: stream.mayInterrupt() }))
+    const moves = planMoves(described, {
+      choosePath ({ id }) {
+        const stream = stranded.get(id)!
+        const path = chooseNewPath(stream, 'engine down')
+        if (path !== undefined) move(stream, path, 'engine down')
+        return path
+      }
+    })
+    for (const { kind, id } of moves) if (kind === 'resume') stranded.get(id)!.interrupt('path could not be replaced')
+  }
+
+  function leaveFirstEngine (stream: ActiveStream): void {
+    // An engine that still sends events is not down, whatever a connect or a peer says.
+    const isProgressing = stream.hasStarted && runtime.monotonicMs() - stream.lastProgressMs < pauseLimitMs(stream)
+    if (!isProgressing && stream.mayInterrupt()) stream.interrupt('first engine down')
   }
 
   /** An engine that refuses new requests, here or at a peer, may only be full: streams that still progress through it are not lost. */
@@ -110,39 +146,41 @@
     return suspicions.isDown(id) && runtime.monotonicMs() - stream.lastProgressMs >= limitMs
   }
 
-  async function reroute (stream: ActiveStream, cause: 'engine down' | 'engine leaving'): Promise<void> {
-    const first = stream.path[0]!
-    if (isLostFor(stream, first.target)) {
-      // An engine that still sends events is not down, whatever a connect or a peer says.
-      const isProgressing = stream.hasStarted && runtime.monotonicMs() - stream.lastProgressMs < pauseLimitMs(stream)
-      if (!isProgressing && stream.mayInterrupt()) stream.interrupt('first engine down')
-      return
-    }
-    const path = chooseNewPath(stream, cause)
-    if (path === undefined) return
-    stream.isRerouting = true
+  async function move (stream: ActiveStream, path: Path, cause: 'engine down' | 'engine leaving'): Promise<void> {
     const previousPath = stream.path
+    const newStages = path.filter(stage => !previousPath.some(kept => isSameStage(kept, stage)))
+    const usedBefore = new Map(newStages.map(({ target }) => [target.address, { id: target.id, usedTokenLayers: context.loadTracker.loadOf(target.id).tokenLayers }]))
+    stream.isRerouting = true
+    moveRecord.noteMove(path, previousPath, stream.size.promptTokens + stream.size.outputTokens, stream.service.model!)
     stream.assignPath(path)
-    const result = await control.repath(first.target, stream.requestId, path)
+    const result = await control.repath(path[0]!.target, stream.requestId, path)
     log.emit('pathReplaced', { request: stream.requestId, cause, result: result.kind, path: path.map(stage => `${stage.target.id} ${stage.from}-${stage.to}`) })
     context.metrics.orders.inc({ operation: 'repath', result: result.kind })
-    if (result.kind === 'done' || result.kind === 'begun') stream.lastProgressMs = runtime.monotonicMs()
-    else if (cause === 'engine leaving') stream.assignPath(previousPath)
-    else if (stream.mayInterrupt()) stream.interrupt(`path could not be replaced: ${result.kind}`)
+    if (result.kind === 'refused') {
+      const blamed = result.faultyAddress === undefined ? undefined : usedBefore.get(result.faultyAddress)
+      for (const { id, usedTokenLayers } of blamed === undefined ? usedBefore.values() : [blamed]) moveRecord.noteRefused(id, usedTokenLayers)
+    }
+    if (result.kind === 'done' || result.kind === 'begun') {
+      stream.lastProgressMs = runtime.monotonicMs()
+      refusalsOf.delete(stream)
+    } else if (cause === 'engine leaving') stream.assignPath(previousPath)
+    else if (result.kind === 'unknown' && stream.mayInterrupt()) stream.interrupt('path could not be replaced: unknown')
     else {
       stream.assignPath(previousPath)
-      await sleep(REPATH_INTERVAL_MS, { runtime, signal })
+      refusalsOf.set(stream, (refusalsOf.get(stream) ?? 0) + 1)
+      if (!stream.mayInterrupt()) await sleep(REPATH_INTERVAL_MS, { runtime, signal })
     }
     stream.isRerouting = false
   }
 
   /**
-   * Chooses a path with the same first stage, over engines with spare memory. To replace a dead
-   * engine, any path will do, if need be an overcommitted one; a leaving engine still serves, so
-   * its replacement must not add crossings between failure domains.
+   * Chooses a path with the same first stage, over engines with spare memory that can take a move now. Only
+   * a stream that could not go on elsewhere gets an overcommitted one if need be; a leaving engine
+   * still serves, so its replacement must not add crossings between failure domains.
    */
   function chooseNewPath (stream: ActiveStream, cause: 'engine down' | 'engine leaving'): Path | undefined {
     const { service, size, path } = stream
+    const { loadOf } = context.loadTracker
     const engines = fleet.servingTargets(service.name)
     const biases = new Map<string, number>()
     const linkCostFactor = (link: string): number => {
@@ -153,12 +191,18 @@
     const keptIds = new Set(path.filter(stage => !isLostFor(stream, stage.target)).map(stage => stage.target.id))
     const slownessOf = (id: string): number => {
       const slowness = suspicions.slownessOf(id)
-      return keptIds.has(id) && !Number.isFinite(slowness) ? 1 : slowness
+      if (keptIds.has(id)) return Number.isFinite(slowness) ? slowness : 1
+      return moveRecord.mayTake(id, loadOf(id).tokenLayers) ? slowness : Infinity
+    }
+    // Hosts move streams at the same moment, before any hears of the others' moves.
+    const varied = jitterPathOptions(slownessOf, { loadAgeMs: Infinity, random: runtime.random })
+    const options = { model: service.model!, loadOf, slownessOf: varied.slownessOf, currentPath: path, linkCostFactor, maxCrossings: MAX_CROSSINGS }
+    if (cause === 'engine leaving') {
+      const chosen = choosePath(engines, size, options)?.path
+      return chosen !== undefined && countCrossings(chosen) <= countCrossings(path) ? chosen : undefined
     }
-    const options = { model: service.model!, loadOf: context.loadTracker.loadOf, slownessOf, currentPath: path, linkCostFactor, maxCrossings: MAX_CROSSINGS }
-    const chosen = choosePath(engines, size, options)?.path
-    if (cause === 'engine leaving') return chosen !== undefined && countCrossings(chosen) <= countCrossings(path) ? chosen : undefined
-    return chosen ?? choosePath(engines, size, { ...options, isOvercommitted: true })?.path
+    const chosen = choosePath(engines, size, { ...options, cacheShare: MOVE_CACHE_SHARE })?.path
+    return chosen ?? (stream.mayInterrupt() ? undefined : choosePath(engines, size, { ...options, isOvercommitted: true })?.path)
   }
 }
 
