Fill the gaps of returned engines one by one, wide engines where they add most

Cause: while one wide range was missing, engines that returned empty did not take their own, smaller ranges.

Change: each gap that engines can close is filled, whether or not others can be; a small gap that would waste a wide engine is left to engines of its size.

--- a/src/placement/planFastReplica/test.ts
+++ b/src/placement/planFastReplica/test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { buildFleet, describeEngines, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
+import { applyLoads, buildEngine, buildFleet, describeEngines, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
 import { planFastReplica } from './index.js'
 
 test('the fast replica spans the fast engines of two domains', t => {
@@ -18,3 +18,13 @@
   const { memberIds } = planFastReplica(describeEngines(buildFleet(), new Set(['north-large-0'])), { model: TEST_MODEL })
   t.is(memberIds.size, 0)
 })
+
+test('fast engines that the replica does not use belong to the domain', t => {
+  const fast = Array.from({ length: 8 }, (_, index) => buildEngine(`medium${index}`, 'north', 'medium'))
+  const { memberIds, loads } = planFastReplica(describeEngines(fast), { model: TEST_MODEL })
+  t.true(loads.length < fast.length)
+  t.deepEqual([...memberIds], loads.map(({ target }) => target.id))
+  const held = planFastReplica(describeEngines(applyLoads(fast, loads)), { model: TEST_MODEL })
+  t.deepEqual(held.loads, [])
+  t.deepEqual([...held.memberIds].sort(), [...memberIds].sort())
+})
--- a/src/placement/planReplica/index.ts
+++ b/src/placement/planReplica/index.ts
@@ -100,9 +100,13 @@
 
 /** Most layers that an engine can hold beside the cache of a number of requests. */
 function countLayersFor (target: Target, concurrency: number, model: EngineModel): number {
-  let layers = 0
-  while (layers < model.layerCount && countConcurrentRequests(target, layers + 1, model) >= concurrency) layers++
-  return layers
+  let [fits, exceeds] = [0, model.layerCount + 1]
+  while (exceeds - fits > 1) {
+    const layers = (fits + exceeds) >> 1
+    if (countConcurrentRequests(target, layers, model) >= concurrency) fits = layers
+    else exceeds = layers
+  }
+  return fits
 }
 
 function ratePlan (loads: PlannedLoad[], run: LayerRange, model: EngineModel): ReplicaPlan {
--- a/src/placement/planReplicas/index.ts
+++ b/src/placement/planReplicas/index.ts
@@ -13,6 +13,9 @@
 /** Holders of each layer with which a failure domain stays whole when it loses one pipeline, so that no engine has to stay empty to replace the lost ones. */
 const HOLDERS_WITHOUT_SPARE = 2
 
+/** Share of what engines serve at best below which they hold more of the narrowest layers rather than fill a small gap. */
+const MIN_EFFICIENCY = 0.5
+
 /**
  * @name planReplicas
  * @summary Plans loads for all empty engines of a failure domain.
@@ -29,26 +32,28 @@
   const loads: PlannedLoad[] = []
   const listRanges = (): HeldRange[] => [...held, ...loads]
   const listEmpty = (): Target[] => empty.filter(target => !loads.some(load => load.target.id === target.id))
-  for (let holders = 1; listEmpty().length > 0; holders++) {
+  for (let holders = 1, isFilled = true; isFilled && listEmpty().length > 0; holders++) {
     const added = fillGapsOnce(holders, listEmpty(), listRanges(), { model, boundaries })
-    if (added === undefined) break
-    loads.push(...added)
-    for (const { range } of added) boundaries.add(range.from).add(range.to)
+    loads.push(...added.loads)
+    for (const { range } of added.loads) boundaries.add(range.from).add(range.to)
+    isFilled = added.isFilled
   }
   const coverage = countCoverage(listRanges().map(({ range }) => range), model)
   if (coverage.some(count => count < HOLDERS_WITHOUT_SPARE)) return undefined
   return [...loads, ...widenNarrowest(listEmpty(), { held: listRanges(), model, boundaries })]
 }
 
-/** Loads that give each layer a number of holders; `undefined` where the engines do not suffice. */
-function fillGapsOnce (holders: number, empty: readonly Target[], held: readonly HeldRange[], options: ReplicaOptions): PlannedLoad[] | undefined {
+/** Loads that give layers a number of holders, and whether that is all layers. */
+function fillGapsOnce (holders: number, empty: readonly Target[], held: readonly HeldRange[], options: ReplicaOptions): { loads: PlannedLoad[], isFilled: boolean } {
   const gaps = findGaps(countCoverage(held.map(({ range }) => range), options.model), holders)
   const loads: PlannedLoad[] = []
+  let isFilled = true
   for (const gap of gaps.sort((a, b) => (b.to - b.from) - (a.to - a.from))) {
     const available = empty.filter(target => !loads.some(load => load.target.id === target.id))
     const plan = planReplica(gap, available, options)
-    if (plan === undefined) return undefined
-    loads.push(...plan.loads)
+    const isNeeded = holders <= HOLDERS_WITHOUT_SPARE || gap.to - gap.from === options.model.layerCount
+    if (plan !== undefined && (isNeeded || plan.efficiency >= MIN_EFFICIENCY)) loads.push(...plan.loads)
+    else isFilled = false
   }
-  return loads
+  return { loads, isFilled }
 }
