--- a/src/placement/planReplica/index.ts
+++ b/src/placement/planReplica/index.ts
@@ -27,7 +27,7 @@
 const CONCURRENCY_SHARES = [1, 0.9, 0.8, 0.7, 0.6, 0.5, 0.4, 0.3, 0.2, 0.1]
 
 /** Distance, as a share of an engine's layers, within which a range ends where others do; fewer boundaries make the choice of paths cheaper. */
-const CUT_TOLERANCE_SHARE = 0.2
+const CUT_TOLERANCE_SHARE = 0.3
 
 /** Difference from the best efficiency within which the faster replica is taken. */
 const EFFICIENCY_TOLERANCE = 0.1
