Use engines that join a large domain after a loss; one replica and no share of spare in small ones

Cause: once a loss left some layer of a large domain with one holder, the domain was planned as a small one, and engines that joined stayed empty. In small domains a spare of 13% was set aside, which never came to bear: they hold one replica.

Change: a domain is large if its engines suffice to hold every layer twice, whatever they hold now. Small domains: one replica.

'an engine that joins a large domain ...' fails with the plan before (run).

--- a/src/placement/planPlacement/index.ts
+++ b/src/placement/planPlacement/index.ts
@@ -6,10 +6,11 @@
  * that serves is not moved unless other engines of its domain hold all its layers.
  */
 import type { EngineModel, LayerRange, Target } from '../../fleet/types.js'
-import { countCoverage, fillGapsWithCache, findGaps, countFittingLayers } from '../_lib/coverage.js'
+import { countCoverage, fillGapsWithCache, findGaps } from '../_lib/coverage.js'
+import { chooseWidth } from '../estimateCapacity/index.js'
 import { planFastReplica } from '../planFastReplica/index.js'
 import type { ReplicaOptions } from '../planReplica/index.js'
-import { planReplicas } from '../planReplicas/index.js'
+import { HOLDERS_WITHOUT_SPARE, planReplicas } from '../planReplicas/index.js'
 import type { PlacementEngine, PlannedLoad } from '../types.js'
 
 /** Cache sizes to plan engines with, in tokens, tried from the largest to the smallest that is worth serving with. */
@@ -18,9 +19,6 @@
 /** Cache size from which fewer engines are preferred to a larger cache, in tokens. */
 const SUFFICIENT_CACHE_TOKENS = 70_000
 
-/** Spare capacity that a failure domain keeps to replace lost engines, as a share of the capacity of its replicas. */
-const SPARE_CAPACITY_SHARE = 0.13
-
 /**
  * @name planPlacement
  * @summary Plans the loads that complete the replicas of each failure domain, nearly complete domains first.
@@ -54,21 +52,24 @@
   missingLayers: number
 }
 
-/** Plans a domain whose engines hold every layer at least twice; `undefined` for others. */
+/** Plans a domain whose engines suffice to hold every layer at least twice; `undefined` for others. */
 function planRichDomain (engines: readonly PlacementEngine[], { model, boundaries }: ReplicaOptions): DomainPlan | undefined {
   const usable = engines.filter(engine => engine.isUsable)
   const held = usable.flatMap(({ target, layers }) => layers === undefined ? [] : [{ target, range: layers }])
-  const missingLayers = countCoverage(held.map(({ range }) => range), model).filter(count => count === 0).length
-  const loads = planReplicas(listEmpty(usable), { held, model, boundaries })
-  return loads === undefined ? undefined : { loads, missingLayers }
+  const coverage = countCoverage(held.map(({ range }) => range), model)
+  const missingLayers = coverage.filter(count => count === 0).length
+  const { loads, isWholeAfterLoss } = planReplicas(listEmpty(usable), { held, model, boundaries })
+  const fittingLayers = usable.reduce((sum, { target }) => sum + chooseWidth(target, model), 0)
+  if (!isWholeAfterLoss && fittingLayers < model.layerCount * HOLDERS_WITHOUT_SPARE) return undefined
+  return { loads: loads.length > 0 || missingLayers === 0 ? loads : restoreLayers(coverage, [], usable, model), missingLayers }
 }
 
 const listEmpty = (engines: readonly PlacementEngine[]): Target[] => engines.filter(engine => engine.isIdle && engine.layers === undefined).map(engine => engine.target)
 
 /**
- * Plans replicas on the engines of a domain outside the fast replica, as many as leave enough
- * spare capacity. If that gives no load although no engine of the domain holds some layers,
- * plans those layers alone, if need be on engines whose own layers all have another holder.
+ * Plans one replica on the engines of a domain outside the fast replica; the others stay empty, to
+ * replace any that is lost. If that gives no load although no engine of the domain holds some
+ * layers, plans those alone, if need be on engines whose own layers all have another holder.
  */
 function planDomain (engines: readonly PlacementEngine[], fastReplicaIds: ReadonlySet<string>, model: EngineModel): DomainPlan {
   const usable = engines.filter(engine => engine.isUsable)
@@ -77,7 +78,7 @@
   const heldByOthers = countCoverage(others.flatMap(engine => engine.layers ?? []), model)
   const missingLayers = held.filter(count => count === 0).length
   const empty = listEmpty(others)
-  const loads = fillReplicas(heldByOthers, empty, others, model)
+  const loads = fillGaps(findGaps(heldByOthers, 1), empty, model) ?? []
   if (loads.length > 0 || missingLayers === 0) return { loads, missingLayers }
   return { loads: restoreLayers(held, empty, others, model), missingLayers }
 }
@@ -99,22 +100,6 @@
   }
 }
 
-/** Loads that complete one replica after the other, at least one and as many as leave the spare capacity. */
-function fillReplicas (coverage: number[], empty: readonly Target[], engines: readonly PlacementEngine[], model: EngineModel): PlannedLoad[] {
-  const capacity = engines.reduce((sum, engine) => sum + countFittingLayers(engine.target, CACHE_STEPS_TOKENS[0]!, model), 0)
-  const replicas = Math.max(1, Math.floor(capacity / (model.layerCount * (1 + SPARE_CAPACITY_SHARE))))
-  const loads: PlannedLoad[] = []
-  let available = [...empty]
-  for (let wantedCount = 1; wantedCount <= replicas; wantedCount++) {
-    const filled = fillGaps(findGaps(coverage, wantedCount), available, model)
-    if (filled === undefined) break
-    loads.push(...filled)
-    available = available.filter(target => !filled.some(load => load.target.id === target.id))
-    for (const { range } of filled) for (let layer = range.from; layer < range.to; layer++) coverage[layer]!++
-  }
-  return loads
-}
-
 /** Fills every gap with as few engines as have at least `SUFFICIENT_CACHE_TOKENS`, or else with the largest cache that is possible. */
 function fillGaps (gaps: readonly LayerRange[], idle: readonly Target[], model: EngineModel): PlannedLoad[] | undefined {
   let best: PlannedLoad[] | undefined
--- a/src/placement/planPlacement/test.ts
+++ b/src/placement/planPlacement/test.ts
@@ -121,6 +121,15 @@
   t.deepEqual(planPlacement(describeEngines(after), { model: TEST_MODEL }), [])
 })
 
+test('an engine that joins a large domain holds layers that have lost most holders', t => {
+  const left = [0, 1, 2].flatMap(copy => Array.from({ length: 10 }, (_, index) => buildEngine(`${copy}-${index}`, 'north', 'small', { from: 8 * index, to: 8 * index + 8 })))
+    .filter(({ id, layers }) => id.startsWith('0') || layers!.from >= 24)
+  const [load, ...rest] = planPlacement(describeEngines([...left, buildEngine('joined', 'north', 'small')]), { model: TEST_MODEL })
+  t.deepEqual(rest, [])
+  t.is(load?.target.id, 'joined')
+  t.true(load!.range.to <= 24)
+})
+
 test('whatever engines are lost, return empty or join, plans come to rest without moving an engine twice', t => {
   const eventArbitrary = fc.record({ lost: fc.uniqueArray(fc.nat(92), { maxLength: 20 }), returned: fc.uniqueArray(fc.nat(92), { maxLength: 20 }) })
   fc.assert(fc.property(fc.constantFrom(MANY_MIDDLE, FEW_FAST), fc.array(eventArbitrary, { minLength: 1, maxLength: 4 }), ({ counts, model }, events) => {
--- a/src/placement/planReplicas/index.ts
+++ b/src/placement/planReplicas/index.ts
@@ -11,7 +11,7 @@
 import { widenNarrowest } from '../widenNarrowest/index.js'
 
 /** Holders of each layer with which a failure domain stays whole when it loses one pipeline, so that no engine has to stay empty to replace the lost ones. */
-const HOLDERS_WITHOUT_SPARE = 2
+export const HOLDERS_WITHOUT_SPARE = 2
 
 /** Share of what engines serve at best below which they hold more of the narrowest layers rather than fill a small gap. */
 const MIN_EFFICIENCY = 0.5
@@ -21,12 +21,12 @@
  * @summary Plans loads for all empty engines of a failure domain.
  * @param empty - Its engines without layers.
  * @param options - Ranges that its other engines hold, the model, and the boundaries of all ranges.
- * @returns The loads, or `undefined` where some layer would be left with one holder or none.
+ * @returns The loads, and whether every layer then has enough holders for the loss of a pipeline.
  *
  * @example
- * planReplicas(empty, { held, model, boundaries })
+ * planReplicas(empty, { held, model, boundaries }).loads
  */
-export function planReplicas (empty: readonly Target[], options: { held: readonly HeldRange[], model: EngineModel, boundaries: ReadonlySet<number> }): PlannedLoad[] | undefined {
+export function planReplicas (empty: readonly Target[], options: { held: readonly HeldRange[], model: EngineModel, boundaries: ReadonlySet<number> }): { loads: PlannedLoad[], isWholeAfterLoss: boolean } {
   const { held, model } = options
   const boundaries = new Set(options.boundaries)
   const loads: PlannedLoad[] = []
@@ -38,9 +38,9 @@
     for (const { range } of added.loads) boundaries.add(range.from).add(range.to)
     isFilled = added.isFilled
   }
+  loads.push(...widenNarrowest(listEmpty(), { held: listRanges(), model, boundaries }))
   const coverage = countCoverage(listRanges().map(({ range }) => range), model)
-  if (coverage.some(count => count < HOLDERS_WITHOUT_SPARE)) return undefined
-  return [...loads, ...widenNarrowest(listEmpty(), { held: listRanges(), model, boundaries })]
+  return { loads, isWholeAfterLoss: coverage.every(count => count >= HOLDERS_WITHOUT_SPARE) }
 }
 
 /** Loads that give layers a number of holders, and whether that is all layers. */
--- a/src/placement/planReplicas/test.ts
+++ b/src/placement/planReplicas/test.ts
@@ -8,18 +8,20 @@
 const HELD: HeldRange[] = [0, 1, 2].flatMap(copy => Array.from({ length: 10 }, (_, index) => ({ target: buildEngine(`${copy}-${index}`, 'north', 'small'), range: { from: 8 * index, to: 8 * index + 8 } }))).slice(0, -1)
 const BOUNDARIES = new Set(HELD.flatMap(({ range }) => [range.from, range.to]))
 
-const plan = (kinds: string[], held = HELD): Array<[string, LayerRange]> | undefined =>
-  planReplicas(kinds.map(kind => buildEngine(kind, 'north', kind)), { held, model: TEST_MODEL, boundaries: BOUNDARIES })?.map(({ target, range }) => [target.id, range])
+const plan = (kinds: string[], held = HELD): Array<[string, LayerRange]> =>
+  planReplicas(kinds.map(kind => buildEngine(kind, 'north', kind)), { held, model: TEST_MODEL, boundaries: BOUNDARIES }).loads.map(({ target, range }) => [target.id, range])
 
 test('an engine that returns empty takes the range that it held', t => {
   t.deepEqual(plan(['small']), [['small', { from: 72, to: 80 }]])
 })
 
 test('a large engine does not fill a small gap alone', t => {
-  const [load] = plan(['large'])!
+  const [load] = plan(['large'])
   t.true(load![1].to - load![1].from > 8)
 })
 
-test('a domain with layers that only one engine holds is left to others', t => {
-  t.is(plan([], HELD.slice(0, 15)), undefined)
+test('a domain is whole after a loss if every layer has two holders', t => {
+  const isWhole = (held: HeldRange[]): boolean => planReplicas([], { held, model: TEST_MODEL, boundaries: BOUNDARIES }).isWholeAfterLoss
+  t.true(isWhole(HELD))
+  t.false(isWhole(HELD.slice(0, 15)))
 })
