--- a/src/event/renderOverload/index.ts
+++ b/src/event/renderOverload/index.ts
@@ -22,7 +22,8 @@
   ['not allowed', row => String(row.notAllowed)],
   ['failed', row => String(row.failed)],
   ['broken off', row => String(row.brokenOff)],
-  ['left', row => String(row.left)]
+  ['left', row => String(row.left)],
+  ['left midway', row => String(row.leftMidway)]
 ]
 
 /**
@@ -57,16 +58,16 @@
   ]
 }
 
-/** A line for each second: `#` answered, `x` refused among what arrived or ended, and the figures. */
+/** A line for each second: its figures, and a bar of what ended with a mark at what arrived. */
 function renderPlot (seconds: readonly OverloadSecond[]): string[] {
-  const highest = Math.max(1, ...seconds.map(({ demand, answered, refused }) => Math.max(demand, answered + refused)))
+  const highest = Math.max(1, ...seconds.map(({ demand, answered, refused, left }) => Math.max(demand, answered + refused + left)))
   const widthOf = (count: number): number => Math.round(count / highest * BAR_WIDTH)
   return [
-    'second  demand  answered  refused  queue  # answered, x refused, | demand',
-    ...seconds.map(({ second, demand, answered, refused, queue }) => {
-      const bar = `${'#'.repeat(widthOf(answered))}${'x'.repeat(widthOf(refused))}`.padEnd(BAR_WIDTH + 2)
+    'second  demand  answered  refused  left  queue  # answered, x refused, . left, | demand',
+    ...seconds.map(({ second, demand, answered, refused, left, queue }) => {
+      const bar = `${'#'.repeat(widthOf(answered))}${'x'.repeat(widthOf(refused))}${'.'.repeat(widthOf(left))}`.padEnd(BAR_WIDTH + 2)
       const mark = widthOf(demand)
-      return `${pad(second, 6)}  ${pad(demand, 6)}  ${pad(answered, 8)}  ${pad(refused, 7)}  ${pad(queue ?? '-', 5)}  ${bar.slice(0, mark)}|${bar.slice(mark + 1).trimEnd()}`
+      return `${pad(second, 6)}  ${pad(demand, 6)}  ${pad(answered, 8)}  ${pad(refused, 7)}  ${pad(left, 4)}  ${pad(queue ?? '-', 5)}  ${bar.slice(0, mark)}|${bar.slice(mark + 1).trimEnd()}`
     }),
     ''
   ]
--- a/src/event/summarizeOverload/_lib/readCall.ts
+++ b/src/event/summarizeOverload/_lib/readCall.ts
@@ -9,8 +9,8 @@
   gapObjectiveMs?: number
 }
 
-/** Ways in which a call ends. `answered` is an answer of which it cannot be told whether it was in time. */
-export const OUTCOMES = ['inTime', 'late', 'answered', 'refusedOnArrival', 'refusedAfterWaiting', 'notAllowed', 'failed', 'brokenOff', 'left'] as const
+/** Ways in which a call ends. `answered`: whether in time cannot be told. `leftMidway`: the caller left after it had received events. */
+export const OUTCOMES = ['inTime', 'late', 'answered', 'refusedOnArrival', 'refusedAfterWaiting', 'notAllowed', 'failed', 'brokenOff', 'left', 'leftMidway'] as const
 export type Outcome = typeof OUTCOMES[number]
 
 /** One call as its last event tells it. */
@@ -60,7 +60,7 @@
 
 function findOutcome (event: LoggedEvent, { objectiveMs, gapObjectiveMs }: RouteLimits): Outcome {
   const tookMs = numberOf(event.tookMs) ?? 0
-  if (event.name === 'callerGone') return 'left'
+  if (event.name === 'callerGone') return numberOf(event.lastEventId) === undefined ? 'left' : 'leftMidway'
   if (event.name === 'gatewayFailed') return event.isCut === true ? 'brokenOff' : 'failed'
   if (event.name === 'gatewayRefused') {
     if (!LOAD_REASONS.has(String(event.reason))) return 'notAllowed'
--- a/src/event/summarizeOverload/index.ts
+++ b/src/event/summarizeOverload/index.ts
@@ -30,6 +30,7 @@
   /** Calls that ended, by their end. */
   answered: number
   refused: number
+  left: number
   /** Calls that waited at all hosts: the sum of each host's longest queue; `undefined` when no line tells. */
   queue: number | undefined
 }
@@ -116,6 +117,7 @@
       demand: arrivals.get(second)?.length ?? 0,
       answered: ended.filter(({ outcome }) => outcome === 'inTime' || outcome === 'late' || outcome === 'answered').length,
       refused: ended.filter(({ outcome }) => outcome === 'refusedOnArrival' || outcome === 'refusedAfterWaiting').length,
+      left: ended.filter(({ outcome }) => outcome === 'left' || outcome === 'leftMidway').length,
       queue: sumLongestQueues(ended)
     }
   })
--- a/src/event/summarizeOverload/test.ts
+++ b/src/event/summarizeOverload/test.ts
@@ -20,25 +20,26 @@
   event('gatewayFailed', 1_500, { route: 'x', reason: 'targetFailed', isCut: true, tookMs: 900, request: 'cut' }),
   event('answerCut', 1_500, { route: 'x', tookMs: 900, request: 'cut' }),
   event('gatewayFailed', 1_600, { route: 'y', reason: 'deadlinePassed', tookMs: 900 }),
-  event('callerGone', 1_700, { route: 'y', tookMs: 900 })
+  event('callerGone', 1_700, { route: 'y', tookMs: 900 }),
+  event('callerGone', 1_800, { route: 'y', tookMs: 900, lastEventId: 3 })
 ]
 
 test('each call counts once, by how it ended for its caller', t => {
   const { total } = summarizeOverload([...LOAD, ...LOAD], () => limits)
-  t.like(total, { offered: 9, inTime: 1, late: 2, answered: 0, refusedOnArrival: 1, refusedAfterWaiting: 1, notAllowed: 1, brokenOff: 1, failed: 1, left: 1, heldP50Ms: 1_200, heldP95Ms: 1_200 })
+  t.like(total, { offered: 10, inTime: 1, late: 2, answered: 0, refusedOnArrival: 1, refusedAfterWaiting: 1, notAllowed: 1, brokenOff: 1, failed: 1, left: 1, leftMidway: 1, heldP50Ms: 1_200, heldP95Ms: 1_200 })
 })
 
 test('groups add up to the total', t => {
   const { total, byRoute, byAccount, byFailureDomain, byPromptSize } = summarizeOverload(LOAD, () => limits)
   for (const rows of [byRoute, byAccount, byFailureDomain]) t.is(rows.reduce((sum, { offered }) => sum + offered, 0), total.offered)
-  t.deepEqual(byFailureDomain.map(({ key, offered }) => [key, offered]), [['north', 8], ['unknown', 1]])
+  t.deepEqual(byFailureDomain.map(({ key, offered }) => [key, offered]), [['north', 9], ['unknown', 1]])
   t.deepEqual(byPromptSize.map(({ key }) => key), ['10 to 10 tokens', '20 to 20 tokens'])
 })
 
 test('seconds hold arrivals, ends and the longest queue of each host', t => {
   const { seconds } = summarizeOverload(LOAD, () => limits)
-  t.is(seconds.reduce((sum, { demand }) => sum + demand, 0), 8)
-  t.deepEqual(seconds[1], { second: 1, demand: 1, answered: 3, refused: 2, queue: 8 })
+  t.is(seconds.reduce((sum, { demand }) => sum + demand, 0), 9)
+  t.deepEqual(seconds[1], { second: 1, demand: 1, answered: 3, refused: 2, left: 2, queue: 8 })
 })
 
 test('limits on a line come before those given', t => {
@@ -56,6 +57,6 @@
 test('text has a table for each grouping and a line for each second', t => {
   const text = renderOverload(summarizeOverload(LOAD, () => limits))
   for (const title of ['route', 'client account', 'failure domain', 'size of prompt', 'second']) t.regex(text, new RegExp(`^(\\| )?${title} `, 'm'))
-  t.regex(text, /^ {5}1 {7}1 {9}3 {8}2 {6}8 {2}/m)
+  t.regex(text, /^ {5}1 {7}1 {9}3 {8}2 {5}2 {6}8 {2}/m)
   t.notThrows(() => renderOverload(summarizeOverload([], () => ({}))))
 })
