Overload: tell by second how many targets calls were sent to

Cause: the tables did not show that engines were idle while calls were refused. Change: a column by second; the reader of targets in events is shared with explain.

--- a/src/event/explainCall/index.ts
+++ b/src/event/explainCall/index.ts
@@ -2,6 +2,7 @@
  * Explains from logs alone why a call to a gateway ended as it did: from the events of the call,
  * and from those that hosts logged shortly before its end about its targets, its host and the store.
  */
+import { listTargets } from '../listTargets/index.js'
 import { mergeTimeline } from '../mergeTimeline/index.js'
 import type { LoggedEvent } from '../types.js'
 
@@ -85,14 +86,6 @@
   })
 }
 
-/** Targets that an event names: in `target`, in a list of ids, or as the stages of its path or attempts. */
-function listTargets ({ target, removedIds, leavingIds, attempts, path }: LoggedEvent): string[] {
-  const stageTexts = [attempts, path].flatMap(texts => Array.isArray(texts) ? texts.map(String) : [])
-  const stageTargets = stageTexts.flatMap(text => text.split(',').map(stage => /^[^\s:]+/.exec(stage)?.[0] ?? ''))
-  const lists = [removedIds, leavingIds].flatMap(ids => Array.isArray(ids) ? ids.map(String) : [])
-  return [...(target === undefined ? [] : [target]), ...lists, ...stageTargets].filter(id => id !== '')
-}
-
 function describeCause (finalEvent: LoggedEvent, callEvents: readonly LoggedEvent[]): string {
   if (finalEvent.name === 'gatewayRefused') return `refused without having run: ${REFUSAL_CAUSES[String(finalEvent.reason)]?.(finalEvent) ?? String(finalEvent.reason)}`
   if (finalEvent.name === 'callerGone') return `the caller disconnected after ${formatValue(finalEvent.tookMs)} ms`
--- a/src/event/renderOverload/index.ts
+++ b/src/event/renderOverload/index.ts
@@ -63,11 +63,11 @@
   const highest = Math.max(1, ...seconds.map(({ demand, answered, refused, left }) => Math.max(demand, answered + refused + left)))
   const widthOf = (count: number): number => Math.round(count / highest * BAR_WIDTH)
   return [
-    'second  demand  answered  refused  left  queue  # answered, x refused, . left, | demand',
-    ...seconds.map(({ second, demand, answered, refused, left, queue }) => {
+    'second  demand  answered  refused  left  queue  targets  # answered, x refused, . left, | demand',
+    ...seconds.map(({ second, demand, answered, refused, left, queue, targets }) => {
       const bar = `${'#'.repeat(widthOf(answered))}${'x'.repeat(widthOf(refused))}${'.'.repeat(widthOf(left))}`.padEnd(BAR_WIDTH + 2)
       const mark = widthOf(demand)
-      return `${pad(second, 6)}  ${pad(demand, 6)}  ${pad(answered, 8)}  ${pad(refused, 7)}  ${pad(left, 4)}  ${pad(queue ?? '-', 5)}  ${bar.slice(0, mark)}|${bar.slice(mark + 1).trimEnd()}`
+      return `${pad(second, 6)}  ${pad(demand, 6)}  ${pad(answered, 8)}  ${pad(refused, 7)}  ${pad(left, 4)}  ${pad(queue ?? '-', 5)}  ${pad(targets, 7)}  ${bar.slice(0, mark)}|${bar.slice(mark + 1).trimEnd()}`
     }),
     ''
   ]
--- a/src/event/summarizeOverload/_lib/readCall.ts
+++ b/src/event/summarizeOverload/_lib/readCall.ts
@@ -1,6 +1,7 @@
 /**
  * Reads from the event that ended a call how it ended for its caller.
  */
+import { listTargets } from '../../listTargets/index.js'
 import type { LoggedEvent } from '../../types.js'
 
 /** Limits of a route within which an answer is in time, in milliseconds; what is unknown is `undefined`. */
@@ -27,6 +28,8 @@
   endedMs: number
   /** Calls that waited at its host when it ended. */
   queueLength: number | undefined
+  /** Targets that it was sent to. */
+  targets: string[]
 }
 
 /** Events that end a call. */
@@ -54,7 +57,8 @@
     tookMs,
     arrivedMs: event.wallMs - tookMs,
     endedMs: event.wallMs,
-    queueLength: numberOf(event.queueLength)
+    queueLength: numberOf(event.queueLength),
+    targets: listTargets(event)
   }
 }
 
--- a/src/event/summarizeOverload/index.ts
+++ b/src/event/summarizeOverload/index.ts
@@ -33,6 +33,8 @@
   left: number
   /** Calls that waited at all hosts: the sum of each host's longest queue; `undefined` when no line tells. */
   queue: number | undefined
+  /** Targets to which the calls that ended were sent. */
+  targets: number
 }
 
 /** How a log's calls ended. */
@@ -118,7 +120,8 @@
       answered: ended.filter(({ outcome }) => outcome === 'inTime' || outcome === 'late' || outcome === 'answered').length,
       refused: ended.filter(({ outcome }) => outcome === 'refusedOnArrival' || outcome === 'refusedAfterWaiting').length,
       left: ended.filter(({ outcome }) => outcome === 'left' || outcome === 'leftMidway').length,
-      queue: sumLongestQueues(ended)
+      queue: sumLongestQueues(ended),
+      targets: new Set(ended.flatMap(({ targets }) => targets)).size
     }
   })
 }
--- a/src/event/summarizeOverload/test.ts
+++ b/src/event/summarizeOverload/test.ts
@@ -11,8 +11,8 @@
 const limits = { objectiveMs: 400, gapObjectiveMs: 250 }
 const LOAD = [
   event('processStarted', 0, { failureDomain: 'north', request: undefined }),
-  event('gatewayAnswered', 1_000, { route: 'x', status: 200, tookMs: 1_000, firstEventMs: 300, longestPauseMs: 100, account: 'one', promptTokens: 10 }),
-  event('gatewayAnswered', 1_100, { route: 'x', status: 200, tookMs: 900, firstEventMs: 500, longestPauseMs: 100, account: 'one', promptTokens: 20 }),
+  event('gatewayAnswered', 1_000, { route: 'x', status: 200, tookMs: 1_000, firstEventMs: 300, longestPauseMs: 100, account: 'one', promptTokens: 10, attempts: ['e1:0-4,e2:4-8 complete'] }),
+  event('gatewayAnswered', 1_100, { route: 'x', status: 200, tookMs: 900, firstEventMs: 500, longestPauseMs: 100, account: 'one', promptTokens: 20, attempts: ['e1:0-8 complete'] }),
   event('gatewayAnswered', 1_200, { route: 'x', status: 200, tookMs: 900, firstEventMs: 300, longestPauseMs: 300, account: 'two' }),
   event('gatewayRefused', 1_300, { route: 'x', reason: 'overloaded', tookMs: 50, queueLength: 3 }),
   event('gatewayRefused', 1_400, { route: 'x', reason: 'overloaded', tookMs: 1_200, queueLength: 5, host: 'b' }),
@@ -39,7 +39,7 @@
 test('seconds hold arrivals, ends and the longest queue of each host', t => {
   const { seconds } = summarizeOverload(LOAD, () => limits)
   t.is(seconds.reduce((sum, { demand }) => sum + demand, 0), 9)
-  t.deepEqual(seconds[1], { second: 1, demand: 1, answered: 3, refused: 2, left: 2, queue: 8 })
+  t.deepEqual(seconds[1], { second: 1, demand: 1, answered: 3, refused: 2, left: 2, queue: 8, targets: 2 })
 })
 
 test('limits on a line come before those given', t => {
@@ -57,6 +57,6 @@
 test('text has a table for each grouping and a line for each second', t => {
   const text = renderOverload(summarizeOverload(LOAD, () => limits))
   for (const title of ['route', 'client account', 'failure domain', 'size of prompt', 'second']) t.regex(text, new RegExp(`^(\\| )?${title} `, 'm'))
-  t.regex(text, /^ {5}1 {7}1 {9}3 {8}2 {5}2 {6}8 {2}/m)
+  t.regex(text, /^ {5}1 {7}1 {9}3 {8}2 {5}2 {6}8 {8}2 {2}/m)
   t.notThrows(() => renderOverload(summarizeOverload([], () => ({}))))
 })
