--- a/src/event/summarizeOverload/index.ts
+++ b/src/event/summarizeOverload/index.ts
@@ -57,6 +57,9 @@
 const SIZE_GROUPS = 10
 const MS_PER_S = 1_000
 
+/** Longest log that is told by second: a day. */
+const MAX_SECONDS = 86_400
+
 /**
  * @name summarizeOverload
  * @summary Counts how calls ended, by group and by second.
@@ -72,6 +75,7 @@
   const calls = merged.filter(event => FINAL_EVENTS.has(event.name)).map(event => readCall(event, limitsOf(String(event.route))))
   const domains = new Map(merged.flatMap(({ host, failureDomain }) => typeof failureDomain === 'string' ? [[host, failureDomain] as const] : []))
   const startMs = calls.reduce((earliest, { arrivedMs }) => Math.min(earliest, arrivedMs), calls[0]?.arrivedMs ?? 0)
+  const seconds = countSeconds(calls, startMs)
   return {
     startMs,
     total: countCalls('all', calls),
@@ -79,8 +83,11 @@
     byAccount: groupCalls(calls, ({ account }) => account ?? UNKNOWN),
     byFailureDomain: groupCalls(calls, ({ host }) => domains.get(host) ?? UNKNOWN),
     byPromptSize: groupBySize(calls),
-    seconds: countSeconds(calls, startMs),
-    lacking: listLacking(merged, calls, domains)
+    seconds,
+    lacking: [
+      ...(calls.length > 0 && seconds.length === 0 ? ['seconds: the lines span more than a day, or a clock was wrong'] : []),
+      ...listLacking(merged, calls, domains)
+    ]
   }
 }
 
@@ -112,6 +119,7 @@
   const arrivals = groupBy(calls.filter(({ outcome }) => outcome !== 'notAllowed'), ({ arrivedMs }) => secondOf(arrivedMs))
   const ends = groupBy(calls, ({ endedMs }) => secondOf(endedMs))
   const length = Math.max(0, ...arrivals.keys(), ...ends.keys()) + (calls.length > 0 ? 1 : 0)
+  if (length > MAX_SECONDS) return []
   return Array.from({ length }, (_, second) => {
     const ended = ends.get(second) ?? []
     return {
--- a/src/event/summarizeOverload/test.ts
+++ b/src/event/summarizeOverload/test.ts
@@ -54,6 +54,12 @@
   t.deepEqual(lacking.map(text => text.split(':')[0]), ['objective or longest pause', 'client account', 'size of prompt', 'failure domain, which the line processStarted tells', 'the end of 1 calls, whose hosts stopped or whose lines are missing', '7 lines gatewayRefused, dropped above their rate limit'])
 })
 
+test('lines of a wrong clock give no plot', t => {
+  const { seconds, lacking } = summarizeOverload([...LOAD, event('callerGone', 1e12, { route: 'y', tookMs: 1 })], () => limits)
+  t.deepEqual(seconds, [])
+  t.regex(lacking[0]!, /a clock was wrong/)
+})
+
 test('text has a table for each grouping and a line for each second', t => {
   const text = renderOverload(summarizeOverload(LOAD, () => limits))
   for (const title of ['route', 'client account', 'failure domain', 'size of prompt', 'second']) t.regex(text, new RegExp(`^(\\| )?${title} `, 'm'))
