--- a/src/event/summarizeOverload/index.ts
+++ b/src/event/summarizeOverload/index.ts
@@ -73,7 +73,7 @@
 export function summarizeOverload (events: readonly LoggedEvent[], limitsOf: (route: string) => RouteLimits): OverloadSummary {
   const merged = mergeTimeline(events)
   const calls = merged.filter(event => FINAL_EVENTS.has(event.name)).map(event => readCall(event, limitsOf(String(event.route))))
-  const domains = new Map(merged.flatMap(({ host, failureDomain }) => typeof failureDomain === 'string' ? [[host, failureDomain] as const] : []))
+  const domains = new Map(merged.flatMap(({ name, host, failureDomain }) => name === 'processStarted' && typeof failureDomain === 'string' ? [[host, failureDomain] as const] : []))
   const startMs = calls.reduce((earliest, { arrivedMs }) => Math.min(earliest, arrivedMs), calls[0]?.arrivedMs ?? 0)
   const seconds = countSeconds(calls, startMs)
   return {
