--- a/src/event/summarizeOverload/_lib/readCall.ts
+++ b/src/event/summarizeOverload/_lib/readCall.ts
@@ -1,6 +1,7 @@
 /**
  * Reads from the event that ended a call how it ended for its caller.
  */
+import { listTargets } from '../../listTargets/index.js'
 import type { LoggedEvent } from '../../types.js'
 
 /** Limits of a route within which an answer is in time, in milliseconds; what is unknown is `undefined`. */
@@ -9,8 +10,8 @@
   gapObjectiveMs?: number
 }
 
-/** Ways in which a call ends. `answered` is an answer of which it cannot be told whether it was in time. */
-export const OUTCOMES = ['inTime', 'late', 'answered', 'refusedOnArrival', 'refusedAfterWaiting', 'notAllowed', 'failed', 'brokenOff', 'left'] as const
+/** Ways in which a call ends. `answered`: whether in time cannot be told. `leftMidway`: the caller left after it had received events. */
+export const OUTCOMES = ['inTime', 'late', 'answered', 'refusedOnArrival', 'refusedAfterWaiting', 'notAllowed', 'failed', 'brokenOff', 'left', 'leftMidway'] as const
 export type Outcome = typeof OUTCOMES[number]
 
 /** One call as its last event tells it. */
@@ -27,6 +28,8 @@
   endedMs: number
   /** Calls that waited at its host when it ended. */
   queueLength: number | undefined
+  /** Targets that it was sent to. */
+  targets: string[]
 }
 
 /** Events that end a call. */
@@ -54,13 +57,14 @@
     tookMs,
     arrivedMs: event.wallMs - tookMs,
     endedMs: event.wallMs,
-    queueLength: numberOf(event.queueLength)
+    queueLength: numberOf(event.queueLength),
+    targets: listTargets(event)
   }
 }
 
 function findOutcome (event: LoggedEvent, { objectiveMs, gapObjectiveMs }: RouteLimits): Outcome {
   const tookMs = numberOf(event.tookMs) ?? 0
-  if (event.name === 'callerGone') return 'left'
+  if (event.name === 'callerGone') return numberOf(event.lastEventId) === undefined ? 'left' : 'leftMidway'
   if (event.name === 'gatewayFailed') return event.isCut === true ? 'brokenOff' : 'failed'
   if (event.name === 'gatewayRefused') {
     if (!LOAD_REASONS.has(String(event.reason))) return 'notAllowed'
--- a/src/event/summarizeOverload/index.ts
+++ b/src/event/summarizeOverload/index.ts
@@ -30,8 +30,11 @@
   /** Calls that ended, by their end. */
   answered: number
   refused: number
+  left: number
   /** Calls that waited at all hosts: the sum of each host's longest queue; `undefined` when no line tells. */
   queue: number | undefined
+  /** Targets to which the calls that ended were sent. */
+  targets: number
 }
 
 /** How a log's calls ended. */
@@ -54,6 +57,9 @@
 const SIZE_GROUPS = 10
 const MS_PER_S = 1_000
 
+/** Longest log that is told by second: a day. */
+const MAX_SECONDS = 86_400
+
 /**
  * @name summarizeOverload
  * @summary Counts how calls ended, by group and by second.
@@ -67,8 +73,9 @@
 export function summarizeOverload (events: readonly LoggedEvent[], limitsOf: (route: string) => RouteLimits): OverloadSummary {
   const merged = mergeTimeline(events)
   const calls = merged.filter(event => FINAL_EVENTS.has(event.name)).map(event => readCall(event, limitsOf(String(event.route))))
-  const domains = new Map(merged.flatMap(({ host, failureDomain }) => typeof failureDomain === 'string' ? [[host, failureDomain] as const] : []))
+  const domains = new Map(merged.flatMap(({ name, host, failureDomain }) => name === 'processStarted' && typeof failureDomain === 'string' ? [[host, failureDomain] as const] : []))
   const startMs = calls.reduce((earliest, { arrivedMs }) => Math.min(earliest, arrivedMs), calls[0]?.arrivedMs ?? 0)
+  const seconds = countSeconds(calls, startMs)
   return {
     startMs,
     total: countCalls('all', calls),
@@ -76,8 +83,11 @@
     byAccount: groupCalls(calls, ({ account }) => account ?? UNKNOWN),
     byFailureDomain: groupCalls(calls, ({ host }) => domains.get(host) ?? UNKNOWN),
     byPromptSize: groupBySize(calls),
-    seconds: countSeconds(calls, startMs),
-    lacking: listLacking(merged, calls, domains)
+    seconds,
+    lacking: [
+      ...(calls.length > 0 && seconds.length === 0 ? ['seconds: the lines span more than a day, or a clock was wrong'] : []),
+      ...listLacking(merged, calls, domains)
+    ]
   }
 }
 
@@ -109,6 +119,7 @@
   const arrivals = groupBy(calls.filter(({ outcome }) => outcome !== 'notAllowed'), ({ arrivedMs }) => secondOf(arrivedMs))
   const ends = groupBy(calls, ({ endedMs }) => secondOf(endedMs))
   const length = Math.max(0, ...arrivals.keys(), ...ends.keys()) + (calls.length > 0 ? 1 : 0)
+  if (length > MAX_SECONDS) return []
   return Array.from({ length }, (_, second) => {
     const ended = ends.get(second) ?? []
     return {
@@ -116,7 +127,9 @@
       demand: arrivals.get(second)?.length ?? 0,
       answered: ended.filter(({ outcome }) => outcome === 'inTime' || outcome === 'late' || outcome === 'answered').length,
       refused: ended.filter(({ outcome }) => outcome === 'refusedOnArrival' || outcome === 'refusedAfterWaiting').length,
-      queue: sumLongestQueues(ended)
+      left: ended.filter(({ outcome }) => outcome === 'left' || outcome === 'leftMidway').length,
+      queue: sumLongestQueues(ended),
+      targets: new Set(ended.flatMap(({ targets }) => targets)).size
     }
   })
 }
