Find engines that run slower than their kind

Cause: an engine that runs at a twelfth of its speed shows it in the pauses between its events, which hosts measured and did not use. Change: createSlowdowns divides what a path needs beyond what is known of its engines among them (a Kaczmarz step for each observation), against the fastest paths, so that load common to all slows down none; it halves in a second. createPaceObserver feeds it from the streams of this host, and createSuspicions multiplies its slowness with it. Off where the model does not state the tokens of an event. Weighed: dividing blame in proportion to the known slowdown (too slow for one second) and to its square (unstable).

--- a/src/gateway/_lib/attemptStream.ts
+++ b/src/gateway/_lib/attemptStream.ts
@@ -8,6 +8,7 @@
 import type { ActiveStream, Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 import { closeWhenCrashing } from './crashingRequests.js'
 import { countTokens, expectOutput, learnOutput } from './estimateRequestSize.js'
+import { createPaceObserver } from './createPaceObserver.js'
 import { openExchange, type Exchange } from './openExchange.js'
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 
@@ -46,7 +47,7 @@
 
 interface RegisteredStream extends Disposable {
   active: ActiveStream
-  noteProgress: (lastEventId: number | undefined) => void
+  noteProgress: (lastEventId: number | undefined, isHeldUp: boolean) => void
 }
 
 function registerStream (call: Call, reservation: Reservation, size: RequestSize, exchange: Exchange, run: TargetRun, mayInterrupt: () => boolean, context: GatewayContext): RegisteredStream {
@@ -82,10 +83,12 @@
       exchange.close('own link to the engine lost')
     }
   }
+  const pace = createPaceObserver(call.service, () => active.path, context)
   streams.add(active)
   return {
     active,
-    noteProgress (lastEventId) {
+    noteProgress (lastEventId, isHeldUp) {
+      pace.note(lastEventId, isHeldUp)
       const madeTokens = countTokens(call, lastEventId)
       if (madeTokens === undefined || madeTokens < untilTokens) return
       const planned = planClaim(estimate, { promptTokens: size.promptTokens, madeTokens, maxTokens: call.facts.maxOutputTokens })
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -44,8 +44,8 @@
 interface ObservedRun {
   run: TargetRun
   stream: ActiveStream | undefined
-  /** Told the id of the last event that was relayed. */
-  onProgress: (lastEventId: number | undefined) => void
+  /** Told the id of the last event that was relayed, and whether the caller held up the stream before it. */
+  onProgress: (lastEventId: number | undefined, isHeldUp: boolean) => void
 }
 
 /** Checks the status and headers of an answer and relays its events. */
@@ -69,6 +69,7 @@
   const { response, startedMs } = call
   const { format, metrics, runtime, suspicions } = context
   const split = createEventSplitter()
+  let isHeldUp = false
   return new Promise(resolve => {
     const fail = (cause: string): void => {
       const isBrokenByTarget = !exchange.isClosedHere()
@@ -77,6 +78,8 @@
     }
     answer.on('data', (chunk: Buffer) => {
       const nowMs = runtime.monotonicMs()
+      const wasHeldUp = isHeldUp
+      isHeldUp = false
       for (const event of split(chunk)) {
         if (event.id === undefined) return fail('event without id')
         if (progress.lastEventId !== undefined && event.id !== progress.lastEventId + 1) return fail(`event id ${event.id} follows ${progress.lastEventId}`)
@@ -89,13 +92,14 @@
         progress.lastEventId = event.id
         recordPause(progress, nowMs)
         if (!response.write(event.bytes)) {
+          isHeldUp = true
           answer.pause()
           response.once('drain', () => answer.resume())
         }
       }
       if (split.bufferedBytes() > MAX_EVENT_BYTES) return fail('event too large')
       noteProgress(call, run, context)
-      onProgress(progress.lastEventId)
+      onProgress(progress.lastEventId, wasHeldUp)
       if (stream === undefined) return
       if (stream.hasStarted) stream.meanPauseMs += PAUSE_WEIGHT * (nowMs - stream.lastProgressMs - stream.meanPauseMs)
       stream.lastProgressMs = nowMs
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -4,6 +4,7 @@
  */
 import { setMaxListeners } from 'node:events'
 import { createCostModel } from '../../cost/createCostModel/index.js'
+import { createSlowdowns } from '../../cost/createSlowdowns/index.js'
 import { createCrashEvidence } from '../../crash/createCrashEvidence/index.js'
 import { createDigestExchange } from '../../digest/createDigestExchange/index.js'
 import type { HostState, Notices } from '../../digest/types.js'
@@ -89,7 +90,8 @@
   setMaxListeners(0, callsController.signal)
   const fleet = createFleetState({ runtime })
   const loadTracker = createLoadTracker({ runtime, hostCount: () => exchange.hostCount() })
-  const suspicions = createSuspicions({ runtime })
+  const slowdowns = createSlowdowns({ runtime })
+  const suspicions = createSuspicions({ runtime, slowdownOf: slowdowns.slowdownOf })
   const targetLimits = createTargetLimits({ runtime, log, ownIp: settings.ip, otherIps: () => exchange.memberIps() })
   const targetPauses = createTargetPauses({ runtime, log })
   const crashEvidence = createCrashEvidence({ runtime, log, onVerdict: (verdict, kind) => metrics[kind === 'part' ? 'promptVerdicts' : 'requestVerdicts'].inc({ verdict }) })
@@ -180,6 +182,7 @@
     targetLimits,
     targetPauses,
     costs: createCostModel({ runtime }),
+    slowdowns,
     crashEvidence,
     tellPeers: exchange.sendNow,
     hasCrashed: createCrashDetector({ links, runtime }),
@@ -199,6 +202,7 @@
   fleet.onChange(() => {
     const targetIds = new Set(fleet.targets().map(target => target.id))
     suspicions.retain(targetIds)
+    slowdowns.retain(targetIds)
     targetLimits.retain(targetIds)
     targetPauses.forgetRestarted(fleet.targets())
   })
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -3,6 +3,7 @@
  * progress, and the settings and adapters that a gateway starts with.
  */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import type { Slowdowns } from '../cost/createSlowdowns/index.js'
 import type { CostModel } from '../cost/createCostModel/index.js'
 import type { CrashEvidence } from '../crash/createCrashEvidence/index.js'
 import type { DigestSocket } from '../digest/types.js'
@@ -182,6 +183,8 @@
   targetPauses: TargetPauses
   /** What requests cost, as earlier answers show. */
   costs: CostModel
+  /** Which engines run slower than their kind. */
+  slowdowns: Slowdowns
   /** Which parts of prompts crash engines. */
   crashEvidence: CrashEvidence
   /** Sends digests at once. */
--- a/src/suspicion/createSuspicions/index.ts
+++ b/src/suspicion/createSuspicions/index.ts
@@ -37,7 +37,7 @@
   isFoundUnfit: (targetId: string) => boolean
   /** Whether work passed through the target within the last `withinMs` milliseconds. */
   hasProgressed: (targetId: string, withinMs: number) => boolean
-  /** Factor by which to multiply the expected time of the target; 1 if no failure is known, infinite while it is down. */
+  /** Factor by which to multiply the expected time of the target; 1 if neither a failure nor a slowdown is known, infinite while it is down. */
   slownessOf: (targetId: string) => number
   /** Suspicions that rest on this host's own observations, to send to peers. */
   share: () => SharedSuspicion[]
@@ -88,14 +88,14 @@
 /**
  * @name createSuspicions
  * @summary Creates the suspicions of one host, with no observations yet.
- * @param options - The runtime.
+ * @param options - The runtime, and the factor by which each target is slower than its kind; 1 by default.
  * @returns The suspicions.
  *
  * @example
  * suspicions.note(target.id, 'unreachable')
  */
-export function createSuspicions (options: { runtime: Runtime }): Suspicions {
-  const { runtime } = options
+export function createSuspicions (options: { runtime: Runtime, slowdownOf?: (targetId: string) => number }): Suspicions {
+  const { runtime, slowdownOf = () => 1 } = options
   const records = new Map<string, TargetRecord>()
 
   function getOrCreateRecord (targetId: string): TargetRecord {
@@ -154,7 +154,7 @@
     slownessOf (targetId) {
       if (isDown(targetId)) return Infinity
       const record = records.get(targetId)
-      return record === undefined ? 1 : 1 + MAX_ADDED_SLOWNESS * decayedFailureRate(record) ** 2
+      return slowdownOf(targetId) * (record === undefined ? 1 : 1 + MAX_ADDED_SLOWNESS * decayedFailureRate(record) ** 2)
     },
     share () {
       const nowMs = runtime.monotonicMs()
--- a/src/suspicion/createSuspicions/test.ts
+++ b/src/suspicion/createSuspicions/test.ts
@@ -62,3 +62,11 @@
   for (const observation of ['refused', 'refused', 'progressed', 'refused'] as const) suspicions.note('a', observation)
   t.false(suspicions.isUnfit('a'))
 })
+
+test('a target that is slower than its kind counts as slower, beside its failures', t => {
+  const suspicions = createSuspicions({ runtime: createManualRuntime(), slowdownOf: id => id === 'a' ? 6 : 1 })
+  t.is(suspicions.slownessOf('a'), 6)
+  suspicions.note('a', 'lostAnswer')
+  t.true(suspicions.slownessOf('a') > 6)
+  t.is(suspicions.slownessOf('b'), 1)
+})
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -5,6 +5,7 @@
 import { createGatewayMetrics } from '../../src/gateway/createGatewayMetrics/index.js'
 import { createCallHandler } from '../../src/gateway/createCallHandler/index.js'
 import { createCostModel } from '../../src/cost/createCostModel/index.js'
+import { createSlowdowns } from '../../src/cost/createSlowdowns/index.js'
 import { createCrashEvidence } from '../../src/crash/createCrashEvidence/index.js'
 import { createCrashDetector } from '../../src/gateway/_lib/createCrashDetector.js'
 import type { GatewayContext, Reservation } from '../../src/gateway/types.js'
@@ -77,7 +78,8 @@
   const configuration = 'configuration' in options ? options.configuration : TEST_CONFIGURATION
   if (configuration !== undefined) fleet.applyConfiguration(configuration)
   fleet.applySnapshot({ revision: 1, targets: [...targets] })
-  const suspicions = createSuspicions({ runtime })
+  const slowdowns = createSlowdowns({ runtime })
+  const suspicions = createSuspicions({ runtime, slowdownOf: slowdowns.slowdownOf })
   const dispatchers = new Map<string, Dispatcher<Reservation>>()
   const log = createTestLog()
   const linksController = new AbortController()
@@ -94,6 +96,7 @@
     targetLimits: createTargetLimits({ runtime, log, ownIp: '127.0.0.1', otherIps: () => [] }),
     targetPauses: createTargetPauses({ runtime, log }),
     costs: createCostModel({ runtime }),
+    slowdowns,
     crashEvidence: createCrashEvidence({ runtime, log }),
     tellPeers: () => {},
     hasCrashed: createCrashDetector({ links, runtime }),
--- a/test/gateway/cost.test.ts
+++ b/test/gateway/cost.test.ts
@@ -2,7 +2,12 @@
 import type { EngineModel, Target } from '../../src/fleet/types.js'
 import { buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
 import { hashLoadKey } from '../../src/path/hashLoadKey/index.js'
-import { TEST_MODEL } from '../fakes/buildFleet.js'
+import { createSlowdowns } from '../../src/cost/createSlowdowns/index.js'
+import type { StageTime } from '../../src/cost/expectEventMs/index.js'
+import { createPaceObserver } from '../../src/gateway/_lib/createPaceObserver.js'
+import { createLoadTracker } from '../../src/path/createLoadTracker/index.js'
+import { buildEngine, TEST_MODEL } from '../fakes/buildFleet.js'
+import { createManualRuntime } from '../fakes/createManualRuntime.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 /** Streams two events, and ends. */
@@ -64,3 +69,23 @@
   t.true(Math.max(...sizes) >= 700, `${sizes}`)
   t.is(tokens(), 0)
 })
+
+/** Feeds events of a stream over one engine to an observer, and collects what it notes as the time taken for each ms expected. */
+async function observe (events: ReadonlyArray<{ afterMs: number, isHeldUp?: boolean }>, model: Partial<EngineModel> = { tokensPerEvent: 1 }): Promise<number[]> {
+  const runtime = createManualRuntime()
+  const factors: number[] = []
+  const slowdowns = { ...createSlowdowns({ runtime }), note: (stages: readonly StageTime[], tookMs: number) => { factors.push(tookMs / stages[0]!.expectedMs) } }
+  const path = [{ target: buildEngine('a', 'north', 'large'), from: 0, to: 80 }]
+  const pace = createPaceObserver({ name: 'model', model: { ...TEST_MODEL, kinds: { large: { memoryMb: 1, pace: 10 / 0.85, prefillFactor: 1 } }, perSequenceMs: 0, perContextKMs: 0, ...model } }, () => path, { slowdowns, loadTracker: createLoadTracker({ runtime }), runtime })
+  for (const [index, { afterMs, isHeldUp = false }] of events.entries()) {
+    await runtime.advance(afterMs)
+    pace.note(index + 1, isHeldUp)
+  }
+  return factors.map(factor => Math.round(factor))
+}
+
+test('the pace of a stream is observed between its events, unless its caller held it up', async t => {
+  t.deepEqual(await observe([{ afterMs: 900 }, { afterMs: 60 }, { afterMs: 60 }, { afterMs: 120 }]), [6, 12])
+  t.deepEqual(await observe([{ afterMs: 900 }, { afterMs: 5_000, isHeldUp: true }, { afterMs: 120 }]), [12])
+  t.deepEqual(await observe([{ afterMs: 900 }, { afterMs: 120 }], { tokensPerEvent: undefined }), [])
+})
