--- a/src/gateway/_lib/requestPlace.ts
+++ b/src/gateway/_lib/requestPlace.ts
@@ -6,7 +6,8 @@
 import type { PlaceOutcome } from '../../waiting/createDispatcher/index.js'
 import type { Call, GatewayContext, Reservation } from '../types.js'
 import { findCrashing } from './crashingRequests.js'
-import { pauseLeftMs, reservePath, reserveTarget } from './reserveCapacity.js'
+import { pauseLeftMs, reservePath } from './reserveCapacity.js'
+import { reserveTarget } from './reserveTarget.js'
 
 /** Longest useful wait of a new request for a reservation, as a multiple of the route's latency objective; callers give up on a silent stream after four. */
 const MAX_WAIT_OBJECTIVES = 3
--- a/src/gateway/_lib/reserveCapacity.ts
+++ b/src/gateway/_lib/reserveCapacity.ts
@@ -1,15 +1,12 @@
 /**
- * Reserves capacity for requests: a path over engines with enough memory, or the least busy
- * target of a plain service.
+ * Reserves paths over engines with enough memory, and says when targets that hold requests back
+ * may get some again.
  */
 import type { Service, Target } from '../../fleet/types.js'
 import { choosePath, type RequestSize } from '../../path/choosePath/index.js'
 import { jitterPathOptions } from '../../path/jitterPathOptions/index.js'
 import type { GatewayContext, Reservation } from '../types.js'
 
-/** Penalty for a target in another failure domain than the host's, in requests in progress. */
-const OTHER_DOMAIN_PENALTY = 0.5
-
 /** Links between failure domains that a path may cross when no path within the usual limit covers the model. */
 const FALLBACK_MAX_CROSSINGS = 4
 
@@ -19,9 +16,6 @@
 /** Time over which callers return after the end of a pause, in milliseconds. */
 const RETURN_SPREAD_MS = 1_000
 
-/** Size of a request to a plain target; for these only the number of requests matters. */
-const PLAIN_SIZE: RequestSize = { promptTokens: 0, outputTokens: 0 }
-
 /** Reserves a path over engines, or returns `undefined` while no path has enough memory. */
 export function reservePath (service: Service, size: RequestSize, excluded: ReadonlySet<string>, ownDomain: string, context: GatewayContext): Reservation | undefined {
   const model = service.model!
@@ -42,7 +36,7 @@
 type StatementContext = Pick<GatewayContext, 'targetLimits' | 'targetPauses'>
 
 /** Whether the target may be sent a request now, by what it said itself. */
-function mayTake (targetId: string, { targetLimits, targetPauses }: StatementContext): boolean {
+export function mayTake (targetId: string, { targetLimits, targetPauses }: StatementContext): boolean {
   return targetLimits.mayTake(targetId) && targetPauses.mayTake(targetId)
 }
 
@@ -73,21 +67,3 @@
   if (leftMs === 0) return { retryAfterMs: defaultMs }
   return { retryAfterMs: Math.round(Math.max(defaultMs, leftMs + context.runtime.random() * RETURN_SPREAD_MS)), pauseLeftMs: Math.round(leftMs) }
 }
-
-/** Reserves the least busy target of a plain service that is not excluded, or returns `undefined`. */
-export function reserveTarget (service: Service, excluded: ReadonlySet<string>, ownDomain: string, context: GatewayContext): Reservation | undefined {
-  const { fleet, loadTracker, suspicions, targetLimits, targetPauses } = context
-  const cost = (target: Target): number => {
-    const otherDomain = target.failureDomain === ownDomain ? 0 : OTHER_DOMAIN_PENALTY
-    return (1 + loadTracker.loadOf(target.id).sequences + otherDomain) * suspicions.slownessOf(target.id)
-  }
-  const candidates = fleet.servingTargets(service.name).filter(candidate => !excluded.has(candidate.id) && mayTake(candidate.id, context))
-  const usable = candidates.filter(candidate => Number.isFinite(cost(candidate))).sort((a, b) => cost(a) - cost(b))
-  // A target that only refused a request recently is better than none.
-  const target = usable[0] ?? candidates.find(candidate => !suspicions.isUnfit(candidate.id))
-  if (target === undefined) return undefined
-  targetLimits.take(target.id)
-  targetPauses.take(target.id)
-  const claim = loadTracker.claim([{ target, from: 0, to: 1 }], PLAIN_SIZE)
-  return { target, path: undefined, [Symbol.dispose]: () => claim[Symbol.dispose]() }
-}
