--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -10,7 +10,8 @@
 import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
 import { describeReturn } from './describeReturn.js'
-import { isAnyHeldBack, reserveTarget } from './reserveCapacity.js'
+import { isAnyHeldBack } from './reserveCapacity.js'
+import { reserveTarget } from './reserveTarget.js'
 import { endCrashingCall, findCrashing, noteCrash, traitsOf } from './crashingRequests.js'
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 
