--- a/src/placement/planPlacement/index.ts
+++ b/src/placement/planPlacement/index.ts
@@ -34,13 +34,13 @@
   const domains = [...new Set(engines.map(engine => engine.target.failureDomain))].sort()
     .map(name => engines.filter(engine => engine.target.failureDomain === name))
   const boundaries = new Set(engines.flatMap(({ layers }) => layers === undefined ? [] : [layers.from, layers.to]))
-  const richPlans = domains.map(members => {
-    const plan = planRichDomain(members, { model, boundaries })
+  const largePlans = domains.map(members => {
+    const plan = planLargeDomain(members, { model, boundaries })
     for (const { range } of plan?.loads ?? []) boundaries.add(range.from).add(range.to)
     return plan
   })
-  const fastReplica = planFastReplica(domains.filter((_, index) => richPlans[index] === undefined).flat(), { model })
-  const plans = domains.map((members, index) => richPlans[index] ?? planDomain(members, fastReplica.memberIds, model))
+  const fastReplica = planFastReplica(domains.filter((_, index) => largePlans[index] === undefined).flat(), { model })
+  const plans = domains.map((members, index) => largePlans[index] ?? planDomain(members, fastReplica.memberIds, model))
   const loads = [...fastReplica.loads, ...plans.sort((a, b) => a.missingLayers - b.missingLayers).flatMap(plan => plan.loads)]
   return [...loads, ...fillModelGaps(engines, loads, model)]
 }
@@ -53,7 +53,7 @@
 }
 
 /** Plans a domain whose engines suffice to hold every layer at least twice; `undefined` for others. */
-function planRichDomain (engines: readonly PlacementEngine[], { model, boundaries }: ReplicaOptions): DomainPlan | undefined {
+function planLargeDomain (engines: readonly PlacementEngine[], { model, boundaries }: ReplicaOptions): DomainPlan | undefined {
   const usable = engines.filter(engine => engine.isUsable)
   const held = usable.flatMap(({ target, layers }) => layers === undefined ? [] : [{ target, range: layers }])
   const coverage = countCoverage(held.map(({ range }) => range), model)
--- a/src/placement/runPlacement/test.ts
+++ b/src/placement/runPlacement/test.ts
@@ -112,3 +112,26 @@
   t.deepEqual(placement.accepted.map(({ target, range }) => [target.id, range]), [['empty', { from: 0, to: 8 }]])
   t.deepEqual(placement.log.recent().filter(({ name }) => name === 'engineLeftOut').map(({ target, cause }) => [target, cause]), [['odd', 'unknown kind']])
 })
+
+test('the successor of an engine that leaves loads its layers while it still serves', async t => {
+  const [leaving, ...others] = buildDomain(1, 1)
+  const placement = startPlacement([leaving!, ...others])
+  await placement.runtime.advance(1_000)
+  placement.list([{ ...leaving!, isLeaving: true }, ...others])
+  await placement.runtime.advance(2_000)
+  placement.stop()
+  t.deepEqual(placement.accepted.map(({ target, range }) => [target.id, range]), [['empty0', leaving!.layers!]])
+  const [plan] = placement.log.recent().filter(({ name }) => name === 'placementPlanned')
+  t.like(plan, { service: 'model', loads: 1, deferred: 0, pending: 0, serving: 'north 0/s at layers 0-8' })
+})
+
+test('loads beyond those that run at once at full speed wait', async t => {
+  const copies = buildDomain(3, 0)
+  const placement = startPlacement(copies.map(({ layers, ...target }, index) => index < 10 ? { ...target, layers: layers! } : target))
+  await placement.runtime.advance(500)
+  t.is(placement.accepted.length, TEST_MODEL.loadsAtOnce)
+  await placement.runtime.advance(20_000)
+  placement.stop()
+  t.is(new Set(placement.accepted.map(({ target }) => target.id)).size, 20)
+  t.is(placement.accepted.length, 20)
+})
