--- a/src/waiting/_lib/createQueueJudge.ts
+++ b/src/waiting/_lib/createQueueJudge.ts
@@ -17,6 +17,9 @@
 /** What was served of an account, as a multiple of the mean, from which it is told. */
 const LARGE_ACCOUNT_FACTOR = 1.5
 
+/** Interval at which accounts are told, in milliseconds; what was served of them changes over minutes. */
+const ACCOUNTS_INTERVAL_MS = 1_000
+
 /** Rate of places to assume at least, for all hosts together: few or none are assigned right after a fault that is being repaired. */
 const MIN_PLACES_PER_S = 4
 
@@ -69,6 +72,7 @@
   const record = createQueueRecord({ runtime })
   /** Number of requests that this host told to be waiting, by rank. */
   const toldWaiting = new Map<number, number>()
+  let accountsToldMs = -Infinity
   const toldAccounts = new Map<string, ServedShare>()
   /** Arrivals a second by rank, as they were known within `LASTING_MS`. */
   let samples: Array<{ atMs: number, arrivalsPerS: ReadonlyMap<number, number> }> = []
@@ -99,6 +103,8 @@
   }
 
   function tellAccounts (isWaiting: boolean): void {
+    if (runtime.monotonicMs() - accountsToldMs < ACCOUNTS_INTERVAL_MS) return
+    accountsToldMs = runtime.monotonicMs()
     const accounts = isWaiting ? record.accounts() : []
     const leastServed = LARGE_ACCOUNT_FACTOR * record.overall().served / accounts.length
     const largest = accounts.filter(account => record.accountShare(account).served > leastServed).sort((a, b) => record.accountShare(b).served - record.accountShare(a).served).slice(0, MAX_TOLD_ACCOUNTS)
