--- a/src/event/summarizeOverload/_lib/readCall.ts
+++ b/src/event/summarizeOverload/_lib/readCall.ts
@@ -41,8 +41,8 @@
 /** The same for a route of unknown objective, in milliseconds. */
 const USUAL_ARRIVAL_MS = 50
 
-/** Reasons for which a call is refused whatever the load. */
-const LOAD_REASONS = new Set(['overloaded', 'noPipeline', 'targetUnreachable', 'accountLimit', 'draining', 'notReady', 'storeUnavailable', 'staleConfiguration', 'promptCrashesEngines', 'requestCrashesEngines'])
+/** Reasons that lie with the load or the fleet; a refusal for another one lies with the call. */
+const LOAD_REASONS = new Set(['overloaded', 'noPipeline', 'targetUnreachable', 'accountLimit', 'draining', 'notReady', 'storeUnavailable', 'staleConfiguration'])
 
 /** Reads one final event; limits on its line come before those given. */
 export function readCall (event: LoggedEvent, given: RouteLimits): EndedCall {
@@ -77,7 +77,9 @@
   const longestPauseMs = numberOf(event.longestPauseMs)
   const isLate = (firstEventMs ?? tookMs) > objectiveMs || (longestPauseMs !== undefined && gapObjectiveMs !== undefined && longestPauseMs > gapObjectiveMs)
   if (isLate) return 'late'
-  return longestPauseMs !== undefined && gapObjectiveMs === undefined ? 'answered' : 'inTime'
+  // A line with an objective holds that for pauses too, if its route has one.
+  const arePausesKnown = gapObjectiveMs !== undefined || longestPauseMs === undefined || event.objectiveMs !== undefined
+  return arePausesKnown ? 'inTime' : 'answered'
 }
 
 function numberOf (value: unknown): number | undefined {
--- a/src/event/summarizeOverload/test.ts
+++ b/src/event/summarizeOverload/test.ts
@@ -47,6 +47,14 @@
   t.is(total.inTime, 1)
 })
 
+test('pauses of a stream are judged by the route, or not at all', t => {
+  const stream = { route: 'x', status: 200, tookMs: 900, firstEventMs: 10, longestPauseMs: 700 }
+  const outcomesOf = (fields: object, given: object): object => summarizeOverload([event('gatewayAnswered', 1_000, { ...stream, ...fields })], () => given).total
+  t.like(outcomesOf({}, { objectiveMs: 400 }), { answered: 1 })
+  t.like(outcomesOf({ objectiveMs: 400 }, {}), { inTime: 1 })
+  t.like(outcomesOf({ objectiveMs: 400, gapObjectiveMs: 250 }, {}), { late: 1 })
+})
+
 test('what the log lacks is listed', t => {
   const dropped = event('eventsDropped', 2_000, { dropped: { gatewayRefused: 7 }, request: undefined })
   const { lacking, total } = summarizeOverload([...LOAD, dropped, event('streamResumed', 1_100)], () => ({}))
