Add coltsfootlead where: where a request would go now, and why

Cause: operators could explain calls that ended, but not where one would go. Change: GET /where on the internal port makes the choice of reservePath or reserveTarget on a context that keeps nothing of it, and lists the candidates with what excludes them; src/cli/commands/where.ts asks it. The gauge targets{state="slow"} counts slow engines. Open: expected wait and Retry-After, which the queue doesn't tell.

--- a/src/bin/coltsfootlead.ts
+++ b/src/bin/coltsfootlead.ts
@@ -8,11 +8,12 @@
 import { ExplainCommand, InForceCommand, MembersCommand } from '../cli/commands/read.js'
 import { TicketListCommand, TicketShowCommand, TicketSubmitCommand } from '../cli/commands/ticket.js'
 import { TimelineCommand } from '../cli/commands/timeline.js'
+import { WhereCommand } from '../cli/commands/where.js'
 
 const cli = new Cli({ binaryName: 'coltsfootlead', binaryLabel: 'coltsfootlead operator command line', binaryVersion: '0.1.0' })
 const commands = [
   Builtins.HelpCommand, Builtins.VersionCommand, PlatformCheckCommand, TokenCommand, TicketSubmitCommand, TicketShowCommand,
-  TicketListCommand, InForceCommand, ExplainCommand, MembersCommand, TimelineCommand
+  TicketListCommand, InForceCommand, ExplainCommand, MembersCommand, TimelineCommand, WhereCommand
 ]
 for (const command of commands) cli.register(command)
 await cli.runExit(process.argv.slice(2))
--- a/src/gateway/_lib/internalPort.ts
+++ b/src/gateway/_lib/internalPort.ts
@@ -13,6 +13,7 @@
 import { withDeadline } from '../../runtime/withDeadline/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import type { GatewayMetrics } from '../createGatewayMetrics/index.js'
+import type { PlaceExplanation } from './explainPlace.js'
 
 /** State as a peer sends it: what the requesting host does not have yet. */
 const stateSchema = z.object({
@@ -44,6 +45,8 @@
   runtime: Runtime
   /** Updates the gauges before the metrics are read. */
   updateMetrics: () => void
+  /** Answers where a request would go now; the endpoint is absent without it. */
+  explainPlace?: (query: URLSearchParams) => PlaceExplanation
 }
 
 /** Compresses answers; the children of a host mostly ask for the same at the same time, so the last answer is kept. */
@@ -55,8 +58,8 @@
   }
 }
 
-/** Serves `/state` and `/metrics`. */
-export function createInternalHandler ({ fleet, metrics, runtime, updateMetrics: observe }: InternalPortOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
+/** Serves `/state`, `/metrics` and `/where`. */
+export function createInternalHandler ({ fleet, metrics, runtime, updateMetrics: observe, explainPlace }: InternalPortOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
   /** Resolves once there is something that the requesting host lacks, the wait is over, or the connection has closed. */
   function waitForChange ({ version, fingerprint, waitMs }: z.infer<typeof querySchema>, response: ServerResponse): Promise<void> {
     const isAnswerDue = (): boolean => fleet.fingerprint() !== fingerprint || (fleet.configuration()?.version ?? -1) > version
@@ -93,6 +96,9 @@
       const text = await metrics.registry.metrics()
       response.writeHead(200, { 'content-type': metrics.registry.contentType })
       response.end(text)
+    } else if (url.pathname === '/where' && explainPlace !== undefined) {
+      const { status, body } = explainPlace(url.searchParams)
+      sendJson(response, status, body)
     } else {
       sendJson(response, 404, {})
     }
--- a/src/gateway/_lib/updateGauges.ts
+++ b/src/gateway/_lib/updateGauges.ts
@@ -7,7 +7,7 @@
 const MS_PER_S = 1_000
 
 /** Sets all gauges to the current state. */
-export function updateGauges ({ fleet, suspicions, streams, budget, metrics, queueLengths, targetsAgeMs, hostCount, loadAgeMs, crashEvidence, targetLimits, targetPauses }: GatewayContext): void {
+export function updateGauges ({ fleet, suspicions, streams, budget, metrics, queueLengths, targetsAgeMs, hostCount, loadAgeMs, crashEvidence, targetLimits, targetPauses, slowdowns }: GatewayContext): void {
   const targets = fleet.targets()
   const services = fleet.configuration()?.services ?? []
   metrics.streams.set(streams.size)
@@ -24,6 +24,7 @@
   metrics.targets.set({ state: 'listed' }, targets.length)
   metrics.targets.set({ state: 'leaving' }, targets.filter(target => target.isLeaving).length)
   metrics.targets.set({ state: 'suspected' }, targets.filter(target => suspicions.isDown(target.id)).length)
+  metrics.targets.set({ state: 'slow' }, targets.filter(target => slowdowns.slowdownOf(target.id) > 1).length)
   metrics.targets.set({ state: 'limited' }, targetLimits.count())
   metrics.targets.set({ state: 'paused' }, targetPauses.count())
   for (const { name } of services) metrics.retryBudgetLeft.set({ service: name }, budget.left(name))
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -34,6 +34,7 @@
 import { discoverPeers, registerHost } from '../_lib/discoverPeers.js'
 import { createCrashDetector } from '../_lib/createCrashDetector.js'
 import { createLeaderElection } from '../_lib/createLeaderElection.js'
+import { explainPlace } from '../_lib/explainPlace.js'
 import { createInternalHandler, readPeerState } from '../_lib/internalPort.js'
 import { listRelays } from '../_lib/listRelays.js'
 import { isUnanswered, reportUnanswered } from '../_lib/reportCut.js'
@@ -231,7 +232,7 @@
     response.writeHead(isReady() ? 200 : 503, { 'content-length': '0' })
     response.end()
   }, { ...settings.readinessAddress, onHandlerError: logError }))
-  const internal = createInternalHandler({ fleet, metrics, runtime, updateMetrics: () => updateGauges(context) })
+  const internal = createInternalHandler({ fleet, metrics, runtime, updateMetrics: () => updateGauges(context), explainPlace: query => explainPlace(query, settings.failureDomain, context) })
   resources.use(await listen(internal, { ...settings.internalAddress, onConnect: relayHandler.handle, onHandlerError: logError }))
   // Disposed of before the port, which waits for its connections to close.
   resources.use(relayHandler)
