--- a/src/bin/coltsfootlead.ts
+++ b/src/bin/coltsfootlead.ts
@@ -10,11 +10,12 @@
 import { PlacementCommand } from '../cli/commands/placement.js'
 import { TicketListCommand, TicketShowCommand, TicketSubmitCommand } from '../cli/commands/ticket.js'
 import { TimelineCommand } from '../cli/commands/timeline.js'
+import { WhereCommand } from '../cli/commands/where.js'
 
 const cli = new Cli({ binaryName: 'coltsfootlead', binaryLabel: 'coltsfootlead operator command line', binaryVersion: '0.1.0' })
 const commands = [
   Builtins.HelpCommand, Builtins.VersionCommand, PlatformCheckCommand, TokenCommand, TicketSubmitCommand, TicketShowCommand,
-  TicketListCommand, InForceCommand, ExplainCommand, MembersCommand, PlacementCommand, TimelineCommand, OverloadCommand
+  TicketListCommand, InForceCommand, ExplainCommand, MembersCommand, PlacementCommand, TimelineCommand, OverloadCommand, WhereCommand
 ]
 for (const command of commands) cli.register(command)
 await cli.runExit(process.argv.slice(2))
--- a/src/gateway/_lib/internalPort.ts
+++ b/src/gateway/_lib/internalPort.ts
@@ -14,6 +14,7 @@
 import type { Runtime } from '../../runtime/types.js'
 import { describeServices } from '../../placement/describePlacement/index.js'
 import type { GatewayMetrics } from '../createGatewayMetrics/index.js'
+import type { PlaceExplanation } from './explainPlace.js'
 
 /** State as a peer sends it: what the requesting host does not have yet. */
 const stateSchema = z.object({
@@ -47,6 +48,8 @@
   updateMetrics: () => void
   /** Whether requests may be sent to a target; to all by default. */
   isUsable?: (targetId: string) => boolean
+  /** Answers where a request would go now; the endpoint is absent without it. */
+  explainPlace?: (query: URLSearchParams) => PlaceExplanation
 }
 
 /** Compresses answers; the children of a host mostly ask for the same at the same time, so the last answer is kept. */
@@ -58,8 +61,8 @@
   }
 }
 
-/** Serves `/state`, `/placement` and `/metrics`. */
-export function createInternalHandler ({ fleet, metrics, runtime, updateMetrics: observe, isUsable = () => true }: InternalPortOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
+/** Serves `/state`, `/placement`, `/where` and `/metrics`. */
+export function createInternalHandler ({ fleet, metrics, runtime, updateMetrics: observe, isUsable = () => true, explainPlace }: InternalPortOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
   /** Resolves once there is something that the requesting host lacks, the wait is over, or the connection has closed. */
   function waitForChange ({ version, fingerprint, waitMs }: z.infer<typeof querySchema>, response: ServerResponse): Promise<void> {
     const isAnswerDue = (): boolean => fleet.fingerprint() !== fingerprint || (fleet.configuration()?.version ?? -1) > version
@@ -98,6 +101,9 @@
       const text = await metrics.registry.metrics()
       response.writeHead(200, { 'content-type': metrics.registry.contentType })
       response.end(text)
+    } else if (url.pathname === '/where' && explainPlace !== undefined) {
+      const { status, body } = explainPlace(url.searchParams)
+      sendJson(response, status, body)
     } else {
       sendJson(response, 404, {})
     }
