--- a/src/path/choosePath/test.ts
+++ b/src/path/choosePath/test.ts
@@ -2,7 +2,8 @@
 import fc from 'fast-check'
 import { buildEngine, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
 import type { Target } from '../../fleet/types.js'
-import { linkKey } from '../_lib/linkCost.js'
+import { estimateCrossingMs, linkKey } from '../_lib/linkCost.js'
+import { createCandidate, estimateStageMs, type Candidate } from '../_lib/stageCost.js'
 import { choosePath, type EngineLoad, type PathOptions } from './index.js'
 
 const NO_LOAD: EngineLoad = { tokenLayers: 0, sequences: 0, firstSequences: 0 }
@@ -93,3 +94,49 @@
   }), { seed: 20261204, numRuns: 200 })
   t.pass()
 })
+
+interface PlainPart {
+  costMs: number
+  used: Candidate[]
+  crossings: number
+}
+
+/** Expected time by the plain search: every engine and end is added to every kept part. */
+function choosePlainly (engines: readonly Target[], size: { promptTokens: number, outputTokens: number }, options: PathOptions): number | undefined {
+  const candidates = engines.flatMap(engine => createCandidate(engine, size, options) ?? [])
+  const boundaries = [...new Set([0, 80, ...candidates.flatMap(({ from, to }) => [from, to])])].sort((a, b) => a - b)
+  const parts = new Map(boundaries.map(boundary => [boundary, new Map<string, PlainPart[]>()]))
+  for (const position of boundaries.slice(0, -1)) {
+    const kept = [...parts.get(position)!.values()].flatMap(group => group.sort((a, b) => a.costMs - b.costMs)
+      .filter((part, index) => group.findIndex(other => other.used.at(-1) === part.used.at(-1)) === index).slice(0, 3))
+    for (const candidate of candidates.filter(({ from, to }) => from <= position && to > position)) {
+      for (const end of boundaries.filter(boundary => boundary > position && boundary <= candidate.to)) {
+        const stageMs = estimateStageMs(candidate, end - position, size, options, position === 0)
+        for (const { costMs, used, crossings } of position === 0 ? [{ costMs: 0, used: [], crossings: 0 }] : kept) {
+          const last = used.at(-1)?.target ?? candidate.target
+          const isCrossing = last.failureDomain !== candidate.target.failureDomain
+          const linkMs = isCrossing ? estimateCrossingMs(last, candidate.target, size, options) : 0
+          if (stageMs === undefined || linkMs === undefined || used.includes(candidate) || crossings + Number(isCrossing) > options.maxCrossings!) continue
+          const key = `${candidate.target.failureDomain} ${crossings + Number(isCrossing)}`
+          parts.get(end)!.set(key, [...parts.get(end)!.get(key) ?? [], { costMs: costMs + stageMs + linkMs, used: [...used, candidate], crossings: crossings + Number(isCrossing) }])
+        }
+      }
+    }
+  }
+  const costs = [...parts.get(80)!.values()].flat().map(({ costMs }) => costMs)
+  return costs.length === 0 ? undefined : Math.min(...costs)
+}
+
+test('the search finds what the plain one finds', t => {
+  const most: Record<string, number> = { large: 4, medium: 2, small: 1 }
+  const engines = fc.array(fc.record({ domain: fc.constantFrom('north', 'east', 'south'), kind: fc.constantFrom('large', 'medium', 'small'), from: fc.integer({ min: 0, max: 7 }), count: fc.integer({ min: 1, max: 4 }), tokenLayers: fc.integer({ min: 0, max: 300_000 }) }), { minLength: 8, maxLength: 40 })
+  let found = 0
+  fc.assert(fc.property(engines, fc.integer({ min: 0, max: 3 }), (descriptions, maxCrossings) => {
+    const targets = descriptions.map(({ domain, kind, from, count }, index) => buildEngine(`i-${index}`, domain, kind, { from: 10 * from, to: Math.min(80, 10 * (from + Math.min(count, most[kind]!))) }))
+    const options: PathOptions = { ...OPTIONS, maxCrossings, loadOf: id => ({ tokenLayers: descriptions[Number(id.slice(2))]?.tokenLayers ?? 3_000, sequences: 5, firstSequences: 0 }) }
+    const [expectedMs, plainMs] = [choosePath(targets, SIZE, options)?.expectedMs, choosePlainly(targets, SIZE, options)]
+    if (plainMs !== undefined) found++
+    return (expectedMs === undefined) === (plainMs === undefined) && Math.abs((expectedMs ?? 0) - (plainMs ?? 0)) < 1e-6
+  }), { seed: 20261204, numRuns: 300 })
+  t.true(found > 50)
+})
