--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -6,10 +6,12 @@
 import { noteStatements } from './noteStatements.js'
 import { openExchange } from './openExchange.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
-import { endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
+import { describeRequest, endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
-import { describeReturn, isAnyHeldBack, reserveTarget } from './reserveCapacity.js'
+import { describeReturn } from './describeReturn.js'
+import { isAnyHeldBack } from './reserveCapacity.js'
+import { reserveTarget } from './reserveTarget.js'
 import { endCrashingCall, findCrashing, noteCrash, traitsOf } from './crashingRequests.js'
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 
@@ -80,23 +82,21 @@
     }
   }
   if (signal.aborted && !(signal.reason instanceof DeadlineError)) {
-    log.emit('callerGone', { request: call.facts.requestId, route: route.name, tookMs: Math.round(runtime.monotonicMs() - call.startedMs), attempts })
+    log.emit('callerGone', { ...describeRequest(call), tookMs: Math.round(runtime.monotonicMs() - call.startedMs), attempts })
     metrics.calls.inc({ kind: route.kind, outcome: 'callerGone' })
     return
   }
   if (lastFailure !== undefined) return finishWithAnswer(lastFailure)
   if (signal.aborted) return endStopped(call, context, { mayHaveRun, notRunReason: 'targetUnreachable', attempts })
   if (mayHaveRun) return endWithReason(call, context, 'targetFailed', { attempts })
-  endWithReason(call, context, isAnyHeldBack(service, excluded, context) ? 'overloaded' : 'targetUnreachable', { attempts, ...describeReturn(service, RETRY_AFTER_MS, context) })
+  endWithReason(call, context, isAnyHeldBack(service, excluded, context) ? 'overloaded' : 'targetUnreachable', { attempts, ...describeReturn(call, { defaultMs: RETRY_AFTER_MS }, context) })
 
   function finishWithAnswer (result: Extract<AttemptResult, { kind: 'whole' }>): void {
     if (result.status < 500) context.crashEvidence.noteAnswered(traitsOf(call))
     sendAnswer(call, context, result)
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
     log.emit('gatewayAnswered', {
-      request: call.facts.requestId,
-      route: route.name,
-      ...(call.account === undefined ? {} : { account: call.account }),
+      ...describeRequest(call),
       status: result.status,
       tookMs: Math.round(runtime.monotonicMs() - call.startedMs),
       attempts,
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -11,13 +11,13 @@
 import { sleep } from '../../runtime/sleep/index.js'
 import { DeadlineError } from '../../runtime/withDeadline/index.js'
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
-import { endStopped, endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
+import { describeRequest, endStopped, endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
 import { attemptStream } from './attemptStream.js'
 import { endCrashingCall, noteCrash, traitsOf } from './crashingRequests.js'
-import { estimateRequestSize } from './estimateRequestSize.js'
+import { describeReturn } from './describeReturn.js'
+import { countTokens, estimateRequestSize } from './estimateRequestSize.js'
 import type { CallProgress, StreamResult } from './relayStream.js'
 import { requestPlace } from './requestPlace.js'
-import { describeReturn } from './reserveCapacity.js'
 
 /** Tries of a call that has not begun beyond the route's attempts, for engines that refused it without running it or left meanwhile. */
 const MAX_EXTRA_TRIES = 2
@@ -36,7 +36,7 @@
 export async function serveStream (call: Call, ownDomain: string, context: GatewayContext): Promise<void> {
   const { route, service, signal, facts } = call
   const { budget, fleet, log, metrics, runtime } = context
-  const size = estimateRequestSize(call)
+  const size = estimateRequestSize(call, context)
   /** Engines that failed the call, and engines that did not run it. */
   const failedIds = new Set<string>()
   const notRunIds = new Set<string>()
@@ -70,7 +70,7 @@
     progress.waitedMs += outcome.waitedMs
     metrics.waitSeconds.observe(outcome.waitedMs / MS_PER_S)
     if (outcome.kind === 'refused') {
-      if (!isEndedAsCrashing()) endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), ...describeReturn(service, RETRY_AFTER_MS, context) })
+      if (!isEndedAsCrashing()) endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'overloaded', { ...details(), ...outcome.figures, ...describeReturn(call, { defaultMs: RETRY_AFTER_MS, expectedWaitMs: outcome.figures.expectedWaitMs }, context) })
       return
     }
     using reservation = outcome.place
@@ -118,26 +118,28 @@
   if (!signal.aborted || signal.reason instanceof DeadlineError) {
     return endStopped(call, context, { mayHaveRun: progress.tries > 0, notRunReason: 'overloaded', ...details() })
   }
-  log.emit('callerGone', { request: facts.requestId, route: route.name, tookMs: Math.round(runtime.monotonicMs() - call.startedMs), lastEventId: progress.lastEventId, ...details() })
+  log.emit('callerGone', { ...describeRequest(call), tookMs: Math.round(runtime.monotonicMs() - call.startedMs), lastEventId: progress.lastEventId, ...details() })
   metrics.calls.inc({ kind: route.kind, outcome: 'callerGone' })
 
   function endWithoutAnswer (cause: 'retry budget spent' | 'attempts spent' | 'request suspected of crashes'): void {
-    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, ...describeReturn(service, RETRY_AFTER_MS, context), cutCause: 'attempts' })
+    endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, ...describeReturn(call, { defaultMs: RETRY_AFTER_MS }, context), cutCause: 'attempts' })
   }
 
   function recordAnswer (): void {
     context.crashEvidence.noteAnswered(traitsOf(call))
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
+    if (progress.firstEventMs !== undefined && progress.attempts.length === 1) context.dispatcherOf(service.name).noteFirstEvent(progress.firstEventMs - call.startedMs - progress.waitedMs)
     log.emit('gatewayAnswered', {
-      request: facts.requestId,
-      route: route.name,
-      ...(call.account === undefined ? {} : { account: call.account }),
+      ...describeRequest(call),
       status: 200,
       tookMs: Math.round(runtime.monotonicMs() - call.startedMs),
       firstEventMs: Math.round((progress.firstEventMs ?? call.startedMs) - call.startedMs),
       longestPauseMs: Math.round(progress.longestPauseMs),
       pauseEndedMs: Math.round(progress.longestPauseEndMs - call.startedMs),
       lastEventId: progress.lastEventId,
+      outputTokens: countTokens(call, progress.lastEventId),
+      expectedTokens: size.outputTokens,
+      hintedTokens: facts.hintedOutputTokens,
       version: fleet.configuration()?.version,
       ...details()
     })
@@ -147,7 +149,7 @@
     if (call.response.headersSent) return endWithReason(call, context, 'targetFailed', details())
     sendAnswer(call, context, result)
     metrics.calls.inc({ kind: route.kind, outcome: 'failedByTarget' })
-    log.emit('gatewayFailed', { request: facts.requestId, route: route.name, reason: 'targetFailed', status: result.status, ...details() })
+    log.emit('gatewayFailed', { ...describeRequest(call), reason: 'targetFailed', status: result.status, ...details() })
   }
 }
 
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -3,6 +3,8 @@
  * digests with its peers and, while it holds the control lease, assigns layers to engines.
  */
 import { setMaxListeners } from 'node:events'
+import { createCostModel } from '../../cost/createCostModel/index.js'
+import { createSlowdowns } from '../../cost/createSlowdowns/index.js'
 import { createCrashEvidence } from '../../crash/createCrashEvidence/index.js'
 import { createDigestExchange } from '../../digest/createDigestExchange/index.js'
 import type { HostState, Notices } from '../../digest/types.js'
@@ -34,6 +36,7 @@
 import { createCrashDetector } from '../_lib/createCrashDetector.js'
 import { createLeaderElection } from '../_lib/createLeaderElection.js'
 import { createInternalHandler, readPeerState } from '../_lib/internalPort.js'
+import { listRanks } from '../_lib/listRanks.js'
 import { listRelays } from '../_lib/listRelays.js'
 import { isUnanswered, reportUnanswered } from '../_lib/reportCut.js'
 import { noteRelayedStatements } from '../_lib/noteStatements.js'
@@ -89,7 +92,8 @@
   setMaxListeners(0, callsController.signal)
   const fleet = createFleetState({ runtime })
   const loadTracker = createLoadTracker({ runtime, hostCount: () => exchange.hostCount() })
-  const suspicions = createSuspicions({ runtime })
+  const slowdowns = createSlowdowns({ runtime })
+  const suspicions = createSuspicions({ runtime, slowdownOf: slowdowns.slowdownOf })
   const targetLimits = createTargetLimits({ runtime, log, ownIp: settings.ip, otherIps: () => exchange.memberIps() })
   const targetPauses = createTargetPauses({ runtime, log })
   const crashEvidence = createCrashEvidence({ runtime, log, onVerdict: (verdict, kind) => metrics[kind === 'part' ? 'promptVerdicts' : 'requestVerdicts'].inc({ verdict }) })
@@ -179,6 +183,8 @@
     links,
     targetLimits,
     targetPauses,
+    costs: createCostModel({ runtime }),
+    slowdowns,
     crashEvidence,
     tellPeers: exchange.sendNow,
     hasCrashed: createCrashDetector({ links, runtime }),
@@ -199,6 +205,7 @@
   fleet.onChange(() => {
     const targetIds = new Set(fleet.targets().map(target => target.id))
     suspicions.retain(targetIds)
+    slowdowns.retain(targetIds)
     targetLimits.retain(targetIds)
     targetPauses.forgetRestarted(fleet.targets())
   })
@@ -227,7 +234,7 @@
     response.writeHead(isReady() ? 200 : 503, { 'content-length': '0' })
     response.end()
   }, { ...settings.readinessAddress, onHandlerError: logError }))
-  const internal = createInternalHandler({ fleet, metrics, runtime, updateMetrics: () => updateGauges(context) })
+  const internal = createInternalHandler({ fleet, metrics, runtime, updateMetrics: () => updateGauges(context), isUsable: id => !suspicions.isUnfit(id) })
   resources.use(await listen(internal, { ...settings.internalAddress, onConnect: relayHandler.handle, onHandlerError: logError }))
   // Disposed of before the port, which waits for its connections to close.
   resources.use(relayHandler)
@@ -243,7 +250,16 @@
   function dispatcherOf (service: string): Dispatcher<Reservation> {
     const known = dispatchers.get(service)
     if (known !== undefined) return known
-    const dispatcher = createDispatcher<Reservation>({ runtime })
+    const sharing = {
+      service,
+      tell: loadTracker.setOwn,
+      sumOf: loadTracker.loadOf,
+      ranks: () => listRanks(fleet.configuration(), service),
+      ageMs: exchange.loadAgeMs,
+      hostCount: exchange.hostCount,
+      isCutOff: () => exchange.peers().length === 0 && exchange.recentHostCount() > 1
+    }
+    const dispatcher = createDispatcher<Reservation>({ runtime, sharing })
     dispatchers.set(service, dispatcher)
     return dispatcher
   }
--- a/src/placement/planPlacement/index.ts
+++ b/src/placement/planPlacement/index.ts
@@ -1,12 +1,16 @@
 /**
  * Decides which layers empty engines load, in fleets where engines fail, leave and come back all
  * the time. Every failure domain gets complete replicas of the model, so that requests need not
- * cross the link of low bandwidth between domains. Some engines stay empty to replace lost ones,
- * and an engine that serves is not moved unless other engines of its domain hold all its layers.
+ * cross the link of low bandwidth between domains. A domain that stays whole without any one
+ * pipeline loads all its engines; in a smaller one some stay empty to replace lost ones. An engine
+ * that serves is not moved unless other engines of its domain hold all its layers.
  */
 import type { EngineModel, LayerRange, Target } from '../../fleet/types.js'
-import { countCoverage, fillGapsWithCache, findGaps, countFittingLayers } from '../_lib/coverage.js'
+import { countCoverage, fillGapsWithCache, findGaps } from '../_lib/coverage.js'
+import { chooseWidth } from '../estimateCapacity/index.js'
 import { planFastReplica } from '../planFastReplica/index.js'
+import type { ReplicaOptions } from '../planReplica/index.js'
+import { HOLDERS_WITHOUT_SPARE, planReplicas } from '../planReplicas/index.js'
 import type { PlacementEngine, PlannedLoad } from '../types.js'
 
 /** Cache sizes to plan engines with, in tokens, tried from the largest to the smallest that is worth serving with. */
@@ -15,9 +19,6 @@
 /** Cache size from which fewer engines are preferred to a larger cache, in tokens. */
 const SUFFICIENT_CACHE_TOKENS = 70_000
 
-/** Spare capacity that a failure domain keeps to replace lost engines, as a share of the capacity of its replicas. */
-const SPARE_CAPACITY_SHARE = 0.13
-
 /**
  * @name planPlacement
  * @summary Plans the loads that complete the replicas of each failure domain, nearly complete domains first.
@@ -30,9 +31,16 @@
  */
 export function planPlacement (engines: readonly PlacementEngine[], options: { model: EngineModel }): PlannedLoad[] {
   const { model } = options
-  const fastReplica = planFastReplica(engines, { model })
   const domains = [...new Set(engines.map(engine => engine.target.failureDomain))].sort()
-  const plans = domains.map(domain => planDomain(engines.filter(engine => engine.target.failureDomain === domain), fastReplica.memberIds, model))
+    .map(name => engines.filter(engine => engine.target.failureDomain === name))
+  const boundaries = new Set(engines.flatMap(({ layers }) => layers === undefined ? [] : [layers.from, layers.to]))
+  const richPlans = domains.map(members => {
+    const plan = planRichDomain(members, { model, boundaries })
+    for (const { range } of plan?.loads ?? []) boundaries.add(range.from).add(range.to)
+    return plan
+  })
+  const fastReplica = planFastReplica(domains.filter((_, index) => richPlans[index] === undefined).flat(), { model })
+  const plans = domains.map((members, index) => richPlans[index] ?? planDomain(members, fastReplica.memberIds, model))
   const loads = [...fastReplica.loads, ...plans.sort((a, b) => a.missingLayers - b.missingLayers).flatMap(plan => plan.loads)]
   return [...loads, ...fillModelGaps(engines, loads, model)]
 }
@@ -44,10 +52,24 @@
   missingLayers: number
 }
 
+/** Plans a domain whose engines suffice to hold every layer at least twice; `undefined` for others. */
+function planRichDomain (engines: readonly PlacementEngine[], { model, boundaries }: ReplicaOptions): DomainPlan | undefined {
+  const usable = engines.filter(engine => engine.isUsable)
+  const held = usable.flatMap(({ target, layers }) => layers === undefined ? [] : [{ target, range: layers }])
+  const coverage = countCoverage(held.map(({ range }) => range), model)
+  const missingLayers = coverage.filter(count => count === 0).length
+  const { loads, isWholeAfterLoss } = planReplicas(listEmpty(usable), { held, model, boundaries })
+  const fittingLayers = usable.reduce((sum, { target }) => sum + chooseWidth(target, model), 0)
+  if (!isWholeAfterLoss && fittingLayers < model.layerCount * HOLDERS_WITHOUT_SPARE) return undefined
+  return { loads: loads.length > 0 || missingLayers === 0 ? loads : restoreLayers(coverage, [], usable, model), missingLayers }
+}
+
+const listEmpty = (engines: readonly PlacementEngine[]): Target[] => engines.filter(engine => engine.isIdle && engine.layers === undefined).map(engine => engine.target)
+
 /**
- * Plans replicas on the engines of a domain outside the fast replica, as many as leave enough
- * spare capacity. If that gives no load although no engine of the domain holds some layers,
- * plans those layers alone, if need be on an engine whose own layers all have another holder.
+ * Plans one replica on the engines of a domain outside the fast replica; the others stay empty, to
+ * replace any that is lost. If that gives no load although no engine of the domain holds some
+ * layers, plans those alone, if need be on engines whose own layers all have another holder.
  */
 function planDomain (engines: readonly PlacementEngine[], fastReplicaIds: ReadonlySet<string>, model: EngineModel): DomainPlan {
   const usable = engines.filter(engine => engine.isUsable)
@@ -55,33 +77,27 @@
   const held = countCoverage(usable.flatMap(engine => engine.layers ?? []), model)
   const heldByOthers = countCoverage(others.flatMap(engine => engine.layers ?? []), model)
   const missingLayers = held.filter(count => count === 0).length
-  const empty = others.filter(engine => engine.isIdle && engine.layers === undefined).map(engine => engine.target)
-  const loads = fillReplicas(heldByOthers, empty, others, model)
+  const empty = listEmpty(others)
+  const loads = fillGaps(findGaps(heldByOthers, 1), empty, model) ?? []
   if (loads.length > 0 || missingLayers === 0) return { loads, missingLayers }
-  const redundant = others.find(engine => isRedundant(engine, held))
-  const candidates = redundant === undefined ? empty : [...empty, redundant.target]
-  return { loads: fillGaps(findGaps(held, 1), candidates, model) ?? [], missingLayers }
+  return { loads: restoreLayers(held, empty, others, model), missingLayers }
 }
 
-/** Loads that complete one replica after the other, at least one and as many as leave the spare capacity. */
-function fillReplicas (coverage: number[], empty: readonly Target[], engines: readonly PlacementEngine[], model: EngineModel): PlannedLoad[] {
-  const capacity = engines.reduce((sum, engine) => sum + countFittingLayers(engine.target, CACHE_STEPS_TOKENS[0]!, model), 0)
-  const replicas = Math.max(1, Math.floor(capacity / (model.layerCount * (1 + SPARE_CAPACITY_SHARE))))
-  const loads: PlannedLoad[] = []
-  let available = [...empty]
-  for (let wantedCount = 1; wantedCount <= replicas; wantedCount++) {
-    const filled = fillGaps(findGaps(coverage, wantedCount), available, model)
-    if (filled === undefined) break
-    loads.push(...filled)
-    available = available.filter(target => !filled.some(load => load.target.id === target.id))
-    for (const { range } of filled) for (let layer = range.from; layer < range.to; layer++) coverage[layer]!++
+/** Loads the layers that no engine of the domain holds on empty engines and, as far as these do not suffice, on the slowest whose own layers all keep another holder. */
+function restoreLayers (held: readonly number[], empty: readonly Target[], engines: readonly PlacementEngine[], model: EngineModel): PlannedLoad[] {
+  const gaps = findGaps(held, 1)
+  const left = [...held]
+  const candidates = [...empty]
+  const pace = ({ target }: PlacementEngine): number => model.kinds[target.kind ?? '']?.pace ?? 0
+  const moveable = engines.filter(({ isIdle, layers }) => isIdle && layers !== undefined).sort((a, b) => pace(b) - pace(a))
+  for (;;) {
+    const loads = fillGaps(gaps, candidates, model)
+    if (loads !== undefined) return loads
+    const redundant = moveable.find(({ target, layers }) => !candidates.includes(target) && left.slice(layers!.from, layers!.to).every(count => count > 1))
+    if (redundant === undefined) return []
+    candidates.push(redundant.target)
+    for (let layer = redundant.layers!.from; layer < redundant.layers!.to; layer++) left[layer]!--
   }
-  return loads
-}
-
-/** Whether other engines of the domain hold all layers of an engine, so that it can be moved. */
-function isRedundant (engine: PlacementEngine, held: readonly number[]): boolean {
-  return engine.isIdle && engine.layers !== undefined && held.slice(engine.layers.from, engine.layers.to).every(count => count > 1)
 }
 
 /** Fills every gap with as few engines as have at least `SUFFICIENT_CACHE_TOKENS`, or else with the largest cache that is possible. */
--- a/src/placement/planPlacement/test.ts
+++ b/src/placement/planPlacement/test.ts
@@ -1,19 +1,17 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { buildEngine, buildFleet, describeEngines, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
-import type { Target } from '../../fleet/types.js'
+import { applyLoads, buildEngine, buildFleet, describeEngines, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
+import { FEW_FAST, MANY_MIDDLE } from '../../../test/fakes/unevenFleets.js'
+import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
+import type { EngineModel, Target } from '../../fleet/types.js'
 import { choosePath } from '../../path/choosePath/index.js'
-import type { PlannedLoad } from '../types.js'
+import { createLoadTracker } from '../../path/createLoadTracker/index.js'
+import { chooseWidth, countConcurrentRequests } from '../estimateCapacity/index.js'
 import { planPlacement } from './index.js'
 
 const NO_LOAD = { tokenLayers: 0, sequences: 0, firstSequences: 0 }
 const SIZE = { promptTokens: 770, outputTokens: 174 }
 
-function applyLoads (targets: readonly Target[], loads: readonly PlannedLoad[]): Target[] {
-  const ranges = new Map(loads.map(load => [load.target.id, load.range]))
-  return targets.map(target => ranges.has(target.id) ? { ...target, layers: ranges.get(target.id)! } : target)
-}
-
 const hasPath = (targets: readonly Target[], maxCrossings: number): boolean => choosePath(targets, SIZE, {
   model: TEST_MODEL, loadOf: () => NO_LOAD, slownessOf: () => 1, isOvercommitted: true, maxCrossings
 }) !== undefined
@@ -26,6 +24,40 @@
   t.true(hasPath(placed.filter(target => target.kind === 'large' || target.kind === 'medium'), 1))
 })
 
+test('every engine of a large domain holds layers, no more than its memory', t => {
+  for (const { counts, model } of [MANY_MIDDLE, FEW_FAST]) {
+    const fleet = buildFleet(counts)
+    const loads = planPlacement(describeEngines(fleet), { model })
+    t.is(loads.length, fleet.length)
+    for (const { target, range: { from, to } } of loads) t.true((to - from) * model.layerMb < model.kinds[target.kind!]!.memoryMb && to <= model.layerCount)
+    t.deepEqual(planPlacement(describeEngines(applyLoads(fleet, loads)), { model }), [])
+  }
+})
+
+test('paths within the domains hold nine tenths of the requests that the memory of all engines allows', async t => {
+  for (const { counts, model } of [MANY_MIDDLE, FEW_FAST]) {
+    const placed = applyLoads(buildFleet(counts), planPlacement(describeEngines(buildFleet(counts)), { model }))
+    const layerRequests = placed.reduce((sum, target) => sum + chooseWidth(target, model) * countConcurrentRequests(target, chooseWidth(target, model), model), 0)
+    let requests = 0
+    for (const domain of Object.keys(counts)) requests += await fillDomain(placed.filter(target => target.failureDomain === domain), model)
+    t.true(requests >= 0.9 * layerRequests / model.layerCount, `${requests} of ${layerRequests / model.layerCount}`)
+  }
+})
+
+/** Number of usual requests that find a path within a failure domain, one after the other. */
+async function fillDomain (targets: readonly Target[], model: EngineModel): Promise<number> {
+  const size = { promptTokens: model.usualPromptTokens, outputTokens: model.usualOutputTokens }
+  const runtime = createManualRuntime()
+  const loads = createLoadTracker({ runtime, hostCount: () => 1 })
+  // A host that has just started assumes that others send as much as it does.
+  await runtime.advance(2_000)
+  for (let count = 0; ; count++) {
+    const chosen = choosePath(targets, size, { model, loadOf: loads.loadOf, slownessOf: () => 1, maxCrossings: 0 })
+    if (chosen === undefined) return count
+    loads.claim(chosen.path, size)
+  }
+}
+
 test('the loss of any one engine leaves paths without a crossing', t => {
   const placed = planAndApply(buildFleet())
   for (const lost of placed) t.true(hasPath(placed.filter(target => target !== lost), 0), lost.id)
@@ -78,3 +110,48 @@
 function range ({ from, to }: { from: number, to: number }): number[] {
   return Array.from({ length: to - from }, (_, index) => from + index)
 }
+
+test('several engines whose layers have other holders replace a lost group where none is empty', t => {
+  const engines = [0, 1, 2].flatMap(copy => Array.from({ length: 10 }, (_, index) => buildEngine(`${copy}-${index}`, 'north', 'small', { from: 8 * index, to: 8 * index + 8 })))
+  const lostIds = new Set(engines.filter(({ layers }) => layers!.from < 24).map(({ id }) => id))
+  const loads = planPlacement(describeEngines(engines, lostIds), { model: TEST_MODEL })
+  t.deepEqual(loads.flatMap(load => range(load.range)).sort((a, b) => a - b), range({ from: 0, to: 24 }))
+  const after = applyLoads(engines.filter(({ id }) => !lostIds.has(id)), loads)
+  t.true(hasPath(after, 0))
+  t.deepEqual(planPlacement(describeEngines(after), { model: TEST_MODEL }), [])
+})
+
+test('an engine that joins a large domain holds layers that have lost most holders', t => {
+  const left = [0, 1, 2].flatMap(copy => Array.from({ length: 10 }, (_, index) => buildEngine(`${copy}-${index}`, 'north', 'small', { from: 8 * index, to: 8 * index + 8 })))
+    .filter(({ id, layers }) => id.startsWith('0') || layers!.from >= 24)
+  const [load, ...rest] = planPlacement(describeEngines([...left, buildEngine('joined', 'north', 'small')]), { model: TEST_MODEL })
+  t.deepEqual(rest, [])
+  t.is(load?.target.id, 'joined')
+  t.true(load!.range.to <= 24)
+})
+
+test('whatever engines are lost, return empty or join, plans come to rest without moving an engine twice', t => {
+  const eventArbitrary = fc.record({ lost: fc.uniqueArray(fc.nat(92), { maxLength: 20 }), returned: fc.uniqueArray(fc.nat(92), { maxLength: 20 }) })
+  fc.assert(fc.property(fc.constantFrom(MANY_MIDDLE, FEW_FAST), fc.array(eventArbitrary, { minLength: 1, maxLength: 4 }), ({ counts, model }, events) => {
+    let engines: Array<Target | undefined> = buildFleet(counts)
+    const all = [...engines]
+    const settle = (): boolean => {
+      const moved = new Set<string>()
+      for (;;) {
+        const present = engines.filter(engine => engine !== undefined)
+        const loads = planPlacement(describeEngines(present), { model })
+        if (loads.length === 0) return true
+        if (loads.some(({ target }) => moved.has(target.id))) return false
+        for (const { target } of loads) moved.add(target.id)
+        const placed = new Map(applyLoads(present, loads).map(target => [target.id, target]))
+        engines = engines.map(engine => engine === undefined ? undefined : placed.get(engine.id))
+      }
+    }
+    return settle() && events.every(({ lost, returned }) => {
+      for (const index of lost) engines[index] = undefined
+      for (const index of returned) engines[index] ??= all[index]
+      return settle()
+    })
+  }), { seed: 20261204, numRuns: 40 })
+  t.pass()
+})
