--- a/src/gateway/_lib/internalPort.ts
+++ b/src/gateway/_lib/internalPort.ts
@@ -12,7 +12,7 @@
 import { sendJson } from '../../http/sendJson/index.js'
 import { withDeadline } from '../../runtime/withDeadline/index.js'
 import type { Runtime } from '../../runtime/types.js'
-import { describeServices } from '../../placement/describePlacement/index.js'
+import { describeServices } from '../../placement/describeServices/index.js'
 import type { GatewayMetrics } from '../createGatewayMetrics/index.js'
 
 /** State as a peer sends it: what the requesting host does not have yet. */
@@ -92,7 +92,7 @@
       response.writeHead(200, { 'content-type': 'application/json', 'content-encoding': 'gzip', 'content-length': body.length })
       response.end(body)
     } else if (url.pathname === '/placement') {
-      sendJson(response, 200, describeServices(fleet, isUsable))
+      sendJson(response, 200, describeServices(fleet, { isUsable }))
     } else if (url.pathname === '/metrics') {
       observe()
       const text = await metrics.registry.metrics()
--- a/src/gateway/_lib/updateGauges.ts
+++ b/src/gateway/_lib/updateGauges.ts
@@ -1,7 +1,7 @@
 /**
  * Sets the gauges, which show the current state; called when the metrics are read.
  */
-import { describeServices } from '../../placement/describePlacement/index.js'
+import { describeServices } from '../../placement/describeServices/index.js'
 import type { GatewayContext } from '../types.js'
 
 /** Milliseconds in a second. */
@@ -27,7 +27,7 @@
   metrics.targets.set({ state: 'suspected' }, targets.filter(target => suspicions.isDown(target.id)).length)
   metrics.targets.set({ state: 'limited' }, targetLimits.count())
   metrics.targets.set({ state: 'paused' }, targetPauses.count())
-  for (const [service, domains] of Object.entries(describeServices(fleet, id => !suspicions.isUnfit(id)))) {
+  for (const [service, domains] of Object.entries(describeServices(fleet, { isUsable: id => !suspicions.isUnfit(id) }))) {
     for (const { failureDomain: domain, requestsPerSecond, engines } of domains) {
       metrics.placedRate.set({ service, domain }, requestsPerSecond)
       for (const [state, count] of Object.entries(engines)) metrics.engines.set({ service, domain, state }, count)
--- a/src/placement/describePlacement/index.ts
+++ b/src/placement/describePlacement/index.ts
@@ -2,7 +2,6 @@
  * Describes the placement of a model for operators: what each failure domain serves, which layers
  * limit it, and who holds them.
  */
-import type { FleetState } from '../../fleet/createFleetState/index.js'
 import type { EngineModel, LayerRange, Target } from '../../fleet/types.js'
 import { estimateCapacity } from '../estimateCapacity/index.js'
 import { findEngineDefect } from '../findEngineDefect/index.js'
@@ -45,12 +44,6 @@
   })
 }
 
-/** Placement of each service whose engines hold layers, by its name. */
-export function describeServices (fleet: FleetState, isUsable: (targetId: string) => boolean): Record<string, DomainPlacement[]> {
-  const services = fleet.configuration()?.services ?? []
-  return Object.fromEntries(services.flatMap(({ name, model }) => model === undefined ? [] : [[name, describePlacement(fleet.targets().filter(target => target.service === name), { model, isUsable })]]))
-}
-
 function countHolders (holding: ReadonlyArray<{ target: Target, range: LayerRange }>): DomainPlacement['ranges'] {
   const ranges = new Map<string, DomainPlacement['ranges'][number]>()
   for (const { target, range: { from, to } } of holding) {
--- a/src/placement/estimateCapacity/test.ts
+++ b/src/placement/estimateCapacity/test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { buildEngine, TEST_MODEL } from '../../../test/fakes/buildFleet.js'
-import { chooseWidth, countConcurrentRequests, estimateCapacity, estimateEngineRate } from './index.js'
+import { chooseWidth, countConcurrentRequests, estimateEngineRate } from '../_lib/engineRate.js'
+import { estimateCapacity } from './index.js'
 
 const held = (kind: string, from: number, to: number) => ({ target: buildEngine(`${kind}${from}`, 'north', kind), range: { from, to } })
 
--- a/src/placement/planPlacement/index.ts
+++ b/src/placement/planPlacement/index.ts
@@ -7,7 +7,7 @@
  */
 import type { EngineModel, LayerRange, Target } from '../../fleet/types.js'
 import { countCoverage, fillGapsWithCache, findGaps } from '../_lib/coverage.js'
-import { chooseWidth } from '../estimateCapacity/index.js'
+import { chooseWidth } from '../_lib/engineRate.js'
 import { planFastReplica } from '../planFastReplica/index.js'
 import type { ReplicaOptions } from '../planReplica/index.js'
 import { HOLDERS_WITHOUT_SPARE, planReplicas } from '../planReplicas/index.js'
--- a/src/placement/planPlacement/test.ts
+++ b/src/placement/planPlacement/test.ts
@@ -6,7 +6,7 @@
 import type { EngineModel, Target } from '../../fleet/types.js'
 import { choosePath } from '../../path/choosePath/index.js'
 import { createLoadTracker } from '../../path/createLoadTracker/index.js'
-import { chooseWidth, countConcurrentRequests } from '../estimateCapacity/index.js'
+import { chooseWidth, countConcurrentRequests } from '../_lib/engineRate.js'
 import { planPlacement } from './index.js'
 
 const NO_LOAD = { tokenLayers: 0, sequences: 0, firstSequences: 0 }
--- a/src/placement/planReplica/index.ts
+++ b/src/placement/planReplica/index.ts
@@ -5,7 +5,7 @@
  * hold the layers, the one that makes most of its engines is taken.
  */
 import type { EngineModel, LayerRange, Target } from '../../fleet/types.js'
-import { countConcurrentRequests, estimateRequestMs, estimateFullValue } from '../estimateCapacity/index.js'
+import { countConcurrentRequests, estimateFullValue, estimateRequestMs } from '../_lib/engineRate.js'
 import type { PlannedLoad } from '../types.js'
 
 /** Loads that hold a run of layers, and what they serve. */
--- a/src/placement/widenNarrowest/index.ts
+++ b/src/placement/widenNarrowest/index.ts
@@ -4,7 +4,8 @@
  * the narrowest layers makes room on every path through them.
  */
 import type { EngineModel, LayerRange, Target } from '../../fleet/types.js'
-import { chooseWidth, estimateCapacity, estimateEngineRate, type HeldRange } from '../estimateCapacity/index.js'
+import { chooseWidth, estimateEngineRate } from '../_lib/engineRate.js'
+import { estimateCapacity, type HeldRange } from '../estimateCapacity/index.js'
 import type { PlannedLoad } from '../types.js'
 
 /** Share of an engine's layers down to which its range is shortened to end where others do; fewer boundaries make the choice of paths cheaper. */
