--- a/src/placement/planPlacement/test.ts
+++ b/src/placement/planPlacement/test.ts
@@ -7,6 +7,7 @@
 import { choosePath } from '../../path/choosePath/index.js'
 import { createLoadTracker } from '../../path/createLoadTracker/index.js'
 import { chooseWidth, countConcurrentRequests } from '../_lib/engineRate.js'
+import { findEngineDefect } from '../findEngineDefect/index.js'
 import { planPlacement } from './index.js'
 
 const NO_LOAD = { tokenLayers: 0, sequences: 0, firstSequences: 0 }
@@ -130,7 +131,7 @@
   t.true(load!.range.to <= 24)
 })
 
-test('whatever engines are lost, return empty or join, plans come to rest without moving an engine twice', t => {
+test('whatever engines are lost, return empty or join, plans fit the memory and come to rest without moving an engine twice', t => {
   const eventArbitrary = fc.record({ lost: fc.uniqueArray(fc.nat(92), { maxLength: 20 }), returned: fc.uniqueArray(fc.nat(92), { maxLength: 20 }) })
   fc.assert(fc.property(fc.constantFrom(MANY_MIDDLE, FEW_FAST), fc.array(eventArbitrary, { minLength: 1, maxLength: 4 }), ({ counts, model }, events) => {
     let engines: Array<Target | undefined> = buildFleet(counts)
@@ -141,7 +142,7 @@
         const present = engines.filter(engine => engine !== undefined)
         const loads = planPlacement(describeEngines(present), { model })
         if (loads.length === 0) return true
-        if (loads.some(({ target }) => moved.has(target.id))) return false
+        if (loads.some(({ target, range }) => moved.has(target.id) || findEngineDefect({ ...target, layers: range }, { model }) !== undefined)) return false
         for (const { target } of loads) moved.add(target.id)
         const placed = new Map(applyLoads(present, loads).map(target => [target.id, target]))
         engines = engines.map(engine => engine === undefined ? undefined : placed.get(engine.id))
