--- a/src/cost/createCostModel/index.ts
+++ b/src/cost/createCostModel/index.ts
@@ -108,15 +108,20 @@
     }
   }
 
-  function answersOf (keys: readonly number[], nowMs: number): number[] {
-    return keys.map(key => Math.round(weightAt(groups.get(key)?.amounts ?? createMoments(), nowMs)))
+  /** Answers in the narrowest group that has some. */
+  function countAnswers (keys: readonly number[], nowMs: number): number {
+    for (const key of keys.toReversed()) {
+      const amounts = groups.get(key)?.amounts
+      const answers = amounts === undefined ? 0 : Math.round(weightAt(amounts, nowMs))
+      if (answers > 0) return answers
+    }
+    return 0
   }
 
   function expectTokens (request: StreamTraits): ExpectedCost {
     const { usualTokens, maxTokens, hintedTokens } = request
     const nowMs = runtime.monotonicMs()
     const keys = listKeys(request)
-    const answers = answersOf(keys, nowMs)
     const usual = { mean: Math.log(Math.max(1, usualTokens)), variance: PRIOR_VARIANCE }
     const level = believe(keys, 'amounts', usual, nowMs)
     const posterior = hintedTokens === undefined || hintedTokens <= 0 ? level : combine(level, shift(believe(keys, 'hintErrors', { mean: 0, variance: PRIOR_VARIANCE }, nowMs), Math.log(hintedTokens)))
@@ -131,7 +136,7 @@
       outputTokens: blend(meanExcess(distribution, 0, maxTokens), unlearned),
       highOutputTokens: blend(quantile90(distribution), unlearnedHigh),
       workMs: undefined,
-      answers: answers.findLast(count => count > 0) ?? 0
+      answers: countAnswers(keys, nowMs)
     }
   }
 
@@ -151,7 +156,7 @@
     expectWork (request) {
       const nowMs = runtime.monotonicMs()
       const keys = listKeys(request)
-      const answers = answersOf(keys, nowMs).findLast(count => count > 0) ?? 0
+      const answers = countAnswers(keys, nowMs)
       const { mean, variance } = believe(keys, 'amounts', { mean: 0, variance: PRIOR_VARIANCE }, nowMs)
       return { outputTokens: 0, highOutputTokens: 0, workMs: answers === 0 ? undefined : Math.exp(mean + variance / 2), answers }
     },
@@ -163,10 +168,10 @@
 
 /** Keys of the groups of a request, widest first. */
 function listKeys ({ route, account, sharedParts }: CostTraits): number[] {
-  const names = [JSON.stringify([route])]
-  if (account !== undefined) names.push(JSON.stringify([route, 'account', account]))
-  if (sharedParts.length > 0) names.push(JSON.stringify([route, 'part', sharedParts.at(-1)]))
-  return names.map(hashText)
+  const keys = [hashText(route)]
+  if (account !== undefined) keys.push(hashText(`${route}\naccount\n${account}`))
+  if (sharedParts.length > 0) keys.push(hashText(`${route}\npart\n${sharedParts.at(-1)}`))
+  return keys
 }
 
 /** Weight of a group's own evidence, from 0 to 1. */
--- a/src/cost/createSlowdowns/index.ts
+++ b/src/cost/createSlowdowns/index.ts
@@ -63,29 +63,33 @@
   /** Time of the faster paths as a multiple of what the model says. */
   let usualFactor = 1
 
-  function excessOf (targetId: string): number {
+  function excessOf (targetId: string, nowMs: number): number {
     const record = records.get(targetId)
-    return record === undefined ? 0 : record.excess * 0.5 ** ((runtime.monotonicMs() - record.atMs) / HALF_LIFE_MS)
+    return record === undefined ? 0 : record.excess * 0.5 ** ((nowMs - record.atMs) / HALF_LIFE_MS)
   }
 
   return {
     note (stages, tookMs) {
+      const nowMs = runtime.monotonicMs()
       const modelMs = stages.reduce((sum, { expectedMs }) => sum + expectedMs, 0)
       if (modelMs <= 0) return
       const isFaster = tookMs / modelMs < usualFactor
       usualFactor *= isFaster ? 1 - USUAL_STEP * (1 - FASTER_SHARE) : 1 + USUAL_STEP * FASTER_SHARE
       // A stream that was preempted or moved pauses for longer than any slow engine explains.
       const factor = Math.min(MAX_SLOWDOWN, tookMs / modelMs / usualFactor)
-      const knownMs = stages.reduce((sum, { targetId, expectedMs }) => sum + expectedMs * (1 + excessOf(targetId)), 0)
+      const knownMs = stages.reduce((sum, { targetId, expectedMs }) => sum + expectedMs * (1 + excessOf(targetId, nowMs)), 0)
       const unexplainedMs = factor * modelMs - knownMs
       const squares = stages.reduce((sum, { expectedMs }) => sum + expectedMs * expectedMs, 0)
       for (const { targetId, expectedMs } of stages) {
-        const excess = excessOf(targetId) + CORRECTION_SHARE * unexplainedMs * expectedMs / squares
-        records.set(targetId, { excess: Math.max(0, Math.min(MAX_SLOWDOWN - 1, excess)), atMs: runtime.monotonicMs() })
+        const excess = excessOf(targetId, nowMs) + CORRECTION_SHARE * unexplainedMs * expectedMs / squares
+        records.set(targetId, { excess: Math.max(0, Math.min(MAX_SLOWDOWN - 1, excess)), atMs: nowMs })
       }
     },
     slowdownOf (targetId) {
-      const slowdown = 1 + excessOf(targetId)
+      // Read for every engine of every choice, and most are not slow.
+      const known = records.get(targetId)?.excess ?? 0
+      if (1 + known < MIN_SLOWDOWN) return 1
+      const slowdown = 1 + excessOf(targetId, runtime.monotonicMs())
       return slowdown < MIN_SLOWDOWN ? 1 : slowdown
     },
     retain (targetIds) {
