Leave the claim of a stream that has ended alone

Cause: events that arrive after a stream was given up (an id out of order, then more data) would have claimed its path again, and nothing would have released that. Found by reading; no test shows it.

--- a/src/gateway/_lib/attemptStream.ts
+++ b/src/gateway/_lib/attemptStream.ts
@@ -88,6 +88,8 @@
   return {
     active,
     noteProgress (lastEventId, isHeldUp) {
+      // Events can still arrive after the stream has ended; nothing would release the claim.
+      if (!streams.has(active)) return
       pace.note(lastEventId, isHeldUp)
       const madeTokens = countTokens(call, lastEventId)
       if (madeTokens === undefined || madeTokens < untilTokens) return
