Let the pause that starts a probe follow what is usual on the host, also before the first event

Change: createPauseLimits (pure, plain data) takes twice the host's mean time to the first event, from 400 ms up to 1 s, and the limits of running streams from rerouteStreams. A host without streams checks nothing. Measured: tests only; with the mean taken out the new test fails.

--- a/src/gateway/rerouteStreams/index.ts
+++ b/src/gateway/rerouteStreams/index.ts
@@ -8,6 +8,7 @@
 import { choosePath, isSameStage } from '../../path/choosePath/index.js'
 import { jitterPathOptions } from '../../path/jitterPathOptions/index.js'
 import { createMoveRecord } from '../../room/createMoveRecord/index.js'
+import { createPauseLimits } from '../../room/createPauseLimits/index.js'
 import { planMoves } from '../../room/planMoves/index.js'
 import { repeatTask } from '../../runtime/repeatTask/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
@@ -16,17 +17,6 @@
 /** Interval between checks, in milliseconds; shorter than the shortest pause that counts as a stall. */
 const CHECK_INTERVAL_MS = 25
 
-/** Pause of a running stream after which its engines are probed: a multiple of its mean pause, clamped to bounds in milliseconds. */
-const PAUSE_FACTOR = 4
-const PAUSE_MIN_MS = 40
-const PAUSE_MAX_MS = 110
-
-/** Multiple of its mean pause below which no pause of a stream counts, up to `FIRST_EVENT_PAUSE_MS`: pauses of busy engines vary by as much. */
-const USUAL_PAUSE_FACTOR = 2
-
-/** The same before the first event, while the engines process the prompt. */
-const FIRST_EVENT_PAUSE_MS = 400
-
 /** Pause after which a stream leaves a first engine that is reachable but refuses requests, in milliseconds: interrupting it costs an attempt, and a full engine is slow. */
 const FIRST_ENGINE_PAUSE_MS = 400
 
@@ -58,12 +48,15 @@
   const { runtime, streams, suspicions, control, links, fleet, log } = context
   const lastProbedMs = new Map<string, number>()
   const moveRecord = createMoveRecord({ runtime, hostCount: context.hostCount })
+  const { observe, limitMs: pauseLimitMs } = createPauseLimits<ActiveStream>()
   /** Moves of a stream that engines refused since its last event. */
   const refusalsOf = new WeakMap<ActiveStream, number>()
 
   await repeatTask(check, { intervalMs: CHECK_INTERVAL_MS, task: 'rescue', runtime, log, signal })
 
   function check (): void {
+    if (streams.size === 0) return
+    observe(streams)
     const targetsToProbe = listTargetsToProbe()
     for (const target of targetsToProbe) probe(target)
     rerouteAffected()
@@ -219,12 +212,6 @@
   }
 }
 
-function pauseLimitMs (stream: ActiveStream): number {
-  if (!stream.hasStarted) return FIRST_EVENT_PAUSE_MS
-  const usualMs = Math.min(FIRST_EVENT_PAUSE_MS, USUAL_PAUSE_FACTOR * stream.meanPauseMs)
-  return Math.max(usualMs, Math.min(PAUSE_MAX_MS, Math.max(PAUSE_MIN_MS, PAUSE_FACTOR * stream.meanPauseMs)))
-}
-
 function countCrossings (path: Path): number {
   return path.slice(1).filter((stage, index) => stage.target.failureDomain !== path[index]!.target.failureDomain).length
 }
