--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -42,8 +42,19 @@
 
 test('the tokens of an event are the steps of a pass, or unknown', t => {
   const engine = {
-    slots: 4, kv_token_bytes: 1, step_ms: 1, per_seq_ms: 1, context_per_k: 1, read_per_s: 1, models: [{ load_time_s: 1 }], usual: { prompt: 9, answer: 8 },
-    layers: 2, layer_mb: 1, activation_bytes: 1, pipe_mbps: 1, kinds: []
+    slots: 4,
+    kv_token_bytes: 1,
+    step_ms: 1,
+    per_seq_ms: 1,
+    context_per_k: 1,
+    read_per_s: 1,
+    models: [{ load_time_s: 1 }],
+    usual: { prompt: 9, answer: 8 },
+    layers: 2,
+    layer_mb: 1,
+    activation_bytes: 1,
+    pipe_mbps: 1,
+    kinds: []
   }
   const modelOf = (fields: object) => decodeConfiguration({ version: 7, routes: [], services: [{ name: 'model', engine: { ...engine, ...fields } }], limits: LIMITS })?.services[0]?.model
   t.is(modelOf({ stride: 4 })?.tokensPerEvent, 4)
