Look for room in a record of its own when a choice is only explained

Cause: where asked the room check of the host, which then remembered sizes that it had looked for. Change: the context without effects has a check of its own. Measured: tests of the command line pass.

--- a/src/gateway/_lib/explainPlace.ts
+++ b/src/gateway/_lib/explainPlace.ts
@@ -7,6 +7,7 @@
 import type { EngineModel, Path, Route, Service, Target } from '../../fleet/types.js'
 import type { RequestSize } from '../../path/choosePath/index.js'
 import { computeCacheTokenLayers } from '../../path/_lib/stageCost.js'
+import { createRoomCheck } from '../../room/createRoomCheck/index.js'
 import type { GatewayContext, Reservation } from '../types.js'
 import { estimateRequestSize, expectOutput, type PricedCall } from './estimateRequestSize.js'
 import { pauseLeftMs, reservePath } from './reserveCapacity.js'
@@ -119,6 +120,7 @@
     loadTracker: { ...loadTracker, claim: () => ({ resize () {}, [Symbol.dispose] () {} }) },
     targetLimits: { ...targetLimits, take () {} },
     targetPauses: { ...targetPauses, take () {} },
+    roomCheck: createRoomCheck(),
     loadAgeMs: () => 0
   }
 }
