Count places that were just assigned when a burst follows a calm

Cause: a host judged its queue by the rate of places that it had told its peers. In the first moment of a burst that rate was the floor of 4 a second although 40 places had just been assigned, so that requests with a place in sight were refused on arrival (expectedWaitMs 4000, placesPerS 4). Change: this host's own count of places of the last second goes into its view at once.

--- a/src/waiting/_lib/createQueueJudge.ts
+++ b/src/waiting/_lib/createQueueJudge.ts
@@ -83,15 +83,21 @@
 
   let latest: { view: QueueView, atMs: number } | undefined
 
-  /** The view, kept for a moment as a round judges each queued request by it. */
+  /** The view, kept for a moment as a round judges each queued request by it, or until this host assigns a place. */
   function view (): QueueView {
     const nowMs = runtime.monotonicMs()
     if (latest === undefined || nowMs - latest.atMs >= VIEW_MS) latest = { view: readView(), atMs: nowMs }
     return latest.view
   }
 
+  /** Figures of a rank over all hosts; this host's own count of places is newer than what it has told, above all in a burst after a calm. */
+  function readCurrentFigures (rank: number): RankFigures {
+    const figures = readFigures(rank, sharing)
+    return { ...figures, placesPerS: Math.max(figures.placesPerS, record.rates(rank).placesPerS) }
+  }
+
   function readView (): QueueView {
-    return summarizeRoom(listRanks().map(rank => readFigures(rank, sharing)), { ...(sharing.places?.() ?? { freePlaces: 0, totalPlaces: 0 }), ageMs: sharing.ageMs(), hostCount: sharing.hostCount(), isCutOff: sharing.isCutOff() })
+    return summarizeRoom(listRanks().map(readCurrentFigures), { ...(sharing.places?.() ?? { freePlaces: 0, totalPlaces: 0 }), ageMs: sharing.ageMs(), hostCount: sharing.hostCount(), isCutOff: sharing.isCutOff() })
   }
 
   /** What was served of an account by this host and, as far as they tell it, by others. */
@@ -144,7 +150,13 @@
   const sumElsewhere = (ranks: readonly RankFigures[]): number => ranks.reduce((sum, { rank, waiting }) => sum + Math.max(0, waiting - (toldWaiting.get(rank) ?? 0)), 0)
 
   return {
-    record,
+    record: {
+      ...record,
+      countPlace (rank, account) {
+        record.countPlace(rank, account)
+        latest = undefined
+      }
+    },
     view,
     tell (waiting, promised) {
       for (const rank of listRanks()) {
--- a/src/waiting/createDispatcher/test.ts
+++ b/src/waiting/createDispatcher/test.ts
@@ -42,6 +42,17 @@
   t.deepEqual(order, ['urgent placed', 'small placed', 'big1 placed', 'big2 placed'])
 })
 
+test('in a burst after a calm, the places that were just assigned count', async t => {
+  const { runtime, dispatcher, places, order, requestPlace } = setUp()
+  places.push(...Array.from({ length: 30 }, () => 'p'))
+  for (let call = 0; call < 45; call++) requestPlace(`r${call}`)
+  await runtime.settle()
+  places.push(...Array.from({ length: 15 }, () => 'p'))
+  dispatcher.dispatch()
+  await runtime.settle()
+  t.deepEqual(order.filter(outcome => !outcome.endsWith('placed')), [])
+})
+
 test('what cannot be served is refused at once, and so are those that wait for it', async t => {
   const { runtime, dispatcher, state, order, requestPlace } = setUp()
   requestPlace('waiting')
