--- a/src/gateway/_lib/reserveCapacity.ts
+++ b/src/gateway/_lib/reserveCapacity.ts
@@ -25,12 +25,13 @@
   const crossings = context.checkCoverage(service).isWithinCrossingLimit ? {} : { maxCrossings: FALLBACK_MAX_CROSSINGS }
   const slownessOf = (targetId: string): number => suspicions.slownessOf(targetId) * (targetPauses.leftMs(targetId) > 0 ? PAUSED_SLOWNESS : 1)
   const options = { model, loadOf: loadTracker.loadOf, slownessOf, mayBeFirst: (targetId: string) => mayTake(targetId, context), ownDomain, ...crossings }
-  const room = context.roomCheck.look(service.name, serving, options)
-  if (!room.mayFit(size)) return undefined
+  // While nothing is queued most searches succeed, and a look at the room would cost as much as it spares.
+  const room = context.dispatcherOf(service.name).queueLength() === 0 ? undefined : context.roomCheck.look(service.name, serving, options)
+  if (room?.mayFit(size) === false) return undefined
   const jitter = jitterPathOptions(slownessOf, { loadAgeMs: context.loadAgeMs(), random: runtime.random })
-  const varied = room.mayFitWithin(size, jitter.cacheShare) ? choosePath(engines, size, { ...options, ...jitter }) : undefined
+  const varied = room?.mayFitWithin(size, jitter.cacheShare) === false ? undefined : choosePath(engines, size, { ...options, ...jitter })
   const chosen = varied ?? choosePath(engines, size, options)
-  if (chosen === undefined && excluded.size === 0) room.noteFailed(size)
+  if (chosen === undefined && excluded.size === 0) room?.noteFailed(size)
   if (chosen === undefined) return undefined
   targetLimits.take(chosen.path[0]!.target.id)
   targetPauses.take(chosen.path[0]!.target.id)
