Say that hosts publish the figures of their queues

Cause: tell and told are no usual terms for what a host shares of its state. Change: names and comments of the queue say publish; no behaviour changes, nothing on the wire.

--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -253,7 +253,7 @@
     if (known !== undefined) return known
     const sharing = {
       service,
-      tell: loadTracker.setOwn,
+      publish: loadTracker.setOwn,
       sumOf: loadTracker.loadOf,
       ranks: () => listRanks(fleet.configuration(), service),
       ageMs: exchange.loadAgeMs,
--- a/src/path/createLoadTracker/index.ts
+++ b/src/path/createLoadTracker/index.ts
@@ -51,7 +51,7 @@
   setNeighborLoad: (neighbor: string, load: LoadByKey) => boolean
   /** Removes the load of a neighbor. */
   removeNeighbor: (neighbor: string) => void
-  /** Replaces what this host tells under a key of its own, such as a figure of its queues, or withdraws it; hosts sum it like the load of a target. */
+  /** Replaces what this host publishes under a key of its own, such as a figure of its queues, or withdraws it; hosts sum it like the load of a target. */
   setOwn: (key: string, load: EngineLoad | undefined) => void
   /** Calls the listener when this host's own load changes. */
   onOwnChange: (listener: () => void) => void
--- a/src/waiting/_lib/createQueueJudge.ts
+++ b/src/waiting/_lib/createQueueJudge.ts
@@ -8,16 +8,16 @@
 import { summarizeRoom } from '../summarizeRoom/index.js'
 import type { AdmissionFigures, QueueView, RankFigures } from '../types.js'
 import { createQueueRecord, type QueueRecord } from './createQueueRecord.js'
-import { accountKey, pairOf, readFigures, tellFigures, type QueueSharing } from './queueFigures.js'
+import { accountKey, pairOf, readFigures, publishFigures, type QueueSharing } from './queueFigures.js'
 
-/** Ranks of a service, and accounts, whose figures are told. */
-const MAX_TOLD_RANKS = 8
-const MAX_TOLD_ACCOUNTS = 4
+/** Ranks of a service, and accounts, whose figures are published. */
+const MAX_PUBLISHED_RANKS = 8
+const MAX_PUBLISHED_ACCOUNTS = 4
 
-/** What was served of an account, as a multiple of the mean, from which it is told. */
+/** What was served of an account, as a multiple of the mean, from which it is published. */
 const LARGE_ACCOUNT_FACTOR = 1.5
 
-/** Interval at which accounts are told, in milliseconds; what was served of them changes over minutes. */
+/** Interval at which accounts are published, in milliseconds; what was served of them changes over minutes. */
 const ACCOUNTS_INTERVAL_MS = 1_000
 
 /** Rate of places to assume at least, for all hosts together: few or none are assigned right after a fault that is being repaired. */
@@ -56,7 +56,7 @@
   record: QueueRecord
   view: () => QueueView
   /** Tells peers the figures of this host's queue. */
-  tell: (waiting: readonly JudgedRequest[], promised: (rank: number) => number) => void
+  publish: (waiting: readonly JudgedRequest[], promised: (rank: number) => number) => void
   order: <Request extends JudgedRequest>(requests: readonly Request[], isReturnTurn: boolean) => Request[]
   /** Judges a request behind `ownAhead` others of this host: whether it is admitted, or goes on waiting. */
   judge: (request: JudgedRequest, ownAhead: readonly JudgedRequest[], options: { isQueued: boolean, stalledMs: number }) => { admission: Admission, figures: AdmissionFigures }
@@ -70,16 +70,16 @@
 /** Creates the judge of a queue. */
 export function createQueueJudge ({ runtime, sharing }: { runtime: Runtime, sharing: QueueSharing }): QueueJudge {
   const record = createQueueRecord({ runtime })
-  /** Number of requests that this host told to be waiting, by rank. */
-  const toldWaiting = new Map<number, number>()
-  let accountsToldMs = -Infinity
-  const toldAccounts = new Map<string, ServedShare>()
+  /** Number of requests that this host published as waiting, by rank. */
+  const publishedWaiting = new Map<number, number>()
+  let accountsPublishedMs = -Infinity
+  const publishedAccounts = new Map<string, ServedShare>()
   /** Arrivals a second by rank, as they were known within `LASTING_MS`. */
   let samples: Array<{ atMs: number, arrivalsPerS: ReadonlyMap<number, number> }> = []
   let usualPlacesPerS = 0
   let usualAtMs = runtime.monotonicMs()
 
-  const listRanks = (): number[] => [...new Set([...sharing.ranks(), ...record.ranks()])].sort((a, b) => a - b).slice(0, MAX_TOLD_RANKS)
+  const listRanks = (): number[] => [...new Set([...sharing.ranks(), ...record.ranks()])].sort((a, b) => a - b).slice(0, MAX_PUBLISHED_RANKS)
 
   let latest: { view: QueueView, atMs: number } | undefined
 
@@ -90,7 +90,7 @@
     return latest.view
   }
 
-  /** Figures of a rank over all hosts; this host's own count of places is newer than what it has told, above all in a burst after a calm. */
+  /** Figures of a rank over all hosts; this host's own count of places is newer than what it has published, above all in a burst after a calm. */
   function readCurrentFigures (rank: number): RankFigures {
     const figures = readFigures(rank, sharing)
     return { ...figures, placesPerS: Math.max(figures.placesPerS, record.rates(rank).placesPerS) }
@@ -100,27 +100,27 @@
     return summarizeRoom(listRanks().map(readCurrentFigures), { ...(sharing.places?.() ?? { freePlaces: 0, totalPlaces: 0 }), ageMs: sharing.ageMs(), hostCount: sharing.hostCount(), isCutOff: sharing.isCutOff() })
   }
 
-  /** What was served of an account by this host and, as far as they tell it, by others. */
+  /** What was served of an account by this host and, as far as they publish it, by others. */
   function accountShare (account: string): ServedShare {
     const own = record.accountShare(account)
-    const told = toldAccounts.get(account) ?? { asked: 0, served: 0 }
+    const published = publishedAccounts.get(account) ?? { asked: 0, served: 0 }
     const { tokenLayers, firstSequences } = sharing.sumOf(accountKey(account))
-    return { served: own.served + Math.max(0, tokenLayers - told.served), asked: own.asked + Math.max(0, firstSequences - told.asked) }
+    return { served: own.served + Math.max(0, tokenLayers - published.served), asked: own.asked + Math.max(0, firstSequences - published.asked) }
   }
 
-  function tellAccounts (isWaiting: boolean): void {
-    if (runtime.monotonicMs() - accountsToldMs < ACCOUNTS_INTERVAL_MS) return
-    accountsToldMs = runtime.monotonicMs()
+  function publishAccounts (isWaiting: boolean): void {
+    if (runtime.monotonicMs() - accountsPublishedMs < ACCOUNTS_INTERVAL_MS) return
+    accountsPublishedMs = runtime.monotonicMs()
     const accounts = isWaiting ? record.accounts() : []
     const leastServed = LARGE_ACCOUNT_FACTOR * record.overall().served / accounts.length
-    const largest = accounts.filter(account => record.accountShare(account).served > leastServed).sort((a, b) => record.accountShare(b).served - record.accountShare(a).served).slice(0, MAX_TOLD_ACCOUNTS)
-    for (const account of toldAccounts.keys()) if (!largest.includes(account)) sharing.tell(accountKey(account), undefined)
-    toldAccounts.clear()
+    const largest = accounts.filter(account => record.accountShare(account).served > leastServed).sort((a, b) => record.accountShare(b).served - record.accountShare(a).served).slice(0, MAX_PUBLISHED_ACCOUNTS)
+    for (const account of publishedAccounts.keys()) if (!largest.includes(account)) sharing.publish(accountKey(account), undefined)
+    publishedAccounts.clear()
     for (const account of largest) {
       const { asked, served } = record.accountShare(account)
-      const told = { asked: Math.round(asked), served: Math.round(served) }
-      toldAccounts.set(account, told)
-      sharing.tell(accountKey(account), pairOf(told.served, told.asked))
+      const published = { asked: Math.round(asked), served: Math.round(served) }
+      publishedAccounts.set(account, published)
+      sharing.publish(accountKey(account), pairOf(published.served, published.asked))
     }
   }
 
@@ -147,7 +147,7 @@
   const isStarvedRank = (rank: number): boolean => isStarved(record.rankShare(rank), record.overall())
   const sumWaiting = (ranks: readonly RankFigures[]): number => ranks.reduce((sum, { waiting }) => sum + waiting, 0)
   /** Requests that wait at other hosts. */
-  const sumElsewhere = (ranks: readonly RankFigures[]): number => ranks.reduce((sum, { rank, waiting }) => sum + Math.max(0, waiting - (toldWaiting.get(rank) ?? 0)), 0)
+  const sumElsewhere = (ranks: readonly RankFigures[]): number => ranks.reduce((sum, { rank, waiting }) => sum + Math.max(0, waiting - (publishedWaiting.get(rank) ?? 0)), 0)
 
   return {
     record: {
@@ -158,14 +158,14 @@
       }
     },
     view,
-    tell (waiting, promised) {
+    publish (waiting, promised) {
       for (const rank of listRanks()) {
-        toldWaiting.set(rank, waiting.filter(request => request.rank === rank).length)
-        tellFigures(rank, { ...record.rates(rank), waiting: toldWaiting.get(rank)!, promised: promised(rank) }, sharing)
+        publishedWaiting.set(rank, waiting.filter(request => request.rank === rank).length)
+        publishFigures(rank, { ...record.rates(rank), waiting: publishedWaiting.get(rank)!, promised: promised(rank) }, sharing)
       }
       latest = undefined
       const { ranks, room } = view()
-      tellAccounts(sumWaiting(ranks) > 0)
+      publishAccounts(sumWaiting(ranks) > 0)
       sampleArrivals(ranks)
       updateUsualRate(room.placesPerS)
     },
@@ -188,7 +188,7 @@
       const urgentArrivalsPerS = before.filter(figures => figures !== own).reduce((sum, { arrivalsPerS }) => sum + arrivalsPerS, 0)
       const ratePerS = isFirst ? total : Math.max(own?.placesPerS ?? 0, total - urgentArrivalsPerS)
       const arrivalsPerS = stalledMs > 0 ? 0 : lastingArrivalsPerS(rank)
-      // What has come to wait at other hosts since they told it.
+      // What has come to wait at other hosts since they published it.
       const unheard = Math.max(0, arrivalsPerS - ratePerS) * Math.min(room.ageMs, MS_PER_S) / MS_PER_S
       const elsewhere = isFirst || isReturning || isQueued ? 0 : unheard + sumElsewhere(before)
       // Hosts that have requests waiting get places at about the same rate, whatever the length of their queues.
--- a/src/waiting/_lib/queueFigures.ts
+++ b/src/waiting/_lib/queueFigures.ts
@@ -5,11 +5,11 @@
 import type { EngineLoad } from '../../path/choosePath/index.js'
 import type { RankFigures } from '../types.js'
 
-/** Where a host tells its figures and reads the sums. */
+/** Where a host publishes its figures and reads the sums. */
 export interface QueueSharing {
   service: string
-  /** Replaces what this host tells under a key, or withdraws it. */
-  tell: (key: string, load: EngineLoad | undefined) => void
+  /** Replaces what this host publishes under a key, or withdraws it. */
+  publish: (key: string, load: EngineLoad | undefined) => void
   /** Sum over all hosts that are heard, this one included. */
   sumOf: (key: string) => EngineLoad
   /** Ranks of the requests that the configuration allows for the service. */
@@ -35,13 +35,13 @@
 /** Key of what was served of an account. */
 export const accountKey = (account: string): string => `account ${account}`
 
-/** An entry of two numbers; `sequences` counts the hosts that tell it, and is never 0, as entries without are dropped. */
+/** An entry of two numbers; `sequences` counts the hosts that publish it, and is never 0, as entries without are dropped. */
 export const pairOf = (one: number, other: number): EngineLoad | undefined => one <= 0 && other <= 0 ? undefined : { tokenLayers: one, sequences: 1, firstSequences: other }
 
 /** Tells the figures of this host for a rank. */
-export function tellFigures (rank: number, { waiting, promised, arrivalsPerS, placesPerS }: OwnFigures, { service, tell }: Pick<QueueSharing, 'service' | 'tell'>): void {
-  tell(queueKey(service, rank), pairOf(waiting, promised))
-  tell(flowKey(service, rank), pairOf(arrivalsPerS, placesPerS))
+export function publishFigures (rank: number, { waiting, promised, arrivalsPerS, placesPerS }: OwnFigures, { service, publish }: Pick<QueueSharing, 'service' | 'publish'>): void {
+  publish(queueKey(service, rank), pairOf(waiting, promised))
+  publish(flowKey(service, rank), pairOf(arrivalsPerS, placesPerS))
 }
 
 /** Reads the sums of a rank over all hosts. */
@@ -55,7 +55,7 @@
   const loads = new Map<string, EngineLoad>()
   return {
     service: '',
-    tell (key, load) {
+    publish (key, load) {
       if (load === undefined) loads.delete(key)
       else loads.set(key, load)
     },
--- a/src/waiting/createDispatcher/index.ts
+++ b/src/waiting/createDispatcher/index.ts
@@ -25,8 +25,8 @@
 /** Interval at which free places are assigned to queued requests, in milliseconds; each round may choose several paths. */
 const DISPATCH_INTERVAL_MS = 25
 
-/** Interval at which figures are told while nothing is queued, in milliseconds. */
-const TELL_INTERVAL_MS = 250
+/** Interval at which figures are published while nothing is queued, in milliseconds. */
+const PUBLISH_INTERVAL_MS = 250
 
 /** Maximum number of queued requests; a request that arrives at a full queue is refused. */
 const MAX_QUEUE_LENGTH = 300
@@ -100,8 +100,8 @@
     if (isReturning ? listNew().some(entry => !entry.isReturning) : listNew().some(entry => entry.isReturning)) returnCounts.add(isReturning)
   }
 
-  function tell (): void {
-    judge.tell(listNew(), returns.promised)
+  function publish (): void {
+    judge.publish(listNew(), returns.promised)
   }
 
   let stalledSinceMs: number | undefined
@@ -117,7 +117,7 @@
 
   /** Dispatches after an interval, and again while requests are queued or the figures of this host are not zero. */
   function scheduleRound (): void {
-    const intervalMs = queue.length > 0 ? DISPATCH_INTERVAL_MS : TELL_INTERVAL_MS
+    const intervalMs = queue.length > 0 ? DISPATCH_INTERVAL_MS : PUBLISH_INTERVAL_MS
     if (round !== undefined && round.intervalMs <= intervalMs) return
     round?.timer[Symbol.dispose]()
     const timer = runtime.setTimer(intervalMs, () => {
@@ -149,7 +149,7 @@
       recordPlace(entry.placeRequest)
       removeAndSettle(entry, { kind: 'placed', place, waitedMs: waitedMs(entry) })
     }
-    tell()
+    publish()
     refuseHopeless()
     returns.noteExcess(judge.isExcess())
   }
--- a/test/fakes/createQueueHosts.ts
+++ b/test/fakes/createQueueHosts.ts
@@ -50,7 +50,7 @@
     runtime,
     sharing: {
       service: 'chat',
-      tell (key, load) {
+      publish (key, load) {
         if (load === undefined) figures.delete(key)
         else figures.set(key, load)
       },
@@ -74,7 +74,7 @@
     runtime,
     outcomes,
     dispatchers,
-    /** Ends a host, with what it told. */
+    /** Ends a host, with what it published. */
     stop (host: number) {
       alive.delete(host)
     },
