Log when a host stands still and how soon a target hears that its caller has left

Nothing told a close that was read late from one that was handled late, or from one that got lost at a peer. hostStalled (1012) and loop_delay_seconds show late reading; caller_close_seconds and leftForMs of callerGone show late handling, by link; relays_open shows connections to targets that a peer keeps. No change of when anything is sent or closed.

--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -22,6 +22,7 @@
   settingsReloaded: { number: 1005, level: 'info', text: 'settings file checked again; its changes take effect at the next start' },
   settingsInvalid: { number: 1006, level: 'error', text: 'settings file is invalid; the settings read at the start stay in use' },
   eventsDropped: { number: 1011, level: 'warn', text: 'log lines above the rate limit of their event were dropped' },
+  hostStalled: { number: 1012, level: 'warn', text: 'event loop stood still; what arrived meanwhile was read late' },
   processStopped: { number: 1004, level: 'info', text: 'process stopped' },
   unexpectedError: { number: 1090, level: 'error', text: 'unexpected error' },
   ticketAccepted: { number: 2001, level: 'info', text: 'change ticket accepted' },
--- a/src/gateway/_lib/answerCaller.ts
+++ b/src/gateway/_lib/answerCaller.ts
@@ -82,6 +82,18 @@
   endWithReason(call, context, mayHaveRun ? 'deadlinePassed' : notRunReason, { ...details, cutCause: 'deadline' })
 }
 
+/** Records the end of a call whose caller has left. */
+export function recordCallerGone (call: Call, { runtime, log, metrics }: GatewayContext, details: LogDetails): void {
+  const nowMs = runtime.monotonicMs()
+  log.emit('callerGone', {
+    ...describeRequest(call),
+    tookMs: Math.round(nowMs - call.startedMs),
+    leftForMs: Math.round(nowMs - (call.callerLeftAtMs ?? nowMs)),
+    ...details
+  })
+  metrics.calls.inc({ kind: call.route.kind, outcome: 'callerGone' })
+}
+
 function writeRefusal (call: Call, context: GatewayContext, status: number, retryAfterMs: number | undefined): void {
   const headers = context.format.buildRefusalHeaders({ requestId: call.facts.requestId, retryAfterMs })
   call.response.writeHead(status, withConnectionClose(context, [...headers, 'Content-Length', '0']))
--- a/src/gateway/_lib/attemptStream.ts
+++ b/src/gateway/_lib/attemptStream.ts
@@ -6,6 +6,7 @@
 import type { RequestSize } from '../../path/choosePath/index.js'
 import type { Claim } from '../../path/createLoadTracker/index.js'
 import type { ActiveStream, Call, GatewayContext, Reservation, TargetRun } from '../types.js'
+import { closeWithCall } from './closeWithCall.js'
 import { closeWhenCrashing } from './crashingRequests.js'
 import { countTokens, expectOutput, learnOutput } from './estimateRequestSize.js'
 import { createPaceObserver } from './createPaceObserver.js'
@@ -27,8 +28,7 @@
     connect: context.links.connect,
     mayStillSend: () => context.targetPauses.leftMs(reservation.target.id) === 0
   })
-  const closeExchange = (): void => exchange.close('call ended')
-  signal.addEventListener('abort', closeExchange, { once: true })
+  const closing = closeWithCall(call, exchange, context)
   const crashWatch = closeWhenCrashing(call, run, exchange, context)
   using stream = reservation.path === undefined ? undefined : registerStream(call, reservation, size, exchange, run, mayInterrupt, context)
   try {
@@ -40,7 +40,7 @@
     return relayed
   } finally {
     crashWatch[Symbol.dispose]()
-    signal.removeEventListener('abort', closeExchange)
+    closing[Symbol.dispose]()
     exchange.close('exchange ended')
   }
 }
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -4,9 +4,10 @@
  * did not run it.
  */
 import { noteStatements } from './noteStatements.js'
+import { closeWithCall } from './closeWithCall.js'
 import { openExchange } from './openExchange.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
-import { describeRequest, endStopped, endWithReason, sendAnswer, type BufferedAnswer } from './answerCaller.js'
+import { describeRequest, endStopped, endWithReason, recordCallerGone, sendAnswer, type BufferedAnswer } from './answerCaller.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
 import { describeReturn } from './describeReturn.js'
@@ -81,11 +82,7 @@
       if (route.kind === 'unsafe') break
     }
   }
-  if (signal.aborted && !(signal.reason instanceof DeadlineError)) {
-    log.emit('callerGone', { ...describeRequest(call), tookMs: Math.round(runtime.monotonicMs() - call.startedMs), attempts })
-    metrics.calls.inc({ kind: route.kind, outcome: 'callerGone' })
-    return
-  }
+  if (signal.aborted && !(signal.reason instanceof DeadlineError)) return recordCallerGone(call, context, { attempts })
   if (lastFailure !== undefined) return finishWithAnswer(lastFailure)
   if (signal.aborted) return endStopped(call, context, { mayHaveRun, notRunReason: 'targetUnreachable', attempts })
   if (mayHaveRun) return endWithReason(call, context, 'targetFailed', { attempts })
@@ -107,7 +104,7 @@
 
 /** Sends the call to one target and reads the complete answer. */
 async function attemptCall (call: Call, reservation: Reservation, context: GatewayContext): Promise<AttemptResult> {
-  const { request, body, facts, route, account, signal } = call
+  const { request, body, facts, route, account } = call
   const { format, runtime } = context
   const leftMs = Math.floor(call.deadlineAtMs - runtime.monotonicMs())
   if (leftMs <= 0) return { kind: 'notRun', cause: NO_TIME_LEFT, hasReachedTarget: false }
@@ -119,8 +116,7 @@
     connect: context.links.connect,
     mayStillSend: () => context.targetPauses.leftMs(reservation.target.id) === 0
   })
-  const closeExchange = (): void => exchange.close('call ended')
-  signal.addEventListener('abort', closeExchange, { once: true })
+  const closing = closeWithCall(call, exchange, context)
   using answerTimeout = withDeadline(route.objectiveMs * ANSWER_TIMEOUT_OBJECTIVES, { runtime })
   if (route.kind === 'safe') answerTimeout.signal.addEventListener('abort', () => exchange.close('no answer in time'), { once: true })
   try {
@@ -141,6 +137,6 @@
     if (NOT_RUN_STATUSES.has(status)) return { kind: 'mayHaveRun', cause: `status ${status} without proof that the call did not run` }
     return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody, isFramed: isFramed(answer) }
   } finally {
-    signal.removeEventListener('abort', closeExchange)
+    closing[Symbol.dispose]()
   }
 }
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -11,7 +11,7 @@
 import { sleep } from '../../runtime/sleep/index.js'
 import { DeadlineError } from '../../runtime/withDeadline/index.js'
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
-import { describeRequest, endStopped, endWithReason, sendAnswer, type LogDetails } from './answerCaller.js'
+import { describeRequest, endStopped, endWithReason, recordCallerGone, sendAnswer, type LogDetails } from './answerCaller.js'
 import { attemptStream } from './attemptStream.js'
 import { endCrashingCall, noteCrash, traitsOf } from './crashingRequests.js'
 import { describeReturn } from './describeReturn.js'
@@ -118,8 +118,7 @@
   if (!signal.aborted || signal.reason instanceof DeadlineError) {
     return endStopped(call, context, { mayHaveRun: progress.tries > 0, notRunReason: 'overloaded', ...details() })
   }
-  log.emit('callerGone', { ...describeRequest(call), tookMs: Math.round(runtime.monotonicMs() - call.startedMs), lastEventId: progress.lastEventId, ...details() })
-  metrics.calls.inc({ kind: route.kind, outcome: 'callerGone' })
+  recordCallerGone(call, context, { lastEventId: progress.lastEventId, ...details() })
 
   function endWithoutAnswer (cause: 'retry budget spent' | 'attempts spent' | 'request suspected of crashes'): void {
     endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, ...describeReturn(call, { defaultMs: RETRY_AFTER_MS }, context), cutCause: 'attempts' })
--- a/src/gateway/createGatewayMetrics/index.ts
+++ b/src/gateway/createGatewayMetrics/index.ts
@@ -6,6 +6,9 @@
 /** Upper bounds of the time histograms, in seconds. */
 const TIME_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 20]
 
+/** Upper bounds of the histograms of delays within this process, in seconds. */
+const DELAY_BUCKETS_S = [0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5]
+
 /** The metrics that the gateway's modules write to. */
 export interface GatewayMetrics {
   registry: Registry
@@ -23,6 +26,9 @@
   crashingRequests: Gauge<'state'>
   firstEventSeconds: Histogram
   waitSeconds: Histogram
+  callerCloseSeconds: Histogram<'link'>
+  loopDelaySeconds: Histogram
+  relaysOpen: Gauge
   storeCalls: Counter<'operation'>
   orders: Counter<'operation' | 'result'>
   streams: Gauge
@@ -68,6 +74,9 @@
     invalidFields: new Counter({ name: 'coltsfootlead_gateway_invalid_answer_fields_total', help: 'Fields in answers of targets that could not be read and were ignored', labelNames: ['field'], registers }),
     firstEventSeconds: new Histogram({ name: 'coltsfootlead_gateway_first_event_seconds', help: 'Time from arrival to the first event of a stream', buckets: TIME_BUCKETS_S, registers }),
     waitSeconds: new Histogram({ name: 'coltsfootlead_gateway_wait_seconds', help: 'Time in the queue', buckets: TIME_BUCKETS_S, registers }),
+    callerCloseSeconds: new Histogram({ name: 'coltsfootlead_gateway_caller_close_seconds', help: 'Time from reading that a caller has left to closing the connection to its target', labelNames: ['link'], buckets: DELAY_BUCKETS_S, registers }),
+    loopDelaySeconds: new Histogram({ name: 'coltsfootlead_gateway_loop_delay_seconds', help: 'How late a timer of this process ran', buckets: DELAY_BUCKETS_S, registers }),
+    relaysOpen: new Gauge({ name: 'coltsfootlead_gateway_relays_open', help: 'Connections to targets that are open for peers', registers }),
     storeCalls: new Counter({ name: 'coltsfootlead_gateway_store_calls_total', help: 'Calls to the object API', labelNames: ['operation'], registers }),
     orders: new Counter({ name: 'coltsfootlead_gateway_orders_total', help: 'Orders to engines', labelNames: ['operation', 'result'], registers }),
     streams: new Gauge({ name: 'coltsfootlead_gateway_streams', help: 'Streams in progress', registers }),
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -26,6 +26,7 @@
 import { createRetryBudget } from '../../retry/createRetryBudget/index.js'
 import { repeatTask } from '../../runtime/repeatTask/index.js'
 import { createResourceStack } from '../../runtime/createResourceStack/index.js'
+import { watchStalls } from '../../runtime/watchStalls/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { DeadlineError, withDeadline } from '../../runtime/withDeadline/index.js'
 import { createSuspicions } from '../../suspicion/createSuspicions/index.js'
@@ -50,6 +51,9 @@
   drain: () => Promise<void>
 }
 
+/** Milliseconds in a second. */
+const MS_PER_S = 1_000
+
 /** Interval at which the lease is renewed, in milliseconds; a third of its duration. */
 const LEASE_RENEWAL_MS = 500
 
@@ -172,7 +176,8 @@
     connect: links.connectForPeer,
     pauseLeftMs: targetPauses.leftMs,
     onAnswerHead: (target, head) => noteRelayedStatements(head, target, context),
-    onResult: result => metrics.relaysServed.inc({ result })
+    onResult: result => metrics.relaysServed.inc({ result }),
+    onOpenCount: count => metrics.relaysOpen.set(count)
   })
   const context: GatewayContext = {
     fleet,
@@ -242,6 +247,7 @@
   resources.use(await listen(internal, { ...settings.metricsAddress, onHandlerError: logError }))
   log.emit('processStarted', { address: callers.address, failureDomain: settings.failureDomain })
 
+  watchStalls({ runtime, log, signal, onDelay: lateMs => metrics.loopDelaySeconds.observe(lateMs / MS_PER_S) })
   registerHost(settings, { exchange, store, runtime, log, signal })
   discoverPeers({ exchange, store, runtime, log, signal })
   rerouteStreams(context, { signal, onSuspicion: exchange.sendNow })
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -105,6 +105,8 @@
   /** Aborts when the caller disconnects, or with a `DeadlineError` at `deadlineAtMs`. */
   signal: AbortSignal
   progress: TryProgress
+  /** Monotonic time at which this host read that the caller has closed its connection, in milliseconds. */
+  callerLeftAtMs?: number
 }
 
 /** One run of a call on a target, from the sending of the request. */
--- a/src/links/createRelayHandler/index.ts
+++ b/src/links/createRelayHandler/index.ts
@@ -28,6 +28,8 @@
   onAnswerHead?: (target: Target, head: string) => void
   /** Called with each result. */
   onResult: (result: 'opened' | 'targetUnreachable' | 'refused') => void
+  /** Called with the number of connections that are open for peers, when it changes. */
+  onOpenCount?: (count: number) => void
 }
 
 /** Longest head of an answer that is read, in bytes. */
@@ -49,7 +51,7 @@
  * @example
  * const relay = createRelayHandler({ targets: fleet.targets, connect: links.connectForPeer, onResult })
  */
-export function createRelayHandler ({ targets, connect, pauseLeftMs = () => 0, onAnswerHead = () => {}, onResult }: RelayHandlerOptions): RelayHandler {
+export function createRelayHandler ({ targets, connect, pauseLeftMs = () => 0, onAnswerHead = () => {}, onResult, onOpenCount = () => {} }: RelayHandlerOptions): RelayHandler {
   const open = new Set<Socket>()
   const waiters = new Set<() => void>()
 
@@ -88,10 +90,12 @@
       }
       onResult('opened')
       open.add(peer)
+      onOpenCount(open.size)
       target.on('error', () => peer.resetAndDestroy())
       target.once('close', () => { if (!target.readableEnded) peer.destroy() })
       peer.once('close', () => {
         open.delete(peer)
+        onOpenCount(open.size)
         target.destroy()
         if (open.size === 0) for (const resolve of [...waiters]) resolve()
       })
--- /dev/null
+++ b/src/runtime/watchStalls/index.ts
@@ -0,0 +1,42 @@
+/**
+ * Notices that the event loop of this process did not run for a while: the process stood still, or
+ * one of its turns took long. What arrived meanwhile was read late.
+ */
+import type { EventLog } from '../../event/types.js'
+import { delayToNextRound } from '../delayToNextRound/index.js'
+import { repeatTask } from '../repeatTask/index.js'
+import type { Runtime } from '../types.js'
+
+/** Interval of the timer whose lateness is measured, in milliseconds; the same as that of other tasks, with which it wakes. */
+const CHECK_INTERVAL_MS = 250
+
+/** Lateness that gets a line in the log, in milliseconds. */
+const STALL_MS = 250
+
+interface StallWatchOptions {
+  runtime: Runtime
+  log: EventLog
+  signal: AbortSignal
+  /** Called each time with how late the timer was, in milliseconds. */
+  onDelay: (lateMs: number) => void
+}
+
+/**
+ * @name watchStalls
+ * @summary Measures how late timers run until the signal aborts, and logs each stall.
+ * @param options - Runtime, log, signal, and where the measured delays go.
+ *
+ * @example
+ * watchStalls({ runtime, log, signal, onDelay: lateMs => histogram.observe(lateMs / 1_000) })
+ */
+export function watchStalls ({ runtime, log, signal, onDelay }: StallWatchOptions): void {
+  let lastMs: number | undefined
+  repeatTask(() => {
+    const nowMs = runtime.monotonicMs()
+    const dueMs = lastMs === undefined ? nowMs : lastMs + delayToNextRound(CHECK_INTERVAL_MS, lastMs)
+    const lateMs = Math.max(0, nowMs - dueMs)
+    lastMs = nowMs
+    onDelay(lateMs)
+    if (lateMs >= STALL_MS) log.emit('hostStalled', { lateMs: Math.round(lateMs) })
+  }, { intervalMs: CHECK_INTERVAL_MS, task: 'stalls', runtime, log, signal })
+}
