Show that requests are sent on after their callers have left

A host whose event loop stood still reads a request and the close of its caller in one go afterwards, and sends the request; so do the entry and a peer that relays. A peer also only half-closes its connection to a target, or forgets one that opens after its host has reset its own. A caller in a thread of its own sends and leaves while the loop stands still, so no test waits for a time.

--- /dev/null
+++ b/test/gateway/callerGone.test.ts
@@ -0,0 +1,40 @@
+import test from 'ava'
+import type { Target } from '../../src/fleet/types.js'
+import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END } from '../../standin/platform/servePlatformEngine/index.js'
+import { standStillForCaller } from '../fakes/standStill.js'
+import { sendCall, startTestGateway } from '../fakes/startTestGateway.js'
+
+const buildRequest = (path: string): string => `POST ${path} HTTP/1.1\r\nHost: studio.example\r\nAuthorization: Token secret\r\nRequest-Id: left\r\nDeadline-Ms: 4000\r\nToken-Usage: 100,40\r\nContent-Length: 0\r\n\r\n`
+
+/** A gateway in front of one target that serves calls and streams. */
+async function startOne () {
+  const engine = await servePlatformEngine((request, socket) => {
+    if (request.path.startsWith('/stream/')) socket.end(buildStreamHead(request) + encodeEvents([1]) + STREAM_END)
+    else socket.end(buildAnswer(request, 'done'))
+  })
+  const target: Target = { id: 'i-1', service: 'orders', address: engine.address, failureDomain: 'north', bornMs: 1, isLeaving: false, slots: 100 }
+  const stages = [{ from: 0, to: 30 }, { from: 30, to: 60 }, { from: 60, to: 80 }]
+  const gateway = await startTestGateway([target, ...stages.map((layers, index) => ({ ...target, id: `i-2${index}`, service: 'model', kind: 'large', layers }))])
+  return {
+    engine,
+    gateway,
+    async untilGone () {
+      while (!gateway.parts.log.recent().some(({ name }) => name === 'callerGone')) await new Promise(resolve => { setImmediate(resolve) })
+    },
+    async [Symbol.asyncDispose] () {
+      await gateway[Symbol.asyncDispose]()
+      await engine[Symbol.asyncDispose]()
+    }
+  }
+}
+
+// The request and the close of its caller are read in one go after the host has stood still.
+for (const path of ['/unsafe/x', '/safe/x', '/stream/x']) {
+  test(`a host that stood still sends no request to ${path} on after its caller has left`, async t => {
+    await using one = await startOne()
+    await standStillForCaller(one.gateway.address, { text: buildRequest(path) })
+    await one.untilGone()
+    t.is((await sendCall(one.gateway.address, path, {}, '')).status, 200)
+    t.deepEqual(one.engine.received.map(({ headers }) => headers['request-id']), ['r1'])
+  })
+}
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -1,8 +1,9 @@
 import { once } from 'node:events'
-import { createServer, type AddressInfo, type Socket } from 'node:net'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import test from 'ava'
 import { buildEngine } from '../fakes/buildFleet.js'
 import { createTestLog } from '../fakes/createTestLog.js'
+import { standStillForCaller } from '../fakes/standStill.js'
 import { openExchange } from '../../src/gateway/_lib/openExchange.js'
 import { isFramed, readAnswerBody } from '../../src/gateway/_lib/readAnswerBody.js'
 import { listen } from '../../src/http/listen/index.js'
@@ -113,3 +114,94 @@
   await idle
   t.true(isIdle)
 })
+
+/** A peer before a target that records what it reads; `isLenient`: the target works on when its sender has only half-closed the connection. */
+async function startRecordingRelay ({ isLenient = false, untilConnect = Promise.resolve() }: { isLenient?: boolean, untilConnect?: Promise<void> } = {}) {
+  const read: string[] = []
+  const [asked, arrived, tunnelClosed, targetClosed] = [createSignal(), createSignal(), createSignal(), createSignal()]
+  const target = createServer({ allowHalfOpen: isLenient }, socket => {
+    socket.on('error', () => {})
+    socket.on('data', bytes => {
+      read.push(bytes.toString())
+      arrived.note()
+    })
+    socket.once('close', targetClosed.note)
+  }).listen(0, '127.0.0.1')
+  await once(target, 'listening')
+  const targets = [{ ...buildEngine('i-1', 'north', 'large'), address: `127.0.0.1:${(target.address() as AddressInfo).port}` }]
+  const handler = createRelayHandler({
+    targets: () => targets,
+    async connect (address) {
+      await untilConnect
+      return await connectSocket(address, { timeoutMs: 10_000, runtime })
+    },
+    onResult: () => {}
+  })
+  const server = await listen(async (_request, response) => { response.end() }, {
+    address: '127.0.0.1',
+    port: 0,
+    onConnect (request, stream, head) {
+      stream.once('close', tunnelClosed.note)
+      handler.handle(request, stream, head)
+      asked.note()
+    }
+  })
+  const [host, port] = server.address.split(':')
+  const connectRequest = `CONNECT ${targets[0]!.address} HTTP/1.1\r\nHost: x\r\n\r\n`
+  return {
+    read,
+    asked: asked.promise,
+    arrived: arrived.promise,
+    tunnelClosed: tunnelClosed.promise,
+    targetClosed: targetClosed.promise,
+    address: server.address,
+    connectRequest,
+    /** Asks the peer for a connection. */
+    openTunnel () {
+      const tunnel = connect(Number(port), host)
+      tunnel.write(connectRequest)
+      return tunnel
+    },
+    async [Symbol.asyncDispose] () {
+      await handler[Symbol.asyncDispose]()
+      await server[Symbol.asyncDispose]()
+      target.close()
+    }
+  }
+}
+
+function createSignal (): { promise: Promise<void>, note: () => void } {
+  let note = (): void => {}
+  const promise = new Promise<void>(resolve => { note = resolve })
+  return { promise, note }
+}
+
+test('a peer closes the connection to a target that works on when the host has only ended its own', async t => {
+  await using relay = await startRecordingRelay({ isLenient: true })
+  const tunnel = relay.openTunnel()
+  await once(tunnel, 'data')
+  tunnel.write('a request')
+  await relay.arrived
+  tunnel.end()
+  await relay.targetClosed
+  t.deepEqual(relay.read, ['a request'])
+})
+
+test('a peer closes the connection to a target that opens after its host has reset its own', async t => {
+  const open = createSignal()
+  await using relay = await startRecordingRelay({ untilConnect: open.promise })
+  const tunnel = relay.openTunnel()
+  await relay.asked
+  tunnel.resetAndDestroy()
+  await relay.tunnelClosed
+  open.note()
+  await relay.targetClosed
+  t.deepEqual(relay.read, [])
+})
+
+test('a peer that stood still passes no request on after its host has left', async t => {
+  await using relay = await startRecordingRelay()
+  await standStillForCaller(relay.address, { greeting: relay.connectRequest, text: 'a request' })
+  await relay.targetClosed
+  t.deepEqual(relay.read, [])
+})
