Hold nothing against a target when a caller leaves while its connection opens

Callers of plain services got 503 or waited for another target although theirs was sound: a caller that left before the connection to a target was open ended the exchange as 'not sent', which was noted as 'unreachable'. Streams look at the call's signal first; plain calls did not.

Now an attempt that the end of its call has cut short says nothing of the target.

The test fails before the change (isDown is true) and passes with it.

--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -67,7 +67,8 @@
       continue
     }
     if (result.kind === 'notRun') {
-      const saysNothing = result.cause === NO_TIME_LEFT || result.isOwnLink === true || result.isPause === true
+      const isGivenUp = signal.aborted && !result.hasReachedTarget
+      const saysNothing = isGivenUp || result.cause === NO_TIME_LEFT || result.isOwnLink === true || result.isPause === true
       if (!saysNothing) suspicions.note(reservation.target.id, result.hasReachedTarget ? 'refused' : 'unreachable')
       if (result.hasReachedTarget) countedAttempts++
       continue
--- a/test/gateway/callerGone.test.ts
+++ b/test/gateway/callerGone.test.ts
@@ -1,3 +1,4 @@
+import { connect } from 'node:net'
 import test from 'ava'
 import type { Target } from '../../src/fleet/types.js'
 import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END } from '../../standin/platform/servePlatformEngine/index.js'
@@ -7,14 +8,14 @@
 const buildRequest = (path: string): string => `POST ${path} HTTP/1.1\r\nHost: studio.example\r\nAuthorization: Token secret\r\nRequest-Id: left\r\nDeadline-Ms: 4000\r\nToken-Usage: 100,40\r\nContent-Length: 0\r\n\r\n`
 
 /** A gateway in front of one target that serves calls and streams. */
-async function startOne () {
+async function startOne (options: Parameters<typeof startTestGateway>[1] = {}) {
   const engine = await servePlatformEngine((request, socket) => {
     if (request.path.startsWith('/stream/')) socket.end(buildStreamHead(request) + encodeEvents([1]) + STREAM_END)
     else socket.end(buildAnswer(request, 'done'))
   })
   const target: Target = { id: 'i-1', service: 'orders', address: engine.address, failureDomain: 'north', bornMs: 1, isLeaving: false, slots: 100 }
   const stages = [{ from: 0, to: 30 }, { from: 30, to: 60 }, { from: 60, to: 80 }]
-  const gateway = await startTestGateway([target, ...stages.map((layers, index) => ({ ...target, id: `i-2${index}`, service: 'model', kind: 'large', layers }))])
+  const gateway = await startTestGateway([target, ...stages.map((layers, index) => ({ ...target, id: `i-2${index}`, service: 'model', kind: 'large', layers }))], options)
   return {
     engine,
     gateway,
@@ -38,3 +39,21 @@
     t.deepEqual(one.engine.received.map(({ headers }) => headers['request-id']), ['r1'])
   })
 }
+
+test('a target is not suspected when a caller leaves while the connection to the target opens', async t => {
+  let noteConnect = (): void => {}
+  const connecting = new Promise<void>(resolve => { noteConnect = resolve })
+  await using one = await startOne({
+    connectDirectly () {
+      noteConnect()
+      return new Promise(() => {})
+    }
+  })
+  const [host, port] = one.gateway.address.split(':')
+  const caller = connect(Number(port), host)
+  caller.write(buildRequest('/unsafe/x'))
+  await connecting
+  caller.destroy()
+  await one.untilGone()
+  t.false(one.gateway.parts.suspicions.isDown('i-1'))
+})
