Send no request on whose caller has left while the host stood still

Cause: a process that stood still, or whose turns of the event loop are long, reads the bytes of a connection in one turn and its close in the next, however long ago both arrived. The response reports the close two turns later still, when Node.js has ended the connection in return; a connection to a target opens within one. So the request was sent before its caller was known to be gone. Class of fault: acting on input without having read what arrived with it.

Change: the end of the caller's connection aborts the call as soon as it is read, and a request is sent only after the sockets have been polled once more with its connection open. That holds for each try of plain calls and streams, after any wait, because all of them go through one exchange.

--- a/src/gateway/_lib/openExchange.ts
+++ b/src/gateway/_lib/openExchange.ts
@@ -6,6 +6,7 @@
 import http from 'node:http'
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
+import { pollInput } from '../../runtime/pollInput/index.js'
 import { OwnLinkError, type ConnectTarget, type TargetConnection } from '../../links/types.js'
 
 /** The answer once its headers arrived, or why there is none. */
@@ -58,10 +59,16 @@
     } catch (error) {
       return { kind: 'notSent', cause: error instanceof Error ? error.message : String(error), isOwnLink: error instanceof OwnLinkError }
     }
-    if (connection === undefined || closedBy !== undefined) {
+    if (connection === undefined) {
       connecting.then(({ socket }) => socket.destroy(), () => { /* There is no connection to close. */ })
       return { kind: 'notSent', cause: closedBy!.message, isOwnLink: false }
     }
+    // The caller may have left while this process stood still.
+    const failure = await keepIdle(connection.socket, pollInput())
+    if (closedBy !== undefined || failure !== undefined) {
+      connection.socket.destroy()
+      return { kind: 'notSent', cause: (closedBy ?? failure)!.message, isOwnLink: false }
+    }
     if (!mayStillSend()) {
       connection.socket.destroy()
       return { kind: 'notSent', cause: 'target asked for a pause meanwhile', isOwnLink: false, isPause: true }
@@ -85,6 +92,16 @@
   }
 }
 
+/** Waits with an open connection; resolves with the reason if it has failed by then. */
+async function keepIdle (socket: Socket, waiting: Promise<void>): Promise<Error | undefined> {
+  let failure: Error | undefined
+  const noteFailure = (error: Error): void => { failure = error }
+  socket.on('error', noteFailure)
+  await waiting
+  socket.off('error', noteFailure)
+  return failure
+}
+
 function sendOver (socket: Socket, { method, path, headers, body }: ExchangeOptions): http.ClientRequest {
   const request = http.request({ method, path, headers, createConnection: () => socket })
   request.end(body)
--- a/src/gateway/createCallHandler/index.ts
+++ b/src/gateway/createCallHandler/index.ts
@@ -71,13 +71,14 @@
     const { route, service } = resolved
     const endMs = startedMs + Math.min(facts.deadlineMs, route.timeoutMs)
     using deadline = withDeadline(endMs - runtime.monotonicMs(), { runtime, parent: endSignal })
-    response.once('close', () => deadline.abort())
     const fingerprint = fingerprintRequest({ method: request.method ?? 'GET', host: request.headers.host ?? '', path: request.url ?? '/', account: resolved.account, promptParts: facts.promptParts, body: read.body })
     const call: Call = { request, response, body: read.body, facts, ...resolved, fingerprint, startedMs, deadlineAtMs: endMs, signal: deadline.signal, progress: { tries: 0, lastEventId: facts.lastEventId } }
-    onCallerGone(response, () => { call.callerLeftAtMs = runtime.monotonicMs() })
+    onCallerGone(response, () => {
+      call.callerLeftAtMs = runtime.monotonicMs()
+      deadline.abort()
+    })
     if (open !== undefined) open.call = call
     budget.countRequest(service.name)
-    if (response.destroyed) return
     if (route.kind === 'stream') await serveStream(call, options.ownDomain, context)
     else await servePlain(call, options.ownDomain, context)
   }
