Close a peer's connection to a target when its host has left

A peer that relays kept the connection to a target for as long as the target worked: the host's close arrives as the end of its bytes, which the pipe passed on as the end of the request, and neither side of the peer closed until the target did.

Change: the end of the host's bytes closes the connection to the target.

--- a/src/links/createRelayHandler/index.ts
+++ b/src/links/createRelayHandler/index.ts
@@ -93,6 +93,8 @@
       onOpenCount(open.size)
       target.on('error', () => peer.resetAndDestroy())
       target.once('close', () => { if (!target.readableEnded) peer.destroy() })
+      // A host never half-closes a connection that it still needs.
+      peer.once('end', () => target.destroy())
       peer.once('close', () => {
         open.delete(peer)
         onOpenCount(open.size)
