Close a connection that a peer opens for a host that has left meanwhile

Change: the peer looks at the host's connection once its own is open, and counts such a case as relays_served_total{result="abandoned"}.

--- a/src/links/createRelayHandler/index.ts
+++ b/src/links/createRelayHandler/index.ts
@@ -27,7 +27,7 @@
   /** Called with the head of the answer on a connection, up to its empty line. */
   onAnswerHead?: (target: Target, head: string) => void
   /** Called with each result. */
-  onResult: (result: 'opened' | 'targetUnreachable' | 'refused') => void
+  onResult: (result: 'opened' | 'targetUnreachable' | 'refused' | 'abandoned') => void
   /** Called with the number of connections that are open for peers, when it changes. */
   onOpenCount?: (count: number) => void
 }
@@ -84,6 +84,11 @@
       const target = await connect(address)
       if (target === 'unknown') return refuse(peer, UNKNOWN_STATUS)
       if (target === 'targetUnreachable') return refuse(peer, TARGET_UNREACHABLE_STATUS)
+      if (peer.destroyed) {
+        onResult('abandoned')
+        target.destroy()
+        return
+      }
       if (pauseLeftMs(listed.id) > 0) {
         target.destroy()
         return refusePaused()
