Close both connections of a peer whose host ended its own while it connected

A host that ended its connection while the peer connected left it half open at the peer, beside the connection to the target: the end had been reported before anything listened for it.

The test now leaves in both ways.

--- a/src/links/createRelayHandler/index.ts
+++ b/src/links/createRelayHandler/index.ts
@@ -84,8 +84,9 @@
       const target = await connect(address)
       if (target === 'unknown') return refuse(peer, UNKNOWN_STATUS)
       if (target === 'targetUnreachable') return refuse(peer, TARGET_UNREACHABLE_STATUS)
-      if (peer.destroyed) {
+      if (peer.destroyed || peer.readableEnded) {
         onResult('abandoned')
+        peer.destroy()
         target.destroy()
         return
       }
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -10,6 +10,7 @@
 import { connectSocket } from '../../src/links/connectSocket/index.js'
 import { createRelayHandler } from '../../src/links/createRelayHandler/index.js'
 import { createTargetLinks } from '../../src/links/createTargetLinks/index.js'
+import { pollInput } from '../../src/runtime/pollInput/index.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 
 const runtime = createSystemRuntime()
@@ -118,7 +119,7 @@
 /** A peer before a target that records what it reads; `isLenient`: the target works on when its sender has only half-closed the connection. */
 async function startRecordingRelay ({ isLenient = false, untilConnect = Promise.resolve() }: { isLenient?: boolean, untilConnect?: Promise<void> } = {}) {
   const read: string[] = []
-  const [asked, arrived, tunnelClosed, targetClosed] = [createSignal(), createSignal(), createSignal(), createSignal()]
+  const [asked, arrived, targetClosed] = [createSignal(), createSignal(), createSignal()]
   const target = createServer({ allowHalfOpen: isLenient }, socket => {
     socket.on('error', () => {})
     socket.on('data', bytes => {
@@ -141,7 +142,6 @@
     address: '127.0.0.1',
     port: 0,
     onConnect (request, stream, head) {
-      stream.once('close', tunnelClosed.note)
       handler.handle(request, stream, head)
       asked.note()
     }
@@ -153,7 +153,6 @@
     handler,
     asked: asked.promise,
     arrived: arrived.promise,
-    tunnelClosed: tunnelClosed.promise,
     targetClosed: targetClosed.promise,
     address: server.address,
     connectRequest,
@@ -188,17 +187,20 @@
   t.deepEqual(relay.read, ['a request'])
 })
 
-test('a peer closes the connection to a target that opens after its host has reset its own', async t => {
-  const open = createSignal()
-  await using relay = await startRecordingRelay({ untilConnect: open.promise })
-  const tunnel = relay.openTunnel()
-  await relay.asked
-  tunnel.resetAndDestroy()
-  await relay.tunnelClosed
-  open.note()
-  await relay.targetClosed
-  t.deepEqual(relay.read, [])
-})
+for (const leave of ['resetAndDestroy', 'destroy'] as const) {
+  test(`a peer closes the connection to a target that opens after its host has left by ${leave}`, async t => {
+    const open = createSignal()
+    await using relay = await startRecordingRelay({ untilConnect: open.promise })
+    const tunnel = relay.openTunnel()
+    await relay.asked
+    tunnel[leave]()
+    await once(tunnel, 'close')
+    await pollInput()
+    open.note()
+    await relay.targetClosed
+    t.deepEqual(relay.read, [])
+  })
+}
 
 test('a peer that stood still passes no request on after its host has left', async t => {
   await using relay = await startRecordingRelay()
