Pass no request on from a host that has left while the peer stood still

Change: the first bytes of a host wait until the sockets have been polled once more; a host that has ended its connection by then is not passed on.

--- a/src/links/createRelayHandler/index.ts
+++ b/src/links/createRelayHandler/index.ts
@@ -8,6 +8,7 @@
 import type { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
 import type { Target } from '../../fleet/types.js'
+import { pollInput } from '../../runtime/pollInput/index.js'
 import { TARGET_UNREACHABLE_STATUS } from '../_lib/openRelay.js'
 
 /** Statuses with which a peer is told that the address is no target, and that this host cannot tell whether the target can be reached. */
@@ -109,8 +110,8 @@
       })
       peer.setNoDelay(true)
       peer.write('HTTP/1.1 200 Connected\r\n\r\n')
-      if (head.length > 0) target.write(head)
-      peer.pipe(target)
+      if (head.length > 0) peer.unshift(head)
+      passOn(peer, target)
       target.pipe(peer)
       watchHead(listed, target)
     },
@@ -131,3 +132,17 @@
     }
   }
 }
+
+/** Passes a request on to a target. The host may have left while this process stood still, so its first bytes wait until a close would have been read. */
+function passOn (peer: Socket, target: Socket): void {
+  peer.once('data', async (first: Buffer) => {
+    const held = [first]
+    const hold = (bytes: Buffer): void => { held.push(bytes) }
+    peer.on('data', hold)
+    await pollInput()
+    peer.off('data', hold)
+    if (target.destroyed) return
+    for (const bytes of held) target.write(bytes)
+    peer.pipe(target)
+  })
+}
