Admit no call at the entry whose caller has left while the host stood still

It keeps its connections to targets open, so that not even a connect lay between reading a call and sending it.

Change: the entry polls its sockets once more after a call has been read, and the end of the caller's connection aborts the call as soon as it is read.

'an entry that stood still admits no call whose caller has left' failed in 3 of 3 runs and passes.

--- a/src/entry/createCallerHandler/index.ts
+++ b/src/entry/createCallerHandler/index.ts
@@ -7,8 +7,10 @@
 import { authenticate } from '../../account/authenticate/index.js'
 import { checkFreshness } from '../../configuration/checkFreshness/index.js'
 import type { Daemon } from '../../daemon/types.js'
+import { onCallerGone } from '../../http/onCallerGone/index.js'
 import { readBody } from '../../http/readBody/index.js'
 import { parseRequestTarget } from '../../http/parseRequestTarget/index.js'
+import { pollInput } from '../../runtime/pollInput/index.js'
 import { createRefusal } from '../../verdict/createRefusal/index.js'
 import type { ReasonName } from '../../verdict/reasons.js'
 import { answerCompletion, refuse } from '../answerCompletion/index.js'
@@ -91,8 +93,10 @@
     return refuseWith(BODY_REFUSAL_REASONS[bodyResult.kind])
   }
   const controller = new AbortController()
-  response.once('close', () => controller.abort())
-  if (response.writableEnded || response.destroyed) return
+  onCallerGone(response, () => controller.abort())
+  // The caller may have left while this process stood still.
+  await pollInput()
+  if (controller.signal.aborted || response.writableEnded) return
   const call: CallerCall = { request, account, incoming, response, body: bodyResult.body, signal: controller.signal }
   const isCompletion = pathname === '/v1/completions' && incoming.method === 'POST'
   if (!isCompletion && !pathname.startsWith('/services/')) return refuseWith('unknownPath')
