Wait in a test of the shutdown until a call is admitted, not only in flight

'a drain that is cut short ends each request with a verdict' cut the drain as soon as two calls were in flight, and expects that both may have run. A call is in flight from the arrival of its head; since it is admitted two turns of the loop later, and one that is cut before that is answered as not run, which is true: it is never sent.

--- a/test/shutdown.test.ts
+++ b/test/shutdown.test.ts
@@ -51,10 +51,11 @@
 })
 
 test('a drain that is cut short ends each request with a verdict', async t => {
-  await using local = await startLocalEntry()
+  await using local = await startLocalEntry({ log: { level: 'debug', file: '/dev/null' } })
   const stream = await openStream(local, 8_000)
   const booking = bookWithoutAnswer(local)
-  while (local.entry.inFlight() < 2) await new Promise(resolve => { setImmediate(resolve) })
+  const countAdmitted = (): number => local.entry.daemon.log.recent().filter(({ name }) => name === 'requestAdmitted').length
+  while (countAdmitted() < 2) await new Promise(resolve => { setImmediate(resolve) })
   const { cut, drained } = startDrain(local)
   cut.abort()
   await drained
