End a peer's connection to a target when its host has gone silent

A host that is cut off from its peer or loses power sends no close: the peer kept the connection to the target, and the target its work, until the target ended it.

Change: a connection that a peer opens for a host ends once no call can use it any longer, which is the longest timeout of all routes, and 5 s more for a host with an earlier configuration.

'a peer ends a connection whose host went silent ...' hangs without the timer and passes with it, in manual time.

--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -173,6 +173,8 @@
   })
   const relayHandler = createRelayHandler({
     targets: fleet.targets,
+    runtime,
+    maxAgeMs: () => Math.max(0, ...(fleet.configuration()?.routes ?? []).map(route => route.timeoutMs)),
     connect: links.connectForPeer,
     pauseLeftMs: targetPauses.leftMs,
     onAnswerHead: (target, head) => noteRelayedStatements(head, target, context),
--- a/src/links/createRelayHandler/index.ts
+++ b/src/links/createRelayHandler/index.ts
@@ -9,18 +9,25 @@
 import type { Socket } from 'node:net'
 import type { Target } from '../../fleet/types.js'
 import { pollInput } from '../../runtime/pollInput/index.js'
+import type { Runtime } from '../../runtime/types.js'
 import { TARGET_UNREACHABLE_STATUS } from '../_lib/openRelay.js'
 
 /** Statuses with which a peer is told that the address is no target, and that this host cannot tell whether the target can be reached. */
 const NO_TARGET_STATUS = 404
 const UNKNOWN_STATUS = 503
 
+/** Time for which a connection stays open beyond its longest use, as the host may have an earlier configuration, in milliseconds. */
+const EXPIRY_SLACK_MS = 5_000
+
 /** Milliseconds in a second. */
 const MS_PER_S = 1_000
 
 interface RelayHandlerOptions {
   /** Targets to which connections may be opened. */
   targets: () => readonly Target[]
+  runtime: Runtime
+  /** Longest time for which a call may use a connection, in milliseconds. */
+  maxAgeMs: () => number
   /** Opens a direct connection; `unknown` if its failure may be due to this host's own links. */
   connect: (address: string) => Promise<Socket | 'targetUnreachable' | 'unknown'>
   /** Time for which a target wants no requests from this host, in milliseconds; 0 by default. */
@@ -50,9 +57,9 @@
  * @returns The handler.
  *
  * @example
- * const relay = createRelayHandler({ targets: fleet.targets, connect: links.connectForPeer, onResult })
+ * const relay = createRelayHandler({ targets: fleet.targets, runtime, maxAgeMs, connect: links.connectForPeer, onResult })
  */
-export function createRelayHandler ({ targets, connect, pauseLeftMs = () => 0, onAnswerHead = () => {}, onResult, onOpenCount = () => {} }: RelayHandlerOptions): RelayHandler {
+export function createRelayHandler ({ targets, runtime, maxAgeMs, connect, pauseLeftMs = () => 0, onAnswerHead = () => {}, onResult, onOpenCount = () => {} }: RelayHandlerOptions): RelayHandler {
   const open = new Set<Socket>()
   const waiters = new Set<() => void>()
 
@@ -100,9 +107,12 @@
       onOpenCount(open.size)
       target.on('error', () => peer.resetAndDestroy())
       target.once('close', () => { if (!target.readableEnded) peer.destroy() })
+      // A host that is cut off sends no close.
+      const expiry = runtime.setTimer(maxAgeMs() + EXPIRY_SLACK_MS, () => peer.destroy())
       // A host never half-closes a connection that it still needs.
       peer.once('end', () => target.destroy())
       peer.once('close', () => {
+        expiry[Symbol.dispose]()
         open.delete(peer)
         onOpenCount(open.size)
         target.destroy()
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -2,6 +2,7 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import test from 'ava'
 import { buildEngine } from '../fakes/buildFleet.js'
+import { createManualRuntime } from '../fakes/createManualRuntime.js'
 import { createTestLog } from '../fakes/createTestLog.js'
 import { standStillForCaller } from '../fakes/standStill.js'
 import { openExchange } from '../../src/gateway/_lib/openExchange.js'
@@ -14,6 +15,9 @@
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 
 const runtime = createSystemRuntime()
+/** Age at which peers end connections, in milliseconds. */
+const MAX_AGE_MS = 20_000
+
 const LAST_WORDS = 'HTTP/1.1 200 OK\r\nServer-Seal: s\r\n\r\nhalf an answer'
 
 /** A target, a peer that reaches it, and a host that does not. */
@@ -29,7 +33,7 @@
   const options = { targets: () => targets, runtime, log: createTestLog(), signal: controller.signal }
   const connectDirectly = (to: string) => connectSocket(to, { timeoutMs: 100, runtime })
   const peer = createTargetLinks({ ...options, connectDirectly, isReachable: async () => true, relays: () => [] })
-  const handler = createRelayHandler({ targets: () => targets, connect: peer.connectForPeer, onResult: () => {} })
+  const handler = createRelayHandler({ targets: () => targets, runtime, maxAgeMs: () => MAX_AGE_MS, connect: peer.connectForPeer, onResult: () => {} })
   const server = await listen(async (_request, response) => { response.end() }, { address: '127.0.0.1', port: 0, onConnect: handler.handle })
   const host = createTargetLinks({ ...options, connectDirectly: () => Promise.reject(new Error('cut')), isReachable: async () => false, relays: () => [server.address] })
   return {
@@ -130,8 +134,11 @@
   }).listen(0, '127.0.0.1')
   await once(target, 'listening')
   const targets = [{ ...buildEngine('i-1', 'north', 'large'), address: `127.0.0.1:${(target.address() as AddressInfo).port}` }]
+  const clock = createManualRuntime()
   const handler = createRelayHandler({
     targets: () => targets,
+    runtime: clock,
+    maxAgeMs: () => MAX_AGE_MS,
     async connect (address) {
       await untilConnect
       return await connectSocket(address, { timeoutMs: 10_000, runtime })
@@ -150,6 +157,7 @@
   const connectRequest = `CONNECT ${targets[0]!.address} HTTP/1.1\r\nHost: x\r\n\r\n`
   return {
     read,
+    clock,
     handler,
     asked: asked.promise,
     arrived: arrived.promise,
@@ -202,6 +210,19 @@
   })
 }
 
+test('a peer ends a connection whose host went silent when no call can use it any longer', async t => {
+  await using relay = await startRecordingRelay()
+  const tunnel = relay.openTunnel()
+  await once(tunnel, 'data')
+  tunnel.write('a request')
+  await relay.arrived
+  await relay.clock.advance(MAX_AGE_MS)
+  t.false(tunnel.closed)
+  await relay.clock.advance(MAX_AGE_MS)
+  await relay.targetClosed
+  t.deepEqual(relay.read, ['a request'])
+})
+
 test('a peer that stood still passes no request on after its host has left', async t => {
   await using relay = await startRecordingRelay()
   await standStillForCaller(relay.address, { greeting: relay.connectRequest, text: 'a request' })
