--- a/scenario/faults.ts
+++ b/scenario/faults.ts
@@ -41,8 +41,8 @@
   {
     what: 'a caller that disconnects is not noticed',
     file: 'src/entry/createCallerHandler/index.ts',
-    original: "response.once('close', () => controller.abort())",
-    replacement: "response.once('close', () => {})",
+    original: 'onCallerGone(response, () => controller.abort())',
+    replacement: 'onCallerGone(response, () => {})',
     scenarios: ['caller-leaves']
   },
   {
