--- a/test/fakes/standStill.ts
+++ b/test/fakes/standStill.ts
@@ -31,9 +31,10 @@
 
 /**
  * Lets a caller send `text` and close its connection while this thread stands still. With a `greeting`, it sends
- * that before and waits for the answer; else it opens its connection meanwhile too.
+ * that before and waits for the answer; else it opens its connection meanwhile too. This thread stands still until the
+ * caller has left, and for `forMs` more.
  */
-export async function standStillForCaller (address: string, { greeting = '', text }: { greeting?: string, text: string }): Promise<void> {
+export async function standStillForCaller (address: string, { greeting = '', text, forMs = 0 }: { greeting?: string, text: string, forMs?: number }): Promise<void> {
   const [host, port] = address.split(':')
   const flags = new Int32Array(new SharedArrayBuffer(8))
   const worker = new Worker(CALLER, { eval: true, workerData: { host, port: Number(port), greeting, text, flags } })
@@ -41,4 +42,5 @@
   Atomics.store(flags, 0, 1)
   Atomics.notify(flags, 0)
   Atomics.wait(flags, 1, 0)
+  if (forMs > 0) Atomics.wait(flags, 1, 1, forMs)
 }
