Try another target when a connection closes before the request is sent

Change: the connection is looked at once more after the poll. If it has closed, no byte was sent, and the call goes to another target; if it went through a peer, nothing is held against the target.

'a call goes to another target when the first one closes its connection before the request is sent' hung without the change and passes with it.

--- a/src/gateway/_lib/openExchange.ts
+++ b/src/gateway/_lib/openExchange.ts
@@ -64,10 +64,15 @@
       return { kind: 'notSent', cause: closedBy!.message, isOwnLink: false }
     }
     // The caller may have left while this process stood still.
-    const failure = await keepIdle(connection.socket, pollInput())
-    if (closedBy !== undefined || failure !== undefined) {
+    const failure = await keepOpen(connection.socket, pollInput())
+    if (closedBy !== undefined) {
       connection.socket.destroy()
-      return { kind: 'notSent', cause: (closedBy ?? failure)!.message, isOwnLink: false }
+      return { kind: 'notSent', cause: closedBy.message, isOwnLink: false }
+    }
+    if (failure !== undefined) {
+      connection.socket.destroy()
+      // A peer that closes the connection says nothing of the target.
+      return { kind: 'notSent', cause: failure.message, isOwnLink: connection.relay !== undefined }
     }
     if (!mayStillSend()) {
       connection.socket.destroy()
@@ -92,14 +97,14 @@
   }
 }
 
-/** Waits with an open connection; resolves with the reason if it has failed by then. */
-async function keepIdle (socket: Socket, waiting: Promise<void>): Promise<Error | undefined> {
+/** Waits with an open connection; resolves with the reason if it can no longer be used by then. */
+async function keepOpen (socket: Socket, waiting: Promise<void>): Promise<Error | undefined> {
   let failure: Error | undefined
   const noteFailure = (error: Error): void => { failure = error }
   socket.on('error', noteFailure)
   await waiting
   socket.off('error', noteFailure)
-  return failure
+  return failure ?? (socket.readable && socket.writable ? undefined : new Error('connection closed before the request was sent'))
 }
 
 function sendOver (socket: Socket, { method, path, headers, body }: ExchangeOptions): http.ClientRequest {
--- a/test/gateway/callerGone.test.ts
+++ b/test/gateway/callerGone.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events'
 import { connect } from 'node:net'
 import test from 'ava'
 import type { Target } from '../../src/fleet/types.js'
@@ -57,3 +58,22 @@
   await one.untilGone()
   t.false(one.gateway.parts.suspicions.isDown('i-1'))
 })
+
+test('a call goes to another target when the first one closes its connection before the request is sent', async t => {
+  const closedIds = new Set(['i-1'])
+  await using one = await startOne({
+    async connectDirectly (address) {
+      const [host, port] = address.split(':')
+      const socket = connect(Number(port), host)
+      await once(socket, 'connect')
+      if (closedIds.delete('i-1')) {
+        socket.destroy()
+        await once(socket, 'close')
+      }
+      return socket
+    }
+  })
+  one.gateway.parts.fleet.applySnapshot({ revision: 2, targets: ['i-1', 'i-2'].map(id => ({ id, service: 'orders', address: one.engine.address, failureDomain: 'north', bornMs: 1, isLeaving: false, slots: 100 })) })
+  t.is((await sendCall(one.gateway.address, '/unsafe/x', {}, '')).status, 200)
+  t.is(one.engine.received.length, 1)
+})
