--- a/test/platform/engineControl.test.ts
+++ b/test/platform/engineControl.test.ts
@@ -6,6 +6,7 @@
 import { buildEngine } from '../fakes/buildFleet.js'
 import { createManualRuntime } from '../fakes/createManualRuntime.js'
 import { createTestLog } from '../fakes/createTestLog.js'
+import { startSilentPort } from '../fakes/startSilentPort.js'
 
 const engineAt = (address: string) => ({ ...buildEngine('i-1', 'north', 'small'), address })
 
@@ -47,3 +48,15 @@
   // An address reserved for documentation (RFC 5737), where nothing answers.
   t.false(await control.isReachable(engineAt('192.0.2.1:9')))
 })
+
+test('an order or a report over a silent link ends at its deadline', async t => {
+  await using port = await startSilentPort()
+  const runtime = createManualRuntime()
+  const control = createEngineControl({ runtime, log: createTestLog() })
+  const ended: string[] = []
+  control.repath(engineAt(port.address), 'r1', []).then(({ kind }) => ended.push(kind))
+  control.report(engineAt(port.address)).then(report => ended.push(String(report)))
+  await runtime.advance(400)
+  await runtime.settle()
+  t.deepEqual(ended, ['unknown', 'undefined'])
+})
