Let the deadline for reading a peer hold while the connection opens

The clients of the stores and of services limit their connects themselves; the command lines have no deadline of their own.

'reading a peer over a silent link ends at its deadline' failed in 3 of 3 runs (manual time) and passes. No test of its own for fetchRefusal: one line changes, in the same way.

--- a/src/daemon/_lib/fetchRefusal.ts
+++ b/src/daemon/_lib/fetchRefusal.ts
@@ -4,6 +4,7 @@
 import { request } from 'undici'
 import { memberKey } from '../../member/types.js'
 import { refusalRecordSchema, type RefusalRecord } from '../../refusal/types.js'
+import { rejectOnAbort } from '../../runtime/rejectOnAbort/index.js'
 import { withDeadline } from '../../runtime/withDeadline/index.js'
 import type { Daemon } from '../types.js'
 
@@ -21,9 +22,9 @@
   if (peer === undefined) return undefined
   using deadline = withDeadline(FETCH_TIMEOUT_MS, { runtime: daemon.runtime })
   try {
-    const response = await request(`${peer.operatorUrl}/v1/explain/${encodeURIComponent(id)}?local=1`, {
+    const response = await rejectOnAbort(request(`${peer.operatorUrl}/v1/explain/${encodeURIComponent(id)}?local=1`, {
       headers: { authorization }, reset: true, signal: deadline.signal
-    })
+    }), deadline.signal)
     return refusalRecordSchema.safeParse(await response.body.json()).data
   } catch {
     return undefined
--- a/src/gateway/_lib/internalPort.ts
+++ b/src/gateway/_lib/internalPort.ts
@@ -10,6 +10,7 @@
 import type { FleetState } from '../../fleet/createFleetState/index.js'
 import { fleetConfigurationSchema, targetUpdateSchema } from '../../fleet/types.js'
 import { sendJson } from '../../http/sendJson/index.js'
+import { rejectOnAbort } from '../../runtime/rejectOnAbort/index.js'
 import { withDeadline } from '../../runtime/withDeadline/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import { describeServices } from '../../placement/describeServices/index.js'
@@ -126,7 +127,7 @@
   const query = new URLSearchParams({ version: String(fleet.configuration()?.version ?? -1), fingerprint: fleet.fingerprint(), waitMs: String(waitMs) })
   using deadline = withDeadline(waitMs + STATE_TIMEOUT_MS, { runtime })
   try {
-    const response = await request(`http://${address}/state?${query}`, { signal: deadline.signal, reset: true })
+    const response = await rejectOnAbort(request(`http://${address}/state?${query}`, { signal: deadline.signal, reset: true }), deadline.signal)
     const body = Buffer.from(await response.body.arrayBuffer())
     const text = response.headers['content-encoding'] === 'gzip' ? gunzipSync(body) : body
     const { configuration, targets } = stateSchema.parse(JSON.parse(text.toString('utf8')))
--- a/test/gateway/internalPort.test.ts
+++ b/test/gateway/internalPort.test.ts
@@ -5,7 +5,9 @@
 import { listen } from '../../src/http/listen/index.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 import { buildEngine } from '../fakes/buildFleet.js'
+import { createManualRuntime } from '../fakes/createManualRuntime.js'
 import { createTestLog } from '../fakes/createTestLog.js'
+import { startSilentPort } from '../fakes/startSilentPort.js'
 import { TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 const engine = (id: string) => buildEngine(id, 'north', 'small')
@@ -60,3 +62,13 @@
   await pair[Symbol.asyncDispose]()
   t.false(await pair.read(false))
 })
+
+test('reading a peer over a silent link ends at its deadline', async t => {
+  await using port = await startSilentPort()
+  const clock = createManualRuntime()
+  let isUpToDate: boolean | undefined
+  readPeerState(port.address, { fleet: createFleetState({ runtime: clock }), runtime: clock, log: createTestLog() }).then(result => { isUpToDate = result })
+  await clock.advance(500)
+  await clock.settle()
+  t.false(isUpToDate)
+})
