--- a/scenario/faults.ts
+++ b/scenario/faults.ts
@@ -41,8 +41,8 @@
   {
     what: 'a caller that disconnects is not noticed',
     file: 'src/entry/createCallerHandler/index.ts',
-    original: 'onCallerGone(response, () => controller.abort())',
-    replacement: 'onCallerGone(response, () => {})',
+    original: 'watchCaller(response, () => controller.abort())',
+    replacement: 'watchCaller(response, () => {})',
     scenarios: ['caller-leaves']
   },
   {
--- a/src/entry/createCallerHandler/index.ts
+++ b/src/entry/createCallerHandler/index.ts
@@ -7,7 +7,7 @@
 import { authenticate } from '../../account/authenticate/index.js'
 import { checkFreshness } from '../../configuration/checkFreshness/index.js'
 import type { Daemon } from '../../daemon/types.js'
-import { onCallerGone } from '../../http/onCallerGone/index.js'
+import { watchCaller } from '../../http/watchCaller/index.js'
 import { readBody } from '../../http/readBody/index.js'
 import { parseRequestTarget } from '../../http/parseRequestTarget/index.js'
 import { pollInput } from '../../runtime/pollInput/index.js'
@@ -93,7 +93,7 @@
     return refuseWith(BODY_REFUSAL_REASONS[bodyResult.kind])
   }
   const controller = new AbortController()
-  onCallerGone(response, () => controller.abort())
+  watchCaller(response, () => controller.abort())
   // The caller may have left while this process stood still.
   await pollInput()
   if (controller.signal.aborted || response.writableEnded) return
--- a/src/gateway/createCallHandler/index.ts
+++ b/src/gateway/createCallHandler/index.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { fingerprintRequest } from '../../crash/fingerprintRequest/index.js'
 import type { ClientAccount, FleetConfiguration, Route, Service } from '../../fleet/types.js'
-import { onCallerGone } from '../../http/onCallerGone/index.js'
+import { watchCaller } from '../../http/watchCaller/index.js'
 import { readBody } from '../../http/readBody/index.js'
 import type { ReasonName } from '../../verdict/reasons.js'
 import { REASONS } from '../../verdict/reasons.js'
@@ -73,7 +73,7 @@
     using deadline = withDeadline(endMs - runtime.monotonicMs(), { runtime, parent: endSignal })
     const fingerprint = fingerprintRequest({ method: request.method ?? 'GET', host: request.headers.host ?? '', path: request.url ?? '/', account: resolved.account, promptParts: facts.promptParts, body: read.body })
     const call: Call = { request, response, body: read.body, facts, ...resolved, fingerprint, startedMs, deadlineAtMs: endMs, signal: deadline.signal, progress: { tries: 0, lastEventId: facts.lastEventId } }
-    onCallerGone(response, () => {
+    watchCaller(response, () => {
       call.callerLeftAtMs = runtime.monotonicMs()
       deadline.abort()
     })
--- a/src/http/onCallerGone/index.ts
+++ b/src/http/watchCaller/index.ts
@@ -5,22 +5,22 @@
 import type { ServerResponse } from 'node:http'
 
 /**
- * @name onCallerGone
+ * @name watchCaller
  * @summary Calls a listener once, when the end of the caller's connection is read or when the response closes.
- * @param response - The response to the caller. A complete one closes as well.
- * @param listener - Called at once if the connection has ended already.
+ * @param response - The response to the caller; it closes when it is complete, too.
+ * @param onGone - The listener; called at once if the connection has ended already.
  *
  * @example
- * onCallerGone(response, () => controller.abort())
+ * watchCaller(response, () => controller.abort())
  */
-export function onCallerGone (response: ServerResponse, listener: () => void): void {
+export function watchCaller (response: ServerResponse, onGone: () => void): void {
   const { socket } = response.req
   const leave = (): void => {
     socket.off('end', leave)
     response.off('close', leave)
-    listener()
+    onGone()
   }
-  if (socket.readableEnded || response.destroyed) return listener()
+  if (socket.readableEnded || response.destroyed) return onGone()
   socket.once('end', leave)
   response.once('close', leave)
 }
--- a/src/http/onCallerGone/test.ts
+++ b/src/http/watchCaller/test.ts
@@ -3,7 +3,7 @@
 import { connect } from 'node:net'
 import test from 'ava'
 import { listen } from '../listen/index.js'
-import { onCallerGone } from './index.js'
+import { watchCaller } from './index.js'
 
 const REQUEST = 'GET /x HTTP/1.1\r\nhost: a\r\n\r\n'
 
@@ -26,11 +26,11 @@
 test('a caller that closes, resets or half-closes its connection is gone before the response is closed', async t => {
   for (const leave of ['destroy', 'resetAndDestroy', 'end'] as const) {
     const { server, caller, responses: [response] } = await receive(REQUEST, 1)
-    const gone = new Promise<boolean>(resolve => { onCallerGone(response!, () => resolve(response!.closed)) })
+    const gone = new Promise<boolean>(resolve => { watchCaller(response!, () => resolve(response!.closed)) })
     caller[leave]()
     t.is(await gone, leave === 'resetAndDestroy')
     let calls = 0
-    onCallerGone(response!, () => { calls++ })
+    watchCaller(response!, () => { calls++ })
     t.is(calls, 1)
     await server[Symbol.asyncDispose]()
   }
@@ -41,7 +41,7 @@
   const { socket } = response!.req
   const before = socket.listenerCount('end')
   let calls = 0
-  onCallerGone(response!, () => { calls++ })
+  watchCaller(response!, () => { calls++ })
   response!.end('done')
   await once(response!, 'close')
   t.deepEqual([calls, socket.listenerCount('end')], [1, before])
