--- a/src/gateway/_lib/attemptStream.ts
+++ b/src/gateway/_lib/attemptStream.ts
@@ -8,6 +8,7 @@
 import type { ActiveStream, Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 import { closeWithCall } from './closeWithCall.js'
 import { closeWhenCrashing } from './crashingRequests.js'
+import { findFraming } from './describeRun.js'
 import { countTokens, expectOutput, learnOutput } from './estimateRequestSize.js'
 import { createPaceObserver } from './createPaceObserver.js'
 import { openExchange, type Exchange } from './openExchange.js'
@@ -35,6 +36,7 @@
     const result = await exchange.result
     if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.isPause === true }
     if (result.kind === 'lost') return { kind: 'brokenOff', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
+    run.answer = { framing: findFraming(result.answer, request.method ?? 'POST'), relay: exchange.relay() }
     const relayed = await relayStream(result.answer, exchange, call, progress, { run, stream: stream?.active, onProgress: stream?.noteProgress ?? (() => {}) }, context)
     if (relayed.kind === 'brokenOff' && signal.aborted) learnOutput(call, progress.lastEventId, { isWhole: false }, context)
     return relayed
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -89,6 +89,7 @@
           metrics.firstEventSeconds.observe((nowMs - startedMs) / 1_000)
         }
         run.firstEventMs ??= nowMs
+        run.eventCount = (run.eventCount ?? 0) + 1
         progress.lastEventId = event.id
         recordPause(progress, nowMs)
         if (!response.write(event.bytes)) {
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -10,6 +10,7 @@
 import { describeRequest, endStopped, endWithReason, recordCallerGone, sendAnswer, type BufferedAnswer } from './answerCaller.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
+import { describeRun, findFraming } from './describeRun.js'
 import { describeReturn } from './describeReturn.js'
 import { isAnyHeldBack } from './reserveCapacity.js'
 import { reserveTarget } from './reserveTarget.js'
@@ -43,7 +44,7 @@
   const attempts: string[] = []
   let countedAttempts = 0
   let mayHaveRun = false
-  let lastFailure: Extract<AttemptResult, { kind: 'whole' }> | undefined
+  let lastFailure: { result: Extract<AttemptResult, { kind: 'whole' }>, run: TargetRun } | undefined
   while (!signal.aborted) {
     const holdMs = context.crashEvidence.settlingMs(traitsOf(call))
     if (holdMs > 0) await sleep(holdMs, { runtime, signal })
@@ -54,15 +55,15 @@
     if (countedAttempts > 0 && (countedAttempts >= route.maxAttempts || !budget.trySpend(service.name))) break
     call.progress.tries++
     const run: TargetRun = { target: reservation.target, sentMs: runtime.monotonicMs(), firstEventMs: undefined, isProvedSound: false, isLinkLost: false }
-    const result = await attemptCall(call, reservation, context)
+    const result = await attemptCall(call, reservation, run, context)
     metrics.attempts.inc({ result: result.kind })
     attempts.push(`${reservation.target.id} ${result.kind === 'whole' ? result.status : result.cause}`)
     excluded.add(reservation.target.id)
     if (result.kind === 'whole') {
       suspicions.note(reservation.target.id, result.status >= 500 ? 'failedAnswer' : 'answered')
       const isFinal = result.status < 500 || route.kind === 'unsafe'
-      if (isFinal) return finishWithAnswer(result)
-      lastFailure = result
+      if (isFinal) return finishWithAnswer(result, run)
+      lastFailure = { result, run }
       countedAttempts++
       continue
     }
@@ -84,12 +85,12 @@
     }
   }
   if (signal.aborted && !(signal.reason instanceof DeadlineError)) return recordCallerGone(call, context, { attempts })
-  if (lastFailure !== undefined) return finishWithAnswer(lastFailure)
+  if (lastFailure !== undefined) return finishWithAnswer(lastFailure.result, lastFailure.run)
   if (signal.aborted) return endStopped(call, context, { mayHaveRun, notRunReason: 'targetUnreachable', attempts })
   if (mayHaveRun) return endWithReason(call, context, 'targetFailed', { attempts })
   endWithReason(call, context, isAnyHeldBack(service, excluded, context) ? 'overloaded' : 'targetUnreachable', { attempts, ...describeReturn(call, { defaultMs: RETRY_AFTER_MS }, context) })
 
-  function finishWithAnswer (result: Extract<AttemptResult, { kind: 'whole' }>): void {
+  function finishWithAnswer (result: Extract<AttemptResult, { kind: 'whole' }>, run: TargetRun): void {
     if (result.status < 500) context.crashEvidence.noteAnswered(traitsOf(call))
     sendAnswer(call, context, result)
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
@@ -98,13 +99,14 @@
       status: result.status,
       tookMs: Math.round(runtime.monotonicMs() - call.startedMs),
       attempts,
+      ...describeRun(run),
       version: context.fleet.configuration()?.version
     })
   }
 }
 
 /** Sends the call to one target and reads the complete answer. */
-async function attemptCall (call: Call, reservation: Reservation, context: GatewayContext): Promise<AttemptResult> {
+async function attemptCall (call: Call, reservation: Reservation, run: TargetRun, context: GatewayContext): Promise<AttemptResult> {
   const { request, body, facts, route, account } = call
   const { format, runtime } = context
   const leftMs = Math.floor(call.deadlineAtMs - runtime.monotonicMs())
@@ -125,6 +127,7 @@
     if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.isPause === true }
     if (result.kind === 'lost') return { kind: 'mayHaveRun', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
     const { answer } = result
+    run.answer = { framing: findFraming(answer, request.method ?? 'GET'), relay: exchange.relay() }
     const metadata = format.readAnswer(answer.headers)
     const status = answer.statusCode ?? 0
     const isPause = noteStatements(metadata, status, call, reservation.target, context)
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -14,6 +14,7 @@
 import { describeRequest, endStopped, endWithReason, recordCallerGone, sendAnswer, type LogDetails } from './answerCaller.js'
 import { attemptStream } from './attemptStream.js'
 import { endCrashingCall, noteCrash, traitsOf } from './crashingRequests.js'
+import { describeRun } from './describeRun.js'
 import { describeReturn } from './describeReturn.js'
 import { countTokens, estimateRequestSize } from './estimateRequestSize.js'
 import type { CallProgress, StreamResult } from './relayStream.js'
@@ -79,12 +80,12 @@
     if (progress.tries > 0 && !hasBegun() && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent')
     progress.tries++
     const mayInterrupt = (): boolean => route.isResumable && (!hasBegun() || !areRunsExhausted([...ranOn, reservation.target]))
-    const run: TargetRun = { target: reservation.target, sentMs: runtime.monotonicMs(), firstEventMs: undefined, isProvedSound: false, isLinkLost: false }
+    const run: TargetRun = { target: reservation.target, sentMs: runtime.monotonicMs(), firstEventMs: undefined, eventCount: 0, isProvedSound: false, isLinkLost: false }
     const result = await attemptStream(call, reservation, size, progress, run, mayInterrupt, context)
     metrics.attempts.inc({ result: result.kind })
     const { target } = reservation
     progress.attempts.push(`${describePath(reservation)} ${'cause' in result ? result.cause : result.kind}`)
-    if (result.kind === 'complete') return recordAnswer()
+    if (result.kind === 'complete') return recordAnswer(run)
     if (signal.aborted) break
     if (result.kind === 'notRun') {
       if (call.deadlineAtMs <= runtime.monotonicMs()) break
@@ -112,7 +113,7 @@
     }
     const areTriesExhausted = !hasBegun() && progress.tries >= route.maxAttempts + MAX_EXTRA_TRIES
     if (areTriesExhausted || areRunsExhausted()) return endWithoutAnswer('attempts spent')
-    log.emit('streamResumed', { request: facts.requestId, target: target.id, cause: result.cause, lastEventId: progress.lastEventId, tries: progress.tries })
+    log.emit('streamResumed', { request: facts.requestId, target: target.id, cause: result.cause, lastEventId: progress.lastEventId, tries: progress.tries, ...describeRun(run) })
   }
   // A busy process can see that the deadline has passed before the timer of the signal fires.
   if (!signal.aborted || signal.reason instanceof DeadlineError) {
@@ -124,7 +125,7 @@
     endWithReason(call, context, progress.mayHaveRun ? 'targetFailed' : 'noPipeline', { ...details(), cause, ...describeReturn(call, { defaultMs: RETRY_AFTER_MS }, context), cutCause: 'attempts' })
   }
 
-  function recordAnswer (): void {
+  function recordAnswer (run: TargetRun): void {
     context.crashEvidence.noteAnswered(traitsOf(call))
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
     if (progress.firstEventMs !== undefined && progress.attempts.length === 1) context.dispatcherOf(service.name).noteFirstEvent(progress.firstEventMs - call.startedMs - progress.waitedMs)
@@ -136,6 +137,7 @@
       longestPauseMs: Math.round(progress.longestPauseMs),
       pauseEndedMs: Math.round(progress.longestPauseEndMs - call.startedMs),
       lastEventId: progress.lastEventId,
+      ...describeRun(run),
       outputTokens: countTokens(call, progress.lastEventId),
       expectedTokens: size.outputTokens,
       hintedTokens: facts.hintedOutputTokens,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -109,6 +109,16 @@
   callerLeftAtMs?: number
 }
 
+/** What tells where the body of an answer ends: its head alone, a length, chunks, or the end of its connection. */
+export type Framing = 'none' | 'length' | 'chunks' | 'connection'
+
+/** How an answer came. */
+export interface AnswerOrigin {
+  framing: Framing
+  /** The peer through which it came; `undefined` on a direct connection. */
+  relay: string | undefined
+}
+
 /** One run of a call on a target, from the sending of the request. */
 export interface TargetRun {
   target: Target
@@ -116,6 +126,10 @@
   sentMs: number
   /** Monotonic time of the first event that arrived, in milliseconds. */
   firstEventMs: number | undefined
+  /** Number of events that this run brought; absent for a plain call. */
+  eventCount?: number
+  /** Absent until the head of an answer has arrived. */
+  answer?: AnswerOrigin
   /** Whether the answer has gone on for so long that its prompt does not crash the target. */
   isProvedSound: boolean
   /** Whether this host ended the run because its own link to the target was lost, so that the target is not to blame. */
