--- a/standin/platform/servePlatformEngine/index.ts
+++ b/standin/platform/servePlatformEngine/index.ts
@@ -87,9 +87,19 @@
   return `HTTP/1.1 200 OK\r\nRequest-Id: ${request.headers['request-id']}\r\nServer-Seal: s.1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n`
 }
 
+/** Builds the head of an answer that has neither a length nor chunks, so that it ends with its connection. */
+export function buildUnframedHead (request: ReceivedRequest): string {
+  return `HTTP/1.1 200 OK\r\nRequest-Id: ${request.headers['request-id']}\r\nServer-Seal: s.1\r\nConnection: close\r\n\r\n`
+}
+
 /** Encodes one event for each id, each as one chunk. */
 export function encodeEvents (ids: readonly number[]): string {
-  return ids.map(id => encodeChunk(`id: ${id}\ndata: piece ${id}\n\n`)).join('')
+  return ids.map(id => encodeChunk(encodeBareEvents([id]))).join('')
+}
+
+/** Encodes one event for each id, without chunks. */
+export function encodeBareEvents (ids: readonly number[]): string {
+  return ids.map(id => `id: ${id}\ndata: piece ${id}\n\n`).join('')
 }
 
 /** Encodes an ASCII text as one chunk. */
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -68,12 +68,14 @@
   control?: Partial<EngineControl>
   endSignal?: AbortSignal
   connectDirectly?: ConnectDirectly
+  /** Internal addresses of peers that open connections for the gateway. */
+  relays?: string[]
   runtime?: Runtime
 }
 
 /** Starts the handler. */
 export async function startTestGateway (targets: readonly Target[], options: TestGatewayOptions = {}) {
-  const { control = {}, endSignal = new AbortController().signal, runtime = createSystemRuntime() } = options
+  const { control = {}, relays = [], endSignal = new AbortController().signal, runtime = createSystemRuntime() } = options
   const { connectDirectly = address => connectSocket(address, { timeoutMs: 100, runtime }) } = options
   const fleet = createFleetState({ runtime })
   const configuration = 'configuration' in options ? options.configuration : TEST_CONFIGURATION
@@ -85,7 +87,7 @@
   const log = createTestLog()
   const linksController = new AbortController()
   const engineControl: EngineControl = { report: async () => undefined, place: async () => ({ kind: 'begun' }), repath: async () => ({ kind: 'done' }), isReachable: async () => true, ...control }
-  const links = createTargetLinks({ connectDirectly, isReachable: engineControl.isReachable, relays: () => [], targets: fleet.targets, runtime, log, signal: linksController.signal })
+  const links = createTargetLinks({ connectDirectly, isReachable: engineControl.isReachable, relays: () => relays, targets: fleet.targets, runtime, log, signal: linksController.signal })
   const context: GatewayContext = {
     fleet,
     loadTracker: createLoadTracker({ runtime }),
