Don't end a stream as complete because of the events of an earlier try

Callers saw a stream that broke off after pieces 1 to 3 end as complete there, if the engine of the next try answered 200 without any event: relayEvents asked whether the call had had an event, not whether this run had. An answer without an event says nothing of where the stream ends, also to a caller that resumes after its last event itself, so its end now counts as not known: the stream is tried again or cut.

judgeAnswerEnd is the one place that says whether an answer is whole; plain answers, bodies of errors and streams ask it through settleAnswerEnd. What told framing before, the two headers, took any transfer coding for one that marks an end; findFraming takes chunks only.

Evidence: 'a stream that broke off is not complete because the next try brings nothing' failed in all three forms on (200, ended as complete) and passes. The two tests of readAnswerBody on failed connections are now tests of judgeAnswerEnd with the same cases, and both forms of a whole body; what readAnswerBody itself does with a verdict is tested in its file.

--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -7,7 +7,8 @@
 import { noteStatements } from './noteStatements.js'
 import { learnOutput } from './estimateRequestSize.js'
 import { createEventSplitter } from './createEventSplitter.js'
-import { isFramed, readAnswerBody } from './readAnswerBody.js'
+import { readAnswerBody } from './readAnswerBody.js'
+import { settleAnswerEnd } from './settleAnswerEnd.js'
 import type { Exchange } from './openExchange.js'
 import type { ActiveStream, Call, GatewayContext, TargetRun, TryProgress } from '../types.js'
 
@@ -55,10 +56,10 @@
   const status = answer.statusCode ?? 0
   const isPause = noteStatements(metadata, status, call, run.target, context)
   if (status !== 200) {
-    const body = await readAnswerBody(answer, exchange.hasFailed)
+    const body = await readAnswerBody(answer, () => settleAnswerEnd({ answer, exchange, run }, { isStream: false }))
     if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: metadata.faultyAddress, hasReachedTarget: true, isPause }
     if (body === undefined || !metadata.isSigned || metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
-    return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: isFramed(answer) }
+    return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: run.answer?.framing !== 'connection' }
   }
   if (metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: 'answer has another request id', isBrokenByTarget: false }
   if (!metadata.isSigned || answer.headers['content-encoding'] !== undefined) return { kind: 'brokenOff', cause: 'answer unsigned or encoded', isBrokenByTarget: false }
@@ -107,15 +108,18 @@
       stream.hasStarted = true
       for (const stage of stream.path) suspicions.note(stage.target.id, 'progressed')
     })
-    answer.once('end', () => {
-      const isWhole = answer.complete && (isFramed(answer) || !exchange.hasFailed())
-      if (!isWhole || split.bufferedBytes() > 0 || progress.firstEventMs === undefined) return fail('stream interrupted')
+    let hasEnded = false
+    answer.once('end', async () => {
+      hasEnded = true
+      if (split.bufferedBytes() > 0) return fail('stream interrupted')
+      const verdict = await settleAnswerEnd({ answer, exchange, run }, { isStream: true })
+      if (verdict !== 'whole') return fail(verdict === 'unknown' ? 'end of stream not known' : 'stream interrupted')
       response.end()
       learnOutput(call, progress.lastEventId, { isWhole: true }, context)
       resolve({ kind: 'complete' })
     })
     answer.once('error', error => fail(error.message))
-    answer.once('close', () => fail('stream interrupted'))
+    answer.once('close', () => { if (!hasEnded) fail('stream interrupted') })
   })
 }
 
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -6,7 +6,8 @@
 import { noteStatements } from './noteStatements.js'
 import { closeWithCall } from './closeWithCall.js'
 import { openExchange } from './openExchange.js'
-import { isFramed, readAnswerBody } from './readAnswerBody.js'
+import { readAnswerBody } from './readAnswerBody.js'
+import { settleAnswerEnd } from './settleAnswerEnd.js'
 import { describeRequest, endStopped, endWithReason, recordCallerGone, sendAnswer, type BufferedAnswer } from './answerCaller.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import { withDeadline, DeadlineError } from '../../runtime/withDeadline/index.js'
@@ -131,7 +132,7 @@
     const metadata = format.readAnswer(answer.headers)
     const status = answer.statusCode ?? 0
     const isPause = noteStatements(metadata, status, call, reservation.target, context)
-    const answerBody = await readAnswerBody(answer, exchange.hasFailed)
+    const answerBody = await readAnswerBody(answer, () => settleAnswerEnd({ answer, exchange, run }, { isStream: false }))
     const isBrokenByTarget = answerBody === undefined && !exchange.isClosedHere()
     exchange.close('answer read')
     if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true, isPause }
@@ -139,7 +140,7 @@
     if (metadata.requestId !== undefined && metadata.requestId !== facts.requestId) return { kind: 'mayHaveRun', cause: 'answer has another request id' }
     if (answer.headers['content-encoding'] !== undefined || !metadata.isSigned) return { kind: 'mayHaveRun', cause: 'answer unsigned or encoded' }
     if (NOT_RUN_STATUSES.has(status)) return { kind: 'mayHaveRun', cause: `status ${status} without proof that the call did not run` }
-    return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody, isFramed: isFramed(answer) }
+    return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody, isFramed: run.answer.framing !== 'connection' }
   } finally {
     closing[Symbol.dispose]()
   }
--- /dev/null
+++ b/src/gateway/judgeAnswerEnd/test.ts
@@ -0,0 +1,22 @@
+import test from 'ava'
+import type { Framing } from '../types.js'
+import { judgeAnswerEnd, type AnswerEnd } from './index.js'
+
+const end = (fields: Partial<AnswerEnd>): AnswerEnd => ({ framing: 'connection', isComplete: true, hasFailed: false, hasContent: true, ...fields })
+
+const SELF_DELIMITING: Framing[] = ['none', 'length', 'chunks']
+
+test('a length or a last chunk is proof, whatever happens to the connection', t => {
+  for (const framing of SELF_DELIMITING) {
+    t.is(judgeAnswerEnd(end({ framing, hasFailed: true })), 'whole')
+    t.is(judgeAnswerEnd(end({ framing, isComplete: false })), 'truncated')
+  }
+})
+
+test('the end of a connection that failed is not the end of an answer', t => {
+  t.is(judgeAnswerEnd(end({ hasFailed: true })), 'truncated')
+})
+
+test('an answer that lacks its content is not whole', t => {
+  for (const framing of [...SELF_DELIMITING, 'connection'] as const) t.is(judgeAnswerEnd(end({ framing, hasContent: false })), 'unknown')
+})
--- a/test/gateway/answerEnd.test.ts
+++ b/test/gateway/answerEnd.test.ts
@@ -83,7 +83,7 @@
 }
 
 for (const [name, empty] of Object.entries(EMPTY_STREAMS)) {
-  test.failing(`a stream that broke off is not complete because the next try brings nothing, ${name}`, async t => {
+  test(`a stream that broke off is not complete because the next try brings nothing, ${name}`, async t => {
     const breaks: EngineScript[] = [
       (request, socket) => { socket.write(buildStreamHead(request) + encodeEvents([1, 2, 3]), () => socket.destroy()) },
       (request, socket) => { socket.write(buildStreamHead(request) + encodeEvents([1, 2, 3]), () => socket.resetAndDestroy()) },
--- a/test/gateway/readAnswerBody.test.ts
+++ b/test/gateway/readAnswerBody.test.ts
@@ -1,16 +1,21 @@
+import { once } from 'node:events'
 import { Readable } from 'node:stream'
 import type { IncomingMessage } from 'node:http'
 import test from 'ava'
 import { readAnswerBody } from '../../src/gateway/_lib/readAnswerBody.js'
 
-const answer = (headers: Record<string, string>): IncomingMessage =>
-  Object.assign(Readable.from([Buffer.from('half')]), { headers, complete: true }) as unknown as IncomingMessage
+const answer = (): IncomingMessage => Object.assign(Readable.from([Buffer.from('half')]), { headers: {}, complete: true }) as unknown as IncomingMessage
 
-test('a body without a length is truncated if its connection failed', async t => {
-  t.is(await readAnswerBody(answer({}), () => true), undefined)
-  t.is((await readAnswerBody(answer({}), () => false))?.toString(), 'half')
+test('a body is read only if its end is judged to be whole', async t => {
+  t.is((await readAnswerBody(answer(), async () => 'whole'))?.toString(), 'half')
+  for (const verdict of ['truncated', 'unknown'] as const) t.is(await readAnswerBody(answer(), async () => verdict), undefined)
 })
 
-test('a complete body with a length is valid whatever happens to its connection', async t => {
-  t.is((await readAnswerBody(answer({ 'content-length': '4' }), () => true))?.toString(), 'half')
+test('a body is not given up while its end is judged after its connection has closed', async t => {
+  const read = answer()
+  const judgeEnd = async (): Promise<'whole'> => {
+    await once(read, 'close')
+    return 'whole'
+  }
+  t.is((await readAnswerBody(read, judgeEnd))?.toString(), 'half')
 })
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -1,12 +1,15 @@
 import { once } from 'node:events'
+import type { IncomingMessage } from 'node:http'
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import test from 'ava'
 import { buildEngine } from '../fakes/buildFleet.js'
 import { createManualRuntime } from '../fakes/createManualRuntime.js'
 import { createTestLog } from '../fakes/createTestLog.js'
 import { standStillForCaller } from '../fakes/standStill.js'
-import { openExchange } from '../../src/gateway/_lib/openExchange.js'
-import { isFramed, readAnswerBody } from '../../src/gateway/_lib/readAnswerBody.js'
+import { openExchange, type Exchange } from '../../src/gateway/_lib/openExchange.js'
+import { findFraming } from '../../src/gateway/_lib/describeRun.js'
+import { readAnswerBody } from '../../src/gateway/_lib/readAnswerBody.js'
+import { settleAnswerEnd } from '../../src/gateway/_lib/settleAnswerEnd.js'
 import { listen } from '../../src/http/listen/index.js'
 import { connectSocket } from '../../src/links/connectSocket/index.js'
 import { createRelayHandler } from '../../src/links/createRelayHandler/index.js'
@@ -51,6 +54,10 @@
   }
 }
 
+/** Reads the body of an answer that ends with its connection. */
+const readBody = (answer: IncomingMessage, exchange: Exchange): Promise<Buffer | undefined> =>
+  readAnswerBody(answer, () => settleAnswerEnd({ answer, exchange, run: { answer: { framing: 'connection', relay: exchange.relay() } } }, { isStream: false }))
+
 test('an answer without a length that its target resets is not complete through a peer either', async t => {
   for (const isReset of [true, false]) {
     let resetWhenRead = (): void => {}
@@ -61,10 +68,10 @@
     const exchange = relay.exchange()
     const result = await exchange.result
     if (result.kind !== 'answered') return t.fail(result.kind)
-    t.false(isFramed(result.answer))
+    t.is(findFraming(result.answer, 'GET'), 'connection')
     // A reset that arrives with the last bytes is reported as the end of the connection.
     result.answer.once('data', () => resetWhenRead())
-    const body = await readAnswerBody(result.answer, exchange.hasFailed)
+    const body = await readBody(result.answer, exchange)
     t.is(body?.toString(), isReset ? undefined : 'half an answer')
   }
 })
@@ -115,7 +122,7 @@
   t.false(isIdle)
   socket.end(LAST_WORDS)
   const result = await exchange.result
-  if (result.kind === 'answered') await readAnswerBody(result.answer, exchange.hasFailed)
+  if (result.kind === 'answered') await readBody(result.answer, exchange)
   await idle
   t.true(isIdle)
 })
