Check a target after the kernel has closed all connections of its process

In one of two runs of the tests with a killed process, half an answer was still taken for whole: the kernel closes the connections of a process one after another, and the listening one accepted the check for some time after the answer's had ended. The check now begins 25 ms after the end, on the runtime's timers.

It is still time and no proof; a report of the engine with the time of its start would be one, at the price of a probe, and plain targets have none. The tests with killed processes let the check wait for the exit, so that they do not depend on the kernel's speed; the wait itself is tested with an injected clock.

--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -182,7 +182,7 @@
     onResult: result => metrics.relaysServed.inc({ result }),
     onOpenCount: count => metrics.relaysOpen.set(count)
   })
-  const checkTarget = createTargetCheck({ links })
+  const checkTarget = createTargetCheck({ links, runtime })
   const context: GatewayContext = {
     fleet,
     loadTracker,
--- a/test/fakes/startEngineProcess.ts
+++ b/test/fakes/startEngineProcess.ts
@@ -17,6 +17,8 @@
   untilBegun: (count: number) => Promise<void>
   /** Ends the process at once; the kernel closes its connections. */
   kill: () => Promise<void>
+  /** Resolves once the process has ended; its listening port may be the last that the kernel closes. */
+  exited: Promise<unknown>
 }
 
 /** Starts the process; resolves once it listens. */
@@ -41,6 +43,7 @@
       noteBegun()
     }),
     kill,
+    exited,
     [Symbol.asyncDispose]: kill
   }
 }
