--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -59,7 +59,7 @@
     const body = await readAnswerBody(answer, () => settleAnswerEnd({ answer, exchange, run }, call, { isStream: false }, context))
     if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: metadata.faultyAddress, hasReachedTarget: true, isPause }
     if (body === undefined || !metadata.isSigned || metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
-    return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: run.answer?.framing !== 'connection' }
+    return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, framing: run.answer?.framing ?? 'connection' }
   }
   if (metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: 'answer has another request id', isBrokenByTarget: false }
   if (!metadata.isSigned || answer.headers['content-encoding'] !== undefined) return { kind: 'brokenOff', cause: 'answer unsigned or encoded', isBrokenByTarget: false }
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -142,7 +142,7 @@
     if (metadata.requestId !== undefined && metadata.requestId !== facts.requestId) return { kind: 'mayHaveRun', cause: 'answer has another request id' }
     if (answer.headers['content-encoding'] !== undefined || !metadata.isSigned) return { kind: 'mayHaveRun', cause: 'answer unsigned or encoded' }
     if (NOT_RUN_STATUSES.has(status)) return { kind: 'mayHaveRun', cause: `status ${status} without proof that the call did not run` }
-    return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody, isFramed: run.answer.framing !== 'connection' }
+    return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody, framing: run.answer.framing }
   } finally {
     closing[Symbol.dispose]()
   }
