Do not send a request to a target that left while the connection opened

Between the choice of a target and the sending lie a connect, up to two peers and, on a busy host, turns of the event loop. Once the connection was open only a pause was looked at, not whether the target, or a later engine of the path, had left by its entry, by the removal of its entry, by its own word, or had started again.

Evidence: ten new tests of test/gateway/leaving.test.ts failed before on the code as it was: the leaving target received 1 request instead of 0 (plain, unsafe; streams; a begun stream's next try), and the path of a stream named the later engine that had left.

Fix: findObstacle looks at the pause and at every engine of the path right before the request is written, in the same turn of the loop. A request that is withheld because its target left goes to another target, says nothing bad of the target and costs no attempt and no wait: the next choice passes over what has left.

Measured: leaving, retryAfter, plain, stream, callerGone, relay and crash tests of test/gateway pass.

--- a/src/gateway/_lib/attemptStream.ts
+++ b/src/gateway/_lib/attemptStream.ts
@@ -10,6 +10,7 @@
 import { closeWhenCrashing } from './crashingRequests.js'
 import { countTokens, expectOutput, learnOutput } from './estimateRequestSize.js'
 import { createPaceObserver } from './createPaceObserver.js'
+import { findObstacle } from './findObstacle.js'
 import { openExchange, type Exchange } from './openExchange.js'
 import { relayStream, type CallProgress, type StreamResult } from './relayStream.js'
 
@@ -26,14 +27,14 @@
     headers: format.buildHeaders(request, body, { requestId: facts.requestId, account, leftMs, targetId: reservation.target.id, path: reservation.path, lastEventId }),
     body,
     connect: context.links.connect,
-    mayStillSend: () => context.targetPauses.leftMs(reservation.target.id) === 0
+    findObstacle: () => findObstacle(reservation, context)
   })
   const closing = closeWithCall(call, exchange, context)
   const crashWatch = closeWhenCrashing(call, run, exchange, context)
   using stream = reservation.path === undefined ? undefined : registerStream(call, reservation, size, exchange, run, mayInterrupt, context)
   try {
     const result = await exchange.result
-    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.isPause === true }
+    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, faultyAddress: undefined, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.obstacle === 'paused', hasLeft: result.obstacle === 'left' }
     if (result.kind === 'lost') return { kind: 'brokenOff', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
     const relayed = await relayStream(result.answer, exchange, call, progress, { run, stream: stream?.active, onProgress: stream?.noteProgress ?? (() => {}) }, context)
     if (relayed.kind === 'brokenOff' && signal.aborted) learnOutput(call, progress.lastEventId, { isWhole: false }, context)
--- a/src/gateway/_lib/openExchange.ts
+++ b/src/gateway/_lib/openExchange.ts
@@ -8,12 +8,13 @@
 import type { Socket } from 'node:net'
 import { pollInput } from '../../runtime/pollInput/index.js'
 import { OwnLinkError, type ConnectTarget, type TargetConnection } from '../../links/types.js'
+import type { Obstacle } from './findObstacle.js'
 
 /** The answer once its headers arrived, or why there is none. */
 export type ExchangeResult =
   | { kind: 'answered', answer: IncomingMessage }
-  /** No byte of the request was sent; `isOwnLink`: that says nothing of the target; `isPause`: the target asked for a pause while the connection was opened. */
-  | { kind: 'notSent', cause: string, isOwnLink: boolean, isPause?: boolean }
+  /** No byte of the request was sent; `isOwnLink`: that says nothing of the target; `obstacle`: why it was withheld once the connection was open. */
+  | { kind: 'notSent', cause: string, isOwnLink: boolean, obstacle?: Obstacle }
   /** The connection was established, but no headers of an answer arrived. */
   | { kind: 'lost', cause: string }
 
@@ -38,13 +39,15 @@
   headers: string[]
   body: Buffer
   connect: ConnectTarget
-  /** Whether the target still wants the request, asked once the connection is open; it does by default. */
-  mayStillSend?: () => boolean
+  /** What keeps the request from being sent, asked once the connection is open; nothing by default. */
+  findObstacle?: () => Obstacle | undefined
 }
 
+const OBSTACLE_CAUSES: Record<Obstacle, string> = { paused: 'target asked for a pause meanwhile', left: 'target left meanwhile' }
+
 /** Sends a request to `ip:port`. */
 export function openExchange (address: string, options: ExchangeOptions): Exchange {
-  const { connect, mayStillSend = () => true } = options
+  const { connect, findObstacle = () => undefined } = options
   let hasFailed = false
   let closedBy: Error | undefined
   let request: http.ClientRequest | undefined
@@ -74,9 +77,10 @@
       // A peer that closes the connection says nothing of the target.
       return { kind: 'notSent', cause: failure.message, isOwnLink: connection.relay !== undefined }
     }
-    if (!mayStillSend()) {
+    const obstacle = findObstacle()
+    if (obstacle !== undefined) {
       connection.socket.destroy()
-      return { kind: 'notSent', cause: 'target asked for a pause meanwhile', isOwnLink: false, isPause: true }
+      return { kind: 'notSent', cause: OBSTACLE_CAUSES[obstacle], isOwnLink: false, obstacle }
     }
     relay = connection.relay
     request = sendOver(connection.socket, options)
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -22,8 +22,8 @@
   | { kind: 'complete' }
   /** The engine answered with an error status, which is relayed to the caller. */
   | { kind: 'refusedByTarget' } & BufferedAnswer
-  /** `isOwnLink`: the request could not be sent, which says nothing of the engine; `isPause`: the engine asked for a pause. */
-  | { kind: 'notRun', cause: string, faultyAddress: string | undefined, hasReachedTarget: boolean, isOwnLink?: boolean, isPause?: boolean }
+  /** `isOwnLink`: the request could not be sent, which says nothing of the engine; `isPause`: the engine asked for a pause; `hasLeft`: an engine of the path left before the request was sent. */
+  | { kind: 'notRun', cause: string, faultyAddress: string | undefined, hasReachedTarget: boolean, isOwnLink?: boolean, isPause?: boolean, hasLeft?: boolean }
   /** `isBrokenByTarget` is false if this host closed the connection. */
   | { kind: 'brokenOff', cause: string, isBrokenByTarget: boolean }
 
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -5,6 +5,7 @@
  */
 import { noteStatements } from './noteStatements.js'
 import { closeWithCall } from './closeWithCall.js'
+import { findObstacle } from './findObstacle.js'
 import { openExchange } from './openExchange.js'
 import { isFramed, readAnswerBody } from './readAnswerBody.js'
 import { describeRequest, endStopped, endWithReason, recordCallerGone, sendAnswer, type BufferedAnswer } from './answerCaller.js'
@@ -30,8 +31,8 @@
 
 type AttemptResult =
   | { kind: 'whole' } & BufferedAnswer
-  /** `isOwnLink`: the request could not be sent, which says nothing of the target; `isPause`: the target asked for a pause. */
-  | { kind: 'notRun', cause: string, hasReachedTarget: boolean, isOwnLink?: boolean, isPause?: boolean }
+  /** `isOwnLink`: the request could not be sent, which says nothing of the target; `isPause`: the target asked for a pause; `hasLeft`: it left before the request was sent. */
+  | { kind: 'notRun', cause: string, hasReachedTarget: boolean, isOwnLink?: boolean, isPause?: boolean, hasLeft?: boolean }
   /** `isBrokenByTarget`: the connection ended before the answer was complete, and this host did not close it. */
   | { kind: 'mayHaveRun', cause: string, isBrokenByTarget?: boolean }
 
@@ -57,7 +58,8 @@
     const result = await attemptCall(call, reservation, context)
     metrics.attempts.inc({ result: result.kind })
     attempts.push(`${reservation.target.id} ${result.kind === 'whole' ? result.status : result.cause}`)
-    excluded.add(reservation.target.id)
+    // Another start of the target may have the same id.
+    if (!(result.kind === 'notRun' && result.hasLeft === true)) excluded.add(reservation.target.id)
     if (result.kind === 'whole') {
       suspicions.note(reservation.target.id, result.status >= 500 ? 'failedAnswer' : 'answered')
       const isFinal = result.status < 500 || route.kind === 'unsafe'
@@ -68,7 +70,7 @@
     }
     if (result.kind === 'notRun') {
       const isGivenUp = signal.aborted && !result.hasReachedTarget
-      const saysNothing = isGivenUp || result.cause === NO_TIME_LEFT || result.isOwnLink === true || result.isPause === true
+      const saysNothing = isGivenUp || result.cause === NO_TIME_LEFT || result.isOwnLink === true || result.isPause === true || result.hasLeft === true
       if (!saysNothing) suspicions.note(reservation.target.id, result.hasReachedTarget ? 'refused' : 'unreachable')
       if (result.hasReachedTarget) countedAttempts++
       continue
@@ -115,14 +117,14 @@
     headers: format.buildHeaders(request, body, { requestId: facts.requestId, account, leftMs, targetId: reservation.target.id, path: undefined, lastEventId: undefined }),
     body,
     connect: context.links.connect,
-    mayStillSend: () => context.targetPauses.leftMs(reservation.target.id) === 0
+    findObstacle: () => findObstacle(reservation, context)
   })
   const closing = closeWithCall(call, exchange, context)
   using answerTimeout = withDeadline(route.objectiveMs * ANSWER_TIMEOUT_OBJECTIVES, { runtime })
   if (route.kind === 'safe') answerTimeout.signal.addEventListener('abort', () => exchange.close('no answer in time'), { once: true })
   try {
     const result = await exchange.result
-    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.isPause === true }
+    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.obstacle === 'paused', hasLeft: result.obstacle === 'left' }
     if (result.kind === 'lost') return { kind: 'mayHaveRun', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
     const { answer } = result
     const metadata = format.readAnswer(answer.headers)
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -88,6 +88,11 @@
     if (signal.aborted) break
     if (result.kind === 'notRun') {
       if (call.deadlineAtMs <= runtime.monotonicMs()) break
+      if (result.hasLeft === true) {
+        // Nothing was sent, and the next choice passes over what has left.
+        progress.tries--
+        continue
+      }
       const faultyId = findTargetAt(reservation, result.faultyAddress) ?? target.id
       const isPause = result.isPause === true && faultyId === target.id
       if (result.isOwnLink !== true && !isPause) context.suspicions.note(faultyId, result.hasReachedTarget ? 'refused' : 'unreachable')
--- a/test/gateway/leaving.test.ts
+++ b/test/gateway/leaving.test.ts
@@ -1,9 +1,14 @@
 import test from 'ava'
+import type { FleetState } from '../../src/fleet/createFleetState/index.js'
 import type { Target } from '../../src/fleet/types.js'
+import { connectSocket } from '../../src/links/connectSocket/index.js'
+import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
 import { countReceived, startServingHosts } from '../fakes/startTwoHosts.js'
 import { sendCall, startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
+const runtime = createSystemRuntime()
+
 /** A model that one engine can hold. */
 const configuration = { ...TEST_CONFIGURATION, services: TEST_CONFIGURATION.services.map(service => service.model === undefined ? service : { ...service, model: { ...service.model, layerMb: 100 } }) }
 
@@ -73,3 +78,77 @@
   t.is((await sendCall(hosts.peer.address, '/safe/x', {}, '')).status, 503)
   t.is(countReceived(hosts) - before, 0)
 })
+
+/** Connects to targets, and tells the address while the connection opens. */
+const connectAfter = (onConnect: (address: string) => void) => async (address: string) => {
+  const socket = await connectSocket(address, { timeoutMs: 60_000, runtime })
+  onConnect(address)
+  return socket
+}
+
+/** Ways in which a host learns, while a connection opens, that its target leaves or is gone. */
+const WAYS_TO_LEAVE: Record<string, (fleet: FleetState, target: Target) => void> = {
+  'its own word': (fleet, target) => { fleet.recordLeaving(target) },
+  'its entry': (fleet, target) => fleet.applyChanges({ revision: 2, changed: [{ ...target, isLeaving: true }], removedIds: [] }),
+  'the removal of its entry': (fleet, target) => fleet.applyChanges({ revision: 2, changed: [], removedIds: [target.id] }),
+  'another start': (fleet, target) => fleet.applyChanges({ revision: 2, changed: [{ ...target, bornMs: 2, isLeaving: true }], removedIds: [] })
+}
+
+for (const [way, leave] of Object.entries(WAYS_TO_LEAVE)) {
+  test(`a call goes to another target when the chosen one leaves by ${way} while the connection opens`, async t => {
+    await using leaver = await servePlatformEngine(leaving())
+    await using other = await servePlatformEngine((request, socket) => { socket.end(buildAnswer(request, 'done')) })
+    const target = service('o-1', leaver.address)
+    await using gateway = await startTestGateway([target, { ...service('o-2', other.address), failureDomain: 'south' }], {
+      connectDirectly: connectAfter(address => { if (address === leaver.address) leave(gateway.parts.fleet, target) })
+    })
+    t.is((await gateway.send('/unsafe/x')).status, 200)
+    t.deepEqual([leaver.received.length, other.received.length], [0, 1])
+    t.is(gateway.parts.suspicions.slownessOf('o-1'), 1)
+  })
+
+  test(`a stream that no target has got yet costs no attempt when the chosen engine leaves by ${way} while the connection opens`, async t => {
+    await using leaver = await servePlatformEngine(streaming())
+    await using other = await servePlatformEngine(streaming())
+    const target = engine('i-1', leaver.address)
+    await using gateway = await startTestGateway([target, { ...engine('i-2', other.address), failureDomain: 'south' }], {
+      configuration: { ...configuration, routes: configuration.routes.map(route => ({ ...route, maxAttempts: 1 })) },
+      connectDirectly: connectAfter(address => { if (address === leaver.address) leave(gateway.parts.fleet, target) })
+    })
+    while (gateway.parts.budget.trySpend('model'));
+    t.is((await gateway.send('/stream/x')).status, 200)
+    t.deepEqual([leaver.received.length, other.received.length], [0, 1])
+    t.is(gateway.parts.suspicions.slownessOf('i-1'), 1)
+  })
+}
+
+test('a begun stream does not resume at an engine that leaves while the connection opens', async t => {
+  await using first = await servePlatformEngine((request, socket) => {
+    socket.write(buildStreamHead(request) + encodeEvents([1]), () => socket.resetAndDestroy())
+  })
+  await using leaver = await servePlatformEngine(streaming())
+  await using other = await servePlatformEngine((request, socket) => { socket.end(buildStreamHead(request) + encodeEvents([2, 3]) + STREAM_END) })
+  const left = { ...engine('i-2', leaver.address), failureDomain: 'south' }
+  const last = { ...engine('i-3', other.address), failureDomain: 'south', slots: 1, kind: 'small' }
+  await using gateway = await startTestGateway([engine('i-1', first.address), left], {
+    configuration,
+    connectDirectly: connectAfter(address => { if (address === leaver.address) gateway.parts.fleet.applyChanges({ revision: 2, changed: [last], removedIds: ['i-2'] }) })
+  })
+  const { body, isComplete } = await gateway.send('/stream/x')
+  t.deepEqual([...body.matchAll(/id: ?(\d+)/g)].map(([, id]) => id), ['1', '2', '3'])
+  t.true(isComplete)
+  t.is(leaver.received.length, 0)
+})
+
+test('a stream is not sent over a path of which a later engine has left while the connection opened', async t => {
+  await using first = await servePlatformEngine(streaming())
+  await using later = await servePlatformEngine(streaming())
+  await using other = await servePlatformEngine(streaming())
+  const half = { ...engine('i-2', later.address), layers: { from: 40, to: 80 } }
+  await using gateway = await startTestGateway([{ ...engine('i-1', first.address), layers: { from: 0, to: 40 } }, half], {
+    configuration,
+    connectDirectly: connectAfter(() => gateway.parts.fleet.applyChanges({ revision: 2, changed: [{ ...half, isLeaving: true }, { ...half, id: 'i-3', address: other.address }], removedIds: [] }))
+  })
+  t.is((await gateway.send('/stream/x')).status, 200)
+  t.deepEqual(first.received.map(({ headers }) => headers['hop-count']!.includes(later.address)), [false])
+})
