Open no connection for another host to a target that leaves

A peer connected to every listed target, also to one of which it knew, from the store or from the target's own word, that it leaves. The asking host may not have heard of it: it follows the store through other hosts, and its digests may be lost.

Fix: the peer refuses with 503 and names the start of the target that leaves, asked before and after it has connected. The host records that start as leaving, asks no further peer, does not connect itself, takes another target and suspects nobody. Hosts of an earlier version read the refusal as a pause of the target, which they do not hold against the peer. Requests in progress go on. A connect that fails for a target that has left meanwhile says nothing of it either.

Not changed: bytes that arrive at the peer after it has opened the connection are passed on even if the target has left since. That takes as long as the answer to the host and the first byte back; it exceeds drain_ms only if one of the two stood still, which the rule excuses, and a request that has left its host cannot be called back without the risk of calling it lost.

--- a/src/gateway/_lib/openExchange.ts
+++ b/src/gateway/_lib/openExchange.ts
@@ -13,8 +13,8 @@
 /** The answer once its headers arrived, or why there is none. */
 export type ExchangeResult =
   | { kind: 'answered', answer: IncomingMessage }
-  /** No byte of the request was sent; `isOwnLink`: that says nothing of the target; `obstacle`: why it was withheld once the connection was open. */
-  | { kind: 'notSent', cause: string, isOwnLink: boolean, obstacle?: Obstacle }
+  /** No byte of the request was sent; `isOwnLink`: that says nothing of the target; `obstacle`: why the target should not get it any more. */
+  | { kind: 'notSent', cause: string, isOwnLink: boolean, obstacle?: Obstacle | undefined }
   /** The connection was established, but no headers of an answer arrived. */
   | { kind: 'lost', cause: string }
 
@@ -39,7 +39,7 @@
   headers: string[]
   body: Buffer
   connect: ConnectTarget
-  /** What keeps the request from being sent, asked once the connection is open; nothing by default. */
+  /** What keeps the request from being sent, asked once the connection is open or could not be opened; nothing by default. */
   findObstacle?: () => Obstacle | undefined
 }
 
@@ -60,7 +60,7 @@
     try {
       connection = await Promise.race([connecting, whenClosed])
     } catch (error) {
-      return { kind: 'notSent', cause: error instanceof Error ? error.message : String(error), isOwnLink: error instanceof OwnLinkError }
+      return { kind: 'notSent', cause: error instanceof Error ? error.message : String(error), isOwnLink: error instanceof OwnLinkError, obstacle: findObstacle() }
     }
     if (connection === undefined) {
       connecting.then(({ socket }) => socket.destroy(), () => { /* There is no connection to close. */ })
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -10,6 +10,7 @@
 import type { HostState, Notices } from '../../digest/types.js'
 import type { EventFields } from '../../event/types.js'
 import { createFleetState, type SeenLayers } from '../../fleet/createFleetState/index.js'
+import type { Target } from '../../fleet/types.js'
 import { followFleet } from '../../fleet/followFleet/index.js'
 import { followStoreReaders, type StoreReader } from '../../fleet/followStoreReaders/index.js'
 import { isStoreReader, ROOT_DELAY_MS } from '../../fleet/isStoreReader/index.js'
@@ -169,7 +170,8 @@
     log,
     signal,
     onChange: isImpaired => metrics.isImpaired.set(isImpaired ? 1 : 0),
-    onRelay: result => metrics.relayedConnections.inc({ result })
+    onRelay: result => metrics.relayedConnections.inc({ result }),
+    onTargetLeaving: noteLeavingByPeer
   })
   const relayHandler = createRelayHandler({
     targets: fleet.targets,
@@ -298,10 +300,14 @@
   function applyNotices (notices: Notices): void {
     notices.suspicions.forEach(suspicions.applyPeerSuspicion)
     notices.limits.forEach(targetLimits.applyPeerLimit)
-    for (const { targetId, bornMs } of notices.leaving) if (fleet.recordLeaving({ id: targetId, bornMs })) log.emit('targetLeaving', { leavingIds: [targetId], source: 'peer' })
+    for (const { targetId, bornMs } of notices.leaving) noteLeavingByPeer({ id: targetId, bornMs })
     for (const seen of notices.seenLayers) if (!areLayersKnown(seen)) fleet.recordSeenLayers(seen)
   }
 
+  function noteLeavingByPeer (target: Pick<Target, 'id' | 'bornMs'>): void {
+    if (fleet.recordLeaving(target)) log.emit('targetLeaving', { leavingIds: [target.id], source: 'peer' })
+  }
+
   function areLayersKnown (seen: SeenLayers): boolean {
     const target = fleet.targets().find(candidate => candidate.id === seen.targetId)
     return target?.layers?.from === seen.layers?.from && target?.layers?.to === seen.layers?.to
--- a/src/links/_lib/openRelay.ts
+++ b/src/links/_lib/openRelay.ts
@@ -4,12 +4,15 @@
 import http from 'node:http'
 import type { Socket } from 'node:net'
 import type { Runtime } from '../../runtime/types.js'
+import { LEAVING_HEADER, parseLeaving, type TargetInstance } from './leavingHeader.js'
 
 /** Result of asking one peer. */
 export type RelayResult =
   | { kind: 'connected', socket: Socket }
   /** The peer could not connect to the target either. */
   | { kind: 'targetUnreachable' }
+  /** The peer knows that the target leaves. */
+  | { kind: 'targetLeaving', target: TargetInstance }
   /** The peer does not answer, does not know the target, or cannot tell whether it is its own link; `isPaused`: the target wants no requests from the peer. */
   | { kind: 'unavailable', cause: string, isPaused?: boolean }
 
@@ -38,6 +41,8 @@
       }
       socket.destroy()
       if (response.statusCode === TARGET_UNREACHABLE_STATUS) return finish({ kind: 'targetUnreachable' })
+      const leaving = parseLeaving(String(response.headers[LEAVING_HEADER] ?? ''))
+      if (leaving !== undefined) return finish({ kind: 'targetLeaving', target: leaving })
       const isPaused = response.headers['retry-after'] !== undefined
       finish({ kind: 'unavailable', cause: isPaused ? 'target wants no requests from the peer' : `status ${response.statusCode}`, isPaused })
     })
--- a/src/links/createRelayHandler/index.ts
+++ b/src/links/createRelayHandler/index.ts
@@ -2,7 +2,7 @@
  * Opens connections to targets for peers that cannot reach them, and passes the bytes on. A relayed
  * connection ends as the target's does: one that was reset is reset towards the peer as well, so
  * that a truncated answer does not look complete. A target counts this host as the sender, so what
- * it has asked of this host holds for these connections too.
+ * it has asked of this host holds for these connections too, and so does that it leaves.
  */
 import type { IncomingMessage } from 'node:http'
 import type { Duplex } from 'node:stream'
@@ -10,6 +10,7 @@
 import type { Target } from '../../fleet/types.js'
 import { pollInput } from '../../runtime/pollInput/index.js'
 import type { Runtime } from '../../runtime/types.js'
+import { formatLeaving, LEAVING_HEADER } from '../_lib/leavingHeader.js'
 import { TARGET_UNREACHABLE_STATUS } from '../_lib/openRelay.js'
 
 /** Statuses with which a peer is told that the address is no target, and that this host cannot tell whether the target can be reached. */
@@ -19,11 +20,14 @@
 /** Time for which a connection stays open beyond its longest use, as the host may have an earlier configuration, in milliseconds. */
 const EXPIRY_SLACK_MS = 5_000
 
+/** Time after which a host of an earlier version may ask again for a target that leaves, in seconds; it reads the refusal as a pause, which is not held against this peer. */
+const LEAVING_RETRY_S = 1
+
 /** Milliseconds in a second. */
 const MS_PER_S = 1_000
 
 interface RelayHandlerOptions {
-  /** Targets to which connections may be opened. */
+  /** Targets to which connections may be opened, unless they leave. */
   targets: () => readonly Target[]
   runtime: Runtime
   /** Longest time for which a call may use a connection, in milliseconds. */
@@ -63,6 +67,18 @@
   const open = new Set<Socket>()
   const waiters = new Set<() => void>()
 
+  /** The target at an address; one that leaves may still be listed beside the one that has its address now. */
+  function findTarget (address: string): Target | undefined {
+    const listed = targets().filter(candidate => candidate.address === address)
+    return listed.find(candidate => !candidate.isLeaving) ?? listed[0]
+  }
+
+  /** Whether a target leaves, or is not listed any more. */
+  function isGone ({ id, bornMs }: Target): boolean {
+    const listed = targets().find(candidate => candidate.id === id && candidate.bornMs === bornMs)
+    return listed === undefined || listed.isLeaving
+  }
+
   function refuse (peer: Duplex, status: number, headers: readonly string[] = []): void {
     onResult(status === TARGET_UNREACHABLE_STATUS ? 'targetUnreachable' : 'refused')
     peer.end([`HTTP/1.1 ${status} Refused`, ...headers, 'Content-Length: 0', 'Connection: close', '', ''].join('\r\n'))
@@ -85,8 +101,10 @@
     async handle ({ url: address = '' }, stream, head) {
       const peer = stream as Socket
       peer.on('error', () => { /* The close that follows ends the connection to the target. */ })
-      const listed = targets().find(candidate => candidate.address === address)
+      const listed = findTarget(address)
       if (listed === undefined) return refuse(peer, NO_TARGET_STATUS)
+      const refuseLeaving = (): void => refuse(peer, UNKNOWN_STATUS, [`Retry-After: ${LEAVING_RETRY_S}`, `${LEAVING_HEADER}: ${formatLeaving(listed)}`])
+      if (listed.isLeaving) return refuseLeaving()
       const refusePaused = (): void => refuse(peer, UNKNOWN_STATUS, [`Retry-After: ${pauseLeftMs(listed.id) / MS_PER_S}`])
       if (pauseLeftMs(listed.id) > 0) return refusePaused()
       const target = await connect(address)
@@ -98,6 +116,10 @@
         target.destroy()
         return
       }
+      if (isGone(listed)) {
+        target.destroy()
+        return refuseLeaving()
+      }
       if (pauseLeftMs(listed.id) > 0) {
         target.destroy()
         return refusePaused()
--- a/src/links/createTargetLinks/index.ts
+++ b/src/links/createTargetLinks/index.ts
@@ -7,6 +7,7 @@
 import type { Target } from '../../fleet/types.js'
 import { repeatTask } from '../../runtime/repeatTask/index.js'
 import type { Runtime } from '../../runtime/types.js'
+import type { TargetInstance } from '../_lib/leavingHeader.js'
 import { openRelay, type RelayResult } from '../_lib/openRelay.js'
 import { createLinkState } from '../createLinkState/index.js'
 import { OwnLinkError, type ConnectDirectly, type ConnectTarget } from '../types.js'
@@ -17,7 +18,7 @@
 /** This host's connections to targets. */
 export interface TargetLinks {
   connect: ConnectTarget
-  /** Finds out whether a target is up, with the opinion of a peer if the connect fails while this host's links are in doubt, or always. */
+  /** Finds out whether a target is up, with the opinion of a peer if the connect fails while this host's links are in doubt, or always; peers have none of targets that leave. */
   check: (target: Target, options?: { isPeerAlwaysAsked?: boolean }) => Promise<LinkCheck>
   /** Whether the host has lost several links, so that its peers should ask others. */
   isImpaired: () => boolean
@@ -39,6 +40,8 @@
   onChange?: (isImpaired: boolean) => void
   /** Called with the result of each connection through a peer. */
   onRelay?: (result: RelayResult['kind']) => void
+  /** Called when a peer says that a target leaves. */
+  onTargetLeaving?: (target: TargetInstance) => void
 }
 
 /** What a peer found out about a target. */
@@ -67,7 +70,7 @@
  * const { socket } = await links.connect(target.address)
  */
 export function createTargetLinks (options: TargetLinksOptions): TargetLinks {
-  const { connectDirectly, isReachable, relays, targets, runtime, log, signal, onChange = () => {}, onRelay = () => {} } = options
+  const { connectDirectly, isReachable, relays, targets, runtime, log, signal, onChange = () => {}, onRelay = () => {}, onTargetLeaving = () => {} } = options
   const pausedUntilMs = new Map<string, number>()
   let nextProbe = 0
   const state = createLinkState({
@@ -88,6 +91,7 @@
       const result = await openRelay(relay, address, { runtime })
       onRelay(result.kind)
       opinion = { relay, result }
+      if (result.kind === 'targetLeaving') onTargetLeaving(result.target)
       if (result.kind !== 'unavailable') break
       if (result.isPaused !== true) pausedUntilMs.set(relay, runtime.monotonicMs() + RELAY_PAUSE_MS)
     }
@@ -135,6 +139,7 @@
         state.noteLost(address)
         return { socket: opinion.result.socket, relay: opinion.relay }
       }
+      if (opinion?.result.kind === 'targetLeaving') throw new OwnLinkError('target leaves, as a peer says')
       throw opinion?.result.kind === 'unavailable' ? new OwnLinkError(`${cause.message}; peer: ${opinion.result.cause}`) : cause
     },
     async connectForPeer (address) {
@@ -158,7 +163,7 @@
       }
       if (!isPeerAlwaysAsked && !state.isInDoubt(beganMs)) return 'unreachable'
       const opinion = await askPeers(target.address)
-      if (opinion?.result.kind === 'unavailable') return 'unknown'
+      if (opinion?.result.kind === 'unavailable' || opinion?.result.kind === 'targetLeaving') return 'unknown'
       if (opinion?.result.kind !== 'connected') return 'unreachable'
       opinion.result.socket.destroy()
       state.noteLost(target.address)
--- a/test/gateway/leaving.test.ts
+++ b/test/gateway/leaving.test.ts
@@ -4,7 +4,7 @@
 import { connectSocket } from '../../src/links/connectSocket/index.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
-import { countReceived, startServingHosts } from '../fakes/startTwoHosts.js'
+import { countReceived, sendUntil, startServingHosts, startTwoHosts } from '../fakes/startTwoHosts.js'
 import { sendCall, startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 const runtime = createSystemRuntime()
@@ -79,6 +79,21 @@
   t.is(countReceived(hosts) - before, 0)
 })
 
+test('a host that is cut off sends nothing through a peer to targets that leave by what the peer knows, and does not suspect them', async t => {
+  await using hosts = await startTwoHosts({ areDigestsLost: true })
+  await sendUntil(hosts.peer.address, 200)
+  await sendUntil(hosts.cutHost.address, 200)
+  for (const target of hosts.targets) target.setScript(leaving())
+  while ((await sendCall(hosts.peer.address, '/safe/x', {}, '')).status === 200);
+  hosts.cut(true)
+  const before = countReceived(hosts)
+  for (let call = 0; call < 10; call++) await sendCall(hosts.cutHost.address, call % 2 === 0 ? '/safe/x' : '/unsafe/x', {}, '')
+  t.is(countReceived(hosts) - before, 0)
+  const events = hosts.cutHost.log.recent()
+  t.is(events.filter(({ name, source }) => name === 'targetLeaving' && source === 'peer').length, hosts.targets.length)
+  t.deepEqual(events.filter(({ name }) => name === 'targetSuspected'), [])
+})
+
 /** Connects to targets, and tells the address while the connection opens. */
 const connectAfter = (onConnect: (address: string) => void) => async (address: string) => {
   const socket = await connectSocket(address, { timeoutMs: 60_000, runtime })
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -5,12 +5,15 @@
 import { createManualRuntime } from '../fakes/createManualRuntime.js'
 import { createTestLog } from '../fakes/createTestLog.js'
 import { standStillForCaller } from '../fakes/standStill.js'
+import type { Target } from '../../src/fleet/types.js'
 import { openExchange } from '../../src/gateway/_lib/openExchange.js'
 import { isFramed, readAnswerBody } from '../../src/gateway/_lib/readAnswerBody.js'
 import { listen } from '../../src/http/listen/index.js'
 import { connectSocket } from '../../src/links/connectSocket/index.js'
+import { formatLeaving, parseLeaving } from '../../src/links/_lib/leavingHeader.js'
 import { createRelayHandler } from '../../src/links/createRelayHandler/index.js'
 import { createTargetLinks } from '../../src/links/createTargetLinks/index.js'
+import { OwnLinkError } from '../../src/links/types.js'
 import { pollInput } from '../../src/runtime/pollInput/index.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 
@@ -20,9 +23,18 @@
 
 const LAST_WORDS = 'HTTP/1.1 200 OK\r\nServer-Seal: s\r\n\r\nhalf an answer'
 
+interface RelayOptions {
+  onAccept?: () => void
+  /** Whether the peer knows that the target leaves. */
+  isLeaving?: () => boolean
+  furtherRelays?: string[]
+}
+
 /** A target, a peer that reaches it, and a host that does not. */
-async function startRelay (serve: (socket: Socket) => void) {
+async function startRelay (serve: (socket: Socket) => void, { onAccept = () => {}, isLeaving = () => false, furtherRelays = [] }: RelayOptions = {}) {
+  const leaving: Array<Pick<Target, 'id' | 'bornMs'>> = []
   const target = createServer(socket => {
+    onAccept()
     socket.on('error', () => {})
     socket.once('data', () => serve(socket))
   }).listen(0, '127.0.0.1')
@@ -33,11 +45,12 @@
   const options = { targets: () => targets, runtime, log: createTestLog(), signal: controller.signal }
   const connectDirectly = (to: string) => connectSocket(to, { timeoutMs: 100, runtime })
   const peer = createTargetLinks({ ...options, connectDirectly, isReachable: async () => true, relays: () => [] })
-  const handler = createRelayHandler({ targets: () => targets, runtime, maxAgeMs: () => MAX_AGE_MS, connect: peer.connectForPeer, onResult: () => {} })
+  const handler = createRelayHandler({ targets: () => targets.map(listed => ({ ...listed, isLeaving: isLeaving() })), runtime, maxAgeMs: () => MAX_AGE_MS, connect: peer.connectForPeer, onResult: () => {} })
   const server = await listen(async (_request, response) => { response.end() }, { address: '127.0.0.1', port: 0, onConnect: handler.handle })
-  const host = createTargetLinks({ ...options, connectDirectly: () => Promise.reject(new Error('cut')), isReachable: async () => false, relays: () => [server.address] })
+  const host = createTargetLinks({ ...options, connectDirectly: () => Promise.reject(new Error('cut')), isReachable: async () => false, relays: () => [server.address, ...furtherRelays], onTargetLeaving: instance => { leaving.push(instance) } })
   return {
     host,
+    leaving,
     handler,
     address,
     target: targets[0]!,
@@ -90,6 +103,46 @@
   await t.throwsAsync(relay.host.connect('127.0.0.1:9'), { message: /status 404/ })
 })
 
+test('a peer opens no connection to a target of which it knows that it leaves, and names that target', async t => {
+  let accepted = 0
+  await using relay = await startRelay(socket => socket.end(LAST_WORDS), { onAccept () { accepted++ }, isLeaving: () => true })
+  await t.throwsAsync(relay.host.connect(relay.address), { instanceOf: OwnLinkError, message: /leaves/ })
+  t.deepEqual(relay.leaving, [{ id: 'i-1', bornMs: relay.target.bornMs }])
+  t.is(accepted, 0)
+  t.is(await relay.host.check(relay.target, { isPeerAlwaysAsked: true }), 'unknown')
+})
+
+test('a peer passes nothing on to a target that leaves while the connection opens', async t => {
+  let isLeaving = false
+  const served: Socket[] = []
+  await using relay = await startRelay(socket => { served.push(socket) }, { onAccept () { isLeaving = true }, isLeaving: () => isLeaving })
+  const exchange = relay.exchange()
+  t.like(await exchange.result, { kind: 'notSent', isOwnLink: true })
+  t.deepEqual(served, [])
+  t.is(relay.leaving.length, 1)
+})
+
+test('a host that a peer tells of a leaving target asks no further peer', async t => {
+  let asked = 0
+  await using other = await listen(async (_request, response) => { response.end() }, {
+    address: '127.0.0.1',
+    port: 0,
+    onConnect (_request, stream) {
+      asked++
+      stream.end('HTTP/1.1 200 Connected\r\n\r\n')
+    }
+  })
+  await using relay = await startRelay(socket => socket.end(LAST_WORDS), { isLeaving: () => true, furtherRelays: [other.address] })
+  await t.throwsAsync(relay.host.connect(relay.address))
+  t.is(asked, 0)
+})
+
+test('a peer can name a leaving target whatever its id, and other values name none', t => {
+  const target = { id: 'i:1 é\r\n%', bornMs: 1_764_900_000_123 }
+  t.deepEqual(parseLeaving(formatLeaving(target)), target)
+  for (const value of ['', 'i-1', '5', '5:', ':i-1', '5:%', '5:a b', 'x:i-1']) t.is(parseLeaving(value), undefined)
+})
+
 test('a target that a peer reaches has not ended', async t => {
   await using relay = await startRelay(socket => socket.end(LAST_WORDS))
   t.is(await relay.host.check(relay.target, { isPeerAlwaysAsked: true }), 'relayed')
