Remember that a target's entry said it leaves, whatever a later list says

That an entry had said 'draining' was kept only as long as the entry itself. An entry of the same start that comes back, or a list of an earlier state (a store that is back from a copy, a peer), made the target serve again. Only a target's own word was kept; and of that, a late notice about an earlier start of an id replaced the record of the present one.

Fix: each start (id, bornMs) that leaves is remembered, by its entry or its own word, bounded as before. Other hosts are told of those that said so themselves, as before, and of those whose entry no longer says it. Another start of the id is used.

--- a/src/fleet/createFleetState/index.ts
+++ b/src/fleet/createFleetState/index.ts
@@ -1,13 +1,17 @@
 /**
  * This host's copy of the fleet: the configuration, which is only ever replaced by a higher
  * version, and the targets at the highest store revision seen, read from the store or from peers.
- * What engines were seen to hold, and which targets said that they leave, overrides their entries.
+ * What engines were seen to hold, and which targets leave, overrides their entries: a target that has
+ * once reported that it leaves does so whatever an older list, or an entry that comes back, says.
  */
 import { createHash } from 'node:crypto'
 import { isDeepStrictEqual } from 'node:util'
 import type { Runtime } from '../../runtime/types.js'
 import type { FleetConfiguration, LayerRange, Target, TargetUpdate } from '../types.js'
 
+/** One start of a target. */
+type Instance = Pick<Target, 'id' | 'bornMs'>
+
 /** All targets at one revision of the store. */
 export interface TargetSnapshot {
   revision: number
@@ -62,9 +66,9 @@
   /** Records layers seen on an engine, unless the target is unknown or was started at another time. */
   recordSeenLayers: (seen: SeenLayers) => void
   /** Records that a target said itself that it leaves, whatever its entry says; returns whether that is new. It holds for that start of the target. */
-  recordLeaving: (target: Pick<Target, 'id' | 'bornMs'>) => boolean
-  /** Listed targets that said that they leave. */
-  leavingByOwnWord: () => Array<{ targetId: string, bornMs: number }>
+  recordLeaving: (target: Instance) => boolean
+  /** Listed targets that leave: those that said it themselves, and those whose entries do not say it any more. */
+  knownLeaving: () => Array<{ targetId: string, bornMs: number }>
   /** Recent sightings that the entries do not show yet. */
   seenLayers: () => SeenLayers[]
   /** Calls the listener after each change of configuration or targets, until the subscription is disposed of. */
@@ -74,12 +78,20 @@
 /** How long seen layers override the engine's entry, in milliseconds; engines write their entry about every second. */
 const SEEN_LAYERS_TTL_MS = 5_000
 
-/** Targets kept that said that they leave; the first ones are gone by then. */
+/** Leaving targets that are remembered; the first ones are gone by then. */
 const MAX_LEAVING = 1_000
 
 /** Changes kept to answer `updateSince`: more than one second's worth, even while the whole fleet starts. */
 const MAX_HISTORY_CHANGES = 100
 
+/** One start of a target that leaves. */
+interface LeavingInstance {
+  targetId: string
+  bornMs: number
+  /** Whether the target said so itself, and not only its entry. */
+  isOwnWord: boolean
+}
+
 interface TimedSeenLayers extends SeenLayers {
   seenMs: number
 }
@@ -103,8 +115,8 @@
   /** Targets kept although their entries are missing, with the monotonic time at which they are removed. */
   const missingUntilMs = new Map<string, number>()
   const sightings = new Map<string, TimedSeenLayers>()
-  /** Start of each target that said that it leaves. */
-  const leavingBornMs = new Map<string, number>()
+  /** Leaving targets by `keyOf` of their start. */
+  const leaving = new Map<string, LeavingInstance>()
   const listeners = new Set<() => void>()
   let targetList: Target[] | undefined
   let fingerprint = ''
@@ -160,6 +172,7 @@
     const changedIds: string[] = []
     for (const target of next) {
       missingUntilMs.delete(target.id)
+      if (target.isLeaving && !leaving.has(keyOf(target))) rememberLeaving(target, { isOwnWord: false })
       if (isDeepStrictEqual(targets.get(target.id), target)) continue
       targets.set(target.id, target)
       changedIds.push(target.id)
@@ -179,7 +192,14 @@
     return { ...target, layers: sighting.layers ?? undefined }
   }
 
-  const isLeaving = ({ id, bornMs, isLeaving }: Target): boolean => isLeaving || leavingBornMs.get(id) === bornMs
+  function rememberLeaving (target: Instance, { isOwnWord }: { isOwnWord: boolean }): void {
+    const key = keyOf(target)
+    leaving.delete(key)
+    leaving.set(key, { targetId: target.id, bornMs: target.bornMs, isOwnWord })
+    if (leaving.size > MAX_LEAVING) leaving.delete(leaving.keys().next().value!)
+  }
+
+  const isLeaving = (target: Target): boolean => target.isLeaving || leaving.has(keyOf(target))
 
   /** The target as this host knows it, beyond its entry. */
   function withObservations (target: Target): Target {
@@ -238,15 +258,16 @@
       runtime.setTimer(SEEN_LAYERS_TTL_MS + 1, () => { targetList = undefined })
       notify()
     },
-    recordLeaving ({ id, bornMs }) {
-      if (leavingBornMs.get(id) === bornMs) return false
-      leavingBornMs.delete(id)
-      leavingBornMs.set(id, bornMs)
-      if (leavingBornMs.size > MAX_LEAVING) leavingBornMs.delete(leavingBornMs.keys().next().value!)
+    recordLeaving (target) {
+      if (leaving.get(keyOf(target))?.isOwnWord === true) return false
+      rememberLeaving(target, { isOwnWord: true })
       notify()
       return true
     },
-    leavingByOwnWord: () => [...leavingBornMs].flatMap(([targetId, bornMs]) => targets.get(targetId)?.bornMs === bornMs ? [{ targetId, bornMs }] : []),
+    knownLeaving: () => [...leaving.values()].flatMap(({ targetId, bornMs, isOwnWord }) => {
+      const target = targets.get(targetId)
+      return target?.bornMs === bornMs && (isOwnWord || !target.isLeaving) ? [{ targetId, bornMs }] : []
+    }),
     seenLayers: () => [...sightings.values()]
       .filter(sighting => runtime.monotonicMs() - sighting.seenMs <= SEEN_LAYERS_TTL_MS && !isShownByEntry(sighting, targets.get(sighting.targetId)))
       .map(({ targetId, bornMs, layers }) => ({ targetId, bornMs, layers })),
@@ -257,6 +278,8 @@
   }
 }
 
+const keyOf = ({ id, bornMs }: Instance): string => `${bornMs}:${id}`
+
 function computeFingerprint (targets: Iterable<Target>): string {
   const lines = [...targets].map(({ id, service, address, failureDomain, bornMs, isLeaving, kind, layers, slots }) =>
     JSON.stringify([id, service, address, failureDomain, bornMs, isLeaving, kind, layers?.from, layers?.to, slots]))
--- a/src/fleet/createFleetState/test.ts
+++ b/src/fleet/createFleetState/test.ts
@@ -110,3 +110,36 @@
   await runtime.advance(1_900)
   t.deepEqual([peer, own].map(fleet => fleet.targets().map(target => target.id)), [['b'], ['b']])
 })
+
+test('a target whose entry said that it leaves is leaving for good, whatever later lists say, and another start of it is not', t => {
+  for (const comeBack of ['applySnapshot', 'applyChanges'] as const) {
+    const fleet = createFleetState({ runtime: createManualRuntime() })
+    fleet.applySnapshot({ revision: 1, targets: [engine('a')] })
+    fleet.applyChanges({ revision: 2, changed: [{ ...engine('a'), isLeaving: true }], removedIds: [] })
+    fleet.applyChanges({ revision: 3, changed: [], removedIds: ['a'] })
+    if (comeBack === 'applySnapshot') fleet.applySnapshot({ revision: 4, targets: [engine('a')] })
+    else fleet.applyChanges({ revision: 4, changed: [engine('a')], removedIds: [] })
+    t.deepEqual([fleet.servingTargets('model').length, fleet.isServing(engine('a'))], [0, false])
+    t.deepEqual(fleet.knownLeaving(), [{ targetId: 'a', bornMs: 1 }])
+    fleet.applyChanges({ revision: 5, changed: [{ ...engine('a'), bornMs: 2 }], removedIds: [] })
+    t.is(fleet.servingTargets('model').length, 1)
+  }
+})
+
+test('hosts are told of leaving targets only if the entries do not say it, or the targets said it themselves', t => {
+  const fleet = createFleetState({ runtime: createManualRuntime() })
+  fleet.applySnapshot({ revision: 1, targets: [{ ...engine('a'), isLeaving: true }, engine('b'), engine('c')] })
+  t.true(fleet.recordLeaving(engine('b')))
+  t.false(fleet.recordLeaving(engine('b')))
+  t.deepEqual(fleet.knownLeaving().map(({ targetId }) => targetId), ['b'])
+  t.true(fleet.recordLeaving(engine('a')))
+  t.deepEqual(fleet.knownLeaving().map(({ targetId }) => targetId), ['b', 'a'])
+})
+
+test('what is heard late of an earlier start does not hide that the present one leaves', t => {
+  const fleet = createFleetState({ runtime: createManualRuntime() })
+  fleet.applySnapshot({ revision: 1, targets: [{ ...engine('a'), bornMs: 2 }] })
+  fleet.recordLeaving({ id: 'a', bornMs: 2 })
+  fleet.recordLeaving({ id: 'a', bornMs: 1 })
+  t.is(fleet.servingTargets('model').length, 0)
+})
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -121,7 +121,7 @@
     signal,
     load: loadTracker,
     buildState,
-    ownNotices: () => ({ suspicions: suspicions.share(), seenLayers: fleet.seenLayers(), limits: targetLimits.share(), leaving: fleet.leavingByOwnWord() }),
+    ownNotices: () => ({ suspicions: suspicions.share(), seenLayers: fleet.seenLayers(), limits: targetLimits.share(), leaving: fleet.knownLeaving() }),
     onNotices: applyNotices,
     crashEvidence,
     isFollowingStore: () => follower.isConnected() || readerFollower.isConnected(),
