--- a/standin/platform/servePlatformStore/index.ts
+++ b/standin/platform/servePlatformStore/index.ts
@@ -31,6 +31,8 @@
   losesNextWriteAnswer?: boolean
   /** The next watch is answered with 410, as if the changes since its revision were no longer kept. */
   expiresNextWatch?: boolean
+  /** Pages of stale lists after the first show the state at this revision. */
+  laterPagesAt?: number
 }
 
 /** A running store. */
@@ -83,6 +85,16 @@
     recordEvent(kind, { ...object, metadata: { ...object.metadata, revision: ++revision } }, true)
   }
 
+  /** The objects as they were at a revision. */
+  function objectsAt (atRevision: number): Map<string, StoreObject> {
+    const past = new Map<string, StoreObject>()
+    for (const { kind, object, deleted } of events.filter(event => event.revision <= atRevision)) {
+      if (deleted) past.delete(`${kind}/${object.metadata.name}`)
+      else past.set(`${kind}/${object.metadata.name}`, object)
+    }
+    return past
+  }
+
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store')
     const [, , kind = '', name] = url.pathname.split('/')
@@ -118,9 +130,11 @@
     }
     if (url.searchParams.has('watch')) return await watch(kind, Number(url.searchParams.get('watch')), Number(url.searchParams.get('wait_ms') ?? 0), response)
     const after = url.searchParams.get('after') ?? ''
-    const names = [...objects.keys()].filter(key => key.startsWith(`${kind}/`) && key.slice(kind.length + 1) > after).sort()
-    const items = names.slice(0, PAGE_SIZE).map(key => objects.get(key))
-    sendJson(response, 200, { items, truncated: names.length > PAGE_SIZE, as_of: revision })
+    const isOld = faults.laterPagesAt !== undefined && after !== '' && url.searchParams.has('stale_read')
+    const shown = isOld ? objectsAt(faults.laterPagesAt!) : objects
+    const names = [...shown.keys()].filter(key => key.startsWith(`${kind}/`) && key.slice(kind.length + 1) > after).sort()
+    const items = names.slice(0, PAGE_SIZE).map(key => shown.get(key))
+    sendJson(response, 200, { items, truncated: names.length > PAGE_SIZE, as_of: isOld ? faults.laterPagesAt : revision })
   }
 
   async function watch (kind: string, afterRevision: number, waitMs: number, response: ServerResponse): Promise<void> {
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -24,6 +24,18 @@
   if (listed.kind === 'listed') t.deepEqual(listed.objects.map(object => object.key), ['a', 'b', 'c', 'd', 'e', 'f', 'g'].map(name => `servers/${name}`))
 })
 
+test('a stale list whose later pages are older is watched from the oldest page, so that no change is missed', async t => {
+  await using standin = await servePlatformStore()
+  await using store = open(standin)
+  for (const name of ['a', 'b', 'c', 'd']) standin.put('servers', name, 'ready')
+  standin.faults.laterPagesAt = 4
+  standin.put('servers', 'd', 'draining')
+  const listed = await store.list('servers/', { mayBeStale: true })
+  if (listed.kind !== 'listed') return t.fail(listed.cause)
+  t.deepEqual(listed.objects.map(({ value }) => value), ['ready', 'ready', 'ready', 'ready'])
+  t.like(await store.watch('servers/', listed.revision, { signal: new AbortController().signal }), { kind: 'changes', objects: [{ key: 'servers/d', value: 'draining' }] })
+})
+
 test('a watch returns changes and removals, or none after its wait', async t => {
   await using standin = await servePlatformStore()
   await using store = open(standin)
