Do not end an answer whose try has failed

Callers saw streams that end as complete after piece N (ORDER). An event that does not follow the last one, or has no id, ends a try: its answer is destroyed and the stream resumes elsewhere. But destroying an answer does not stop what arrived in the same segment. Its remaining chunks were still relayed, and when the last chunk (or the end of the length) was among them, 'end' fired, took the answer for whole and ended the caller's answer. The next try then found its caller gone.

Evidence: the test failed before with ids [1, 2], isComplete true and no second try for an engine that sends 1, 2, 4 and the last chunk in one write; the same for a repeated event, one without id, and an answer with a length. Several events and the end come in one segment whenever an engine or a link was held up.

A try that has failed now does nothing more: neither its events nor its end reach the caller.

--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -70,13 +70,17 @@
   const { format, metrics, runtime, suspicions } = context
   const split = createEventSplitter()
   let isHeldUp = false
+  /** Destroying an answer does not stop what arrived in the same segment: its remaining chunks and its end follow. */
+  let isOver = false
   return new Promise(resolve => {
     const fail = (cause: string): void => {
+      isOver = true
       const isBrokenByTarget = !exchange.isClosedHere()
       answer.destroy()
       resolve({ kind: 'brokenOff', cause, isBrokenByTarget })
     }
     answer.on('data', (chunk: Buffer) => {
+      if (isOver) return
       const nowMs = runtime.monotonicMs()
       const wasHeldUp = isHeldUp
       isHeldUp = false
@@ -107,6 +111,7 @@
       for (const stage of stream.path) suspicions.note(stage.target.id, 'progressed')
     })
     answer.once('end', () => {
+      if (isOver) return
       const isWhole = answer.complete && (isFramed(answer) || !exchange.hasFailed())
       if (!isWhole || split.bufferedBytes() > 0 || progress.firstEventMs === undefined) return fail('stream interrupted')
       response.end()
