Do not take an answer over the size limit for whole

Callers could get 200 with a body that lacks its last part (MIXED), with a length that fits the part: a body over 16 MiB is dropped and its answer destroyed, but when the end arrives in the same segment as the part over the limit, 'end' still fires and what was kept counted as the whole body.

Now a body over the limit is never whole, whenever its end arrives: 502. Same class as the fault in relayStream: an answer that was given up still acted on its caller.

--- a/src/gateway/_lib/readAnswerBody.ts
+++ b/src/gateway/_lib/readAnswerBody.ts
@@ -25,7 +25,8 @@
       if (bytes > MAX_BODY_BYTES) answer.destroy()
       else chunks.push(chunk)
     })
-    answer.once('end', () => resolve(answer.complete && (isFramed(answer) || !hasFailed()) ? Buffer.concat(chunks) : undefined))
+    // The end can arrive in the same segment as the part over the limit; destroying the answer does not stop it.
+    answer.once('end', () => resolve(bytes <= MAX_BODY_BYTES && answer.complete && (isFramed(answer) || !hasFailed()) ? Buffer.concat(chunks) : undefined))
     answer.once('error', () => resolve(undefined))
     answer.once('close', () => resolve(undefined))
   })
