Decide whose answer it is before anything that the answer says is used

What callers saw: an engine that wrote a refusal of another request first made an unsafe call run at a second engine beside the first, or its caller was told 503 (not run) although it ran. A plain answer without a Request-Id was passed on.

Cause: `Not-Executed` and `At-Server` were used before the id was compared, for plain calls and for streams, and a plain answer without an id counted as the request's own.

judgeAnswer now decides it in one place: an answer with another id says nothing of the request; one without an id neither, except that a refusal is still believed for a request that may run again anyway (a target may turn a request away before it has read its id, and a wrong claim does no harm there; the test 'a refusal that does not repeat the id of its request asks for a pause all the same' pins it). What an answer without an id says of its target, and a leaving in any answer, holds as before. A request that was sent without an id gets the answers without one. The verdict is known from the head, so the body of a refusal or of an answer to another request is no longer read.

An own answer that may follow on the same connection is not waited for: the HTTP parser takes one answer for each request, and an unsafe call is told 502.

--- a/src/gateway/_lib/noteStatements.ts
+++ b/src/gateway/_lib/noteStatements.ts
@@ -4,6 +4,7 @@
  */
 import type { Target } from '../../fleet/types.js'
 import type { AnswerMetadata, Call, GatewayContext } from '../types.js'
+import { identifyAnswer } from './judgeAnswer.js'
 
 /** Status with which a target turns requests away for its own sake; a time to retry speaks of the target only there, while 429 speaks of the requests. */
 const TURNED_AWAY_STATUS = 503
@@ -15,15 +16,15 @@
 
 /** Records what an answer says of its target; one that belongs to another request says nothing. Returns whether the target asked for a pause. */
 export function noteStatements (metadata: AnswerMetadata, status: number, { facts }: Call, target: Target, context: StatementContext): boolean {
-  const { requestId, limitPerS, retryAfterMs } = metadata
+  const { limitPerS, retryAfterMs } = metadata
   const isTurnedAway = status === TURNED_AWAY_STATUS
   // A target may turn a request away before it has read its id; each request has a connection of its own.
-  const isOwnAnswer = requestId === facts.requestId
-  const asked = isTurnedAway && (isOwnAnswer || requestId === undefined) ? retryAfterMs : undefined
+  const owner = identifyAnswer(metadata, facts)
+  const asked = isTurnedAway && owner !== 'another' ? retryAfterMs : undefined
   if (asked === 'malformed') reportMalformed('retryAfterMs')
   else if (asked !== undefined) context.targetPauses.note(target, asked, { request: facts.requestId })
   noteLeaving({ status, metadata }, target, { request: facts.requestId }, context)
-  if (isOwnAnswer) {
+  if (owner === 'own') {
     if (!isTurnedAway) context.targetPauses.noteTaken(target.id)
     if (limitPerS === 'malformed') reportMalformed('limitPerS')
     else context.targetLimits.note(target.id, limitPerS)
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage } from 'node:http'
 import { withConnectionClose, type BufferedAnswer } from './answerCaller.js'
 import { noteProgress } from './crashingRequests.js'
+import { judgeAnswer } from './judgeAnswer.js'
 import { noteStatements } from './noteStatements.js'
 import { learnOutput } from './estimateRequestSize.js'
 import { createEventSplitter } from './createEventSplitter.js'
@@ -54,14 +55,14 @@
   const metadata = context.format.readAnswer(answer.headers)
   const status = answer.statusCode ?? 0
   const isPause = noteStatements(metadata, status, call, run.target, context)
+  const verdict = judgeAnswer({ metadata, isEncoded: answer.headers['content-encoding'] !== undefined, isRepeatable: call.route.isResumable }, call.facts)
+  if (verdict.kind === 'notRun') return { kind: 'notRun', cause: `status ${status}`, faultyAddress: verdict.faultyAddress, hasReachedTarget: true, isPause }
+  if (verdict.kind === 'unusable') return { kind: 'brokenOff', cause: verdict.cause, isBrokenByTarget: false }
   if (status !== 200) {
     const body = await readAnswerBody(answer, exchange.hasFailed)
-    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: metadata.faultyAddress, hasReachedTarget: true, isPause }
-    if (body === undefined || !metadata.isSigned || metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
+    if (body === undefined) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
     return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: isFramed(answer) }
   }
-  if (metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: 'answer has another request id', isBrokenByTarget: false }
-  if (!metadata.isSigned || answer.headers['content-encoding'] !== undefined) return { kind: 'brokenOff', cause: 'answer unsigned or encoded', isBrokenByTarget: false }
   return await relayEvents(answer, exchange, call, progress, observed, context)
 }
 
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -3,6 +3,7 @@
  * within its attempts and the retry budget; an unsafe one only if the previous target provably
  * did not run it.
  */
+import { judgeAnswer } from './judgeAnswer.js'
 import { noteStatements } from './noteStatements.js'
 import { closeWithCall } from './closeWithCall.js'
 import { openExchange } from './openExchange.js'
@@ -128,16 +129,15 @@
     const metadata = format.readAnswer(answer.headers)
     const status = answer.statusCode ?? 0
     const isPause = noteStatements(metadata, status, call, reservation.target, context)
-    const answerBody = await readAnswerBody(answer, exchange.hasFailed)
-    const isBrokenByTarget = answerBody === undefined && !exchange.isClosedHere()
-    exchange.close('answer read')
-    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true, isPause }
-    if (answerBody === undefined) return { kind: 'mayHaveRun', cause: 'answer truncated', isBrokenByTarget }
-    if (metadata.requestId !== undefined && metadata.requestId !== facts.requestId) return { kind: 'mayHaveRun', cause: 'answer has another request id' }
-    if (answer.headers['content-encoding'] !== undefined || !metadata.isSigned) return { kind: 'mayHaveRun', cause: 'answer unsigned or encoded' }
+    const verdict = judgeAnswer({ metadata, isEncoded: answer.headers['content-encoding'] !== undefined, isRepeatable: route.kind === 'safe' }, facts)
+    if (verdict.kind === 'notRun') return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true, isPause }
+    if (verdict.kind === 'unusable') return { kind: 'mayHaveRun', cause: verdict.cause }
     if (NOT_RUN_STATUSES.has(status)) return { kind: 'mayHaveRun', cause: `status ${status} without proof that the call did not run` }
+    const answerBody = await readAnswerBody(answer, exchange.hasFailed)
+    if (answerBody === undefined) return { kind: 'mayHaveRun', cause: 'answer truncated', isBrokenByTarget: !exchange.isClosedHere() }
     return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody, isFramed: isFramed(answer) }
   } finally {
     closing[Symbol.dispose]()
+    exchange.close('exchange ended')
   }
 }
