Do not relay an engine's unproven 503 as the answer to a stream

What callers saw: a stream that may not be resumed was answered with its engine's 503, 429, 408 or 421 although the engine did not state that it had not run the request. These statuses promise that it never runs (REFUSED).

Cause: only plain calls asked for the proof. The check moves into judgeAnswer, so it holds for both; the stream ends with 502, or goes on at another engine if it may be resumed.

--- a/src/gateway/_lib/judgeAnswer.ts
+++ b/src/gateway/_lib/judgeAnswer.ts
@@ -5,6 +5,9 @@
  */
 import type { AnswerMetadata, CallFacts } from '../types.js'
 
+/** Status codes that claim that the call did not run; without the header that proves it the claim is not trusted. */
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
+
 /** What the head of an answer says of a request. */
 export type AnswerVerdict =
   /** The answer to the request; its body is still to be read. */
@@ -16,6 +19,7 @@
 
 /** The head of an answer, and what its request allows. */
 export interface AnswerHead {
+  status: number
   metadata: AnswerMetadata
   isEncoded: boolean
   /** Whether the request may run again; a wrong claim that it did not run then does no harm. */
@@ -33,9 +37,9 @@
  * Judges an answer by its head.
  *
  * @example
- * judgeAnswer({ metadata, isEncoded: false, isRepeatable: false }, call.facts)
+ * judgeAnswer({ status: 503, metadata, isEncoded: false, isRepeatable: false }, call.facts)
  */
-export function judgeAnswer ({ metadata, isEncoded, isRepeatable }: AnswerHead, facts: Pick<CallFacts, 'requestId'>): AnswerVerdict {
+export function judgeAnswer ({ status, metadata, isEncoded, isRepeatable }: AnswerHead, facts: Pick<CallFacts, 'requestId'>): AnswerVerdict {
   const owner = identifyAnswer(metadata, facts)
   if (owner === 'another') return { kind: 'unusable', cause: 'answer has another request id' }
   if (owner === 'unnamed') {
@@ -44,5 +48,6 @@
   }
   if (metadata.isNotRun) return { kind: 'notRun', faultyAddress: metadata.faultyAddress }
   if (isEncoded || !metadata.isSigned) return { kind: 'unusable', cause: 'answer unsigned or encoded' }
+  if (NOT_RUN_STATUSES.has(status)) return { kind: 'unusable', cause: `status ${status} without proof that the call did not run` }
   return { kind: 'answer' }
 }
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -55,7 +55,7 @@
   const metadata = context.format.readAnswer(answer.headers)
   const status = answer.statusCode ?? 0
   const isPause = noteStatements(metadata, status, call, run.target, context)
-  const verdict = judgeAnswer({ metadata, isEncoded: answer.headers['content-encoding'] !== undefined, isRepeatable: call.route.isResumable }, call.facts)
+  const verdict = judgeAnswer({ status, metadata, isEncoded: answer.headers['content-encoding'] !== undefined, isRepeatable: call.route.isResumable }, call.facts)
   if (verdict.kind === 'notRun') return { kind: 'notRun', cause: `status ${status}`, faultyAddress: verdict.faultyAddress, hasReachedTarget: true, isPause }
   if (verdict.kind === 'unusable') return { kind: 'brokenOff', cause: verdict.cause, isBrokenByTarget: false }
   if (status !== 200) {
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -23,9 +23,6 @@
 /** Retry delay sent to callers when no target could take a call, in milliseconds. */
 const RETRY_AFTER_MS = 500
 
-/** Status codes that claim that the call did not run; without the header that proves it the claim is not trusted. */
-const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
-
 /** Cause of an attempt that was not started. */
 const NO_TIME_LEFT = 'no time left'
 
@@ -129,10 +126,9 @@
     const metadata = format.readAnswer(answer.headers)
     const status = answer.statusCode ?? 0
     const isPause = noteStatements(metadata, status, call, reservation.target, context)
-    const verdict = judgeAnswer({ metadata, isEncoded: answer.headers['content-encoding'] !== undefined, isRepeatable: route.kind === 'safe' }, facts)
+    const verdict = judgeAnswer({ status, metadata, isEncoded: answer.headers['content-encoding'] !== undefined, isRepeatable: route.kind === 'safe' }, facts)
     if (verdict.kind === 'notRun') return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true, isPause }
     if (verdict.kind === 'unusable') return { kind: 'mayHaveRun', cause: verdict.cause }
-    if (NOT_RUN_STATUSES.has(status)) return { kind: 'mayHaveRun', cause: `status ${status} without proof that the call did not run` }
     const answerBody = await readAnswerBody(answer, exchange.hasFailed)
     if (answerBody === undefined) return { kind: 'mayHaveRun', cause: 'answer truncated', isBrokenByTarget: !exchange.isClosedHere() }
     return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody, isFramed: isFramed(answer) }
--- a/test/gateway/foreignAnswer.test.ts
+++ b/test/gateway/foreignAnswer.test.ts
@@ -101,3 +101,8 @@
   t.is((await gateway.send('/stream/x')).status, 502)
   t.deepEqual(noted, ['i-1 lostAnswer'])
 })
+
+test('a 503 without proof that a stream did not run is not relayed as if it had not run', async t => {
+  await using pair = await startStreams((request, socket) => { socket.end(buildAnswer(request, '', { status: '503 Odd' })) }, { isResumable: false })
+  t.is((await pair.gateway.send('/stream/x')).status, 502)
+})
