--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage } from 'node:http'
 import { withConnectionClose, type BufferedAnswer } from './answerCaller.js'
 import { noteProgress } from './crashingRequests.js'
+import { judgeAnswer } from './judgeAnswer.js'
 import { noteStatements } from './noteStatements.js'
 import { learnOutput } from './estimateRequestSize.js'
 import { createEventSplitter } from './createEventSplitter.js'
@@ -54,14 +55,14 @@
   const metadata = context.format.readAnswer(answer.headers)
   const status = answer.statusCode ?? 0
   const isPause = noteStatements(metadata, status, call, run.target, context)
+  const verdict = judgeAnswer({ status, metadata, isEncoded: answer.headers['content-encoding'] !== undefined, isRepeatable: call.route.isResumable }, call.facts)
+  if (verdict.kind === 'notRun') return { kind: 'notRun', cause: `status ${status}`, faultyAddress: verdict.faultyAddress, hasReachedTarget: true, isPause }
+  if (verdict.kind === 'unusable') return { kind: 'brokenOff', cause: verdict.cause, isBrokenByTarget: false }
   if (status !== 200) {
     const body = await readAnswerBody(answer, exchange.hasFailed)
-    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: metadata.faultyAddress, hasReachedTarget: true, isPause }
-    if (body === undefined || !metadata.isSigned || metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
+    if (body === undefined) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
     return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: isFramed(answer) }
   }
-  if (metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: 'answer has another request id', isBrokenByTarget: false }
-  if (!metadata.isSigned || answer.headers['content-encoding'] !== undefined) return { kind: 'brokenOff', cause: 'answer unsigned or encoded', isBrokenByTarget: false }
   return await relayEvents(answer, exchange, call, progress, observed, context)
 }
 
@@ -70,13 +71,17 @@
   const { format, metrics, runtime, suspicions } = context
   const split = createEventSplitter()
   let isHeldUp = false
+  /** Destroying an answer does not stop what arrived in the same segment: its remaining chunks and its end follow. */
+  let isOver = false
   return new Promise(resolve => {
     const fail = (cause: string): void => {
+      isOver = true
       const isBrokenByTarget = !exchange.isClosedHere()
       answer.destroy()
       resolve({ kind: 'brokenOff', cause, isBrokenByTarget })
     }
     answer.on('data', (chunk: Buffer) => {
+      if (isOver) return
       const nowMs = runtime.monotonicMs()
       const wasHeldUp = isHeldUp
       isHeldUp = false
@@ -107,6 +112,7 @@
       for (const stage of stream.path) suspicions.note(stage.target.id, 'progressed')
     })
     answer.once('end', () => {
+      if (isOver) return
       const isWhole = answer.complete && (isFramed(answer) || !exchange.hasFailed())
       if (!isWhole || split.bufferedBytes() > 0 || progress.firstEventMs === undefined) return fail('stream interrupted')
       response.end()
