Order what is known of the store by era and revision

Revisions go back in a drill and are given out again, and nothing read the store's era. Lists and changes of lower revisions were dropped, for good if the watch went on from the new revisions. A watch whose revision the store had given out again by then did not even get 410. And a copy that lists an engine which the host knew to be gone would have made it serve.

Fix: one order of (era, revision), in lists, watches, the fleet state, /state and digests. An earlier position is never applied. A new era is listed anew, not from a stale read. Entries that a copy lacks are kept 1.9 s, as after an outage. A start that was gone before the drill is not used until its entry is written again. The stand-in store states its era and plays the drill. Two hosts that both know no target now have the same fingerprint.

--- a/src/digest/_lib/createStateFetcher.ts
+++ b/src/digest/_lib/createStateFetcher.ts
@@ -2,6 +2,7 @@
  * Reads the state of a host that knows more than this one, one at a time. A host that follows the
  * store by other ways waits first, since these bring changes sooner unless they have gone silent.
  */
+import { comparePositions, type StorePosition } from '../../fleet/comparePositions/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import type { HostState } from '../types.js'
 
@@ -24,6 +25,8 @@
 /** How long a host must be ahead before its state is read, in milliseconds; a working watch or poll is faster. */
 const AHEAD_GRACE_MS = 300
 
+const positionOf = ({ targetsEra, targetsRevision }: HostState): StorePosition => ({ era: targetsEra, revision: targetsRevision })
+
 /** Creates a fetcher that has read nothing. */
 export function createStateFetcher (options: StateFetcherOptions): StateFetcher {
   const { runtime, ownState, isFollowingStore, fetchState } = options
@@ -34,7 +37,7 @@
   return {
     check (ip, state) {
       const own = ownState()
-      const knowsOtherTargets = state.targetsRevision > own.targetsRevision && state.targetsFingerprint !== own.targetsFingerprint
+      const knowsOtherTargets = comparePositions(positionOf(state), positionOf(own)) > 0 && state.targetsFingerprint !== own.targetsFingerprint
       if (state.configurationVersion <= own.configurationVersion && !knowsOtherTargets) {
         aheadSinceMs.delete(ip)
         return
--- a/src/digest/createDigestExchange/test.ts
+++ b/src/digest/createDigestExchange/test.ts
@@ -48,6 +48,16 @@
   t.deepEqual(behind.fetched.slice(0, 1), ['1:80'])
 })
 
+test('a host reads the state of a neighbor that knows a later era of the store, though its revision is lower', t => {
+  const { hosts: [later, earlier], advance } = startHosts([1, 1].map(version => ({ version, isStoreConnected: false })))
+  Object.assign(later.state, { targetsEra: 2, targetsRevision: 5, targetsFingerprint: 'x' })
+  Object.assign(earlier.state, { targetsEra: 1, targetsRevision: 50, targetsFingerprint: 'y' })
+  for (const host of [later, earlier]) host.isFollowing = false
+  advance(250)
+  t.deepEqual(earlier.fetched.slice(0, 1), ['1:80'])
+  t.deepEqual(later.fetched, [])
+})
+
 test('a neighbor that stops sending is removed with its load, and malformed digests are ignored', t => {
   const { hosts: [a, b], cut, deliver, advance } = startHosts([1, 1].map(version => ({ version, isStoreConnected: true })))
   b.load.claim(pathOf('i-1'), SIZE)
--- a/src/digest/types.ts
+++ b/src/digest/types.ts
@@ -37,6 +37,8 @@
   statePort: z.number(),
   /** Version of the configuration in force, -1 before the first. */
   configurationVersion: z.number(),
+  /** Era of the store to which the revision belongs; absent if the store does not say it, and in digests of earlier versions. */
+  targetsEra: z.int().min(0).optional(),
   targetsRevision: z.number(),
   /** Equal on hosts that know the same targets, whichever revision confirmed them last. */
   targetsFingerprint: z.string(),
--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -99,6 +99,7 @@
   storeUnavailable: { number: 7001, level: 'warn', text: 'object API not available' },
   storeRecovered: { number: 7002, level: 'info', text: 'object API available again' },
   watchReplaced: { number: 7003, level: 'warn', text: 'watch timed out and is replaced' },
+  storeRestored: { number: 7005, level: 'warn', text: 'object API came back from a copy; its latest changes are lost' },
   targetsLeftToReaders: { number: 7004, level: 'info', text: 'watch of the store ended; other hosts now read it for this one' }
 } as const satisfies Record<string, EventDefinition>
 
--- a/src/fleet/createFleetState/index.ts
+++ b/src/fleet/createFleetState/index.ts
@@ -1,28 +1,27 @@
 /**
  * This host's copy of the fleet: the configuration, which is only ever replaced by a higher
- * version, and the targets at the highest store revision seen, read from the store or from peers.
+ * version, and the targets at the latest position of the store seen, read from the store or from peers.
  * What engines were seen to hold, and which targets leave, overrides their entries: a target that has
  * once reported that it leaves does so whatever an older list, or an entry that comes back, says.
  */
 import { createHash } from 'node:crypto'
 import { isDeepStrictEqual } from 'node:util'
 import type { Runtime } from '../../runtime/types.js'
+import { compareEras, comparePositions, type StorePosition } from '../comparePositions/index.js'
 import type { FleetConfiguration, LayerRange, Target, TargetUpdate } from '../types.js'
 
 /** One start of a target. */
 type Instance = Pick<Target, 'id' | 'bornMs'>
 
-/** All targets at one revision of the store. */
-export interface TargetSnapshot {
-  revision: number
+/** All targets at one position of the store. */
+export interface TargetSnapshot extends StorePosition {
   targets: Target[]
   /** Targets kept although their entries are missing, with the time until they are removed. */
   lapsing?: TargetUpdate['lapsing']
 }
 
-/** Targets that changed or were removed up to a revision of the store. */
-export interface TargetChanges {
-  revision: number
+/** Targets that changed or were removed up to a position of the store. */
+export interface TargetChanges extends StorePosition {
   changed: Target[]
   removedIds: string[]
   lapsing?: TargetUpdate['lapsing']
@@ -36,6 +35,14 @@
   layers: LayerRange | null
 }
 
+/** The store has come back from a copy: the first position known of its new era, and the last one before. */
+export interface NewEra {
+  era: number
+  revision: number
+  previousEra: number
+  previousRevision: number
+}
+
 /** Configuration and targets as this host knows them. */
 export interface FleetState {
   configuration: () => FleetConfiguration | undefined
@@ -52,16 +59,22 @@
   /** Whether the target is listed with the same start time and is not leaving. */
   isServing: (target: Target) => boolean
   revision: () => number
+  /** Era of the store's revision; `undefined` while no era is known. */
+  era: () => number | undefined
+  /** Time since a new era of the store was first heard of, in milliseconds; infinite if none was. */
+  eraAgeMs: () => number
+  /** Whether a position of the store is earlier than that of the targets. */
+  isBehind: (position: StorePosition) => boolean
   /** Equal on two hosts that know the same targets. */
   fingerprint: () => string
   /** Changes that a host with the given fingerprint lacks, or all targets when that fingerprint is not in the history. */
   updateSince: (fingerprint: string) => TargetUpdate
   /**
-   * Replaces all targets if the revision is not lower; returns whether it did. Targets missing
+   * Replaces all targets if the position is not earlier; returns whether it did. Targets missing
    * from the snapshot are kept for `keepMissingMs`, as entries lapse during a store outage.
    */
   applySnapshot: (snapshot: TargetSnapshot, options?: { keepMissingMs?: number }) => boolean
-  /** Applies changes if their revision is not lower; removed targets are kept for `keepMissingMs`. */
+  /** Applies changes if their position is not earlier; removed targets are kept for `keepMissingMs`. */
   applyChanges: (changes: TargetChanges, options?: { keepMissingMs?: number }) => void
   /** Records layers seen on an engine, unless the target is unknown or was started at another time. */
   recordSeenLayers: (seen: SeenLayers) => void
@@ -78,9 +91,12 @@
 /** How long seen layers override the engine's entry, in milliseconds; engines write their entry about every second. */
 const SEEN_LAYERS_TTL_MS = 5_000
 
-/** Leaving targets that are remembered; the first ones are gone by then. */
+/** Leaving targets, and targets that are gone, that are remembered; nobody lists the first ones by then. */
 const MAX_LEAVING = 1_000
 
+/** How long a target that was gone is not used after a list from a copy has brought it back, in milliseconds; the store has removed an entry that nobody writes by then. */
+const RESTORED_HOLD_MS = 5_000
+
 /** Changes kept to answer `updateSince`: more than one second's worth, even while the whole fleet starts. */
 const MAX_HISTORY_CHANGES = 100
 
@@ -99,24 +115,32 @@
 /**
  * @name createFleetState
  * @summary Creates a fleet state without configuration and targets.
- * @param options - The runtime.
+ * @param options - The runtime, and what is told of a new era of the store.
  * @returns The state.
  *
  * @example
  * const fleet = createFleetState({ runtime })
  * fleet.applySnapshot({ revision: 12, targets })
  */
-export function createFleetState (options: { runtime: Runtime }): FleetState {
-  const { runtime } = options
+export function createFleetState (options: { runtime: Runtime, onNewEra?: (change: NewEra) => void }): FleetState {
+  const { runtime, onNewEra = () => {} } = options
   let configuration: FleetConfiguration | undefined
   let configuredMs: number | undefined
   let revision = -1
+  let era: number | undefined
+  /** The first era heard of, to which positions without an era are taken to belong. */
+  let firstEra: number | undefined
+  let newEraMs = -Infinity
   const targets = new Map<string, Target>()
   /** Targets kept although their entries are missing, with the monotonic time at which they are removed. */
   const missingUntilMs = new Map<string, number>()
   const sightings = new Map<string, TimedSeenLayers>()
   /** Leaving targets by `keyOf` of their start. */
   const leaving = new Map<string, LeavingInstance>()
+  /** Targets that were removed, by `keyOf` of their start. */
+  const gone = new Set<string>()
+  /** Targets that were gone before the store came back from a copy that lists them, with the monotonic time until which they are not used. */
+  const restoredUntilMs = new Map<string, number>()
   const listeners = new Set<() => void>()
   let targetList: Target[] | undefined
   let fingerprint = ''
@@ -128,9 +152,26 @@
     for (const listener of [...listeners]) listener()
   }
 
+  const withEra = (position: StorePosition): StorePosition => ({ era: position.era ?? firstEra, revision: position.revision })
+
+  const isBehind = (position: StorePosition): boolean => comparePositions(withEra(position), withEra({ era, revision })) < 0
+
+  /** Moves on to a position that is not behind; returns whether a new era begins there. */
+  function advance (next: StorePosition): boolean {
+    const previous = withEra({ era, revision })
+    const isNewEra = compareEras(next, previous) > 0
+    era = next.era ?? era
+    revision = next.revision
+    if (!isNewEra) return false
+    newEraMs = runtime.monotonicMs()
+    onNewEra({ era: era!, revision, previousEra: previous.era!, previousRevision: previous.revision })
+    return true
+  }
+
   /** Adds changed targets to the history, updates the fingerprint and notifies the listeners. */
   function recordChange (ids: string[]): void {
-    if (ids.length === 0) return
+    // The first list may be empty; a host that knows that has another fingerprint than one that knows nothing.
+    if (ids.length === 0 && fingerprint !== '') return
     history = [...history, { fingerprint, ids }].slice(-MAX_HISTORY_CHANGES)
     fingerprint = computeFingerprint(targets.values())
     notify()
@@ -142,6 +183,7 @@
     for (const id of ids) {
       if (!targets.has(id)) continue
       if (keepMissingMs <= 0) {
+        rememberGone(targets.get(id)!)
         targets.delete(id)
         missingUntilMs.delete(id)
         removedNow.push(id)
@@ -167,13 +209,37 @@
     recordChange(removeOrKeep(expired, 0))
   }
 
-  /** Adds or replaces targets; returns the ids of those that differ, as most entries are only heartbeats. */
-  function upsert (next: readonly Target[]): string[] {
+  function rememberGone (target: Target): void {
+    gone.add(keyOf(target))
+    if (gone.size > MAX_LEAVING) gone.delete(gone.keys().next().value!)
+  }
+
+  /** A copy of the store may list targets that are gone since: these are not used unless they are written again. */
+  function noteListed (target: Target, { isRestored }: { isRestored: boolean }): void {
+    const key = keyOf(target)
+    const wasGone = gone.delete(key)
+    if (!isRestored) restoredUntilMs.delete(key)
+    else if (wasGone) {
+      restoredUntilMs.set(key, runtime.monotonicMs() + RESTORED_HOLD_MS)
+      runtime.setTimer(RESTORED_HOLD_MS, releaseRestored)
+    }
+  }
+
+  function releaseRestored (): void {
+    for (const [key, untilMs] of restoredUntilMs) if (untilMs <= runtime.monotonicMs()) restoredUntilMs.delete(key)
+    notify()
+  }
+
+  /** Adds or replaces targets, whose entries may come from a copy of the store; returns the ids of those that differ, as most entries are only heartbeats. */
+  function upsert (next: readonly Target[], { isRestored }: { isRestored: boolean }): string[] {
     const changedIds: string[] = []
     for (const target of next) {
       missingUntilMs.delete(target.id)
+      noteListed(target, { isRestored })
       if (target.isLeaving && !leaving.has(keyOf(target))) rememberLeaving(target, { isOwnWord: false })
-      if (isDeepStrictEqual(targets.get(target.id), target)) continue
+      const known = targets.get(target.id)
+      if (known !== undefined && known.bornMs !== target.bornMs) rememberGone(known)
+      if (isDeepStrictEqual(known, target)) continue
       targets.set(target.id, target)
       changedIds.push(target.id)
     }
@@ -199,7 +265,7 @@
     if (leaving.size > MAX_LEAVING) leaving.delete(leaving.keys().next().value!)
   }
 
-  const isLeaving = (target: Target): boolean => target.isLeaving || leaving.has(keyOf(target))
+  const isLeaving = (target: Target): boolean => target.isLeaving || leaving.has(keyOf(target)) || restoredUntilMs.has(keyOf(target))
 
   /** The target as this host knows it, beyond its entry. */
   function withObservations (target: Target): Target {
@@ -229,27 +295,33 @@
     isListed,
     isServing: target => isListed(target) && !isLeaving(targets.get(target.id)!),
     revision: () => revision,
+    era: () => era ?? firstEra,
+    eraAgeMs: () => runtime.monotonicMs() - newEraMs,
+    isBehind,
     fingerprint: () => fingerprint,
     updateSince (known) {
       const lapsing = listLapsing()
-      if (known === fingerprint) return { revision, fingerprint, isWhole: false, changed: [], removedIds: [], lapsing }
+      const position = { ...(era === undefined ? {} : { era }), revision }
+      if (known === fingerprint) return { ...position, fingerprint, isWhole: false, changed: [], removedIds: [], lapsing }
       const index = history.findIndex(change => change.fingerprint === known)
-      if (index < 0) return { revision, fingerprint, isWhole: true, changed: [...targets.values()], removedIds: [], lapsing }
+      if (index < 0) return { ...position, fingerprint, isWhole: true, changed: [...targets.values()], removedIds: [], lapsing }
       const ids = [...new Set(history.slice(index).flatMap(change => change.ids))]
-      return { revision, fingerprint, isWhole: false, changed: ids.flatMap(id => targets.get(id) ?? []), removedIds: ids.filter(id => !targets.has(id)), lapsing }
+      return { ...position, fingerprint, isWhole: false, changed: ids.flatMap(id => targets.get(id) ?? []), removedIds: ids.filter(id => !targets.has(id)), lapsing }
     },
     applySnapshot (snapshot, { keepMissingMs = 0 } = {}) {
-      if (snapshot.revision < revision) return false
-      revision = snapshot.revision
+      firstEra ??= snapshot.era
+      if (isBehind(snapshot)) return false
+      const isRestored = advance(snapshot)
       const snapshotIds = new Set(snapshot.targets.map(target => target.id))
       const removedNow = removeOrKeep([...targets.keys()].filter(id => !snapshotIds.has(id)), keepMissingMs)
-      recordChange([...removedNow, ...upsert(snapshot.targets), ...keepLapsing(snapshot.lapsing ?? [])])
+      recordChange([...removedNow, ...upsert(snapshot.targets, { isRestored }), ...keepLapsing(snapshot.lapsing ?? [])])
       return true
     },
-    applyChanges ({ revision: next, changed, removedIds, lapsing = [] }, { keepMissingMs = 0 } = {}) {
-      if (next < revision) return
-      revision = next
-      recordChange([...removeOrKeep(removedIds, keepMissingMs), ...upsert(changed), ...keepLapsing(lapsing)])
+    applyChanges ({ changed, removedIds, lapsing = [], ...position }, { keepMissingMs = 0 } = {}) {
+      firstEra ??= position.era
+      if (isBehind(position)) return
+      const isRestored = advance(position)
+      recordChange([...removeOrKeep(removedIds, keepMissingMs), ...upsert(changed, { isRestored }), ...keepLapsing(lapsing)])
     },
     recordSeenLayers (seen) {
       const known = targets.get(seen.targetId)
--- a/src/fleet/followFleet/index.ts
+++ b/src/fleet/followFleet/index.ts
@@ -1,7 +1,8 @@
 /**
  * Follows configuration and targets in the object API by list and watch. Each wait is short
  * enough that a watch gone silent delays a change by less than the time in which it must be in
- * force. Only some hosts (see `isStoreReader`) watch the targets; the others get changes from these.
+ * force. After the store has come back from a copy, nothing of its earlier era is applied, and
+ * everything is listed anew. Only some hosts (see `isStoreReader`) watch the targets; the others get changes from these.
  * The configuration changes seldom, so every root of the tree of hosts watches it: a version must be
  * in force in time although some roots are cut off from the store without an error.
  */
@@ -10,6 +11,7 @@
 import { delayToNextRound } from '../../runtime/delayToNextRound/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
+import { compareEras, type StorePosition } from '../comparePositions/index.js'
 import type { FleetState } from '../createFleetState/index.js'
 import type { FleetConfiguration, Target } from '../types.js'
 
@@ -67,7 +69,10 @@
 /** Interval at which a host that does not read the store checks whether it should, in milliseconds. */
 const READER_CHECK_MS = 100
 
-/** How long after a store outage missing entries may be written again, in milliseconds; the platform allows engines about two seconds. */
+/** Cause of a failure: an answer that the store gave before it came back from a copy, and that arrived late. */
+const EARLIER_ERA = 'answer of an earlier era'
+
+/** How long after a store outage, or after the store has come back from a copy, missing entries may be written again, in milliseconds; the platform allows engines about two seconds. */
 const LAPSED_ENTRY_GRACE_MS = 1_900
 
 /**
@@ -111,8 +116,10 @@
     unreachableForAll.delete(prefix)
   }
 
-  /** How much longer a missing entry may be one that lapsed during a store outage, in milliseconds. */
-  const keepMissingMs = (): number => Math.max(0, outageEndedMs + LAPSED_ENTRY_GRACE_MS - runtime.monotonicMs())
+  /** How much longer a missing entry may be one that lapsed during a store outage, or that a copy of the store lacks, in milliseconds. */
+  const keepMissingMs = (): number => Math.max(0, LAPSED_ENTRY_GRACE_MS - Math.min(runtime.monotonicMs() - outageEndedMs, fleet.eraAgeMs()))
+
+  const compareToKnownEra = (position: StorePosition): number => compareEras(position, { era: fleet.era(), revision: 0 })
 
   function applyConfigurationObjects (objects: readonly StoredObject[]): void {
     for (const object of objects) {
@@ -125,21 +132,22 @@
 
   const decodeTargets = (objects: readonly StoredObject[]): Target[] => objects.flatMap(object => format.decodeTarget(object) ?? [])
 
-  function applyTargetList (objects: readonly StoredObject[], revision: number): void {
+  function applyTargetList (objects: readonly StoredObject[], position: StorePosition): void {
     confirmedMs = runtime.monotonicMs()
-    fleet.applySnapshot({ revision, targets: decodeTargets(objects) }, { keepMissingMs: keepMissingMs() })
+    const isFirstOfEra = compareToKnownEra(position) > 0
+    fleet.applySnapshot({ ...position, targets: decodeTargets(objects) }, { keepMissingMs: isFirstOfEra ? LAPSED_ENTRY_GRACE_MS : keepMissingMs() })
   }
 
-  function applyTargetChanges (objects: readonly StoredObject[], removedKeys: readonly string[], revision: number): void {
+  function applyTargetChanges (objects: readonly StoredObject[], removedKeys: readonly string[], position: StorePosition): void {
     confirmedMs = runtime.monotonicMs()
     if (objects.length === 0 && removedKeys.length === 0) return
     const changed = decodeTargets(objects)
     const decodedIds = new Set(changed.map(target => target.id))
     const undecodableIds = objects.map(object => nameInKey(object.key)).filter(name => !decodedIds.has(name))
     const removedIds = [...removedKeys.map(nameInKey), ...undecodableIds]
-    fleet.applyChanges({ revision, changed, removedIds }, { keepMissingMs: keepMissingMs() })
+    fleet.applyChanges({ ...position, changed, removedIds }, { keepMissingMs: keepMissingMs() })
     const leavingIds = changed.filter(target => target.isLeaving).map(target => target.id)
-    if (removedIds.length + leavingIds.length > 0) log.emit('targetLeaving', { removedIds, leavingIds, revision })
+    if (removedIds.length + leavingIds.length > 0) log.emit('targetLeaving', { removedIds, leavingIds, revision: position.revision })
   }
 
   // A host that knows nothing yet lists once, even if it is no reader.
@@ -150,18 +158,18 @@
   async function followPrefix (
     prefix: string,
     { isNeeded, isUnknown, spacingMs, watchTimes }: { isNeeded: () => boolean, isUnknown: () => boolean, spacingMs: number, watchTimes: Pick<WatchOptions, 'waitMs' | 'graceMs'> },
-    onList: (objects: readonly StoredObject[], revision: number) => void,
-    onChanges: (objects: readonly StoredObject[], removedKeys: readonly string[], revision: number) => void
+    onList: (objects: readonly StoredObject[], position: StorePosition) => void,
+    onChanges: (objects: readonly StoredObject[], removedKeys: readonly string[], position: StorePosition) => void
   ): Promise<void> {
-    let revision: number | undefined
+    let position: StorePosition | undefined
     let retryMs = MIN_RETRY_MS
     // A watch from the revision of a stale list brings what the list lacks.
     let mayListStale = true
     let firstListMs = -Infinity
     while (!signal.aborted) {
       if (!isNeeded()) {
-        if (revision !== undefined) log.emit('targetsLeftToReaders', { prefix, revision })
-        revision = undefined
+        if (position !== undefined) log.emit('targetsLeftToReaders', { prefix, revision: position.revision })
+        position = undefined
         forgetFailures(prefix)
         if (isUnknown() && runtime.monotonicMs() - firstListMs >= FIRST_LIST_INTERVAL_MS) {
           firstListMs = runtime.monotonicMs()
@@ -178,29 +186,38 @@
       }
     }
 
+    /** What is known of an earlier era is no ground for a watch, and a stale list may be of that era. */
+    function beginNewEra (): void {
+      position = undefined
+      mayListStale = false
+    }
+
     async function listOnce (): Promise<void> {
       const listed = await store.list(prefix, { mayBeStale: true })
-      if (listed.kind === 'listed') onList(listed.objects, listed.revision)
-      else log.emit('storeUnavailable', { prefix, cause: listed.cause })
+      if (listed.kind === 'unavailable') log.emit('storeUnavailable', { prefix, cause: listed.cause })
+      else if (compareToKnownEra(listed) < 0) log.emit('storeUnavailable', { prefix, cause: EARLIER_ERA })
+      else onList(listed.objects, toPosition(listed))
     }
 
     /** Lists the prefix once, then watches it; returns the cause of a failure. */
     async function listOrWatch (): Promise<string | undefined> {
-      if (revision === undefined) {
+      if (position !== undefined && compareToKnownEra(position) < 0) beginNewEra()
+      if (position === undefined) {
         const listed = await store.list(prefix, { mayBeStale: mayListStale })
         if (listed.kind === 'unavailable') return listed.cause
+        if (compareToKnownEra(listed) < 0) return EARLIER_ERA
         mayListStale = true
         recordCallResult(prefix, undefined)
-        onList(listed.objects, listed.revision)
-        revision = listed.revision
+        position = toPosition(listed)
+        onList(listed.objects, position)
         return undefined
       }
       const sentMs = runtime.monotonicMs()
-      const watched = await store.watch(prefix, revision, { signal, ...watchTimes })
+      const watched = await store.watch(prefix, position.revision, { signal, ...watchTimes })
       if (signal.aborted) return undefined
       if (watched.kind === 'unavailable') return watched.cause
       if (watched.kind === 'reset' || watched.kind === 'silent') {
-        revision = undefined
+        position = undefined
         // A stale list could have the revision that the store no longer knows.
         mayListStale = watched.kind !== 'reset'
         if (watched.kind === 'reset') return undefined
@@ -209,8 +226,14 @@
         return 'silent watch'
       }
       recordCallResult(prefix, undefined)
-      onChanges(watched.objects, watched.removedKeys ?? [], watched.revision)
-      revision = watched.revision
+      const order = compareEras(watched, position)
+      if (order < 0) return EARLIER_ERA
+      if (order > 0) {
+        beginNewEra()
+        return undefined
+      }
+      position = toPosition(watched)
+      onChanges(watched.objects, watched.removedKeys ?? [], position)
       const pauseMs = sentMs + spacingMs - runtime.monotonicMs()
       if (pauseMs > 0) await sleep(pauseMs, { runtime, signal })
       return undefined
@@ -223,6 +246,8 @@
   }
 }
 
+const toPosition = ({ era, revision }: StorePosition): StorePosition => ({ era, revision })
+
 function configurationPrefix (format: FleetFormat): string {
   return format.configurationKey.slice(0, format.configurationKey.indexOf('/') + 1)
 }
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -144,7 +144,8 @@
 
 /** What one host sends another: the targets that the other lacks or has in another state, or all targets. */
 export const targetUpdateSchema = z.object({
-  /** Store revision up to which changes are included. */
+  /** Era and revision of the store up to which changes are included; the era is absent if the store does not say it, and in the state of an earlier version. */
+  era: z.int().min(0).optional(),
   revision: z.number(),
   /** Fingerprint of the sender's targets, which the receiver's match once the update is applied. */
   fingerprint: z.string(),
--- a/src/gateway/_lib/internalPort.ts
+++ b/src/gateway/_lib/internalPort.ts
@@ -140,11 +140,11 @@
     return false
   }
 
-  function applyTargets ({ revision, fingerprint, isWhole, changed, removedIds, lapsing }: z.infer<typeof targetUpdateSchema>): boolean {
-    if (revision < fleet.revision() && fingerprint !== fleet.fingerprint()) return false
+  function applyTargets ({ era, revision, fingerprint, isWhole, changed, removedIds, lapsing }: z.infer<typeof targetUpdateSchema>): boolean {
+    if (fleet.isBehind({ era, revision }) && fingerprint !== fleet.fingerprint()) return false
     const before = fleet.fingerprint()
-    if (isWhole) fleet.applySnapshot({ revision, targets: changed, lapsing })
-    else fleet.applyChanges({ revision, changed, removedIds, lapsing })
+    if (isWhole) fleet.applySnapshot({ era, revision, targets: changed, lapsing })
+    else fleet.applyChanges({ era, revision, changed, removedIds, lapsing })
     if (fleet.fingerprint() !== before) log.emit('peerStateRead', { address, revision, isWhole, changedIds: isWhole ? [] : changed.map(target => target.id), removedIds })
     return true
   }
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -96,7 +96,7 @@
   /** Aborts when the calls that are still open have to end. */
   const callsController = new AbortController()
   setMaxListeners(0, callsController.signal)
-  const fleet = createFleetState({ runtime })
+  const fleet = createFleetState({ runtime, onNewEra: change => log.emit('storeRestored', { ...change }) })
   const loadTracker = createLoadTracker({ runtime, hostCount: () => exchange.hostCount() })
   const slowdowns = createSlowdowns({ runtime })
   const suspicions = createSuspicions({ runtime, slowdownOf: slowdowns.slowdownOf })
@@ -282,6 +282,7 @@
       startedMs,
       statePort: settings.internalAddress.port,
       configurationVersion: fleet.configuration()?.version ?? -1,
+      targetsEra: fleet.era(),
       targetsRevision: fleet.revision(),
       targetsFingerprint: fleet.fingerprint(),
       isStoreConnected: follower.isConnected() && drainingSinceMs === undefined,
--- a/src/objectApi/types.ts
+++ b/src/objectApi/types.ts
@@ -18,9 +18,9 @@
   | { kind: 'absent' }
   | { kind: 'unavailable', cause: string }
 
-/** Result of a list. `revision` is the revision of the store, from which a watch can start. */
+/** Result of a list. `revision` is the revision of the store, from which a watch can start, and `era` how often the store has come back from a copy, if it says so. */
 export type ListResult =
-  | { kind: 'listed', revision: number, objects: StoredObject[] }
+  | { kind: 'listed', era?: number | undefined, revision: number, objects: StoredObject[] }
   | { kind: 'unavailable', cause: string }
 
 /** Result of a write. */
@@ -37,7 +37,7 @@
 /** Result of one wait on a watch. */
 export type WatchResult =
   /** `removedKeys` is absent if the watches of the store do not report removals. */
-  | { kind: 'changes', revision: number, objects: StoredObject[], removedKeys?: string[] }
+  | { kind: 'changes', era?: number | undefined, revision: number, objects: StoredObject[], removedKeys?: string[] }
   /** The store no longer knows the revision, for instance after a restore; list again. */
   | { kind: 'reset' }
   /** No answer within the wait and its grace time; the connection is closed. */
--- a/standin/platform/servePlatformStore/index.ts
+++ b/standin/platform/servePlatformStore/index.ts
@@ -3,6 +3,7 @@
  * watches, and faults.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { listen, type ListeningServer } from '../../../src/http/listen/index.js'
 import { sendJson } from '../../../src/http/sendJson/index.js'
 
@@ -40,26 +41,39 @@
   faults: StoreFaults
   put: (kind: string, name: string, spec: unknown) => void
   remove: (kind: string, name: string) => void
+  /** The present state, for `restore`. */
+  copy: () => StoreCopy
+  /** Comes back from a copy, as in a drill: later changes are lost, their revisions are given out again, the era rises, and open connections are reset. */
+  restore: (copy: StoreCopy) => void
   /** Calls received, each as method and kind. */
   calls: string[]
 }
 
+/** The state of a store at a revision. */
+export interface StoreCopy {
+  objects: ReadonlyMap<string, StoreObject>
+  revision: number
+}
+
 /** Number of objects on one page of a list. */
 const PAGE_SIZE = 3
 
 /**
  * @name servePlatformStore
  * @summary Starts a store on a free loopback port.
+ * @param options - The first era; `undefined` for a store that does not state its era.
  * @returns The store.
  *
  * @example
  * await using store = await servePlatformStore()
  * store.put('servers', 'i-1', entry)
  */
-export async function servePlatformStore (): Promise<PlatformStoreStandin> {
-  const objects = new Map<string, StoreObject>()
-  const events: StoreEvent[] = []
+export async function servePlatformStore (options: { era?: number | undefined } = { era: 1 }): Promise<PlatformStoreStandin> {
+  let { era } = options
+  let objects = new Map<string, StoreObject>()
+  let events: StoreEvent[] = []
   const watchers = new Set<() => void>()
+  const sockets = new Set<Socket>()
   const faults: StoreFaults = {}
   const calls: string[] = []
   let revision = 0
@@ -99,6 +113,9 @@
     const url = new URL(request.url ?? '/', 'http://store')
     const [, , kind = '', name] = url.pathname.split('/')
     calls.push(`${request.method} ${kind}`)
+    if (!sockets.has(request.socket)) request.socket.once('close', () => sockets.delete(request.socket))
+    sockets.add(request.socket)
+    if (era !== undefined) response.setHeader('Store-Era', era)
     if (faults.isSilent) return
     if (faults.status !== undefined) return sendJson(response, faults.status, {})
     if (request.method === 'GET') return await read(url, kind, name, response)
@@ -138,7 +155,7 @@
   }
 
   async function watch (kind: string, afterRevision: number, waitMs: number, response: ServerResponse): Promise<void> {
-    if (faults.expiresNextWatch) {
+    if (faults.expiresNextWatch || afterRevision > revision) {
       faults.expiresNextWatch = false
       return sendJson(response, 410, {})
     }
@@ -164,7 +181,22 @@
   }
 
   const server = await listen(handle, { address: '127.0.0.1', port: 0 })
-  return { ...server, faults, calls, put, remove, [Symbol.asyncDispose]: () => server[Symbol.asyncDispose]() }
+  return {
+    ...server,
+    faults,
+    calls,
+    put,
+    remove,
+    copy: () => ({ objects: new Map(objects), revision }),
+    restore (copy) {
+      objects = new Map(copy.objects)
+      events = events.filter(event => event.revision <= copy.revision)
+      revision = copy.revision
+      if (era !== undefined) era++
+      for (const socket of sockets) socket.resetAndDestroy()
+    },
+    [Symbol.asyncDispose]: () => server[Symbol.asyncDispose]()
+  }
 }
 
 async function readJson (request: IncomingMessage): Promise<unknown> {
--- a/test/gateway/internalPort.test.ts
+++ b/test/gateway/internalPort.test.ts
@@ -72,3 +72,26 @@
   await clock.settle()
   t.false(isUpToDate)
 })
+
+test('a peer that knows a later era of the store is taken over though its revision is lower, and one of an earlier era is not', async t => {
+  await using pair = await startPair()
+  pair.follower.applySnapshot({ era: 1, revision: 195, targets: [engine('a'), engine('b')] })
+  pair.peer.applySnapshot({ era: 2, revision: 146, targets: [engine('a')] })
+  t.true(await pair.read(false))
+  t.deepEqual(pair.follower.targets().map(target => target.id), ['a'])
+  t.deepEqual([pair.follower.era(), pair.follower.revision()], [2, 146])
+  pair.follower.applySnapshot({ era: 3, revision: 20, targets: [engine('c')] })
+  t.false(await pair.read(false))
+  t.deepEqual(pair.follower.targets().map(target => target.id), ['c'])
+})
+
+test('a peer of an earlier version, which names no era, counts by its revision until the store has come back from a copy', async t => {
+  await using pair = await startPair()
+  pair.follower.applySnapshot({ era: 1, revision: 195, targets: [engine('a')] })
+  pair.peer.applySnapshot({ revision: 196, targets: [engine('b')] })
+  t.true(await pair.read(false))
+  t.deepEqual([pair.follower.era(), pair.follower.revision()], [1, 196])
+  pair.follower.applySnapshot({ era: 2, revision: 146, targets: [engine('c')] })
+  t.false(await pair.read(false))
+  t.deepEqual(pair.follower.targets().map(target => target.id), ['c'])
+})
