Take the lease with a higher fencing number than any that is known

Cause: a drill of the store can lose the lease, or bring back an older one. The next holder then began with a lower fencing number than engines had already seen, which engines that check it refuse (412), although every root hears the highest number in digests.

Fix: a host that takes the lease, or holds one with a lower number than it has heard of, goes above what it has heard of.

--- a/src/gateway/_lib/createLeaderElection.ts
+++ b/src/gateway/_lib/createLeaderElection.ts
@@ -65,11 +65,16 @@
     fencing: () => claim.held()?.fencing ?? fencingInOutage(),
     observeFencing: fencing => { lastFencing = Math.max(lastFencing, fencing) },
     async step () {
-      const isHolder = claim.held() !== undefined
+      const heldBefore = claim.held()
+      const isHolder = heldBefore !== undefined
       const hasHolder = otherRoots().some(peer => peer.digest.leaseFencing > 0 && runtime.monotonicMs() - peer.lastHeardMs < HOLDER_TIMEOUT_MS)
       const mayAcquire = !hasHolder && !isDraining() && isReader()
       // A holder that is no root any more leaves the lease to one that the others hear.
-      if (isHolder ? isRoot() || isReader() : mayAcquire) await claim.step()
+      if (isHolder ? isRoot() || isReader() : mayAcquire) {
+        // The store may have lost the lease in a drill; engines refuse a lower number than they have seen.
+        const fencingAbove = heldBefore !== undefined && heldBefore.fencing >= lastFencing ? 0 : lastFencing
+        await claim.step({ fencingAbove })
+      }
       const held = claim.held()
       if (held !== undefined && !isHolder) log.emit('leaseAcquired', { fencing: held.fencing })
       if (held === undefined && isHolder) log.emit('leaseLost', { fencing: lastFencing })
