Write the address of a host to the store again after a drill

Cause: a root writes its address to the store once. If a drill takes it out, hosts that start later and whose seeds are gone do not find it.

Evidence: new test of test/gateway/afterDrill.test.ts failed before: no object after a drill.

Fix: the address is written again in each later era; a host that still finds it there costs two calls.

Measured: the test and test/gateway/startGateway.test.ts pass.

--- a/src/gateway/_lib/discoverPeers.ts
+++ b/src/gateway/_lib/discoverPeers.ts
@@ -32,12 +32,27 @@
   signal: AbortSignal
 }
 
-/** Writes this host's address to the store once it is a root, and retries until that succeeds. */
-export async function registerHost (host: { host: string, ip: string }, { exchange, store, runtime, log, signal }: DiscoveryOptions): Promise<void> {
-  const key = `${HOST_PREFIX}${host.host}`
-  const value = { ip: host.ip }
+interface RegistrationOptions extends DiscoveryOptions {
+  /** Era of the store as far as this host knows; what was written in an earlier one may be lost. */
+  storeEra: () => number | undefined
+}
+
+/** Writes this host's address to the store once it is a root, and again in each later era of the store. */
+export async function registerHost (host: { host: string, ip: string }, options: RegistrationOptions): Promise<void> {
+  const { exchange, storeEra, runtime, signal } = options
   await sleep(SETTLING_MS, { runtime, signal })
   while (!signal.aborted && !exchange.isRoot()) await sleep(SETTLING_MS, { runtime, signal })
+  while (!signal.aborted) {
+    const era = storeEra()
+    await writeAddress(host, options)
+    while (!signal.aborted && storeEra() === era) await sleep(SETTLING_MS, { runtime, signal })
+  }
+}
+
+/** Writes the address, and retries until that succeeds. */
+async function writeAddress (host: { host: string, ip: string }, { store, runtime, log, signal }: DiscoveryOptions): Promise<void> {
+  const key = `${HOST_PREFIX}${host.host}`
+  const value = { ip: host.ip }
   while (!signal.aborted) {
     const created = await store.write(key, value, { ifAbsent: true })
     if (created.kind === 'written') return
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -252,7 +252,7 @@
   log.emit('processStarted', { address: callers.address, failureDomain: settings.failureDomain })
 
   watchStalls({ runtime, log, signal, onDelay: lateMs => metrics.loopDelaySeconds.observe(lateMs / MS_PER_S) })
-  registerHost(settings, { exchange, store, runtime, log, signal })
+  registerHost(settings, { exchange, store, storeEra: fleet.era, runtime, log, signal })
   discoverPeers({ exchange, store, runtime, log, signal })
   rerouteStreams(context, { signal, onSuspicion: exchange.sendNow })
   runPlacement({ fleet, suspicions, pauseLeftMs: targetPauses.leftMs, control, runtime, log, metrics, signal, fencing: election.fencing, onLoaded: exchange.sendNow })
