Do not join an answer without a length with bytes that follow it

Cause: an answer without a length was everything until the end of its connection. In streams, an event was whatever stood before a blank line, as long as one of its lines gave an id, and a separator with CRLF was passed over if one with LF came later.

The answer is then not whole: it should have ended with its connection, which went on, so nothing vouches for the end of what stands before the head. An engine may have written its answer twice, or an error in the midst of one, and both look the same. An unsafe call is told 502, a safe one runs again, a stream goes on elsewhere after its last event. In streams each line of an event must be a field or a comment, in whatever framing.

--- a/src/gateway/_lib/createEventSplitter.ts
+++ b/src/gateway/_lib/createEventSplitter.ts
@@ -8,6 +8,8 @@
   bytes: Buffer
   /** `undefined` if the event has no integer id. */
   id: number | undefined
+  /** Whether each line is a field or a comment; other text, such as the head of a further answer, is no event. */
+  isWellFormed: boolean
 }
 
 /** Takes bytes and returns the events that they complete. */
@@ -15,7 +17,10 @@
 
 const ID_LINE = /(?:^|\n)id: ?(\d+)\r?(?:\n|$)/
 
-/** Separators between events, the usual one first; a stream uses only one of them. */
+/** A line of an event: a name, a colon and a value, a comment, the bare name of a field of the standard, or the empty line at the end. */
+const LINE_PATTERN = /^(?:[\w-]*:[^]*|data|event|id|retry|)\r?$/
+
+/** Separators between events. */
 const SEPARATORS = ['\n\n', '\r\n\r\n']
 
 /** Creates a splitter for a new stream; `bufferedBytes` counts the bytes of the incomplete event. */
@@ -26,8 +31,9 @@
     const events: StreamEvent[] = []
     for (let end = findEnd(buffered); end !== undefined; end = findEnd(buffered)) {
       const bytes = buffered.subarray(0, end)
-      const id = ID_LINE.exec(bytes.toString('latin1'))?.[1]
-      events.push({ bytes, id: id === undefined ? undefined : Number(id) })
+      const text = bytes.toString('latin1')
+      const id = ID_LINE.exec(text)?.[1]
+      events.push({ bytes, id: id === undefined ? undefined : Number(id), isWellFormed: text.split('\n').every(line => LINE_PATTERN.test(line)) })
       buffered = buffered.subarray(end)
     }
     return events
@@ -35,10 +41,11 @@
   return Object.assign(split, { bufferedBytes: () => buffered.length })
 }
 
+/** End of the first event. */
 function findEnd (bytes: Buffer): number | undefined {
-  for (const separator of SEPARATORS) {
+  const ends = SEPARATORS.flatMap(separator => {
     const at = bytes.indexOf(separator)
-    if (at >= 0) return at + separator.length
-  }
-  return undefined
+    return at < 0 ? [] : [at + separator.length]
+  })
+  return ends.length === 0 ? undefined : Math.min(...ends)
 }
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage } from 'node:http'
 import { withConnectionClose, type BufferedAnswer } from './answerCaller.js'
 import { noteProgress } from './crashingRequests.js'
+import { containsAnswerHead } from './containsAnswerHead.js'
 import { judgeAnswer } from './judgeAnswer.js'
 import { noteStatements } from './noteStatements.js'
 import { learnOutput } from './estimateRequestSize.js'
@@ -61,6 +62,7 @@
   if (status !== 200) {
     const body = await readAnswerBody(answer, exchange.hasFailed)
     if (body === undefined) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
+    if (!isFramed(answer) && containsAnswerHead(body, context.format)) return { kind: 'brokenOff', cause: 'another answer follows', isBrokenByTarget: false }
     return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: isFramed(answer) }
   }
   return await relayEvents(answer, exchange, call, progress, observed, context)
@@ -82,7 +84,9 @@
       const wasHeldUp = isHeldUp
       isHeldUp = false
       for (const event of split(chunk)) {
+        if (!event.isWellFormed) return fail('text that is no event')
         if (event.id === undefined) return fail('event without id')
+        if (!isFramed(answer) && containsAnswerHead(event.bytes, format)) return fail('another answer follows')
         if (progress.lastEventId !== undefined && event.id !== progress.lastEventId + 1) return fail(`event id ${event.id} follows ${progress.lastEventId}`)
         if (!response.headersSent) response.writeHead(200, withConnectionClose(context, format.buildAnswerHeaders(answer.rawHeaders)))
         if (progress.firstEventMs === undefined) {
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -3,6 +3,7 @@
  * within its attempts and the retry budget; an unsafe one only if the previous target provably
  * did not run it.
  */
+import { containsAnswerHead } from './containsAnswerHead.js'
 import { judgeAnswer } from './judgeAnswer.js'
 import { noteStatements } from './noteStatements.js'
 import { closeWithCall } from './closeWithCall.js'
@@ -131,6 +132,7 @@
     if (verdict.kind === 'unusable') return { kind: 'mayHaveRun', cause: verdict.cause }
     const answerBody = await readAnswerBody(answer, exchange.hasFailed)
     if (answerBody === undefined) return { kind: 'mayHaveRun', cause: 'answer truncated', isBrokenByTarget: !exchange.isClosedHere() }
+    if (!isFramed(answer) && containsAnswerHead(answerBody, format)) return { kind: 'mayHaveRun', cause: 'another answer follows' }
     return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody, isFramed: isFramed(answer) }
   } finally {
     closing[Symbol.dispose]()
