--- a/test/platform/engineControl.test.ts
+++ b/test/platform/engineControl.test.ts
@@ -60,3 +60,14 @@
   await runtime.settle()
   t.deepEqual(ended, ['unknown', 'undefined'])
 })
+
+test('an address that no socket takes counts as not reachable, and no timer throws', async t => {
+  const runtime = createManualRuntime()
+  const control = createEngineControl({ runtime, log: createTestLog() })
+  for (const address of ['127.0.0.1:99999', '127.0.0.1:-1', '127.0.0.1:x']) {
+    const isReachable = control.isReachable(engineAt(address))
+    isReachable.catch(() => { /* Looked at below. */ })
+    await t.notThrowsAsync(runtime.advance(100), address)
+    t.false(await isReachable, address)
+  }
+})
