Engines that claim layers outside of their model cover none and add no room

An entry that claims layers 0 to 10,000 of a model of 80 made the model count as whole, so that requests waited for a path that no engine could give, and added places that do not exist; a path could lead over it.

Cause: paths and room cut the range at the end of the model instead of passing over the engine.

--- a/src/gateway/_lib/explainPlace.ts
+++ b/src/gateway/_lib/explainPlace.ts
@@ -174,6 +174,7 @@
   if (model !== undefined) {
     if (kind === undefined || model.kinds[kind] === undefined) return 'kind unknown'
     if (layers === undefined) return 'holds no layers'
+    if (layers.to > model.layerCount) return 'layers outside the model'
     const { tokenLayers, firstSequences } = loadTracker.loadOf(id)
     if (tokenLayers + (size.promptTokens + size.outputTokens) * (layers.to - layers.from) > cacheTokenLayers) return 'no memory for all of its layers'
     if (layers.from > 0) return undefined
--- a/src/path/_lib/stageCost.ts
+++ b/src/path/_lib/stageCost.ts
@@ -63,6 +63,7 @@
   const slowness = options.slownessOf(target.id)
   if (kind === undefined || target.layers === undefined || !Number.isFinite(slowness)) return undefined
   const { from, to } = target.layers
+  if (to > model.layerCount) return undefined
   const load = options.loadOf(target.id)
   const contextK = load.tokenLayers / Math.max(1, to - from) / 1_000
   const stepMs = (model.stepMs + model.perSequenceMs * (load.sequences + 1) + model.perContextKMs * contextK) * kind.pace / model.layerCount
@@ -71,7 +72,7 @@
     target,
     domain: 0,
     from,
-    to: Math.min(to, model.layerCount),
+    to,
     layerMs: prefillMs + stepMs * size.outputTokens,
     layerDecodeMs: stepMs * size.outputTokens,
     usedTokenLayers: load.tokenLayers,
--- a/src/path/choosePath/test.ts
+++ b/src/path/choosePath/test.ts
@@ -46,6 +46,11 @@
   t.is(choosePath(halves('north'), SIZE, { ...OPTIONS, loadOf }), undefined)
 })
 
+test('no path leads over an engine whose layers lie outside of the model', t => {
+  const odd = buildEngine('odd', 'north', 'large', { from: 60, to: 85 })
+  t.is(describePath(choosePath([...halves('north'), odd], SIZE, { ...OPTIONS, slownessOf: id => id === 'odd' ? 1 : 9 })), 'north-low:0-40 north-high:40-80')
+})
+
 test('a new path of a request in progress keeps its first stage', t => {
   const first = { target: buildEngine('old', 'north', 'large', { from: 0, to: 30 }), from: 0, to: 30 }
   const engines = [...halves('north'), buildEngine('north-mid', 'north', 'small', { from: 30, to: 40 })]
--- a/src/path/createCoverageCheck/index.ts
+++ b/src/path/createCoverageCheck/index.ts
@@ -37,7 +37,7 @@
   const cache = new Map<string, { coverage: Coverage, model: EngineModel, engines: readonly Target[], untilMs: number }>()
 
   function computeCoverage (engines: readonly Target[], model: EngineModel): Coverage {
-    const ranges = engines.flatMap(target => target.layers ?? []).sort((a, b) => a.from - b.from)
+    const ranges = engines.flatMap(target => target.layers ?? []).filter(({ to }) => to <= model.layerCount).sort((a, b) => a.from - b.from)
     let covered = 0
     for (const { from, to } of ranges) if (from <= covered) covered = Math.max(covered, to)
     const isWhole = covered >= model.layerCount
--- a/src/path/createCoverageCheck/test.ts
+++ b/src/path/createCoverageCheck/test.ts
@@ -21,6 +21,14 @@
   t.deepEqual(check(service), { isWhole: false, isWithinCrossingLimit: false })
 })
 
+test('an engine whose layers lie outside of the model covers none', t => {
+  const runtime = createManualRuntime()
+  const fleet = createFleetState({ runtime })
+  const check = createCoverageCheck({ fleet, suspicions: createSuspicions({ runtime }), runtime })
+  fleet.applySnapshot({ revision: 1, targets: [buildEngine('a', 'north', 'large', { from: 0, to: 10_000 })] })
+  t.deepEqual(check({ name: 'model', model: TEST_MODEL }), { isWhole: false, isWithinCrossingLimit: false })
+})
+
 test('a layer that an engine has dropped is missed although the engines are the same', async t => {
   const runtime = createManualRuntime()
   const fleet = createFleetState({ runtime })
--- a/src/room/_lib/roomEngines.ts
+++ b/src/room/_lib/roomEngines.ts
@@ -29,12 +29,13 @@
 function describeEngine ({ id, kind, layers, failureDomain }: Target, { model, loadOf, slownessOf, mayBeFirst, cacheShare = CACHE_SHARE }: RoomOptions): RoomEngine | undefined {
   if (kind === undefined || model.kinds[kind] === undefined || layers === undefined || !Number.isFinite(slownessOf(id))) return undefined
   const { from, to } = layers
+  if (to > model.layerCount) return undefined
   const load = loadOf(id)
   const totalTokenLayers = Math.max(1, computeCacheTokenLayers({ kind }, to - from, model) * cacheShare)
   const isFirst = from === 0 && mayBeFirst?.(id) !== false
   return {
     from,
-    to: Math.min(to, model.layerCount),
+    to,
     failureDomain,
     totalTokenLayers,
     freeTokenLayers: Math.max(0, totalTokenLayers - load.tokenLayers),
--- a/src/room/computeRoom/test.ts
+++ b/src/room/computeRoom/test.ts
@@ -63,6 +63,12 @@
   t.true(sum > 100)
 })
 
+test('an engine whose layers lie outside of the model adds no room', t => {
+  const engines = [...['e0', 'e1'].map(id => buildEngine(id, 'north', 'large', { from: 0, to: 40 })), buildEngine('e2', 'north', 'large', { from: 40, to: 80 })]
+  const odd = buildEngine('odd', 'north', 'large', { from: 60, to: 90 })
+  t.deepEqual(computeRoom([...engines, odd], OPTIONS), computeRoom(engines, OPTIONS))
+})
+
 test('the narrowest layers bound the places', t => {
   const engines = [buildEngine('a', 'north', 'large', { from: 0, to: 40 }), buildEngine('b', 'north', 'large', { from: 40, to: 80 }), buildEngine('c', 'north', 'large', { from: 0, to: 40 })]
   const one = computeRoom([engines[0]!, engines[1]!], { ...OPTIONS, model: { ...TEST_MODEL, slots: 1_000 } })
