Targets with a defect that a peer of an earlier version passes on are not used

While hosts are replaced by a new version, an earlier one may read the store for the others and pass odd entries on. They stay in the state, as the fingerprint that the peer computes covers them: a host that dropped them would never match it and would poll without a pause. They are left out of all lists of targets.

Evidence: the new test of createFleetState failed before (target with port 99999 listed).

--- a/src/fleet/createFleetState/index.ts
+++ b/src/fleet/createFleetState/index.ts
@@ -6,6 +6,7 @@
 import { createHash } from 'node:crypto'
 import { isDeepStrictEqual } from 'node:util'
 import type { Runtime } from '../../runtime/types.js'
+import { findTargetDefect } from '../findTargetDefect/index.js'
 import type { FleetConfiguration, LayerRange, Target, TargetUpdate } from '../types.js'
 
 /** All targets at one revision of the store. */
@@ -39,7 +40,7 @@
   configurationAgeMs: () => number | undefined
   /** Replaces the configuration if the version is higher; returns whether it did. */
   applyConfiguration: (configuration: FleetConfiguration) => boolean
-  /** Every listed target. */
+  /** Every listed target without a defect. */
   targets: () => Target[]
   /** Listed targets of a service that are not leaving. */
   servingTargets: (service: string) => Target[]
@@ -100,6 +101,8 @@
   let configuredMs: number | undefined
   let revision = -1
   const targets = new Map<string, Target>()
+  /** Targets that must not be used. They are kept, as the fingerprints of peers that told of them cover them. */
+  const defectiveIds = new Set<string>()
   /** Targets kept although their entries are missing, with the monotonic time at which they are removed. */
   const missingUntilMs = new Map<string, number>()
   const sightings = new Map<string, TimedSeenLayers>()
@@ -131,6 +134,7 @@
       if (!targets.has(id)) continue
       if (keepMissingMs <= 0) {
         targets.delete(id)
+        defectiveIds.delete(id)
         missingUntilMs.delete(id)
         removedNow.push(id)
       } else if (!missingUntilMs.has(id)) {
@@ -162,6 +166,8 @@
       missingUntilMs.delete(target.id)
       if (isDeepStrictEqual(targets.get(target.id), target)) continue
       targets.set(target.id, target)
+      if (findTargetDefect(target) === undefined) defectiveIds.delete(target.id)
+      else defectiveIds.add(target.id)
       changedIds.push(target.id)
     }
     return changedIds
@@ -190,7 +196,7 @@
   const isListed = (target: Target): boolean => targets.get(target.id)?.bornMs === target.bornMs
 
   const listTargets = (): Target[] => {
-    targetList ??= [...targets.values()].map(withObservations)
+    targetList ??= [...targets.values()].filter(({ id }) => !defectiveIds.has(id)).map(withObservations)
     return targetList
   }
 
--- a/src/fleet/createFleetState/test.ts
+++ b/src/fleet/createFleetState/test.ts
@@ -52,6 +52,15 @@
   t.is(fleet.servingTargets('model').length, 1)
 })
 
+test('a target with a defect, which a peer of an earlier version may pass on, is not used but counts in the fingerprint', t => {
+  const [one, other] = [0, 1].map(() => createFleetState({ runtime: createManualRuntime() }))
+  const targets = [engine('a'), { ...engine('odd'), address: '10.0.0.1:99999' }]
+  one!.applySnapshot({ revision: 5, targets })
+  other!.applySnapshot({ revision: 5, targets: targets.slice(0, 1) })
+  t.deepEqual(one!.targets().map(({ id }) => id), ['a'])
+  t.not(one!.fingerprint(), other!.fingerprint())
+})
+
 test('layers seen on an engine count before its entry shows them, for that start of it only', t => {
   const fleet = createFleetState({ runtime: createManualRuntime() })
   fleet.applySnapshot({ revision: 1, targets: [engine('a')] })
