--- a/test/platform/engineControl.test.ts
+++ b/test/platform/engineControl.test.ts
@@ -1,4 +1,5 @@
 import { once } from 'node:events'
+import http from 'node:http'
 import { connect, createServer, type AddressInfo } from 'node:net'
 import test from 'ava'
 import { createEngineControl } from '../../platform/createEngineControl.js'
@@ -71,3 +72,51 @@
     t.false(await isReachable, address)
   }
 })
+
+/** An engine whose reports are pieces of text, without an end if there are more of them. */
+async function startReporter (pieces: Iterable<string>) {
+  const server = http.createServer(async (_request, response) => {
+    response.writeHead(200, { 'content-type': 'application/json' })
+    for (const piece of pieces) {
+      if (response.destroyed) break
+      await new Promise<void>(resolve => { response.write(piece, () => resolve()) })
+    }
+    response.end()
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    [Symbol.asyncDispose]: () => new Promise<void>(resolve => {
+      server.closeAllConnections()
+      server.close(() => resolve())
+    })
+  }
+}
+
+test('a report without end is not read to the deadline', async t => {
+  function * repeat (): Iterable<string> {
+    for (;;) yield ' '.repeat(65_536)
+  }
+  await using reporter = await startReporter(repeat())
+  const log = createTestLog()
+  // No timer fires, so only the size ends the report.
+  const control = createEngineControl({ runtime: createManualRuntime(), log })
+  t.is(await control.report(engineAt(reporter.address)), undefined)
+  t.is(log.recent().at(-1)?.name, 'targetUnavailable')
+})
+
+test('an odd report is none', async t => {
+  const report = { born: 5, sequence: 3, busy: false, layers: { from: 0, to: 8, version: 1 } }
+  const nested = `${'['.repeat(20_000)}${']'.repeat(20_000)}`
+  const control = createEngineControl({ runtime: createManualRuntime(), log: createTestLog() })
+  const read = async (text: string) => {
+    await using reporter = await startReporter([text])
+    return await control.report(engineAt(reporter.address))
+  }
+  t.deepEqual(await read(JSON.stringify(report)), { bornMs: 5, orderCount: 3, isBusy: false, layers: { from: 0, to: 8 } })
+  t.is((await read(JSON.stringify({ ...report, layers: { from: 0, to: 2 ** 53 - 1 } })))?.layers, undefined)
+  t.is((await read(JSON.stringify({ ...report, layers: 'HERE' }).replace('"HERE"', nested)))?.layers, undefined)
+  for (const odd of ['null', '[]', nested, '{"born":', ...['born', 'sequence'].flatMap(field => ['1e308', '1e999', '-1', '1.5', 'null'].map(value => JSON.stringify({ ...report, [field]: 'HERE' }).replace('"HERE"', value)))]) {
+    t.is(await read(odd), undefined, odd.slice(0, 60))
+  }
+})
