Hosts are contacted only at addresses that their registrations name

A registration with a text that is no address made every root send to it twice a second, and log the failure each time.

Evidence: 'hosts are contacted only at addresses' failed before ('host', '999.1.1.1' and '' were contacted).

--- a/src/gateway/_lib/discoverPeers.ts
+++ b/src/gateway/_lib/discoverPeers.ts
@@ -9,7 +9,7 @@
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
 
-const hostSchema = z.object({ ip: z.string() })
+const hostSchema = z.object({ ip: z.ipv4() })
 
 /** Key prefix of the objects that hold the addresses of hosts. */
 const HOST_PREFIX = 'hosts/'
