--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -34,6 +34,13 @@
   }
 })
 
+test('an address with a port that does not exist is reported', async t => {
+  for (const port of ['99999', '65536']) {
+    const result = await read(JSON.stringify({ ...FILE, listen: { ...FILE.listen, frontend: `10.1.0.40:${port}` } }))
+    t.deepEqual(result.kind === 'invalid' ? result.faults : result, ['listen.frontend: expected IP:PORT'])
+  }
+})
+
 test('missing and wrong fields are reported', async t => {
   const { ip, ...rest } = FILE
   const result = await read(JSON.stringify({ ...rest, listen: { ...FILE.listen, frontend: 8227 } }))
