--- a/src/fleet/createFleetState/index.ts
+++ b/src/fleet/createFleetState/index.ts
@@ -8,6 +8,7 @@
 import { isDeepStrictEqual } from 'node:util'
 import type { Runtime } from '../../runtime/types.js'
 import { compareEras, comparePositions, type StorePosition } from '../comparePositions/index.js'
+import { findTargetDefect } from '../findTargetDefect/index.js'
 import type { FleetConfiguration, LayerRange, Target, TargetUpdate } from '../types.js'
 
 /** One start of a target. */
@@ -50,7 +51,7 @@
   configurationAgeMs: () => number | undefined
   /** Replaces the configuration if the version is higher; returns whether it did. */
   applyConfiguration: (configuration: FleetConfiguration) => boolean
-  /** Every listed target. */
+  /** Every listed target without a defect. */
   targets: () => Target[]
   /** Listed targets of a service that are not leaving. */
   servingTargets: (service: string) => Target[]
@@ -132,6 +133,8 @@
   let firstEra: number | undefined
   let newEraMs = -Infinity
   const targets = new Map<string, Target>()
+  /** Targets that must not be used. They are kept, as the fingerprints of peers that told of them cover them. */
+  const defectiveIds = new Set<string>()
   /** Targets kept although their entries are missing, with the monotonic time at which they are removed. */
   const missingUntilMs = new Map<string, number>()
   const sightings = new Map<string, TimedSeenLayers>()
@@ -185,6 +188,7 @@
       if (keepMissingMs <= 0) {
         rememberGone(targets.get(id)!)
         targets.delete(id)
+        defectiveIds.delete(id)
         missingUntilMs.delete(id)
         removedNow.push(id)
       } else if (!missingUntilMs.has(id)) {
@@ -241,6 +245,8 @@
       if (known !== undefined && known.bornMs !== target.bornMs) rememberGone(known)
       if (isDeepStrictEqual(known, target)) continue
       targets.set(target.id, target)
+      if (findTargetDefect(target) === undefined) defectiveIds.delete(target.id)
+      else defectiveIds.add(target.id)
       changedIds.push(target.id)
     }
     return changedIds
@@ -276,7 +282,7 @@
   const isListed = (target: Target): boolean => targets.get(target.id)?.bornMs === target.bornMs
 
   const listTargets = (): Target[] => {
-    targetList ??= [...targets.values()].map(withObservations)
+    targetList ??= [...targets.values()].filter(({ id }) => !defectiveIds.has(id)).map(withObservations)
     return targetList
   }
 
