Keep the fingerprint of a host that has read nothing empty

Cause: since a host that applied the state of a peer that had read nothing took it for an empty list, with another fingerprint than the peer's. Two such hosts would have asked each other without a pause until the first list.

Measured: tests of fleet, the model of drills and the internal port pass.

--- a/src/fleet/createFleetState/index.ts
+++ b/src/fleet/createFleetState/index.ts
@@ -174,7 +174,7 @@
   /** Adds changed targets to the history, updates the fingerprint and notifies the listeners. */
   function recordChange (ids: string[]): void {
     // The first list may be empty; a host that knows that has another fingerprint than one that knows nothing.
-    if (ids.length === 0 && fingerprint !== '') return
+    if (ids.length === 0 && (fingerprint !== '' || revision < 0)) return
     history = [...history, { fingerprint, ids }].slice(-MAX_HISTORY_CHANGES)
     fingerprint = computeFingerprint(targets.values())
     notify()
