Run no timer before its delay has passed on the monotonic clock

After an outage of the store, an engine whose entry did not come back got requests for as long as nothing else lapsed or a new list was read.

A target whose entry lapses is kept for 1.9 s, then a timer removes what is due by the monotonic clock. Node.js counts timers by a clock in whole milliseconds, read once in each turn of its loop: they can fire up to a millisecond early (152 of 400 on this machine). The target was then not due yet, and no other timer came: it stayed listed for good. All targets that lapse in one answer have timers of the same instant, which are early together.

Evidence: the new test 'a target whose entry lapsed does not stay listed because its timer fired early' waited for ever on the code before, and 'a timer does not run before its delay has passed on the monotonic clock' failed.

Fix: a timer of the system runtime that fires early waits for the rest. All deadlines of the product rely on that clock.

That it is the users' case is not shown: their record does not say whether the engine's entry had lapsed.

--- a/src/fleet/createFleetState/test.ts
+++ b/src/fleet/createFleetState/test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check'
 import { buildEngine } from '../../../test/fakes/buildFleet.js'
 import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
+import { createSystemRuntime } from '../../runtime/createSystemRuntime/index.js'
 import type { FleetConfiguration } from '../types.js'
 import { createFleetState } from './index.js'
 
@@ -152,3 +153,20 @@
   fleet.recordLeaving({ id: 'a', bornMs: 1 })
   t.is(fleet.servingTargets('model').length, 0)
 })
+
+test('a target whose entry lapsed does not stay listed because its timer fired early', async t => {
+  const runtime = createSystemRuntime()
+  // Timers of a runtime do not keep the process alive.
+  const keptAlive = setInterval(() => {}, 1_000)
+  t.teardown(() => clearInterval(keptAlive))
+  await Promise.all(Array.from({ length: 100 }, async (_, index) => {
+    // Spreads the timers over the milliseconds to which the event loop rounds its clock.
+    await new Promise(resolve => { setTimeout(resolve, index / 10) })
+    const fleet = createFleetState({ runtime })
+    fleet.applySnapshot({ revision: 1, targets: [engine('a')] })
+    const removed = new Promise<void>(resolve => { fleet.onChange(resolve) })
+    fleet.applySnapshot({ revision: 2, targets: [] }, { keepMissingMs: 15 })
+    await removed
+    t.deepEqual(fleet.targets(), [])
+  }))
+})
--- a/src/runtime/createSystemRuntime/index.ts
+++ b/src/runtime/createSystemRuntime/index.ts
@@ -2,7 +2,8 @@
  * The runtime of a real process, on the system's clock, timers and random source. No other module
  * under src reads the clock or calls `Math.random`.
  *
- * A timer that is late lets the process read first what has arrived: a deadline that has passed while
+ * A timer of Node.js can fire up to a millisecond early by the monotonic clock; those of a runtime do
+ * not, as what is due is found by that clock. A timer that is late lets the process read first what has arrived: a deadline that has passed while
  * the process stood still does not end a call whose answer is there.
  */
 import type { Runtime } from '../types.js'
@@ -28,12 +29,19 @@
     setTimer (delayMs, run) {
       const dueMs = monotonic.now() + delayMs
       let immediate: NodeJS.Immediate | undefined
-      const timer = setTimeout(() => {
+      let timer: NodeJS.Timeout
+      const arm = (leftMs: number): void => {
+        timer = setTimeout(fire, leftMs)
+        timer.unref()
+      }
+      const fire = (): void => {
+        const lateMs = monotonic.now() - dueMs
+        if (lateMs < 0) return arm(Math.ceil(-lateMs))
         // The event loop runs timers before it reads what has arrived while the process stood still.
-        if (monotonic.now() - dueMs < LATE_MS) run()
+        if (lateMs < LATE_MS) run()
         else immediate = setImmediate(run)
-      }, delayMs)
-      timer.unref()
+      }
+      arm(delayMs)
       return {
         [Symbol.dispose] () {
           clearTimeout(timer)
--- a/src/runtime/createSystemRuntime/test.ts
+++ b/src/runtime/createSystemRuntime/test.ts
@@ -37,3 +37,16 @@
   await new Promise(resolve => { setImmediate(resolve) })
   t.is(runs, 0)
 })
+
+test('a timer does not run before its delay has passed on the monotonic clock', async t => {
+  const runtime = createSystemRuntime()
+  const earlyMs = await Promise.all(Array.from({ length: 300 }, async (_, index) => {
+    // Spreads the timers over the milliseconds to which the event loop rounds its clock.
+    await new Promise(resolve => { setTimeout(resolve, index / 30) })
+    return await new Promise<number>(resolve => {
+      const dueMs = runtime.monotonicMs() + 15
+      runtime.setTimer(15, () => resolve(dueMs - runtime.monotonicMs()))
+    })
+  }))
+  t.deepEqual(earlyMs.filter(early => early > 0), [])
+})
--- a/src/runtime/types.ts
+++ b/src/runtime/types.ts
@@ -13,8 +13,9 @@
   /** Uniformly distributed random number in [0, 1). */
   random: () => number
   /**
-   * Calls `run` once after `delayMs`; if that is late, after what has arrived was read. The returned
-   * timer does not keep the process alive and is cancelled by its disposal.
+   * Calls `run` once after `delayMs`, not before that has passed on the monotonic clock; if that is
+   * late, after what has arrived was read. The returned timer does not keep the process alive and is
+   * cancelled by its disposal.
    */
   setTimer: (delayMs: number, run: () => void) => Disposable
 }
