Replace all watches of a host once one of them went silent

Cause: a watch of the configuration counts as silent after 4.5 s. Every root watches it so that one silent watch does no harm, but each change answers all of these watches at the same moment: they begin anew, and go silent, together. A host whose watch of the targets had shown within a second that its connections were dead did not conclude anything for the other watch, nor for idle connections, which later calls took.

Six new tests of test/fleet/storeCalls.test.ts (3, 8 and 64 simulated hosts, all watches or those of the configuration alone silent) failed before: version 2 was in force instead of 3.

The first watches after a change wait for an n-th, two n-ths ... of the usual time, so that those of n roots end one after the other, also where only those of the configuration went silent. No bound was shortened; see docs/decisions/0061.

--- a/src/fleet/followFleet/index.ts
+++ b/src/fleet/followFleet/index.ts
@@ -4,10 +4,12 @@
  * force. After the store has come back from a copy, nothing of its earlier era is applied, and
  * everything is listed anew. Only some hosts (see `isStoreReader`) watch the targets; the others get changes from these.
  * The configuration changes seldom, so every root of the tree of hosts watches it: a version must be
- * in force in time although some roots are cut off from the store without an error.
+ * in force in time although some roots are cut off from the store without an error. These watches
+ * end one after the other, and a host whose watch of anything went silent replaces all its watches:
+ * open connections may go silent together, also those of all hosts.
  */
 import type { EventLog } from '../../event/types.js'
-import type { ObjectStore, StoredObject, WatchOptions } from '../../objectApi/types.js'
+import type { ObjectStore, StoredObject, WatchOptions, WatchResult } from '../../objectApi/types.js'
 import { delayToNextRound } from '../../runtime/delayToNextRound/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
@@ -39,6 +41,8 @@
   isReader: () => boolean
   /** Whether this host watches the configuration although it is no reader. */
   isConfigurationWatcher: () => boolean
+  /** The part of the usual wait that the first watch of the configuration after a change takes, above 0 and at most 1; all of it by default. */
+  configurationWaitShare?: () => number
 }
 
 /** State of the connection to the store. */
@@ -69,6 +73,9 @@
 /** Interval at which a host that does not read the store checks whether it should, in milliseconds. */
 const READER_CHECK_MS = 100
 
+/** Result of a call that was aborted here, which says nothing of the store. */
+const REPLACED = Symbol('replaced')
+
 /** Cause of a failure: an answer that the store gave before it came back from a copy, and that arrived late. */
 const EARLIER_ERA = 'answer of an earlier era'
 
@@ -86,7 +93,10 @@
  * const follower = followFleet(fleet, { store, format, log, runtime, signal, isStoreUpForPeers, isReader })
  */
 export function followFleet (fleet: FleetState, options: FollowFleetOptions): FleetFollower {
-  const { store, format, log, runtime, signal, isStoreUpForPeers, isReader, isConfigurationWatcher } = options
+  const { store, format, log, runtime, signal, isStoreUpForPeers, isReader, isConfigurationWatcher, configurationWaitShare = () => 1 } = options
+  /** Watches that wait for an answer. */
+  const openWatches = new Set<AbortController>()
+  signal.addEventListener('abort', abortWatches, { once: true })
   /** Monotonic time of the first failed call, by prefix, until a call succeeds. */
   const failingSinceMs = new Map<string, number>()
   /** Failing prefixes for which, at some failed call, no peer reached the store either: a store outage. */
@@ -94,6 +104,10 @@
   let outageEndedMs = -Infinity
   let confirmedMs = -Infinity
 
+  function abortWatches (): void {
+    for (const watch of openWatches) watch.abort()
+  }
+
   /** Records how a call ended: `cause` is that of a failure, `undefined` after a success. */
   function recordCallResult (prefix: string, cause: string | undefined): void {
     if (cause === undefined) {
@@ -151,13 +165,13 @@
   }
 
   // A host that knows nothing yet lists once, even if it is no reader.
-  followPrefix(configurationPrefix(format), { isNeeded: () => isReader() || isConfigurationWatcher(), isUnknown: () => fleet.configuration() === undefined, spacingMs: 0, watchTimes: {} }, applyConfigurationObjects, objects => applyConfigurationObjects(objects))
-  followPrefix(format.targetPrefix, { isNeeded: isReader, isUnknown: () => fleet.revision() < 0, spacingMs: TARGET_WATCH_SPACING_MS, watchTimes: { waitMs: TARGET_WATCH_WAIT_MS, graceMs: TARGET_WATCH_GRACE_MS } }, applyTargetList, applyTargetChanges)
+  followPrefix(configurationPrefix(format), { isNeeded: () => isReader() || isConfigurationWatcher(), isUnknown: () => fleet.configuration() === undefined, spacingMs: 0, firstWaitShare: configurationWaitShare, watchTimes: {} }, applyConfigurationObjects, objects => applyConfigurationObjects(objects))
+  followPrefix(format.targetPrefix, { isNeeded: isReader, isUnknown: () => fleet.revision() < 0, spacingMs: TARGET_WATCH_SPACING_MS, firstWaitShare: () => 1, watchTimes: { waitMs: TARGET_WATCH_WAIT_MS, graceMs: TARGET_WATCH_GRACE_MS } }, applyTargetList, applyTargetChanges)
 
   /** Lists and watches a prefix while that is needed; otherwise lists it now and then until something is known. */
   async function followPrefix (
     prefix: string,
-    { isNeeded, isUnknown, spacingMs, watchTimes }: { isNeeded: () => boolean, isUnknown: () => boolean, spacingMs: number, watchTimes: Pick<WatchOptions, 'waitMs' | 'graceMs'> },
+    { isNeeded, isUnknown, spacingMs, firstWaitShare, watchTimes }: { isNeeded: () => boolean, isUnknown: () => boolean, spacingMs: number, firstWaitShare: () => number, watchTimes: Pick<WatchOptions, 'waitMs' | 'graceMs'> },
     onList: (objects: readonly StoredObject[], position: StorePosition) => void,
     onChanges: (objects: readonly StoredObject[], removedKeys: readonly string[], position: StorePosition) => void
   ): Promise<void> {
@@ -165,6 +179,8 @@
     let retryMs = MIN_RETRY_MS
     // A watch from the revision of a stale list brings what the list lacks.
     let mayListStale = true
+    /** Whether the next watch is the first one since a list or a change. */
+    let isFirstWatch = true
     let firstListMs = -Infinity
     while (!signal.aborted) {
       if (!isNeeded()) {
@@ -178,6 +194,7 @@
         continue
       }
       const cause = await listOrWatch()
+      if (cause === REPLACED) continue
       recordCallResult(prefix, cause)
       if (cause === undefined) retryMs = MIN_RETRY_MS
       else {
@@ -192,6 +209,19 @@
       mayListStale = false
     }
 
+    /** Watches from a position, unless the watch is aborted meanwhile. */
+    async function watchFrom ({ revision }: StorePosition): Promise<WatchResult | typeof REPLACED> {
+      const controller = new AbortController()
+      openWatches.add(controller)
+      try {
+        const waitShare = isFirstWatch ? firstWaitShare() : 1
+        const watched = await store.watch(prefix, revision, { signal: controller.signal, waitShare, ...watchTimes })
+        return controller.signal.aborted ? REPLACED : watched
+      } finally {
+        openWatches.delete(controller)
+      }
+    }
+
     async function listOnce (): Promise<void> {
       const listed = await store.list(prefix, { mayBeStale: true })
       if (listed.kind === 'unavailable') log.emit('storeUnavailable', { prefix, cause: listed.cause })
@@ -200,7 +230,7 @@
     }
 
     /** Lists the prefix once, then watches it; returns the cause of a failure. */
-    async function listOrWatch (): Promise<string | undefined> {
+    async function listOrWatch (): Promise<string | typeof REPLACED | undefined> {
       if (position !== undefined && compareToKnownEra(position) < 0) beginNewEra()
       if (position === undefined) {
         const listed = await store.list(prefix, { mayBeStale: mayListStale })
@@ -209,12 +239,13 @@
         mayListStale = true
         recordCallResult(prefix, undefined)
         position = toPosition(listed)
+        isFirstWatch = true
         onList(listed.objects, position)
         return undefined
       }
       const sentMs = runtime.monotonicMs()
-      const watched = await store.watch(prefix, position.revision, { signal, ...watchTimes })
-      if (signal.aborted) return undefined
+      const watched = await watchFrom(position)
+      if (watched === REPLACED) return REPLACED
       if (watched.kind === 'unavailable') return watched.cause
       if (watched.kind === 'reset' || watched.kind === 'silent') {
         position = undefined
@@ -222,6 +253,7 @@
         mayListStale = watched.kind !== 'reset'
         if (watched.kind === 'reset') return undefined
         log.emit('watchReplaced', { prefix, afterMs: watched.afterMs })
+        abortWatches()
         // Others read in this host's place until a list is answered.
         return 'silent watch'
       }
@@ -233,6 +265,7 @@
         return undefined
       }
       position = toPosition(watched)
+      isFirstWatch = watched.objects.length > 0
       onChanges(watched.objects, watched.removedKeys ?? [], position)
       const pauseMs = sentMs + spacingMs - runtime.monotonicMs()
       if (pauseMs > 0) await sleep(pauseMs, { runtime, signal })
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -13,6 +13,7 @@
 import type { Target } from '../../fleet/types.js'
 import { followFleet } from '../../fleet/followFleet/index.js'
 import { followStoreReaders, type StoreReader } from '../../fleet/followStoreReaders/index.js'
+import { shareOfWait } from '../../fleet/shareOfWait/index.js'
 import { isStoreReader, ROOT_DELAY_MS } from '../../fleet/isStoreReader/index.js'
 import { createOpenCalls } from '../../http/createOpenCalls/index.js'
 import { listen } from '../../http/listen/index.js'
@@ -133,7 +134,7 @@
   const isStoreUpForPeers = (): boolean => exchange.readers().length > 0
   const isReader = (): boolean => isStoreReader({ ip: settings.ip, depth: exchange.depth() }, exchange.readers(), { upMs: runtime.monotonicMs() - startedAtMs, hasNeighbors: exchange.peers().length > 0 })
   const isConfigurationWatcher = (): boolean => exchange.isRoot() && runtime.monotonicMs() - startedAtMs >= ROOT_DELAY_MS
-  const follower = followFleet(fleet, { store, format: ports.fleetFormat, log, runtime, signal, isStoreUpForPeers, isReader, isConfigurationWatcher })
+  const follower = followFleet(fleet, { store, format: ports.fleetFormat, log, runtime, signal, isStoreUpForPeers, isReader, isConfigurationWatcher, configurationWaitShare: () => shareOfWait(settings.ip, exchange.otherRoots().map(({ ip }) => ip)) })
   const readerFollower = followStoreReaders({
     ownDomain: settings.failureDomain,
     isReader,
--- a/src/objectApi/types.ts
+++ b/src/objectApi/types.ts
@@ -50,6 +50,8 @@
   /** How long it waits for a change, and how much later it counts as silent, in milliseconds; the client's own times by default. */
   waitMs?: number
   graceMs?: number
+  /** Part of the client's own wait, above 0 and at most 1. */
+  waitShare?: number
 }
 
 /** A client of the object API. */
--- a/standin/platform/servePlatformStore/index.ts
+++ b/standin/platform/servePlatformStore/index.ts
@@ -45,6 +45,8 @@
   copy: () => StoreCopy
   /** Comes back from a copy, as in a drill: later changes are lost, their revisions are given out again, the era rises, and open connections are reset. */
   restore: (copy: StoreCopy) => void
+  /** Makes the open connections go silent for good, while new ones work. */
+  silenceConnections: () => void
   /** Calls received, each as method and kind. */
   calls: string[]
 }
@@ -74,6 +76,7 @@
   let events: StoreEvent[] = []
   const watchers = new Set<() => void>()
   const sockets = new Set<Socket>()
+  const silentSockets = new WeakSet<Socket>()
   const faults: StoreFaults = {}
   const calls: string[] = []
   let revision = 0
@@ -116,7 +119,7 @@
     if (!sockets.has(request.socket)) request.socket.once('close', () => sockets.delete(request.socket))
     sockets.add(request.socket)
     if (era !== undefined) response.setHeader('Store-Era', era)
-    if (faults.isSilent) return
+    if (faults.isSilent || silentSockets.has(request.socket)) return
     if (faults.status !== undefined) return sendJson(response, faults.status, {})
     if (request.method === 'GET') return await read(url, kind, name, response)
     const body = await readJson(request) as Partial<StoreObject>
@@ -177,6 +180,7 @@
         })
       })
     }
+    if (response.socket !== null && silentSockets.has(response.socket)) return
     sendJson(response, 200, { events: findEvents().map(({ object, deleted }) => ({ object, deleted })), as_of: revision })
   }
 
@@ -187,6 +191,7 @@
     calls,
     put,
     remove,
+    silenceConnections () { for (const socket of sockets) silentSockets.add(socket) },
     copy: () => ({ objects: new Map(objects), revision }),
     restore (copy) {
       objects = new Map(copy.objects)
--- a/test/fleet/storeCalls.test.ts
+++ b/test/fleet/storeCalls.test.ts
@@ -2,6 +2,7 @@
 import { createFleetState, type FleetState } from '../../src/fleet/createFleetState/index.js'
 import { followFleet, type FleetFormat } from '../../src/fleet/followFleet/index.js'
 import { followStoreReaders } from '../../src/fleet/followStoreReaders/index.js'
+import { shareOfWait } from '../../src/fleet/shareOfWait/index.js'
 import { isStoreReader, ROOT_DELAY_MS } from '../../src/fleet/isStoreReader/index.js'
 import type { FleetConfiguration, Target } from '../../src/fleet/types.js'
 import type { ListResult, ObjectStore, StoredObject, WatchOptions, WatchResult } from '../../src/objectApi/types.js'
@@ -35,9 +36,13 @@
   const objects = new Map<string, StoredObject>()
   const calls = { list: 0, staleList: 0, watch: 0 }
   let revision = 0
+  /** Open watches, which can be made to go silent for good. */
+  const open = new Set<{ prefix: string, isSilent: boolean }>()
   const select = (prefix: string, after: number): StoredObject[] => [...objects.values()].filter(({ key, version }) => key.startsWith(prefix) && version > after)
   return {
     calls,
+    /** Makes the open watches of some prefixes go silent for good, while new ones work. */
+    silenceOpenWatches (isMeant: (prefix: string) => boolean = () => true) { for (const watch of open) if (isMeant(watch.prefix)) watch.isSilent = true },
     put (key: string, value: unknown) { objects.set(key, { key, value, version: ++revision }) },
     clientOf (ip: string, runtime: Runtime): Pick<ObjectStore, 'list' | 'watch'> {
       return {
@@ -46,13 +51,20 @@
           if (isSilent(ip)) await sleep(LIST_TIMEOUT_MS, { runtime, signal: new AbortController().signal })
           return isRefused(ip) || isSilent(ip) ? { kind: 'unavailable', cause: 'status 503' } : { kind: 'listed', revision, objects: select(prefix, -1) }
         },
-        async watch (prefix, after, { signal, waitMs = WATCH_WAIT_MS, graceMs = WATCH_GRACE_MS }: WatchOptions): Promise<WatchResult> {
+        async watch (prefix, after, { signal, waitShare = 1, waitMs = WATCH_WAIT_MS * waitShare, graceMs = WATCH_GRACE_MS }: WatchOptions): Promise<WatchResult> {
           calls.watch++
           if (isRefused(ip)) return { kind: 'unavailable', cause: 'status 503' }
           const startMs = runtime.monotonicMs()
-          while ((select(prefix, after).length === 0 && runtime.monotonicMs() < startMs + waitMs) || isSilent(ip)) {
-            if (runtime.monotonicMs() >= startMs + waitMs + graceMs) return { kind: 'silent', afterMs: waitMs + graceMs }
-            await sleep(STEP_MS, { runtime, signal })
+          const own = { prefix, isSilent: false }
+          open.add(own)
+          try {
+            while ((select(prefix, after).length === 0 && runtime.monotonicMs() < startMs + waitMs) || isSilent(ip) || own.isSilent) {
+              if (runtime.monotonicMs() >= startMs + waitMs + graceMs) return { kind: 'silent', afterMs: waitMs + graceMs }
+              await sleep(STEP_MS, { runtime, signal })
+              if (signal.aborted) return { kind: 'unavailable', cause: 'aborted' }
+            }
+          } finally {
+            open.delete(own)
           }
           return { kind: 'changes', revision, objects: select(prefix, after) }
         }
@@ -76,7 +88,7 @@
     const { signal } = new AbortController()
     const startedMs = runtime.monotonicMs()
     const isReader = (): boolean => isStoreReader({ ip: host.ip, depth: exchange.depth() }, exchange.readers(), { upMs: runtime.monotonicMs() - startedMs, hasNeighbors: exchange.peers().length > 0 })
-    const follower = followFleet(fleet, { store: store.clientOf(host.ip, runtime) as ObjectStore, format: FORMAT, log: host.log, runtime, signal, isStoreUpForPeers: () => exchange.readers().length > 0, isReader, isConfigurationWatcher: () => exchange.isRoot() && runtime.monotonicMs() - startedMs >= ROOT_DELAY_MS })
+    const follower = followFleet(fleet, { store: store.clientOf(host.ip, runtime) as ObjectStore, format: FORMAT, log: host.log, runtime, signal, isStoreUpForPeers: () => exchange.readers().length > 0, isReader, isConfigurationWatcher: () => exchange.isRoot() && runtime.monotonicMs() - startedMs >= ROOT_DELAY_MS, configurationWaitShare: () => shareOfWait(host.ip, exchange.otherRoots().map(({ ip }) => ip)) })
     const readers = () => {
       const parent = exchange.parent()
       return (parent !== undefined ? [parent] : exchange.otherRoots().filter(root => root.digest.isStoreConnected)).map(({ ip, digest }) => ({ address: ip, failureDomain: digest.failureDomain }))
@@ -183,3 +195,19 @@
   await followers.advance(3_000)
   t.deepEqual([...versionsOf(followers)], [2])
 })
+
+for (const count of [3, 8, 64]) {
+  for (const [which, isMeant] of Object.entries({ 'all open watches': () => true, 'the open watches of the configuration': (prefix: string) => prefix === 'config/' })) {
+    test.serial(`a version is in force at ${count} hosts 3 s after ${which} went silent together, shortly after another version`, async t => {
+      const followers = await startFleet(count)
+      followers.store.put('config/main', { ...TEST_CONFIGURATION, version: 2 })
+      await followers.advance(300)
+      t.deepEqual([...versionsOf(followers)], [2])
+      followers.store.silenceOpenWatches(isMeant)
+      await followers.advance(500)
+      followers.store.put('config/main', { ...TEST_CONFIGURATION, version: 3 })
+      await followers.advance(2_500)
+      t.deepEqual([...versionsOf(followers)], [3])
+    })
+  }
+}
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -5,6 +5,7 @@
 import { followFleet } from '../../src/fleet/followFleet/index.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 import { servePlatformStore, type PlatformStoreStandin } from '../../standin/platform/servePlatformStore/index.js'
+import { createManualRuntime } from '../fakes/createManualRuntime.js'
 import { createTestLog } from '../fakes/createTestLog.js'
 
 const runtime = createSystemRuntime()
@@ -60,6 +61,20 @@
   t.is((await impatient.watch('servers/', 0, { signal })).kind, 'silent')
 })
 
+test('after a call that was not answered in time, calls use new connections, as the open ones may have gone silent together', async t => {
+  await using standin = await servePlatformStore()
+  const clock = createManualRuntime()
+  await using store = createPlatformStore({ address: standin.address, callTimeoutMs: 800, watchWaitMs: 10, watchGraceMs: 800, runtime: clock, onCall: () => {} })
+  standin.put('config', 'main', 1)
+  const readTwice = async () => (await Promise.all([store.read('config/main'), store.read('config/main')])).map(({ kind }) => kind)
+  t.deepEqual(await readTwice(), ['found', 'found'])
+  standin.silenceConnections()
+  const first = store.read('config/main')
+  await clock.advance(800)
+  t.is((await first).kind, 'unavailable')
+  t.deepEqual(await readTwice(), ['found', 'found'])
+})
+
 test('a write is applied, in conflict, not applied, or possibly applied', async t => {
   await using standin = await servePlatformStore()
   await using store = open(standin)
