Do not end a stream as complete after it was given up

What callers saw: a stream, in chunks and with 200, that ended as complete after piece 2 of 4 although its engine had sent a piece that could not be relayed (an id out of order, no id) and the end of the answer in one packet.

Cause: chunks and the end of an answer that have already been parsed are still emitted after `answer.destroy()`. relayEvents had failed by then, but its 'end' listener ended the caller's response before the next try could begin, and readAnswerBody resolved with what it had kept.

Both now settle once: nothing that comes after the failure is used.

Evidence: three tests failed before: ids 1, 2 as a complete body, with no request at the second engine; a stream with text between its events went on after that text; 200 instead of 502 for 16 MiB and one byte. All pass now, with stream, secondAnswer, endlessAnswer, readAnswerBody, relay, plain, foreignAnswer.

--- a/src/gateway/_lib/readAnswerBody.ts
+++ b/src/gateway/_lib/readAnswerBody.ts
@@ -22,8 +22,10 @@
     let bytes = 0
     answer.on('data', (chunk: Buffer) => {
       bytes += chunk.length
-      if (bytes > MAX_BODY_BYTES) answer.destroy()
-      else chunks.push(chunk)
+      if (bytes <= MAX_BODY_BYTES) return chunks.push(chunk)
+      // The end may have arrived with this chunk, and is then still emitted.
+      resolve(undefined)
+      answer.destroy()
     })
     answer.once('end', () => resolve(answer.complete && (isFramed(answer) || !hasFailed()) ? Buffer.concat(chunks) : undefined))
     answer.once('error', () => resolve(undefined))
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -73,13 +73,17 @@
   const { format, metrics, runtime, suspicions } = context
   const split = createEventSplitter()
   let isHeldUp = false
+  /** Chunks and the end that have already arrived are still emitted after the answer was destroyed. */
+  let isGivenUp = false
   return new Promise(resolve => {
     const fail = (cause: string): void => {
+      isGivenUp = true
       const isBrokenByTarget = !exchange.isClosedHere()
       answer.destroy()
       resolve({ kind: 'brokenOff', cause, isBrokenByTarget })
     }
     answer.on('data', (chunk: Buffer) => {
+      if (isGivenUp) return
       const nowMs = runtime.monotonicMs()
       const wasHeldUp = isHeldUp
       isHeldUp = false
@@ -112,6 +116,7 @@
       for (const stage of stream.path) suspicions.note(stage.target.id, 'progressed')
     })
     answer.once('end', () => {
+      if (isGivenUp) return
       const isWhole = answer.complete && (isFramed(answer) || !exchange.hasFailed())
       if (!isWhole || split.bufferedBytes() > 0 || progress.firstEventMs === undefined) return fail('stream interrupted')
       response.end()
--- a/test/gateway/endlessAnswer.test.ts
+++ b/test/gateway/endlessAnswer.test.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net'
 import test from 'ava'
 import type { Target } from '../../src/fleet/types.js'
-import { encodeChunk, servePlatformEngine, buildStreamHead } from '../../standin/platform/servePlatformEngine/index.js'
+import { encodeChunk, servePlatformEngine, buildStreamHead, STREAM_END } from '../../standin/platform/servePlatformEngine/index.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 const MIB = 2 ** 20
@@ -48,3 +48,13 @@
   t.is((await gateway.send('/stream/x')).status, 502)
   t.true(sentBytes() <= MAX_KEPT_BYTES, `${sentBytes()} bytes`)
 })
+
+test('an answer over the size that is kept is not cut to it', async t => {
+  await using engine = await servePlatformEngine((request, socket) => {
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${request.headers['request-id']}\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n`)
+    for (let sentMib = 0; sentMib < 16; sentMib++) socket.write(encodeChunk('x'.repeat(MIB)))
+    socket.end(encodeChunk('x') + STREAM_END)
+  })
+  await using gateway = await startTestGateway([targetAt('i-1', 'orders', engine.address)], { configuration })
+  t.is((await gateway.send('/unsafe/x')).status, 502)
+})
--- a/test/gateway/secondAnswer.test.ts
+++ b/test/gateway/secondAnswer.test.ts
@@ -2,7 +2,7 @@
 import { platformHeaders } from '../../platform/headers.js'
 import { containsAnswerHead } from '../../src/gateway/_lib/containsAnswerHead.js'
 import type { Target } from '../../src/fleet/types.js'
-import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript, type ReceivedRequest } from '../../standin/platform/servePlatformEngine/index.js'
+import { buildAnswer, buildStreamHead, encodeChunk, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript, type ReceivedRequest } from '../../standin/platform/servePlatformEngine/index.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 const plain = (id: string, address: string): Target => ({ id, service: 'orders', address, failureDomain: 'north', bornMs: 1, isLeaving: false, slots: 6 })
@@ -114,8 +114,8 @@
 
 test('text between the events of a stream in chunks never reaches the caller', async t => {
   await using pair = await startPair(model, (request, socket) => {
-    const text = headOf(request)
-    socket.end(`${buildStreamHead(request)}${encodeEvents([1, 2, 3])}${text.length.toString(16)}\r\n${text}\r\n${encodeEvents([4, 5, 6])}${STREAM_END}`)
+    socket.end(buildStreamHead(request) + encodeEvents([1, 2, 3]) + encodeChunk(headOf(request)) + encodeEvents([4, 5, 6]) + STREAM_END)
   }, WHOLE_STREAM)
   t.like(await pair.gateway.send('/stream/x'), { status: 200, isComplete: true, body: eventsOf([1, 2, 3, 4, 5, 6]) })
+  t.is(pair.second.received[0]?.headers['last-event-id'], '3')
 })
--- a/test/gateway/stream.test.ts
+++ b/test/gateway/stream.test.ts
@@ -74,6 +74,21 @@
   }
 })
 
+test('a stream that is given up at an event is not complete when its end arrives with that event', async t => {
+  const breaks: EngineScript[] = [
+    (request, socket) => { socket.end(buildStreamHead(request) + encodeEvents([1, 2, 4]) + STREAM_END) },
+    (request, socket) => { socket.end(buildStreamHead(request) + encodeEvents([1, 2]) + encodeChunk('data: piece without id\n\n') + STREAM_END) },
+    (request, socket) => { socket.end(buildStreamHead(request) + encodeEvents([1, 2]) + encodeChunk('data: piece without id\n\n') + encodeEvents([3]) + STREAM_END) }
+  ]
+  for (const script of breaks) {
+    await using pipelines = await startPipelines(script)
+    const answer = await pipelines.gateway.send('/stream/x')
+    t.like(answer, { status: 200, isComplete: true })
+    t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
+    t.is(pipelines.second.received[0]?.headers['last-event-id'], '2')
+  }
+})
+
 test('a caller that resumes a stream gets what follows its last event', async t => {
   await using pipelines = await startPipelines(WHOLE_STREAM)
   t.deepEqual(idsOf((await pipelines.gateway.send('/stream/x', { 'last-event-id': '2' })).body), [3, 4])
