Read streams in short chunks without stopping the event loop

Cause: the splitter joined and searched everything that it held for each chunk, in total the square of the bytes; each chunk counted as progress, with work for every stage of the path; and an answer could have all its chunks of a turn handled at once.

An event may have 256 KiB and 4,096 pieces (1 MiB before): its sender is given up early. Bytes without an event are no progress. A caller that holds up its stream and the pacing both count as pauses.

--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -16,8 +16,9 @@
 /** Weight of the latest pause in the moving average of a stream's pauses. */
 const PAUSE_WEIGHT = 0.2
 
-/** Largest event of a stream, in bytes; it is kept until it is complete. */
-const MAX_EVENT_BYTES = 2 ** 20
+/** Largest event of a stream, in bytes, and most pieces in which it may come; it is kept until it is complete. */
+const MAX_EVENT_BYTES = 256 * 2 ** 10
+const MAX_EVENT_PIECES = 4_096
 
 /** Outcome of one try of a stream. */
 export type StreamResult =
@@ -72,6 +73,7 @@
   const { response, startedMs } = call
   const { format, metrics, runtime, suspicions } = context
   const split = createEventSplitter()
+  const paced = context.answerPacer.pace(answer)
   let isHeldUp = false
   /** Chunks and the end that have already arrived are still emitted after the answer was destroyed. */
   let isGivenUp = false
@@ -84,10 +86,16 @@
     }
     answer.on('data', (chunk: Buffer) => {
       if (isGivenUp) return
+      paced.noteChunk()
+      const events = split(chunk)
+      const isTooLarge = split.bufferedBytes() > MAX_EVENT_BYTES || split.pieces() > MAX_EVENT_PIECES
+      if (events.length === 0 && isTooLarge) return fail('event too large')
+      // Less than an event is no progress.
+      if (events.length === 0) return
       const nowMs = runtime.monotonicMs()
       const wasHeldUp = isHeldUp
       isHeldUp = false
-      for (const event of split(chunk)) {
+      for (const event of events) {
         if (!event.isWellFormed) return fail('text that is no event')
         if (event.id === undefined) return fail('event without id')
         if (!isFramed(answer) && containsAnswerHead(event.bytes, format)) return fail('another answer follows')
@@ -100,13 +108,13 @@
         run.firstEventMs ??= nowMs
         progress.lastEventId = event.id
         recordPause(progress, nowMs)
-        if (!response.write(event.bytes)) {
+        if (!response.write(event.bytes) && !isHeldUp) {
           isHeldUp = true
-          answer.pause()
-          response.once('drain', () => answer.resume())
+          paced.pause()
+          response.once('drain', paced.resume)
         }
       }
-      if (split.bufferedBytes() > MAX_EVENT_BYTES) return fail('event too large')
+      if (isTooLarge) return fail('event too large')
       noteProgress(call, run, context)
       onProgress(progress.lastEventId, wasHeldUp)
       if (stream === undefined) return
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -34,6 +34,7 @@
 import { createCallHandler } from '../createCallHandler/index.js'
 import { rerouteStreams } from '../rerouteStreams/index.js'
 import { discoverPeers, registerHost } from '../_lib/discoverPeers.js'
+import { createAnswerPacer } from '../_lib/createAnswerPacer.js'
 import { createCrashDetector } from '../_lib/createCrashDetector.js'
 import { createLeaderElection } from '../_lib/createLeaderElection.js'
 import { explainPlace } from '../_lib/explainPlace.js'
@@ -191,6 +192,7 @@
     links,
     targetLimits,
     targetPauses,
+    answerPacer: createAnswerPacer(),
     costs: createCostModel({ runtime }),
     slowdowns,
     crashEvidence,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -26,6 +26,7 @@
 import type { Runtime } from '../runtime/types.js'
 import type { Suspicions } from '../suspicion/createSuspicions/index.js'
 import type { Dispatcher } from '../waiting/createDispatcher/index.js'
+import type { AnswerPacer } from './_lib/createAnswerPacer.js'
 import type { GatewayMetrics } from './createGatewayMetrics/index.js'
 
 /** Parameters that a caller sends with its call. */
@@ -195,6 +196,8 @@
   tellPeers: () => void
   /** Resolves with whether a target that broke off an answer has ended. */
   hasCrashed: (target: Target) => Promise<boolean>
+  /** Paces the reading of answers in many short chunks. */
+  answerPacer: AnswerPacer
   format: CallFormat
   runtime: Runtime
   log: EventLog
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -7,6 +7,7 @@
 import { createCostModel } from '../../src/cost/createCostModel/index.js'
 import { createSlowdowns } from '../../src/cost/createSlowdowns/index.js'
 import { createCrashEvidence } from '../../src/crash/createCrashEvidence/index.js'
+import { createAnswerPacer } from '../../src/gateway/_lib/createAnswerPacer.js'
 import { createCrashDetector } from '../../src/gateway/_lib/createCrashDetector.js'
 import type { GatewayContext, Reservation } from '../../src/gateway/types.js'
 import { createFleetState } from '../../src/fleet/createFleetState/index.js'
@@ -96,6 +97,7 @@
     links,
     targetLimits: createTargetLimits({ runtime, log, ownIp: '127.0.0.1', otherIps: () => [] }),
     targetPauses: createTargetPauses({ runtime, log }),
+    answerPacer: createAnswerPacer(),
     costs: createCostModel({ runtime }),
     slowdowns,
     crashEvidence: createCrashEvidence({ runtime, log }),
--- a/test/gateway/endlessAnswer.test.ts
+++ b/test/gateway/endlessAnswer.test.ts
@@ -58,3 +58,11 @@
   await using gateway = await startTestGateway([targetAt('i-1', 'orders', engine.address)], { configuration })
   t.is((await gateway.send('/unsafe/x')).status, 502)
 })
+
+test('an event in very many pieces is given up', async t => {
+  await using engine = await servePlatformEngine((request, socket) => {
+    socket.end(buildStreamHead(request) + [...`id: 1\ndata: ${'x'.repeat(5_000)}\n\n`].map(encodeChunk).join('') + STREAM_END)
+  })
+  await using gateway = await startTestGateway(['i-1', 'i-2'].map(id => targetAt(id, 'model', engine.address)), { configuration })
+  t.is((await gateway.send('/stream/x')).status, 502)
+})
