Bound the memory of answers by what is really held

Cause: readAnswerBody kept a Buffer for each chunk; 16 MiB in chunks of 16 bytes are a million of them. The limit counted their bytes only, for each answer alone.

A body is now one growing block, an error keeps 256 KiB at most, and bodies that are being read hold 48 MiB together beyond an allowance of 256 KiB each, so that answers without end cannot take the memory of others. Reading is paced like that of streams.

--- a/src/gateway/_lib/readAnswerBody.ts
+++ b/src/gateway/_lib/readAnswerBody.ts
@@ -2,10 +2,20 @@
  * Reads the complete body of a target's answer.
  */
 import type { IncomingMessage } from 'node:http'
+import { createByteBuffer } from '../../http/createByteBuffer/index.js'
+import type { GatewayContext } from '../types.js'
+import { createAnswerPacer } from './createAnswerPacer.js'
+import { createByteBudget } from './createByteBudget.js'
 
 /** Largest body of an answer that is kept, in bytes; a host has 250 MB for all its calls. */
 const MAX_BODY_BYTES = 16 * 2 ** 20
 
+/** Largest body of an error that is kept, in bytes. */
+const MAX_ERROR_BODY_BYTES = 256 * 2 ** 10
+
+/** Lowest status of an error. */
+const FIRST_ERROR_STATUS = 400
+
 /** Whether the headers of an answer define where its body ends. */
 export function isFramed (answer: IncomingMessage): boolean {
   return answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined
@@ -14,21 +24,36 @@
 /**
  * Resolves with the body, or with `undefined` if it was truncated or is too large; the answer is
  * then closed. An unframed body counts as truncated if its connection failed; a complete framed one is
- * valid whatever happens afterwards.
+ * valid whatever happens afterwards. Memory and time are shared with the other answers of the host, if
+ * these are given.
  */
-export function readAnswerBody (answer: IncomingMessage, hasFailed: () => boolean): Promise<Buffer | undefined> {
+export function readAnswerBody (
+  answer: IncomingMessage,
+  hasFailed: () => boolean,
+  { answerBytes, answerPacer }: Pick<GatewayContext, 'answerBytes' | 'answerPacer'> = { answerBytes: createByteBudget(), answerPacer: createAnswerPacer() }
+): Promise<Buffer | undefined> {
+  const maxBytes = (answer.statusCode ?? 0) >= FIRST_ERROR_STATUS ? MAX_ERROR_BODY_BYTES : MAX_BODY_BYTES
+  const body = createByteBuffer()
+  const claim = answerBytes.claim()
+  const paced = answerPacer.pace(answer)
   return new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let bytes = 0
+    /** Chunks and the end that have already arrived are still emitted after the answer was destroyed. */
+    let isSettled = false
+    const finish = (result: Buffer | undefined): void => {
+      if (isSettled) return
+      isSettled = true
+      claim[Symbol.dispose]()
+      resolve(result)
+    }
     answer.on('data', (chunk: Buffer) => {
-      bytes += chunk.length
-      if (bytes <= MAX_BODY_BYTES) return chunks.push(chunk)
-      // The end may have arrived with this chunk, and is then still emitted.
-      resolve(undefined)
+      if (isSettled) return
+      paced.noteChunk()
+      if (body.size() + chunk.length <= maxBytes && claim.tryGrow(chunk.length)) return body.append(chunk)
+      finish(undefined)
       answer.destroy()
     })
-    answer.once('end', () => resolve(answer.complete && (isFramed(answer) || !hasFailed()) ? Buffer.concat(chunks) : undefined))
-    answer.once('error', () => resolve(undefined))
-    answer.once('close', () => resolve(undefined))
+    answer.once('end', () => finish(answer.complete && (isFramed(answer) || !hasFailed()) ? body.bytes() : undefined))
+    answer.once('error', () => finish(undefined))
+    answer.once('close', () => finish(undefined))
   })
 }
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -61,7 +61,7 @@
   if (verdict.kind === 'notRun') return { kind: 'notRun', cause: `status ${status}`, faultyAddress: verdict.faultyAddress, hasReachedTarget: true, isPause }
   if (verdict.kind === 'unusable') return { kind: 'brokenOff', cause: verdict.cause, isBrokenByTarget: false }
   if (status !== 200) {
-    const body = await readAnswerBody(answer, exchange.hasFailed)
+    const body = await readAnswerBody(answer, exchange.hasFailed, context)
     if (body === undefined) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
     if (!isFramed(answer) && containsAnswerHead(body, context.format)) return { kind: 'brokenOff', cause: 'another answer follows', isBrokenByTarget: false }
     return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: isFramed(answer) }
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -130,7 +130,7 @@
     const verdict = judgeAnswer({ status, metadata, isEncoded: answer.headers['content-encoding'] !== undefined, isRepeatable: route.kind === 'safe' }, facts)
     if (verdict.kind === 'notRun') return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true, isPause }
     if (verdict.kind === 'unusable') return { kind: 'mayHaveRun', cause: verdict.cause }
-    const answerBody = await readAnswerBody(answer, exchange.hasFailed)
+    const answerBody = await readAnswerBody(answer, exchange.hasFailed, context)
     if (answerBody === undefined) return { kind: 'mayHaveRun', cause: 'answer truncated', isBrokenByTarget: !exchange.isClosedHere() }
     if (!isFramed(answer) && containsAnswerHead(answerBody, format)) return { kind: 'mayHaveRun', cause: 'another answer follows' }
     return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody, isFramed: isFramed(answer) }
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -35,6 +35,7 @@
 import { rerouteStreams } from '../rerouteStreams/index.js'
 import { discoverPeers, registerHost } from '../_lib/discoverPeers.js'
 import { createAnswerPacer } from '../_lib/createAnswerPacer.js'
+import { createByteBudget } from '../_lib/createByteBudget.js'
 import { createCrashDetector } from '../_lib/createCrashDetector.js'
 import { createLeaderElection } from '../_lib/createLeaderElection.js'
 import { explainPlace } from '../_lib/explainPlace.js'
@@ -192,6 +193,7 @@
     links,
     targetLimits,
     targetPauses,
+    answerBytes: createByteBudget(),
     answerPacer: createAnswerPacer(),
     costs: createCostModel({ runtime }),
     slowdowns,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -27,6 +27,7 @@
 import type { Suspicions } from '../suspicion/createSuspicions/index.js'
 import type { Dispatcher } from '../waiting/createDispatcher/index.js'
 import type { AnswerPacer } from './_lib/createAnswerPacer.js'
+import type { ByteBudget } from './_lib/createByteBudget.js'
 import type { GatewayMetrics } from './createGatewayMetrics/index.js'
 
 /** Parameters that a caller sends with its call. */
@@ -196,6 +197,8 @@
   tellPeers: () => void
   /** Resolves with whether a target that broke off an answer has ended. */
   hasCrashed: (target: Target) => Promise<boolean>
+  /** Memory of the answers that are being read. */
+  answerBytes: ByteBudget
   /** Paces the reading of answers in many short chunks. */
   answerPacer: AnswerPacer
   format: CallFormat
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -8,6 +8,7 @@
 import { createSlowdowns } from '../../src/cost/createSlowdowns/index.js'
 import { createCrashEvidence } from '../../src/crash/createCrashEvidence/index.js'
 import { createAnswerPacer } from '../../src/gateway/_lib/createAnswerPacer.js'
+import { createByteBudget } from '../../src/gateway/_lib/createByteBudget.js'
 import { createCrashDetector } from '../../src/gateway/_lib/createCrashDetector.js'
 import type { GatewayContext, Reservation } from '../../src/gateway/types.js'
 import { createFleetState } from '../../src/fleet/createFleetState/index.js'
@@ -97,6 +98,7 @@
     links,
     targetLimits: createTargetLimits({ runtime, log, ownIp: '127.0.0.1', otherIps: () => [] }),
     targetPauses: createTargetPauses({ runtime, log }),
+    answerBytes: createByteBudget(),
     answerPacer: createAnswerPacer(),
     costs: createCostModel({ runtime }),
     slowdowns,
--- a/test/gateway/endlessAnswer.test.ts
+++ b/test/gateway/endlessAnswer.test.ts
@@ -9,6 +9,9 @@
 /** Bytes that the gateway may keep of one answer, with those that are on their way in buffers of the system. */
 const MAX_KEPT_BYTES = 48 * MIB
 
+/** The same for an error. */
+const MAX_ERROR_BYTES = 20 * MIB
+
 /** Bytes after which a target stops to send; far more than the gateway may keep. */
 const MAX_SENT_BYTES = 256 * MIB
 
@@ -66,3 +69,14 @@
   await using gateway = await startTestGateway(['i-1', 'i-2'].map(id => targetAt(id, 'model', engine.address)), { configuration })
   t.is((await gateway.send('/stream/x')).status, 502)
 })
+
+test('an error without end in short chunks is given up soon', async t => {
+  let sentBytes = (): number => 0
+  await using engine = await servePlatformEngine((request, socket) => {
+    socket.write(buildStreamHead(request).replace('200 OK', '500 Failed'))
+    sentBytes = sendWithoutEnd(socket, encodeChunk('z'.repeat(16)).repeat(2_048))
+  })
+  await using gateway = await startTestGateway(['i-1', 'i-2'].map(id => targetAt(id, 'model', engine.address)), { configuration })
+  t.is((await gateway.send('/stream/x')).status, 502)
+  t.true(sentBytes() <= MAX_ERROR_BYTES, `${sentBytes()} bytes`)
+})
--- a/test/gateway/readAnswerBody.test.ts
+++ b/test/gateway/readAnswerBody.test.ts
@@ -1,6 +1,9 @@
+import { EventEmitter } from 'node:events'
 import { Readable } from 'node:stream'
 import type { IncomingMessage } from 'node:http'
 import test from 'ava'
+import { createAnswerPacer } from '../../src/gateway/_lib/createAnswerPacer.js'
+import { createByteBudget } from '../../src/gateway/_lib/createByteBudget.js'
 import { readAnswerBody } from '../../src/gateway/_lib/readAnswerBody.js'
 
 const answer = (headers: Record<string, string>): IncomingMessage =>
@@ -14,3 +17,30 @@
 test('a complete body with a length is valid whatever happens to its connection', async t => {
   t.is((await readAnswerBody(answer({ 'content-length': '4' }), () => true))?.toString(), 'half')
 })
+
+/** An answer in many short pieces, whose memory is used again once each was handled. */
+function inPieces (statusCode: number, count: number): IncomingMessage {
+  const source = Object.assign(new EventEmitter(), { headers: {}, statusCode, complete: true, destroyed: false, pause () {}, resume () {}, destroy () { source.destroyed = true } })
+  setImmediate(() => {
+    const piece = Buffer.alloc(16)
+    for (let index = 0; index < count && !source.destroyed; index++) {
+      source.emit('data', piece.fill('x'))
+      piece.fill(0)
+    }
+    source.emit(source.destroyed ? 'close' : 'end')
+  })
+  return source as unknown as IncomingMessage
+}
+
+test('a body in short chunks is kept as one block, not as a list of its chunks', async t => {
+  t.true((await readAnswerBody(inPieces(200, 30_000), () => false))?.equals(Buffer.alloc(480_000, 'x')))
+})
+
+test('an error keeps far less than a success, and neither more than all answers may hold together', async t => {
+  t.is((await readAnswerBody(inPieces(500, 16_384), () => false))?.length, 2 ** 18)
+  t.is(await readAnswerBody(inPieces(500, 16_385), () => false), undefined)
+  const reading = { answerBytes: createByteBudget({ allowanceBytes: 1_000, sharedBytes: 1_000 }), answerPacer: createAnswerPacer() }
+  t.is((await readAnswerBody(inPieces(200, 125), () => false, reading))?.length, 2_000)
+  t.is(await readAnswerBody(inPieces(200, 126), () => false, reading), undefined)
+  t.is((await readAnswerBody(inPieces(200, 125), () => false, reading))?.length, 2_000)
+})
