--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -16,8 +16,9 @@
 /** Weight of the latest pause in the moving average of a stream's pauses. */
 const PAUSE_WEIGHT = 0.2
 
-/** Largest event of a stream, in bytes; it is kept until it is complete. */
-const MAX_EVENT_BYTES = 2 ** 20
+/** Largest event of a stream, in bytes, and most pieces in which it may come; it is kept until it is complete. */
+const MAX_EVENT_BYTES = 256 * 2 ** 10
+const MAX_EVENT_PIECES = 4_096
 
 /** Outcome of one try of a stream. */
 export type StreamResult =
@@ -60,7 +61,7 @@
   if (verdict.kind === 'notRun') return { kind: 'notRun', cause: `status ${status}`, faultyAddress: verdict.faultyAddress, hasReachedTarget: true, isPause }
   if (verdict.kind === 'unusable') return { kind: 'brokenOff', cause: verdict.cause, isBrokenByTarget: false }
   if (status !== 200) {
-    const body = await readAnswerBody(answer, exchange.hasFailed)
+    const body = await readAnswerBody(answer, exchange.hasFailed, context)
     if (body === undefined) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
     if (!isFramed(answer) && containsAnswerHead(body, context.format)) return { kind: 'brokenOff', cause: 'another answer follows', isBrokenByTarget: false }
     return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: isFramed(answer) }
@@ -72,22 +73,29 @@
   const { response, startedMs } = call
   const { format, metrics, runtime, suspicions } = context
   const split = createEventSplitter()
+  const paced = context.answerPacer.pace(answer)
   let isHeldUp = false
-  /** Destroying an answer does not stop what arrived in the same segment: its remaining chunks and its end follow. */
-  let isOver = false
+  /** Chunks and the end that have already arrived are still emitted after the answer was destroyed. */
+  let isGivenUp = false
   return new Promise(resolve => {
     const fail = (cause: string): void => {
-      isOver = true
+      isGivenUp = true
       const isBrokenByTarget = !exchange.isClosedHere()
       answer.destroy()
       resolve({ kind: 'brokenOff', cause, isBrokenByTarget })
     }
     answer.on('data', (chunk: Buffer) => {
-      if (isOver) return
+      if (isGivenUp) return
+      paced.noteChunk()
+      const events = split(chunk)
+      const isTooLarge = split.bufferedBytes() > MAX_EVENT_BYTES || split.pieces() > MAX_EVENT_PIECES
+      if (events.length === 0 && isTooLarge) return fail('event too large')
+      // Less than an event is no progress.
+      if (events.length === 0) return
       const nowMs = runtime.monotonicMs()
       const wasHeldUp = isHeldUp
       isHeldUp = false
-      for (const event of split(chunk)) {
+      for (const event of events) {
         if (!event.isWellFormed) return fail('text that is no event')
         if (event.id === undefined) return fail('event without id')
         if (!isFramed(answer) && containsAnswerHead(event.bytes, format)) return fail('another answer follows')
@@ -100,13 +108,13 @@
         run.firstEventMs ??= nowMs
         progress.lastEventId = event.id
         recordPause(progress, nowMs)
-        if (!response.write(event.bytes)) {
+        if (!response.write(event.bytes) && !isHeldUp) {
           isHeldUp = true
-          answer.pause()
-          response.once('drain', () => answer.resume())
+          paced.pause()
+          response.once('drain', paced.resume)
         }
       }
-      if (split.bufferedBytes() > MAX_EVENT_BYTES) return fail('event too large')
+      if (isTooLarge) return fail('event too large')
       noteProgress(call, run, context)
       onProgress(progress.lastEventId, wasHeldUp)
       if (stream === undefined) return
@@ -116,7 +124,7 @@
       for (const stage of stream.path) suspicions.note(stage.target.id, 'progressed')
     })
     answer.once('end', () => {
-      if (isOver) return
+      if (isGivenUp) return
       const isWhole = answer.complete && (isFramed(answer) || !exchange.hasFailed())
       if (!isWhole || split.bufferedBytes() > 0 || progress.firstEventMs === undefined) return fail('stream interrupted')
       response.end()
