--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -98,7 +98,7 @@
   /** Aborts when the calls that are still open have to end. */
   const callsController = new AbortController()
   setMaxListeners(0, callsController.signal)
-  const fleet = createFleetState({ runtime })
+  const fleet = createFleetState({ runtime, onNewEra: change => log.emit('storeRestored', { ...change }) })
   const loadTracker = createLoadTracker({ runtime, hostCount: () => exchange.hostCount() })
   const slowdowns = createSlowdowns({ runtime })
   const suspicions = createSuspicions({ runtime, slowdownOf: slowdowns.slowdownOf })
@@ -256,7 +256,7 @@
   log.emit('processStarted', { address: callers.address, failureDomain: settings.failureDomain })
 
   watchStalls({ runtime, log, signal, onDelay: lateMs => metrics.loopDelaySeconds.observe(lateMs / MS_PER_S) })
-  registerHost(settings, { exchange, store, runtime, log, signal })
+  registerHost(settings, { exchange, store, storeEra: fleet.era, runtime, log, signal })
   discoverPeers({ exchange, store, runtime, log, signal })
   rerouteStreams(context, { signal, onSuspicion: exchange.sendNow })
   runPlacement({ fleet, suspicions, pauseLeftMs: targetPauses.leftMs, control, runtime, log, metrics, signal, fencing: election.fencing, onLoaded: exchange.sendNow })
@@ -286,6 +286,7 @@
       startedMs,
       statePort: settings.internalAddress.port,
       configurationVersion: fleet.configuration()?.version ?? -1,
+      targetsEra: fleet.era(),
       targetsRevision: fleet.revision(),
       targetsFingerprint: fleet.fingerprint(),
       isStoreConnected: follower.isConnected() && drainingSinceMs === undefined,
