Let the soak kill engines, cut hosts off from them, and judge whole answers

Engines: the connections of each target are held by a process of its own, which `targetKilled` ends with SIGKILL; it comes back under another id, or the same one with another `born`. Three in ten answers have neither a length nor chunks, others have either. `targetsStutter` writes an earlier request's refusal before an answer, the answer or an earlier one once more behind it, or ends resumed streams without an event. `targetSilent` sends nothing for up to 1.2 s. Targets that leave may also just remove their entry.

Links: `hostCutFromTargets` lets new connections of one host to all targets hang or be refused, open ones live on or be reset, and kills another host meanwhile, through which its requests go.

Checks: a stream must be its whole body, byte by byte, or its beginning if it was cut; every answer must bear its request's id, a success the signature too; a request must not reach a target later than the drain time after the store knew that it leaves.

Connections that are to be reset are reset at once: resetAndDestroy ends them first, and an answer without a length ends with just that. Nothing else of the checks is eased; two messages name how far a stream was in order.

--- a/soak/_lib/checkRecords.ts
+++ b/soak/_lib/checkRecords.ts
@@ -2,7 +2,7 @@
  * Compares what callers received with what targets ran. Each finding is one violated guarantee.
  */
 import { hasConsecutiveEvents, hasAllEvents, type CallRecord } from './startCallers.js'
-import { LONG_STREAM_PREFIX, type LedgerEntry } from './createTargetHandler.js'
+import { buildEvents, LONG_STREAM_PREFIX, type LedgerEntry } from './createTargetHandler.js'
 import { GRACE_MS } from './startHosts.js'
 
 /** Statuses that guarantee that a request has not run. */
@@ -49,7 +49,7 @@
 const MAX_REQUESTS_IN_PAUSE = 2
 const PAUSE_SLACK_MS = 500
 
-/** Time after an answer with which a target says that it leaves, from which callers' requests must not reach it, in milliseconds. */
+/** Time after a target has said in an answer, or to the store, that it leaves, from which requests must not reach it, in milliseconds. */
 const DRAIN_MS = 2_000
 
 /** Time after the caller of a request has left from which the request must not reach targets, in milliseconds, and share of the streams that engines may still be at work on then. */
@@ -94,13 +94,23 @@
   if (isUndisturbed && record.status > 0 && !record.isComplete && record.kind !== 'stream') problems.push('answer was cut off')
   if (isUndisturbed && tookMs > record.deadlineMs + DEADLINE_TOLERANCE_MS) problems.push(`took ${Math.round(tookMs)} ms`)
   if (record.status === 503 && record.retryAfter === undefined) problems.push('no Retry-After')
+  if (record.answerId !== undefined && record.answerId !== record.requestId) problems.push(`answer of ${record.answerId}`)
   if (record.status !== 200) return problems
+  if (record.answerId === undefined || !record.isSigned) problems.push('status 200 without request id or signature')
   if (record.kind !== 'stream' && record.isComplete && record.body !== `answer to ${record.requestId}`) problems.push(`unexpected body ${JSON.stringify(record.body.slice(0, 60))}`)
-  if (record.kind === 'stream' && record.isComplete && !hasAllEvents(record)) problems.push('stream ended normally, but not with all events once and in order')
-  if (record.kind === 'stream' && !record.isComplete && !hasConsecutiveEvents(record)) problems.push('stream with a gap or a duplicate')
+  if (record.kind === 'stream' && record.isComplete && !hasAllEvents(record)) problems.push(`stream ended normally, but not with all events once and in order: ${describeEvents(record)}`)
+  if (record.kind === 'stream' && !record.isComplete && !hasConsecutiveEvents(record)) problems.push(`stream with a gap, a duplicate or other bytes: ${describeEvents(record)}`)
   return problems
 }
 
+/** Tells how far a stream is in order, and what follows there. */
+function describeEvents ({ requestId, body }: CallRecord): string {
+  const wanted = buildEvents(requestId).split('\n\n')
+  const received = body.split('\n\n')
+  const count = received.findIndex((event, index) => event !== wanted[index] || index === wanted.length - 1)
+  return `${count} of ${wanted.length - 1} events, then ${JSON.stringify(received.slice(count).join(' ').slice(0, 60))}`
+}
+
 /** Checks that a request that was read completely is answered completely around planned work. */
 function checkLoss (record: CallRecord, tries: readonly LedgerEntry[], { configurationsMs }: Evidence): string[] {
   const { plannedWork: { stoppedMs = Infinity, reloadsMs }, sentMs, lastByteMs, endedMs, deadlineMs } = record
@@ -177,9 +187,11 @@
     const inPause = entries.filter(({ pauseMs }) => pauseMs > 0).map(asked => entries.filter(({ atMs }) => atMs > asked.atMs + PAUSE_SLACK_MS && atMs < asked.atMs + asked.pauseMs).length)
     const toldMs = Math.min(...entries.filter(({ saidLeaving, outcome }) => saidLeaving && (outcome === 'answered' || outcome === 'shed')).map(({ endedMs }) => endedMs))
     const afterLeaving = entries.filter(({ requestId }) => recordsById.get(requestId)!.sentMs > toldMs + DRAIN_MS).length
+    const afterNotice = entries.filter(({ requestId, leavingForMs }) => leavingForMs > DRAIN_MS && recordsById.get(requestId)!.isSound).length
     return [
       ...Math.max(0, ...inPause) > MAX_REQUESTS_IN_PAUSE ? [`${Math.max(...inPause)} requests of ${pair} within a pause that it had asked for`] : [],
-      ...afterLeaving > 0 ? [`${afterLeaving} requests of ${pair} after it had said that it leaves`] : []
+      ...afterLeaving > 0 ? [`${afterLeaving} requests of ${pair} after it had said that it leaves`] : [],
+      ...afterNotice > 0 ? [`${afterNotice} requests of ${pair} later than ${DRAIN_MS} ms after the store knew that it leaves`] : []
     ]
   })
 }
--- a/soak/_lib/createTargetHandler.ts
+++ b/soak/_lib/createTargetHandler.ts
@@ -3,6 +3,7 @@
  * request in the ledger that the checks use.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { reset } from './startProxy.js'
 
 /** Record of one request at one target. */
 export interface LedgerEntry {
@@ -22,8 +23,17 @@
   pauseMs: number
   /** Whether the target said in its answer that it leaves. */
   saidLeaving: boolean
+  /** How long before the request the store had accepted that the target leaves, in milliseconds; 0 if it had not. */
+  leavingForMs: number
 }
 
+/**
+ * Ways in which a faulty target answers: it writes an earlier request's refusal before its answer, writes its answer
+ * or an earlier request's once more after it, or ends a resumed stream without an event.
+ */
+export const STUTTERS = ['refusalBefore', 'answerAgain', 'otherAnswerAfter', 'resumesEmpty'] as const
+export type Stutter = typeof STUTTERS[number]
+
 /** State of one target. */
 export interface TargetState {
   id: string
@@ -35,6 +45,13 @@
   isBusy: boolean
   isUp: boolean
   leavingSinceMs: number | undefined
+  /** When the store accepted that the target leaves. */
+  storeToldMs: number | undefined
+  stutter: Stutter | undefined
+  /** Id of the previous request that was answered. */
+  lastRequestId: string | undefined
+  /** Until when the target sends nothing, although it is up. */
+  silentUntilMs: number
   /** Whether the target is full and refuses requests without running them, and the longest pause that it asks for then, in milliseconds; 0 to ask for none. */
   isShedding: boolean
   maxPauseMs: number
@@ -63,6 +80,10 @@
 const WORK_MS = 30
 const EVENT_MS = 12
 
+/** Ratio of answers that have neither a length nor chunks and end with their connection, and of plain ones with a length. */
+const UNFRAMED_RATIO = 0.3
+const LENGTH_RATIO = 0.4
+
 /** Milliseconds in a second. */
 const MS_PER_S = 1_000
 
@@ -77,6 +98,13 @@
 const FAILURE_RATIO = 0.03
 const ABORT_RATIO = 0.02
 
+/** The whole body of a stream, from one event on. */
+export function buildEvents (requestId: string, firstEventId = 1): string {
+  return Array.from({ length: Math.max(0, countEvents(requestId) + 1 - firstEventId) }, (_, index) => buildEvent(firstEventId + index)).join('')
+}
+
+const buildEvent = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`
+
 /** Number of events in the whole answer to a request; the same at every engine. */
 export function countEvents (requestId: string): number {
   return requestId.startsWith(LONG_STREAM_PREFIX) ? LONG_STREAM_EVENTS : 5 + [...requestId].reduce((sum, character) => sum + character.charCodeAt(0), 0) % STREAM_LENGTHS
@@ -98,7 +126,7 @@
     const requestId = String(request.headers['request-id'])
     const promptParts = String(request.headers['prompt-prefix'] ?? '').split(',').map(entry => entry.split(':')[0]!)
     const recordRequest = (hasRun: boolean): LedgerEntry => {
-      const entry: LedgerEntry = { requestId, targetId: state.id, service, promptParts, atMs: performance.now(), hasRun, outcome: hasRun ? 'running' : 'shed', endedMs: Infinity, pauseMs: 0, saidLeaving: state.leavingSinceMs !== undefined }
+      const entry: LedgerEntry = { requestId, targetId: state.id, service, promptParts, atMs: performance.now(), hasRun, outcome: hasRun ? 'running' : 'shed', endedMs: Infinity, pauseMs: 0, saidLeaving: state.leavingSinceMs !== undefined, leavingForMs: state.storeToldMs === undefined ? 0 : performance.now() - state.storeToldMs }
       const { bornMs } = state
       ledger.push(entry)
       response.once('close', () => {
@@ -116,7 +144,7 @@
       return entry
     }
     if (request.headers['expect-instance'] !== state.id) {
-      refuseRequest(421).saidLeaving = false
+      Object.assign(refuseRequest(421), { saidLeaving: false, leavingForMs: 0 })
       return
     }
     if (state.isShedding) {
@@ -130,7 +158,7 @@
     }
     if (service !== 'model') {
       const entry = recordRequest(true)
-      setTimeout(() => sendPlainAnswer(entry, response), WORK_MS)
+      setTimeout(() => sendPlainAnswer(entry, response), WORK_MS + Math.max(0, state.silentUntilMs - performance.now()))
       return
     }
     const path = String(request.headers['hop-count'])
@@ -141,8 +169,11 @@
     }
     const entry = recordRequest(true)
     state.pathsByRequest.set(requestId, path)
-    response.writeHead(200, { 'Request-Id': requestId, 'Server-Seal': 's', 'Content-Type': 'text/event-stream', ...ownHeaders() })
-    sendEvents(entry, Number(request.headers['last-event-id'] ?? 0), response)
+    const lastEventId = Number(request.headers['last-event-id'] ?? 0)
+    if (lastEventId > 0 && state.stutter === 'resumesEmpty') entry.outcome = 'brokenOff'
+    writeHead(entry, response, 200, { 'Content-Type': 'text/event-stream' })
+    if (entry.outcome === 'running') sendEvents(entry, lastEventId, response)
+    else response.end()
   }
 
   /** What the target says of itself in each answer. */
@@ -159,7 +190,47 @@
       return
     }
     const status = sample < ABORT_RATIO + FAILURE_RATIO ? 500 : 200
-    response.writeHead(status, { 'Request-Id': requestId, 'Server-Seal': 's', 'Content-Type': 'text/plain', ...ownHeaders() }).end(`answer to ${requestId}`)
+    const body = `answer to ${requestId}`
+    writeHead(entry, response, status, { 'Content-Type': 'text/plain', ...(random() < LENGTH_RATIO ? { 'Content-Length': body.length } : {}) })
+    response.write(body.slice(0, body.length / 2))
+    setTimeout(() => {
+      response.write(body.slice(body.length / 2))
+      endAnswer(entry, response, status, body)
+    }, EVENT_MS)
+  }
+
+  /** Sends the head of an answer, at times one without a length or chunks. */
+  function writeHead ({ requestId }: LedgerEntry, response: ServerResponse, status: number, headers: Record<string, string | number>): void {
+    if (state.stutter === 'refusalBefore' && state.lastRequestId !== undefined) response.socket?.write(buildAnswer(state.lastRequestId, '503 Full', '', ['Not-Executed: 1']))
+    if (headers['Content-Length'] === undefined && random() < UNFRAMED_RATIO) Object.assign(response, { useChunkedEncodingByDefault: false, shouldKeepAlive: false })
+    response.writeHead(status, { 'Request-Id': requestId, 'Server-Seal': 's', ...headers, ...ownHeaders() })
+  }
+
+  /** Ends an answer; a target that stutters writes another one behind it. */
+  function endAnswer (entry: LedgerEntry, response: ServerResponse, status: number, body: string): void {
+    const { requestId } = entry
+    const { stutter, lastRequestId } = state
+    state.lastRequestId = requestId
+    const extra = stutter === 'answerAgain'
+      ? buildAnswer(requestId, `${status} Again`, body)
+      : stutter === 'otherAnswerAfter' && lastRequestId !== undefined ? buildAnswer(lastRequestId, '200 OK', service === 'model' ? buildEvents(lastRequestId) : `answer to ${lastRequestId}`) : undefined
+    if (extra === undefined) {
+      response.end()
+      return
+    }
+    entry.outcome = 'brokenOff'
+    const { socket } = response
+    if (isFramed(response)) {
+      response.end()
+      socket?.write(extra)
+    } else setTimeout(() => response.end(extra), EVENT_MS)
+  }
+
+  /** Ends an answer early; only a reset or an incomplete event shows it where the end of the connection would end the body. */
+  function breakOff (response: ServerResponse): void {
+    if (isFramed(response)) response.destroy()
+    else if (random() < 0.5) response.end('id: ')
+    else if (response.socket !== null) reset(response.socket)
   }
 
   /** Sends events while every stage of the path is up; while one is down, the stream pauses until it gets another path. */
@@ -173,18 +244,18 @@
       if (entry.outcome === 'brokenOff' || !state.isUp || state.bornMs !== startedMs || path === undefined || response.destroyed) {
         clearInterval(timer)
         state.pathsByRequest.delete(requestId)
-        response.destroy()
+        breakOff(response)
         return
       }
-      if (findFaultyStage(path) !== undefined) return
+      if (findFaultyStage(path) !== undefined || performance.now() < state.silentUntilMs) return
       if (nextEventId <= countEvents(requestId)) {
-        response.write(`id: ${nextEventId}\ndata: piece ${nextEventId++}\n\n`)
+        response.write(buildEvent(nextEventId++))
         crashUnder(entry.promptParts)
         return
       }
       clearInterval(timer)
       state.pathsByRequest.delete(requestId)
-      response.end()
+      endAnswer(entry, response, 200, buildEvents(requestId, lastEventId + 1))
     }, EVENT_MS)
   }
 
@@ -215,6 +286,16 @@
   }
 }
 
+/** Builds the bytes of a whole answer. */
+function buildAnswer (requestId: string, status: string, body: string, headers: string[] = []): string {
+  return [`HTTP/1.1 ${status}`, `Request-Id: ${requestId}`, 'Server-Seal: s', ...headers, `Content-Length: ${body.length}`, '', body].join('\r\n')
+}
+
+/** Whether something else than the end of the connection ends the body of a response. */
+function isFramed (response: ServerResponse): boolean {
+  return response.useChunkedEncodingByDefault
+}
+
 function sendJson (response: ServerResponse, status: number, body: unknown): void {
   response.writeHead(status, { 'Content-Type': 'application/json' }).end(JSON.stringify(body))
 }
--- a/soak/_lib/faults.ts
+++ b/soak/_lib/faults.ts
@@ -2,6 +2,7 @@
  * The faults of the soak test. Each one disrupts hosts, targets or the store for a while and then
  * undoes this. They are started one after the other and may overlap.
  */
+import { STUTTERS } from './createTargetHandler.js'
 import { pause } from './startCallers.js'
 import type { SoakHost } from './startHosts.js'
 import type { SoakTarget } from './startTargets.js'
@@ -23,6 +24,9 @@
 const MAX_ASKED_PAUSE_MS = 3_000
 const LEAVING_MS = 3_500
 
+/** Longest silence of a target that is sound, in milliseconds. */
+const MAX_SILENCE_MS = 1_200
+
 /** How long callers send prompts that crash engines, in milliseconds. */
 const CRASHING_PROMPT_MS = 6_000
 
@@ -85,6 +89,16 @@
     await context.pauseRandomly(3_000)
     storeProxy.setFault({ kind: 'none' })
   }),
+  async hostCutFromTargets (context) {
+    const host = pickRunningHost(context)
+    if (host === undefined) return
+    const cut = host.cutOff(context.targets.targets.map(target => target.proxy.address), { isRefused: context.random() < 0.3, isReset: context.random() < 0.5 })
+    await context.pauseRandomly(2_000)
+    // The host's requests go through its peers now.
+    if (context.random() < 0.6) await FAULTS.hostKilled!({ ...context, hosts: context.hosts.filter(other => other !== host) })
+    await context.pauseRandomly(1_000)
+    cut[Symbol.dispose]()
+  },
   storeDown: unplanned(async context => {
     const { faults } = context.store
     if (context.random() < 0.5) faults.status = context.random() < 0.5 ? 503 : 429
@@ -126,15 +140,36 @@
     if (target === undefined) return
     target.crash(context.random() < 0.5 ? 'reset' : 'silence')
     await context.pauseRandomly(3_000)
-    target.restart({ keepsIdentity: context.random() < 0.4 })
+    await target.restart({ keepsIdentity: context.random() < 0.4 })
+  },
+  async targetKilled (context) {
+    for (let count = 1 + context.randomInt(2); count > 0; count--) {
+      const target = pickRunningTarget(context)
+      if (target === undefined) return
+      target.crash('kill')
+      await context.pauseRandomly(2_000)
+      await target.restart({ keepsIdentity: context.random() < 0.4 })
+    }
+  },
+  async targetSilent (context) {
+    pickRunningTarget(context)?.fallSilent(context.random() * MAX_SILENCE_MS)
+  },
+  async targetsStutter (context) {
+    const targets = context.targets.targets.filter(() => context.random() < 0.6)
+    for (const target of targets) target.setStutter(STUTTERS[context.randomInt(STUTTERS.length)])
+    await context.pauseRandomly(MAX_SERIES_INTERVAL_MS)
+    // Streams that break off are resumed at targets that stutter.
+    pickRunningTarget(context)?.breakOff()
+    await context.pauseRandomly(2_000)
+    for (const target of targets) target.setStutter(undefined)
   },
   async targetLeaves (context) {
     const target = pickRunningTarget(context)
     if (target === undefined) return
-    target.leave({ isStoreTold: context.random() < 0.5 })
+    target.leave((['answers', 'draining', 'removed'] as const)[context.randomInt(3)]!)
     await pause(LEAVING_MS)
     target.crash('reset')
-    target.restart({ keepsIdentity: false })
+    await target.restart({ keepsIdentity: false })
   },
   targetSlow: unplanned(async context => {
     const target = pickRunningTarget(context)
--- a/soak/_lib/startCallers.ts
+++ b/soak/_lib/startCallers.ts
@@ -3,7 +3,7 @@
  * one request after the other and records what it receives for the checks.
  */
 import http from 'node:http'
-import { countEvents, LONG_STREAM_PREFIX } from './createTargetHandler.js'
+import { buildEvents, LONG_STREAM_PREFIX } from './createTargetHandler.js'
 import type { PlannedWork, SoakHost } from './startHosts.js'
 
 /** What a caller received for one request. */
@@ -32,6 +32,9 @@
   /** Status of the answer; 0 without an answer. */
   status: number
   retryAfter: string | undefined
+  /** Request id and signature that the answer bears. */
+  answerId: string | undefined
+  isSigned: boolean
   body: string
   isComplete: boolean
 }
@@ -116,7 +119,7 @@
     const isInParts = kind !== 'safe' && random() < IN_PARTS_RATIO
     const requestId = `${isLong ? LONG_STREAM_PREFIX : 'r'}${++requestCount}`
     const deadlineMs = isLong ? LONG_DEADLINE_MS : DEADLINE_MS
-    const record: CallRecord = { requestId, kind, host, startCount: host.startCount(), plannedWork: host.plannedWork(), isSound: false, key: pickKey(), sentMs: performance.now(), lastByteMs: undefined, endedMs: 0, lastDataMs: undefined, deadlineMs, leftMs: undefined, errorCode: undefined, status: 0, retryAfter: undefined, body: '', isComplete: false }
+    const record: CallRecord = { requestId, kind, host, startCount: host.startCount(), plannedWork: host.plannedWork(), isSound: false, key: pickKey(), sentMs: performance.now(), lastByteMs: undefined, endedMs: 0, lastDataMs: undefined, deadlineMs, leftMs: undefined, errorCode: undefined, status: 0, retryAfter: undefined, answerId: undefined, isSigned: false, body: '', isComplete: false }
     const [address, port] = host.address().split(':')
     return new Promise(resolve => {
       const finish = (): void => {
@@ -136,6 +139,8 @@
       }, response => {
         record.status = response.statusCode ?? 0
         record.retryAfter = response.headers['retry-after']
+        record.answerId = response.headers['request-id'] as string | undefined
+        record.isSigned = response.headers['server-seal'] !== undefined
         response.on('data', chunk => {
           record.body += chunk
           record.lastDataMs = performance.now()
@@ -176,15 +181,14 @@
   }
 }
 
-/** Whether a stream has all its events, each once and in order. */
+/** Whether a stream has all its events, each once and in order, and nothing else. */
 export function hasAllEvents ({ requestId, body }: CallRecord): boolean {
-  const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]))
-  return ids.length === countEvents(requestId) && ids.every((id, index) => id === index + 1)
+  return body === buildEvents(requestId)
 }
 
-/** Whether the events of a stream that was cut off are consecutive from the first one. */
-export function hasConsecutiveEvents ({ body }: CallRecord): boolean {
-  return [...body.matchAll(/^id: (\d+)$/gm)].every((match, index) => Number(match[1]) === index + 1)
+/** Whether a stream that was cut off is the beginning of its whole body. */
+export function hasConsecutiveEvents ({ requestId, body }: CallRecord): boolean {
+  return buildEvents(requestId).startsWith(body)
 }
 
 /** Whether the readiness check of a host succeeds. */
--- a/soak/_lib/startHosts.ts
+++ b/soak/_lib/startHosts.ts
@@ -43,6 +43,8 @@
   wasCurrentBuild: (startCount: number) => boolean
   pause: (forMs: number) => Promise<void>
   signal: (signal: 'SIGHUP' | 'SIGUSR2') => void
+  /** Cuts the host off from addresses: new connections hang or are refused, and open ones may be reset; disposing of it ends the cut. */
+  cutOff: (addresses: readonly string[], options: { isRefused: boolean, isReset: boolean }) => Disposable
   metricsUrl: () => string
   readinessUrl: () => string
 }
@@ -75,6 +77,9 @@
 /** How long after a disturbance calls may still fail because of it, in milliseconds. */
 const DISTURBANCE_TAIL_MS = 300
 
+/** Modules that let the soak test disturb a host's process from within. */
+const PRELOADED = ['stepClock.cjs', 'cutOff.cjs']
+
 const PORTS = { frontend: 8227, readiness: 8220, control: 8229, metrics: 9464 }
 
 /** Starts the proxy to the store and the process of a host. */
@@ -119,8 +124,8 @@
       platform: { address: storeProxy.address }
     }))
     const log = openSync(join(folder, `${name}.log`), 'a')
-    const started = spawn(process.execPath, ['--require', join(import.meta.dirname, 'stepClock.cjs'), program], {
-      env: { ...process.env, COLTSFOOTLEAD_NODE_FILE: file }, stdio: ['ignore', log, log]
+    const started = spawn(process.execPath, [...PRELOADED.flatMap(module => ['--require', join(import.meta.dirname, module)]), program], {
+      env: { ...process.env, COLTSFOOTLEAD_NODE_FILE: file }, stdio: ['ignore', log, log, 'ipc']
     })
     closeSync(log)
     child = started
@@ -199,6 +204,17 @@
       else beginUnplanned()()
       child.kill(signal)
     },
+    cutOff (addresses, options) {
+      const cut = child
+      const endUnplanned = beginUnplanned()
+      if (cut?.connected === true) cut.send({ addresses, ...options })
+      return {
+        [Symbol.dispose] () {
+          if (cut?.connected === true) cut.send({ addresses: [] })
+          endUnplanned()
+        }
+      }
+    },
     async [Symbol.asyncDispose] () {
       await kill()
       await storeProxy[Symbol.asyncDispose]()
--- a/soak/_lib/startProxy.ts
+++ b/soak/_lib/startProxy.ts
@@ -11,6 +11,11 @@
 
 let proxyCount = 0
 
+/** Returns an address that no other proxy of this process has had. */
+export function nextProxyIp (): string {
+  return `${NETWORK}.${Math.floor(proxyCount / ADDRESSES_PER_NETWORK) % ADDRESSES_PER_NETWORK}.${1 + proxyCount++ % ADDRESSES_PER_NETWORK}`
+}
+
 /** What the proxy does with connections and their data. */
 export type ProxyFault =
   | { kind: 'none' }
@@ -29,8 +34,13 @@
   setFault: (fault: ProxyFault) => void
 }
 
-/** Starts a proxy to the server at an address. */
-export async function startProxy (server: string): Promise<Proxy> {
+/** Resets a connection. `resetAndDestroy` would end it first, which is all that the end of an answer without a length is. */
+export function reset (socket: Socket): void {
+  Object.assign(socket, { resetAndClosing: true }).destroy()
+}
+
+/** Starts a proxy to the server at an address; it listens at a port of its own by default. */
+export async function startProxy (server: string, { ip = nextProxyIp(), port: wantedPort = 0 }: { ip?: string, port?: number } = {}): Promise<Proxy> {
   const [host, port] = server.split(':')
   const sockets = new Set<Socket>()
   let fault: ProxyFault = { kind: 'none' }
@@ -50,7 +60,7 @@
     from.on('data', bytes => forwardInOrder(() => to.write(bytes)))
     from.on('end', () => forwardInOrder(() => to.end()))
     // A reset is an expected fault; it is forwarded to the other side.
-    from.on('error', () => { to.resetAndDestroy() })
+    from.on('error', () => { reset(to) })
     from.on('close', () => {
       sockets.delete(from)
       forwardInOrder(() => to.destroySoon())
@@ -59,7 +69,7 @@
 
   const listener = createServer({ allowHalfOpen: true }, caller => {
     if (fault.kind === 'reset') {
-      caller.resetAndDestroy()
+      reset(caller)
       return
     }
     const upstream = connect({ host: host!, port: Number(port), allowHalfOpen: true })
@@ -67,8 +77,7 @@
     forward(caller, upstream, 'up')
     forward(upstream, caller, 'down')
   })
-  const ip = `${NETWORK}.${Math.floor(proxyCount / ADDRESSES_PER_NETWORK) % ADDRESSES_PER_NETWORK}.${1 + proxyCount++ % ADDRESSES_PER_NETWORK}`
-  await new Promise<void>(resolve => { listener.listen(0, ip, resolve) })
+  await new Promise<void>(resolve => { listener.listen(wantedPort, ip, resolve) })
   const { port: ownPort } = listener.address() as AddressInfo
   return {
     address: `${ip}:${ownPort}`,
@@ -78,7 +87,7 @@
       fault = next
       if (next.kind === 'refuse') listener.close()
       else if (!listener.listening) listener.listen(ownPort, ip)
-      if (isEnding) for (const socket of sockets) socket.resetAndDestroy()
+      if (isEnding) for (const socket of sockets) reset(socket)
     },
     [Symbol.asyncDispose]: () => new Promise(resolve => {
       // Fails if the listener is closed already.
--- a/soak/_lib/startTargets.ts
+++ b/soak/_lib/startTargets.ts
@@ -6,19 +6,24 @@
 import http from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { PlatformStoreStandin } from '../../standin/platform/servePlatformStore/index.js'
-import { createTargetHandler, type LedgerEntry, type TargetState } from './createTargetHandler.js'
-import { startProxy, type Proxy } from './startProxy.js'
+import { createTargetHandler, type LedgerEntry, type Stutter, type TargetState } from './createTargetHandler.js'
+import { startProxyProcess, type ProxyProcess } from './startProxyProcess.js'
 
 /** A target under the control of the soak test. */
 export interface SoakTarget extends AsyncDisposable {
   id: () => string
-  proxy: Proxy
-  /** Stops without notice: its connections are reset or silent, and its entry expires. */
-  crash: (fault: 'refuse' | 'reset' | 'silence') => void
+  /** The process that holds the target's connections. */
+  proxy: ProxyProcess
+  /** Stops without notice: its connections are reset or silent, or its process is killed, and its entry expires. */
+  crash: (fault: 'refuse' | 'reset' | 'silence' | 'kill') => void
   /** Starts again without layers, under the same identity or a new one. */
-  restart: (options: { keepsIdentity: boolean }) => void
-  /** Announces in its answers, and in the store unless `isStoreTold` is false, that the target leaves; requests that are running may end. */
-  leave: (options: { isStoreTold: boolean }) => void
+  restart: (options: { keepsIdentity: boolean }) => Promise<void>
+  /** Announces in its answers, and to the store as told, that the target leaves; requests that are running may end. */
+  leave: (notice: 'answers' | 'draining' | 'removed') => void
+  /** Sends nothing for a time. */
+  fallSilent: (forMs: number) => void
+  /** Answers in a faulty way, or no longer does. */
+  setStutter: (stutter: Stutter | undefined) => void
   /** Breaks off all streams at once. */
   breakOff: () => void
   /** Refuses all requests without running them, and asks for pauses of up to `maxPauseMs`, or no longer does. */
@@ -62,33 +67,35 @@
   const targets = await Promise.all(targetPlans.map(({ failureDomain, service }) => startTarget(failureDomain, service)))
 
   async function startTarget (failureDomain: string, service: string): Promise<SoakTarget> {
-    const state: TargetState = { id: '', bornMs: 0, layers: undefined, orders: 0, isBusy: false, isUp: true, leavingSinceMs: undefined, isShedding: false, maxPauseMs: 0, breakOffCount: 0, renewalCount: 0, pathsByRequest: new Map() }
+    const state: TargetState = { id: '', bornMs: 0, layers: undefined, orders: 0, isBusy: false, isUp: true, leavingSinceMs: undefined, storeToldMs: undefined, isShedding: false, maxPauseMs: 0, stutter: undefined, lastRequestId: undefined, silentUntilMs: 0, breakOffCount: 0, renewalCount: 0, pathsByRequest: new Map() }
     const server = http.createServer((request, response) => { serve(request, response) })
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-    const proxy = await startProxy(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+    const proxy = await startProxyProcess(`127.0.0.1:${(server.address() as AddressInfo).port}`)
     statesByAddress.set(proxy.address, state)
     const serve = createTargetHandler(state, { service, ledger, random, renewEntry, findFaultyStage, crashUnder })
     let expiryTimer: NodeJS.Timeout | undefined
-    let isStoreTold = true
+    let notice: 'answers' | 'draining' | 'removed' = 'answers'
+    let restartTimer: NodeJS.Timeout | undefined
+    let isEnded = false
     const renewalTimer = setInterval(renewEntry, ENTRY_RENEWAL_MS)
     resetState(false)
 
     function resetState (keepsIdentity: boolean): void {
       if (!keepsIdentity || state.id === '') state.id = `${service}-${++identityCount}`
-      Object.assign(state, { bornMs: Date.now(), layers: undefined, orders: 0, isBusy: false, isUp: true, leavingSinceMs: undefined, pathsByRequest: new Map() })
+      Object.assign(state, { bornMs: Date.now(), layers: undefined, orders: 0, isBusy: false, isUp: true, leavingSinceMs: undefined, storeToldMs: undefined, stutter: undefined, pathsByRequest: new Map() })
       clearTimeout(expiryTimer)
       renewEntry()
     }
 
     function renewEntry (): void {
-      if (!state.isUp) return
+      if (!state.isUp || isEnded || (state.leavingSinceMs !== undefined && notice === 'removed')) return
       store.put('servers', state.id, {
         service,
         address: proxy.address,
         zone: failureDomain,
         version: 'v1',
         slots: 32,
-        state: state.leavingSinceMs === undefined || !isStoreTold ? 'ready' : 'draining',
+        state: state.leavingSinceMs === undefined || notice === 'answers' ? 'ready' : 'draining',
         cold_remaining_ms: 0,
         sequence: ++state.renewalCount,
         born: state.bornMs,
@@ -100,8 +107,8 @@
       const part = promptParts.find(candidate => crashesMs.has(candidate))
       if (part === undefined || !state.isUp) return false
       crashesMs.get(part)!.push(performance.now())
-      target.crash('refuse')
-      setTimeout(() => target.restart({ keepsIdentity: false }), CRASHED_DOWN_MS)
+      target.crash(random() < 0.5 ? 'refuse' : 'kill')
+      restartTimer = setTimeout(() => target.restart({ keepsIdentity: false }), CRASHED_DOWN_MS)
       return true
     }
 
@@ -113,25 +120,33 @@
       crash (fault) {
         state.isUp = false
         state.pathsByRequest.clear()
-        proxy.setFault(fault === 'silence' ? { kind: 'silence', direction: 'both' } : { kind: fault })
+        if (fault === 'kill') proxy.kill()
+        else proxy.setFault(fault === 'silence' ? { kind: 'silence', direction: 'both' } : { kind: fault })
         const { id } = state
         expiryTimer = setTimeout(() => store.remove('servers', id), ENTRY_EXPIRY_MS)
       },
-      restart ({ keepsIdentity }) {
-        proxy.setFault({ kind: 'none' })
+      async restart ({ keepsIdentity }) {
+        await proxy.restore()
+        if (isEnded) return
         if (!keepsIdentity) store.remove('servers', state.id)
         resetState(keepsIdentity)
       },
-      leave (options) {
+      leave (how) {
+        notice = how
         state.leavingSinceMs = performance.now()
-        isStoreTold = options.isStoreTold
-        renewEntry()
+        if (how === 'removed') store.remove('servers', state.id)
+        else renewEntry()
+        if (how !== 'answers') state.storeToldMs = performance.now()
       },
+      fallSilent (forMs) { state.silentUntilMs = performance.now() + forMs },
+      setStutter (stutter) { state.stutter = stutter },
       breakOff () { state.breakOffCount++ },
       setShedding (isShedding, maxPauseMs = 0) { Object.assign(state, { isShedding, maxPauseMs }) },
       async [Symbol.asyncDispose] () {
+        isEnded = true
         clearInterval(renewalTimer)
         clearTimeout(expiryTimer)
+        clearTimeout(restartTimer)
         await proxy[Symbol.asyncDispose]()
         server.closeAllConnections()
         await new Promise(resolve => { server.close(resolve) })
--- a/soak/test.ts
+++ b/soak/test.ts
@@ -9,9 +9,9 @@
 const HOST = { name: 'host-0', wasCurrentBuild: () => true } as unknown as SoakHost
 
 const record = (change: Partial<CallRecord>): CallRecord => ({
-  requestId: 'r1', kind: 'unsafe', host: HOST, startCount: 1, plannedWork: { stoppedMs: undefined, reloadsMs: [] }, isSound: true, key: 'steady', sentMs: 0, lastByteMs: 1, endedMs: 100, lastDataMs: 99, deadlineMs: 4_000, leftMs: undefined, errorCode: undefined, status: 200, retryAfter: undefined, body: 'answer to r1', isComplete: true, ...change
+  requestId: 'r1', kind: 'unsafe', host: HOST, startCount: 1, plannedWork: { stoppedMs: undefined, reloadsMs: [] }, isSound: true, key: 'steady', sentMs: 0, lastByteMs: 1, endedMs: 100, lastDataMs: 99, deadlineMs: 4_000, leftMs: undefined, errorCode: undefined, status: 200, retryAfter: undefined, answerId: change.requestId ?? 'r1', isSigned: true, body: 'answer to r1', isComplete: true, ...change
 })
-const run = (change: Partial<LedgerEntry> = {}): LedgerEntry => ({ requestId: 'r1', targetId: 'orders-1', service: 'orders', promptParts: [], atMs: 50, hasRun: true, outcome: 'answered', endedMs: 80, pauseMs: 0, saidLeaving: false, ...change })
+const run = (change: Partial<LedgerEntry> = {}): LedgerEntry => ({ requestId: 'r1', targetId: 'orders-1', service: 'orders', promptParts: [], atMs: 50, hasRun: true, outcome: 'answered', endedMs: 80, pauseMs: 0, saidLeaving: false, leavingForMs: 0, ...change })
 const events = (ids: number[]): string => ids.map(id => `id: ${id}\ndata: piece ${id}\n\n`).join('')
 const wholeStream = Array.from({ length: countEvents('r1') }, (_, index) => index + 1)
 
@@ -36,7 +36,11 @@
     [record({}), [], {}, /status 200 without a run/],
     [record({ body: 'answer to r2' }), [run()], {}, /unexpected body/],
     [record({ kind: 'stream', body: events(wholeStream.slice(1)) }), [run()], {}, /not with all events once and in order/],
-    [record({ kind: 'stream', body: events([1, 3]), isComplete: false }), [run()], {}, /gap or a duplicate/],
+    [record({ kind: 'stream', body: events([1, 3]), isComplete: false }), [run()], {}, /a gap, a duplicate/],
+    [record({ kind: 'stream', body: events([1, 2]) }), [run()], {}, /2 of \d+ events/],
+    [record({ kind: 'stream', body: `${events(wholeStream)}HTTP/1.1 200 OK` }), [run()], {}, /then "HTTP/],
+    [record({ answerId: 'r2' }), [run()], {}, /answer of r2/],
+    [record({ isSigned: false }), [run()], {}, /without request id or signature/],
     [record({ key: 'k', sentMs: 9_000, endedMs: 9_100 }), [run()], { keys: new Map([['k', { addedMs: 0, revokedMs: 3_000 }]]) }, /accepted with a revoked key/],
     [record({ key: 'k', sentMs: 9_000, endedMs: 9_100, status: 401 }), [], { keys: new Map([['k', { addedMs: 0, revokedMs: Infinity }]]) }, /refused with a valid key/]
   ]
@@ -78,6 +82,8 @@
   t.is(checkAll([pause, refused(1, {}), refused(2, {}), refused(3, {})], false), '')
   t.regex(checkAll([refused(0, { saidLeaving: true }), refused(3, {})]), /1 requests of host-0 to orders-1 after it had said/)
   t.is(checkAll([refused(0, { saidLeaving: true }), refused(1, {}), refused(2, {})]), '')
+  t.regex(checkAll([refused(0, { leavingForMs: 2_100 })]), /after the store knew/)
+  t.is(checkAll([refused(0, { leavingForMs: 1_900 })]), '')
 })
 
 test('requests sent on, or worked on, after their callers have left are findings', t => {
