--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -4,6 +4,8 @@
 import type { IncomingMessage } from 'node:http'
 import { withConnectionClose, type BufferedAnswer } from './answerCaller.js'
 import { noteProgress } from './crashingRequests.js'
+import { containsAnswerHead } from './containsAnswerHead.js'
+import { judgeAnswer } from './judgeAnswer.js'
 import { noteStatements } from './noteStatements.js'
 import { learnOutput } from './estimateRequestSize.js'
 import { createEventSplitter } from './createEventSplitter.js'
@@ -22,8 +24,8 @@
   | { kind: 'complete' }
   /** The engine answered with an error status, which is relayed to the caller. */
   | { kind: 'refusedByTarget' } & BufferedAnswer
-  /** `isOwnLink`: the request could not be sent, which says nothing of the engine; `isPause`: the engine asked for a pause. */
-  | { kind: 'notRun', cause: string, faultyAddress: string | undefined, hasReachedTarget: boolean, isOwnLink?: boolean, isPause?: boolean }
+  /** `isOwnLink`: the request could not be sent, which says nothing of the engine; `isPause`: the engine asked for a pause; `hasLeft`: an engine of the path left before the request was sent. */
+  | { kind: 'notRun', cause: string, faultyAddress: string | undefined, hasReachedTarget: boolean, isOwnLink?: boolean, isPause?: boolean, hasLeft?: boolean }
   /** `isBrokenByTarget` is false if this host closed the connection. */
   | { kind: 'brokenOff', cause: string, isBrokenByTarget: boolean }
 
@@ -54,14 +56,15 @@
   const metadata = context.format.readAnswer(answer.headers)
   const status = answer.statusCode ?? 0
   const isPause = noteStatements(metadata, status, call, run.target, context)
+  const verdict = judgeAnswer({ status, metadata, isEncoded: answer.headers['content-encoding'] !== undefined, isRepeatable: call.route.isResumable }, call.facts)
+  if (verdict.kind === 'notRun') return { kind: 'notRun', cause: `status ${status}`, faultyAddress: verdict.faultyAddress, hasReachedTarget: true, isPause }
+  if (verdict.kind === 'unusable') return { kind: 'brokenOff', cause: verdict.cause, isBrokenByTarget: false }
   if (status !== 200) {
     const body = await readAnswerBody(answer, exchange.hasFailed)
-    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: metadata.faultyAddress, hasReachedTarget: true, isPause }
-    if (body === undefined || !metadata.isSigned || metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
+    if (body === undefined) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
+    if (!isFramed(answer) && containsAnswerHead(body, context.format)) return { kind: 'brokenOff', cause: 'another answer follows', isBrokenByTarget: false }
     return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: isFramed(answer) }
   }
-  if (metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: 'answer has another request id', isBrokenByTarget: false }
-  if (!metadata.isSigned || answer.headers['content-encoding'] !== undefined) return { kind: 'brokenOff', cause: 'answer unsigned or encoded', isBrokenByTarget: false }
   return await relayEvents(answer, exchange, call, progress, observed, context)
 }
 
@@ -85,7 +88,9 @@
       const wasHeldUp = isHeldUp
       isHeldUp = false
       for (const event of split(chunk)) {
+        if (!event.isWellFormed) return fail('text that is no event')
         if (event.id === undefined) return fail('event without id')
+        if (!isFramed(answer) && containsAnswerHead(event.bytes, format)) return fail('another answer follows')
         if (progress.lastEventId !== undefined && event.id !== progress.lastEventId + 1) return fail(`event id ${event.id} follows ${progress.lastEventId}`)
         if (!response.headersSent) response.writeHead(200, withConnectionClose(context, format.buildAnswerHeaders(answer.rawHeaders)))
         if (progress.firstEventMs === undefined) {
