--- a/test/gateway/order.test.ts
+++ b/test/gateway/order.test.ts
@@ -38,7 +38,7 @@
 test('a body over the limit is not taken for whole when its end arrives together with the part over it', async t => {
   const body = 'x'.repeat(16 * 2 ** 20 + 10)
   await using target = await servePlatformEngine((request, socket) => { socket.end(`HTTP/1.1 200 OK\r\nRequest-Id: ${request.headers['request-id']}\r\nServer-Seal: s.1\r\nContent-Length: ${body.length}\r\n\r\n${body}`) })
-  await using gateway = await startTestGateway([{ ...engine('orders-1', target.address, 0, 0), service: 'orders' }])
+  await using gateway = await startTestGateway([{ ...engine('orders-1', target.address, 0, 30), service: 'orders', layers: undefined }])
   const { status, body: received } = await gateway.send('/safe/x')
   t.deepEqual([status, received.length], [502, 0])
 })
