--- a/test/gateway/endlessAnswer.test.ts
+++ b/test/gateway/endlessAnswer.test.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net'
 import test from 'ava'
 import type { Target } from '../../src/fleet/types.js'
-import { encodeChunk, servePlatformEngine, buildStreamHead } from '../../standin/platform/servePlatformEngine/index.js'
+import { encodeChunk, servePlatformEngine, buildStreamHead, STREAM_END } from '../../standin/platform/servePlatformEngine/index.js'
 import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 const MIB = 2 ** 20
@@ -9,6 +9,9 @@
 /** Bytes that the gateway may keep of one answer, with those that are on their way in buffers of the system. */
 const MAX_KEPT_BYTES = 48 * MIB
 
+/** The same for an error. */
+const MAX_ERROR_BYTES = 20 * MIB
+
 /** Bytes after which a target stops to send; far more than the gateway may keep. */
 const MAX_SENT_BYTES = 256 * MIB
 
@@ -48,3 +51,32 @@
   t.is((await gateway.send('/stream/x')).status, 502)
   t.true(sentBytes() <= MAX_KEPT_BYTES, `${sentBytes()} bytes`)
 })
+
+test('an answer over the size that is kept is not cut to it', async t => {
+  await using engine = await servePlatformEngine((request, socket) => {
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${request.headers['request-id']}\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n`)
+    for (let sentMib = 0; sentMib < 16; sentMib++) socket.write(encodeChunk('x'.repeat(MIB)))
+    socket.end(encodeChunk('x') + STREAM_END)
+  })
+  await using gateway = await startTestGateway([targetAt('i-1', 'orders', engine.address)], { configuration })
+  t.is((await gateway.send('/unsafe/x')).status, 502)
+})
+
+test('an event in very many pieces is given up', async t => {
+  await using engine = await servePlatformEngine((request, socket) => {
+    socket.end(buildStreamHead(request) + [...`id: 1\ndata: ${'x'.repeat(5_000)}\n\n`].map(encodeChunk).join('') + STREAM_END)
+  })
+  await using gateway = await startTestGateway(['i-1', 'i-2'].map(id => targetAt(id, 'model', engine.address)), { configuration })
+  t.is((await gateway.send('/stream/x')).status, 502)
+})
+
+test('an error without end in short chunks is given up soon', async t => {
+  let sentBytes = (): number => 0
+  await using engine = await servePlatformEngine((request, socket) => {
+    socket.write(buildStreamHead(request).replace('200 OK', '500 Failed'))
+    sentBytes = sendWithoutEnd(socket, encodeChunk('z'.repeat(16)).repeat(2_048))
+  })
+  await using gateway = await startTestGateway(['i-1', 'i-2'].map(id => targetAt(id, 'model', engine.address)), { configuration })
+  t.is((await gateway.send('/stream/x')).status, 502)
+  t.true(sentBytes() <= MAX_ERROR_BYTES, `${sentBytes()} bytes`)
+})
