Show that a caller that resumes elsewhere gets neither a repeat nor a gap

An engine that begins anew, one piece too early or one too late after Last-Event-Id ends its try; what it sent does not reach the caller, and the next engine streams what is missing.

--- a/test/gateway/order.test.ts
+++ b/test/gateway/order.test.ts
@@ -14,12 +14,12 @@
 }
 
 /** Sends one stream; the engine of its first try answers as scripted, the next one streams what is missing. */
-async function sendStream (script: EngineScript) {
+async function sendStream (script: EngineScript, headers: Record<string, string> = {}) {
   await using first = await servePlatformEngine(script)
   await using second = await servePlatformEngine(WHOLE_STREAM)
   const stages = [[0, 30], [30, 60], [60, 80]] as const
   await using gateway = await startTestGateway([first, second].flatMap(({ address }, index) => stages.map(([from, to]) => engine(`${'ab'[index]}-${from}`, address, from, to))))
-  const { body, status, isComplete } = await gateway.send('/stream/x')
+  const { body, status, isComplete } = await gateway.send('/stream/x', headers)
   return { status, isComplete, ids: [...body.matchAll(/^id: (\d+)\r?$/gm)].map(match => Number(match[1])), resumedAfter: second.received.map(({ headers }) => headers['last-event-id']) }
 }
 
@@ -35,6 +35,13 @@
   t.deepEqual(await sendStream((request, socket) => { socket.end(head(request.headers['request-id']!) + events) }), WHOLE, 'with a length')
 })
 
+test('a caller that resumes a stream gets neither what it has nor a gap from an engine that begins elsewhere', async t => {
+  for (const ids of [[1, 2, 3, 4], [2, 3, 4], [4]]) {
+    const answer = await sendStream((request, socket) => { socket.end(buildStreamHead(request) + encodeEvents(ids) + STREAM_END) }, { 'last-event-id': '2' })
+    t.deepEqual(answer, { ...WHOLE, ids: [3, 4] }, String(ids))
+  }
+})
+
 test('a body over the limit is not taken for whole when its end arrives together with the part over it', async t => {
   const body = 'x'.repeat(16 * 2 ** 20 + 10)
   await using target = await servePlatformEngine((request, socket) => { socket.end(`HTTP/1.1 200 OK\r\nRequest-Id: ${request.headers['request-id']}\r\nServer-Seal: s.1\r\nContent-Length: ${body.length}\r\n\r\n${body}`) })
