--- a/src/gateway/_lib/createByteBudget.ts
+++ b/src/gateway/_lib/createByteBudget.ts
@@ -1,6 +1,6 @@
 /**
- * Bounds the memory of all answers that a host is reading. Each one has a small allowance of its
- * own, so that answers without an end cannot take it from the others.
+ * Bounds the memory of all answers without a stated length that a host is reading. Each one has a
+ * small allowance of its own, so that answers without an end cannot take it from the others.
  */
 
 /** Bytes that an answer may hold whatever the others hold. */
--- a/src/gateway/_lib/readAnswerBody.ts
+++ b/src/gateway/_lib/readAnswerBody.ts
@@ -33,7 +33,10 @@
   { answerBytes, answerPacer }: Pick<GatewayContext, 'answerBytes' | 'answerPacer'> = { answerBytes: createByteBudget(), answerPacer: createAnswerPacer() }
 ): Promise<Buffer | undefined> {
   const maxBytes = (answer.statusCode ?? 0) >= FIRST_ERROR_STATUS ? MAX_ERROR_BODY_BYTES : MAX_BODY_BYTES
-  const body = createByteBuffer()
+  /** Only an answer that does not state its length may go on without end. */
+  const lengthBytes = answer.headers['content-length'] === undefined ? undefined : Number(answer.headers['content-length'])
+  const body = createByteBuffer(lengthBytes === undefined ? {} : { expectedBytes: lengthBytes })
+  const takeBody = (): Buffer => lengthBytes === undefined ? Buffer.from(body.bytes()) : body.bytes()
   const claim = answerBytes.claim()
   const paced = answerPacer.pace(answer)
   return new Promise(resolve => {
@@ -48,11 +51,11 @@
     answer.on('data', (chunk: Buffer) => {
       if (isSettled) return
       paced.noteChunk()
-      if (body.size() + chunk.length <= maxBytes && claim.tryGrow(chunk.length)) return body.append(chunk)
+      if (body.size() + chunk.length <= maxBytes && (lengthBytes !== undefined || claim.tryGrow(chunk.length))) return body.append(chunk)
       finish(undefined)
       answer.destroy()
     })
-    answer.once('end', () => finish(answer.complete && (isFramed(answer) || !hasFailed()) ? body.bytes() : undefined))
+    answer.once('end', () => finish(answer.complete && (isFramed(answer) || !hasFailed()) ? takeBody() : undefined))
     answer.once('error', () => finish(undefined))
     answer.once('close', () => finish(undefined))
   })
--- a/src/http/createByteBuffer/index.ts
+++ b/src/http/createByteBuffer/index.ts
@@ -23,6 +23,7 @@
 /**
  * @name createByteBuffer
  * @summary Creates an empty buffer of bytes.
+ * @param options - Expected size in bytes, if known: the block becomes no larger for as many bytes.
  * @returns The buffer; its block doubles as it grows, so that each byte is copied a constant number of times.
  *
  * @example
@@ -30,7 +31,7 @@
  * buffer.append(Buffer.from('id: 1'))
  * buffer.bytes().toString() // 'id: 1'
  */
-export function createByteBuffer (): ByteBuffer {
+export function createByteBuffer ({ expectedBytes = Infinity }: { expectedBytes?: number } = {}): ByteBuffer {
   let block: Buffer = Buffer.alloc(0)
   let size = 0
   return {
@@ -38,7 +39,9 @@
     append (piece) {
       const neededBytes = size + piece.length
       if (neededBytes > block.length) {
-        const larger = Buffer.allocUnsafeSlow(Math.max(FIRST_BLOCK_BYTES, 2 * block.length, neededBytes))
+        const doubledBytes = Math.max(FIRST_BLOCK_BYTES, 2 * block.length)
+        const mostBytes = neededBytes <= expectedBytes ? expectedBytes : Infinity
+        const larger = Buffer.allocUnsafeSlow(Math.max(neededBytes, Math.min(doubledBytes, mostBytes)))
         block.copy(larger, 0, 0, size)
         block = larger
       }
--- a/src/http/createByteBuffer/test.ts
+++ b/src/http/createByteBuffer/test.ts
@@ -31,3 +31,9 @@
   t.is(buffer.size(), 2 ** 20)
   t.is(blocks.size, 12)
 })
+
+test('the block grows to the expected size and no further', t => {
+  const buffer = createByteBuffer({ expectedBytes: 3_000 })
+  for (let index = 0; index < 30; index++) buffer.append(Buffer.alloc(100))
+  t.is(buffer.bytes().buffer.byteLength, 3_000)
+})
