Read on after an early answer, within bounds

Cause: readBody paused the request when it gave up and nothing resumed it. Early answers without readBody (404, 401, 503) were drained by Node.js, without bound.

`Connection: close` alone would reset the connection under the answer, as bytes are left unread. Bodies of callers are kept in one block instead of a list of chunks as well.

--- a/src/gateway/createCallHandler/index.ts
+++ b/src/gateway/createCallHandler/index.ts
@@ -6,6 +6,7 @@
 import { fingerprintRequest } from '../../crash/fingerprintRequest/index.js'
 import type { ClientAccount, FleetConfiguration, Route, Service } from '../../fleet/types.js'
 import { watchCaller } from '../../http/watchCaller/index.js'
+import { drainBody } from '../../http/drainBody/index.js'
 import { readBody } from '../../http/readBody/index.js'
 import type { ReasonName } from '../../verdict/reasons.js'
 import { REASONS } from '../../verdict/reasons.js'
@@ -44,6 +45,12 @@
   const { fleet, format, runtime, log, metrics, budget } = context
   const { endSignal } = options
 
+  /** Refuses a call whose body was not read. */
+  function refuseEarly (request: IncomingMessage, ...refusal: Parameters<typeof refuse>): void {
+    refuse(...refusal)
+    drainBody(request, { runtime })
+  }
+
   function refuse (response: ServerResponse, facts: CallFacts, reason: ReasonName, details: { retryAfterMs?: number, [name: string]: unknown } = {}): void {
     const { status } = REASONS[reason]
     if (!response.headersSent && !response.destroyed) {
@@ -60,9 +67,9 @@
     const facts = format.readFacts(request)
     if (open !== undefined) open.request = facts.requestId
     const configuration = fleet.configuration()
-    if (configuration === undefined) return refuse(response, facts, 'notReady', { retryAfterMs: NOT_READY_RETRY_MS })
+    if (configuration === undefined) return refuseEarly(request, response, facts, 'notReady', { retryAfterMs: NOT_READY_RETRY_MS })
     const resolved = resolveCall(configuration, request, facts, runtime.random())
-    if (typeof resolved === 'string') return refuse(response, facts, resolved, { host: request.headers.host, path: request.url })
+    if (typeof resolved === 'string') return refuseEarly(request, response, facts, resolved, { host: request.headers.host, path: request.url })
     const read = await readBody(request, { sizeBytes: configuration.limits.bodyBytes, deadlineMs: Math.min(facts.deadlineMs, resolved.route.timeoutMs), runtime, signal: endSignal })
     if (read.kind === 'tooLarge') return refuse(response, facts, 'bodyTooLarge')
     if (read.kind === 'tooSlow') return refuse(response, facts, 'senderTooSlow')
--- a/src/http/readBody/index.ts
+++ b/src/http/readBody/index.ts
@@ -3,6 +3,8 @@
  */
 import type { IncomingMessage } from 'node:http'
 import type { Runtime } from '../../runtime/types.js'
+import { createByteBuffer } from '../createByteBuffer/index.js'
+import { drainBody } from '../drainBody/index.js'
 
 /** A body, or why it could not be read; `aborted` when the connection closed or the signal aborted first. */
 export type BodyResult =
@@ -16,7 +18,7 @@
  * @summary Reads the whole body of a request.
  * @param request - The request.
  * @param options - Size limit in bytes, deadline in milliseconds, the runtime, and a signal that ends the reading early.
- * @returns The body, or why it could not be read; the rest of the body is then left unread.
+ * @returns The body, or why it could not be read; the rest of the body is then drained, so that its connection can be used again.
  *
  * @example
  * const result = await readBody(request, { sizeBytes: 1024, deadlineMs: 1000, runtime })
@@ -27,27 +29,29 @@
 ): Promise<BodyResult> {
   const { sizeBytes, deadlineMs, runtime, signal } = options
   return new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let receivedBytes = 0
+    const lengthBytes = Number(request.headers['content-length'] ?? Infinity)
+    const body = createByteBuffer({ expectedBytes: lengthBytes })
+    let isFinished = false
     const finish = (result: BodyResult): void => {
+      if (isFinished) return
+      isFinished = true
       timer[Symbol.dispose]()
       request.removeListener('data', onData)
       signal?.removeEventListener('abort', abort)
-      request.pause()
+      if (result.kind !== 'body') drainBody(request, { runtime })
       resolve(result)
     }
     const onData = (chunk: Buffer): void => {
-      receivedBytes += chunk.length
-      if (receivedBytes > sizeBytes) return finish({ kind: 'tooLarge' })
-      chunks.push(chunk)
+      if (body.size() + chunk.length > sizeBytes) return finish({ kind: 'tooLarge' })
+      body.append(chunk)
     }
     const abort = (): void => finish({ kind: 'aborted' })
     const timer = runtime.setTimer(deadlineMs, () => finish({ kind: 'tooSlow' }))
-    if (Number(request.headers['content-length'] ?? 0) > sizeBytes) return finish({ kind: 'tooLarge' })
+    if (lengthBytes !== Infinity && lengthBytes > sizeBytes) return finish({ kind: 'tooLarge' })
     if (signal?.aborted) return abort()
     signal?.addEventListener('abort', abort, { once: true })
     request.on('data', onData)
-    request.once('end', () => finish({ kind: 'body', body: Buffer.concat(chunks) }))
+    request.once('end', () => finish({ kind: 'body', body: lengthBytes === Infinity ? Buffer.from(body.bytes()) : body.bytes() }))
     request.once('close', abort)
   })
 }
