--- a/src/runtime/createSystemRuntime/index.ts
+++ b/src/runtime/createSystemRuntime/index.ts
@@ -2,14 +2,19 @@
  * The runtime of a real process, on the system's clock, timers and random source. No other module
  * under src reads the clock or calls `Math.random`.
  *
- * A timer that is late lets the process read first what has arrived: a deadline that has passed while
- * the process stood still does not end a call whose answer is there.
+ * A timer of Node.js can fire up to a millisecond early by the monotonic clock; those of a runtime do
+ * not, as what is due is found by that clock. A timer that is late lets the process read first what
+ * has arrived: a deadline that has passed while the process stood still does not end a call whose
+ * answer is there.
  */
 import type { Runtime } from '../types.js'
 
 /** Lateness of a timer from which the process counts as having stood still, in milliseconds. */
 const LATE_MS = 20
 
+/** Longest time that `setTimeout` takes, in milliseconds; it runs longer ones at once. */
+const MAX_TIMEOUT_MS = 2 ** 31 - 1
+
 /**
  * @name createSystemRuntime
  * @summary Runtime over the clock and timers of this process.
@@ -28,12 +33,19 @@
     setTimer (delayMs, run) {
       const dueMs = monotonic.now() + delayMs
       let immediate: NodeJS.Immediate | undefined
-      const timer = setTimeout(() => {
+      let timer: NodeJS.Timeout
+      const arm = (leftMs: number): void => {
+        timer = setTimeout(fire, Math.min(leftMs, MAX_TIMEOUT_MS))
+        timer.unref()
+      }
+      const fire = (): void => {
+        const lateMs = monotonic.now() - dueMs
+        if (lateMs < 0) return arm(Math.ceil(-lateMs))
         // The event loop runs timers before it reads what has arrived while the process stood still.
-        if (monotonic.now() - dueMs < LATE_MS) run()
+        if (lateMs < LATE_MS) run()
         else immediate = setImmediate(run)
-      }, delayMs)
-      timer.unref()
+      }
+      arm(delayMs)
       return {
         [Symbol.dispose] () {
           clearTimeout(timer)
