--- a/test/fleet/storeCalls.test.ts
+++ b/test/fleet/storeCalls.test.ts
@@ -23,6 +23,7 @@
 const WATCH_GRACE_MS = 500
 const LIST_TIMEOUT_MS = 800
 const POLL_WAIT_MS = 2_000
+const PULL_GRACE_MS = 500
 
 const FORMAT: FleetFormat = {
   configurationKey: 'config/main',
@@ -74,10 +75,10 @@
 }
 
 /** Hosts that follow the store as a gateway does. */
-function startFollowers (count: number, isRefused: (host: SimulatedHost) => boolean = () => false, isSilent: (host: SimulatedHost) => boolean = () => false) {
-  const network = createSimulatedHosts({ seed: count })
+function startFollowers (count: number, isRefused: (host: SimulatedHost) => boolean = () => false, isSilent: (host: SimulatedHost) => boolean = () => false, isCut: (ip: string) => boolean = () => false) {
+  const network = createSimulatedHosts({ seed: count, isDelivered: (from, to) => !isCut(from) && !isCut(to) })
   const hostOf = (ip: string): SimulatedHost | undefined => network.hosts.find(host => host.ip === ip)
-  const store = createCountingStore(ip => { const host = hostOf(ip); return host !== undefined && isRefused(host) }, ip => { const host = hostOf(ip); return host !== undefined && isSilent(host) })
+  const store = createCountingStore(ip => { const host = hostOf(ip); return host !== undefined && isRefused(host) }, ip => { const host = hostOf(ip); return isCut(ip) || (host !== undefined && isSilent(host)) })
   const fleets = new Map<string, FleetState>()
   const updates: Array<() => void> = []
 
@@ -103,8 +104,10 @@
       const source = fleets.get(ip)
       if (source === undefined) return false
       const endMs = runtime.monotonicMs() + waitMs
+      const isUnreachable = (): boolean => isCut(ip) || isCut(host.ip)
       const isSame = (): boolean => source.fingerprint() === fleet.fingerprint() && (source.configuration()?.version ?? -1) <= (fleet.configuration()?.version ?? -1)
-      while (isSame() && runtime.monotonicMs() < endMs) await sleep(STEP_MS, { runtime, signal })
+      while ((isSame() && runtime.monotonicMs() < endMs) || (isUnreachable() && runtime.monotonicMs() < endMs + PULL_GRACE_MS)) await sleep(STEP_MS, { runtime, signal })
+      if (isUnreachable()) return false
       const configuration = source.configuration()
       if (configuration !== undefined) fleet.applyConfiguration(configuration)
       const { isWhole, changed, ...update } = source.updateSince(fleet.fingerprint())
@@ -132,8 +135,8 @@
 type Followers = ReturnType<typeof startFollowers>
 
 /** Starts a fleet with a configuration and targets, some of which renew their entries all the time. */
-async function startFleet (count: number, isRefused?: (host: SimulatedHost) => boolean, isSilent?: (host: SimulatedHost) => boolean): Promise<Followers> {
-  const followers = startFollowers(count, isRefused, isSilent)
+async function startFleet (count: number, isRefused?: (host: SimulatedHost) => boolean, isSilent?: (host: SimulatedHost) => boolean, isCut?: (ip: string) => boolean): Promise<Followers> {
+  const followers = startFollowers(count, isRefused, isSilent, isCut)
   followers.store.put('config/main', { ...TEST_CONFIGURATION, version: 1 })
   for (let index = 0; index < ENGINE_COUNT; index++) followers.store.put(`servers/i-${index}`, buildEngine(`i-${index}`, 'north', 'large'))
   const renew = (index: number): void => {
@@ -211,3 +214,26 @@
     })
   }
 }
+
+/** Hosts that are lost without a word, with their open connections. */
+const LOSSES: Record<string, (host: SimulatedHost) => boolean> = {
+  'both readers': host => host.state.isStoreConnected,
+  'a reader and every third other host': host => host.state.isStoreConnected !== (Number(host.ip.split('.')[3]) % 3 === 0)
+}
+
+for (const [which, isLost] of Object.entries(LOSSES)) {
+  for (const count of [8, 31]) {
+    test.serial(`an engine that reports that it leaves is known to leave at all of ${count} hosts within 2 s although ${which} are lost at that moment`, async t => {
+      const cut = new Set<string>()
+      const followers = await startFleet(count, undefined, undefined, ip => cut.has(ip))
+      for (const host of followers.network.hosts) if (isLost(host)) cut.add(host.ip)
+      t.true(cut.size > 0 && cut.size < count)
+      followers.store.put('servers/leaver', { ...buildEngine('leaver', 'north', 'large'), isLeaving: true })
+      const late = (): string[] => [...followers.fleets].filter(([ip, fleet]) => !cut.has(ip) && !fleet.targets().some(({ id }) => id === 'leaver')).map(([ip]) => ip)
+      let elapsedMs = 0
+      for (; late().length > 0 && elapsedMs < 6_000; elapsedMs += 50) await followers.advance(50)
+      t.log(`${elapsedMs} ms`)
+      t.true(elapsedMs <= 2_000)
+    })
+  }
+}
