Do not tell hosts that a target leaves for good when it is only left out

A peer named a target as leaving also when it had lost its entry while the connection opened, or held it back after a drill. Both may end; the asking host remembers for good, and tells all others, that this start of the target leaves.

Evidence: new test of test/gateway/relay.test.ts failed before (a held and a removed target were named).

Fix: a peer names only a target that has said, by its entry or itself, that it leaves. Others it refuses with 404 (not listed) or 503 with a time to ask again.

Measured: relay, leaving and links tests pass.

--- a/src/fleet/createFleetState/index.ts
+++ b/src/fleet/createFleetState/index.ts
@@ -59,6 +59,8 @@
   isListed: (target: Target) => boolean
   /** Whether the target is listed with the same start time and is not leaving. */
   isServing: (target: Target) => boolean
+  /** Whether this start of the target has said, by its entry or itself, that it leaves. */
+  hasLeft: (target: Instance) => boolean
   revision: () => number
   /** Era of the store's revision; `undefined` while no era is known. */
   era: () => number | undefined
@@ -300,6 +302,7 @@
     servingTargets: service => listTargets().filter(target => target.service === service && !target.isLeaving),
     isListed,
     isServing: target => isListed(target) && !isLeaving(targets.get(target.id)!),
+    hasLeft: target => leaving.has(keyOf(target)),
     revision: () => revision,
     era: () => era ?? firstEra,
     eraAgeMs: () => runtime.monotonicMs() - newEraMs,
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -181,6 +181,7 @@
     runtime,
     maxAgeMs: () => Math.max(0, ...(fleet.configuration()?.routes ?? []).map(route => route.timeoutMs)),
     connect: links.connectForPeer,
+    hasLeft: fleet.hasLeft,
     pauseLeftMs: targetPauses.leftMs,
     onAnswerHead: (target, head) => noteRelayedStatements(head, target, context),
     onResult: result => metrics.relaysServed.inc({ result }),
--- a/src/links/createRelayHandler/index.ts
+++ b/src/links/createRelayHandler/index.ts
@@ -20,20 +20,22 @@
 /** Time for which a connection stays open beyond its longest use, as the host may have an earlier configuration, in milliseconds. */
 const EXPIRY_SLACK_MS = 5_000
 
-/** Time after which a host of an earlier version may ask again for a target that leaves, in seconds; it reads the refusal as a pause, which is not held against this peer. */
-const LEAVING_RETRY_S = 1
+/** Time after which a host may ask again for a target that is not used here, in seconds; it reads the refusal as a pause of the target, which is not held against this peer. */
+const UNUSED_RETRY_S = 1
 
 /** Milliseconds in a second. */
 const MS_PER_S = 1_000
 
 interface RelayHandlerOptions {
-  /** Targets to which connections may be opened, unless they leave. */
+  /** Targets to which connections may be opened, unless they are marked as leaving. */
   targets: () => readonly Target[]
   runtime: Runtime
   /** Longest time for which a call may use a connection, in milliseconds. */
   maxAgeMs: () => number
   /** Opens a direct connection; `unknown` if its failure may be due to this host's own links. */
   connect: (address: string) => Promise<Socket | 'targetUnreachable' | 'unknown'>
+  /** Whether a target has said, itself or by its entry, that it leaves, and is not only left out for a time; by default all targets have that are marked as leaving. */
+  hasLeft?: (target: Target) => boolean
   /** Time for which a target wants no requests from this host, in milliseconds; 0 by default. */
   pauseLeftMs?: (targetId: string) => number
   /** Called with the head of the answer on a connection, up to its empty line. */
@@ -44,6 +46,14 @@
   onOpenCount?: (count: number) => void
 }
 
+/** Answer to a peer that gets no connection. */
+interface Refusal {
+  status: number
+  headers?: readonly string[]
+}
+
+const NOT_LISTED: Refusal = { status: NO_TARGET_STATUS }
+
 /** Longest head of an answer that is read, in bytes. */
 const MAX_HEAD_BYTES = 16_384
 
@@ -63,7 +73,7 @@
  * @example
  * const relay = createRelayHandler({ targets: fleet.targets, runtime, maxAgeMs, connect: links.connectForPeer, onResult })
  */
-export function createRelayHandler ({ targets, runtime, maxAgeMs, connect, pauseLeftMs = () => 0, onAnswerHead = () => {}, onResult, onOpenCount = () => {} }: RelayHandlerOptions): RelayHandler {
+export function createRelayHandler ({ targets, runtime, maxAgeMs, connect, hasLeft = ({ isLeaving }) => isLeaving, pauseLeftMs = () => 0, onAnswerHead = () => {}, onResult, onOpenCount = () => {} }: RelayHandlerOptions): RelayHandler {
   const open = new Set<Socket>()
   const waiters = new Set<() => void>()
 
@@ -73,13 +83,18 @@
     return listed.find(candidate => !candidate.isLeaving) ?? listed[0]
   }
 
-  /** Whether a target leaves, or is not listed any more. */
-  function isGone ({ id, bornMs }: Target): boolean {
-    const listed = targets().find(candidate => candidate.id === id && candidate.bornMs === bornMs)
-    return listed === undefined || listed.isLeaving
+  const findInstance = ({ id, bornMs }: Target): Target | undefined => targets().find(candidate => candidate.id === id && candidate.bornMs === bornMs)
+
+  /** Why a target gets no connection now; `undefined` if it does. */
+  function findRefusal (target: Target | undefined): Refusal | undefined {
+    if (target === undefined) return NOT_LISTED
+    const retryS = target.isLeaving ? UNUSED_RETRY_S : pauseLeftMs(target.id) / MS_PER_S
+    if (retryS === 0) return undefined
+    const named = target.isLeaving && hasLeft(target) ? [`${LEAVING_HEADER}: ${formatLeaving(target)}`] : []
+    return { status: UNKNOWN_STATUS, headers: [`Retry-After: ${retryS}`, ...named] }
   }
 
-  function refuse (peer: Duplex, status: number, headers: readonly string[] = []): void {
+  function refuse (peer: Duplex, { status, headers = [] }: Refusal): void {
     onResult(status === TARGET_UNREACHABLE_STATUS ? 'targetUnreachable' : 'refused')
     peer.end([`HTTP/1.1 ${status} Refused`, ...headers, 'Content-Length: 0', 'Connection: close', '', ''].join('\r\n'))
   }
@@ -102,27 +117,22 @@
       const peer = stream as Socket
       peer.on('error', () => { /* The close that follows ends the connection to the target. */ })
       const listed = findTarget(address)
-      if (listed === undefined) return refuse(peer, NO_TARGET_STATUS)
-      const refuseLeaving = (): void => refuse(peer, UNKNOWN_STATUS, [`Retry-After: ${LEAVING_RETRY_S}`, `${LEAVING_HEADER}: ${formatLeaving(listed)}`])
-      if (listed.isLeaving) return refuseLeaving()
-      const refusePaused = (): void => refuse(peer, UNKNOWN_STATUS, [`Retry-After: ${pauseLeftMs(listed.id) / MS_PER_S}`])
-      if (pauseLeftMs(listed.id) > 0) return refusePaused()
+      if (listed === undefined) return refuse(peer, NOT_LISTED)
+      const refusal = findRefusal(listed)
+      if (refusal !== undefined) return refuse(peer, refusal)
       const target = await connect(address)
-      if (target === 'unknown') return refuse(peer, UNKNOWN_STATUS)
-      if (target === 'targetUnreachable') return refuse(peer, TARGET_UNREACHABLE_STATUS)
+      if (target === 'unknown') return refuse(peer, { status: UNKNOWN_STATUS })
+      if (target === 'targetUnreachable') return refuse(peer, { status: TARGET_UNREACHABLE_STATUS })
       if (peer.destroyed || peer.readableEnded) {
         onResult('abandoned')
         peer.destroy()
         target.destroy()
         return
       }
-      if (isGone(listed)) {
-        target.destroy()
-        return refuseLeaving()
-      }
-      if (pauseLeftMs(listed.id) > 0) {
+      const laterRefusal = findRefusal(findInstance(listed))
+      if (laterRefusal !== undefined) {
         target.destroy()
-        return refusePaused()
+        return refuse(peer, laterRefusal)
       }
       onResult('opened')
       open.add(peer)
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -27,11 +27,15 @@
   onAccept?: () => void
   /** Whether the peer knows that the target leaves. */
   isLeaving?: () => boolean
+  /** Whether that is so for good; it is by default. */
+  hasLeft?: () => boolean
+  /** Whether the peer lists the target. */
+  isListed?: () => boolean
   furtherRelays?: string[]
 }
 
 /** A target, a peer that reaches it, and a host that does not. */
-async function startRelay (serve: (socket: Socket) => void, { onAccept = () => {}, isLeaving = () => false, furtherRelays = [] }: RelayOptions = {}) {
+async function startRelay (serve: (socket: Socket) => void, { onAccept = () => {}, isLeaving = () => false, hasLeft = isLeaving, isListed = () => true, furtherRelays = [] }: RelayOptions = {}) {
   const leaving: Array<Pick<Target, 'id' | 'bornMs'>> = []
   const target = createServer(socket => {
     onAccept()
@@ -45,7 +49,7 @@
   const options = { targets: () => targets, runtime, log: createTestLog(), signal: controller.signal }
   const connectDirectly = (to: string) => connectSocket(to, { timeoutMs: 100, runtime })
   const peer = createTargetLinks({ ...options, connectDirectly, isReachable: async () => true, relays: () => [] })
-  const handler = createRelayHandler({ targets: () => targets.map(listed => ({ ...listed, isLeaving: isLeaving() })), runtime, maxAgeMs: () => MAX_AGE_MS, connect: peer.connectForPeer, onResult: () => {} })
+  const handler = createRelayHandler({ targets: () => targets.filter(isListed).map(listed => ({ ...listed, isLeaving: isLeaving() })), hasLeft, runtime, maxAgeMs: () => MAX_AGE_MS, connect: peer.connectForPeer, onResult: () => {} })
   const server = await listen(async (_request, response) => { response.end() }, { address: '127.0.0.1', port: 0, onConnect: handler.handle })
   const host = createTargetLinks({ ...options, connectDirectly: () => Promise.reject(new Error('cut')), isReachable: async () => false, relays: () => [server.address, ...furtherRelays], onTargetLeaving: instance => { leaving.push(instance) } })
   return {
@@ -122,6 +126,16 @@
   t.is(relay.leaving.length, 1)
 })
 
+test('a peer that does not use a target for a time, or does not list it any more, does not say that it leaves for good', async t => {
+  await using held = await startRelay(socket => socket.end(LAST_WORDS), { isLeaving: () => true, hasLeft: () => false })
+  await t.throwsAsync(held.host.connect(held.address), { instanceOf: OwnLinkError })
+  let isListed = true
+  const served: Socket[] = []
+  await using removed = await startRelay(socket => { served.push(socket) }, { onAccept () { isListed = false }, isListed: () => isListed })
+  t.like(await removed.exchange().result, { kind: 'notSent', isOwnLink: true })
+  t.deepEqual([held.leaving, removed.leaving, served], [[], [], []])
+})
+
 test('a host that a peer tells of a leaving target asks no further peer', async t => {
   let asked = 0
   await using other = await listen(async (_request, response) => { response.end() }, {
