Send no request over a connection on which the target has already answered

A target that writes an answer when a connection opens, before any request, got the request and its answer was read as the answer to it; the id in it could even be that of an earlier try of the same request. Such bytes belong to no request: the connection is closed and the request, which was not sent, goes to another target.

Evidence: the new test failed before, the request had reached the first target. The second new test pins that the id is also compared on a connection through a peer (502, one request for all targets); it passed before.

--- a/src/gateway/_lib/openExchange.ts
+++ b/src/gateway/_lib/openExchange.ts
@@ -108,6 +108,8 @@
   socket.on('error', noteFailure)
   await waiting
   socket.off('error', noteFailure)
+  // Bytes from before the request answer another one.
+  if (failure === undefined && socket.readableLength > 0) return new Error('target sent bytes before the request')
   return failure ?? (socket.readable && socket.writable ? undefined : new Error('connection closed before the request was sent'))
 }
 
--- a/test/gateway/foreignAnswer.test.ts
+++ b/test/gateway/foreignAnswer.test.ts
@@ -1,7 +1,12 @@
+import { once } from 'node:events'
+import { createServer, type AddressInfo } from 'node:net'
 import test from 'ava'
 import type { Target } from '../../src/fleet/types.js'
 import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript, type ReceivedRequest } from '../../standin/platform/servePlatformEngine/index.js'
-import { startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
+import { connectSocket } from '../../src/links/connectSocket/index.js'
+import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
+import { startServingHosts } from '../fakes/startTwoHosts.js'
+import { sendCall, startTestGateway, TEST_CONFIGURATION } from '../fakes/startTestGateway.js'
 
 const plain = (id: string, address: string): Target => ({ id, service: 'orders', address, failureDomain: 'north', bornMs: 1, isLeaving: false, slots: 6 })
 const model = (id: string, address: string): Target => ({ ...plain(id, address), service: 'model', kind: 'large', slots: 134, layers: { from: 0, to: 80 } })
@@ -106,3 +111,42 @@
   await using pair = await startStreams((request, socket) => { socket.end(buildAnswer(request, '', { status: '503 Odd' })) }, { isResumable: false })
   t.is((await pair.gateway.send('/stream/x')).status, 502)
 })
+
+test('a target that sends an answer before it has a request gets none', async t => {
+  const read: string[] = []
+  const early = createServer(socket => {
+    socket.on('error', () => {})
+    socket.on('data', bytes => { read.push(bytes.toString()) })
+    socket.write('HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n')
+  }).listen(0, '127.0.0.1')
+  t.teardown(() => early.close())
+  await once(early, 'listening')
+  await using second = await servePlatformEngine((request, socket) => { socket.end(buildAnswer(request, 'second')) })
+  const runtime = createSystemRuntime()
+  const earlyAddress = `127.0.0.1:${(early.address() as AddressInfo).port}`
+  await using gateway = await startTestGateway([plain('i-1', earlyAddress), { ...plain('i-2', second.address), failureDomain: 'south' }], {
+    runtime,
+    async connectDirectly (address) {
+      const socket = await connectSocket(address, { timeoutMs: 10_000, runtime })
+      if (address === earlyAddress) while (socket.readableLength === 0) await new Promise(resolve => { setImmediate(resolve) })
+      return socket
+    }
+  })
+  t.like(await gateway.send('/unsafe/x'), { status: 200, body: 'second' })
+  t.deepEqual(read, [])
+})
+
+test('a refusal of another request that comes through a peer is no proof either', async t => {
+  await using hosts = await startServingHosts()
+  hosts.cut(true)
+  while ((await sendCall(hosts.cutHost.address, '/safe/x', {}, '')).status !== 200);
+  let received = 0
+  for (const target of hosts.targets) {
+    target.setScript((request, socket) => {
+      received++
+      socket.end(buildAnswer(another(request), '', REFUSAL) + buildAnswer(request, 'done'))
+    })
+  }
+  t.is((await sendCall(hosts.cutHost.address, '/unsafe/x', {}, '')).status, 502)
+  t.is(received, 1)
+})
