Several prompt parts that crash engines do not cost the requests of a part that they share

Cause: findCrashingTraits looked for one part that explains all crashes. Now, while at most two parts further back in the same prompts may explain the crashes of a part, only the combinations that crashed engines are held back. A request with another combination is sent: its answer clears the shared part, its crash adds a part that would have to be a cause as well, and from the third one on the shared part is held back by itself. Hosts tell each other the index of a part (an optional field; without it a part is judged as before).

--- a/src/crash/createCrashEvidence/index.ts
+++ b/src/crash/createCrashEvidence/index.ts
@@ -207,7 +207,8 @@
       const known = suspects.filter(trait => !isWholeRequest(trait) && sightings.listOf(trait).length > 0)
       const others = suspects.filter(trait => !isWholeRequest(trait) && !known.includes(trait))
       for (const { service, part } of [...suspects.filter(isWholeRequest), ...[...known, ...others].slice(0, MAX_PARTS_PER_CRASH)]) {
-        addSighting({ service, part, request: request.fingerprint, targetId: id, bornMs, atMs: nowMs, learnedMs: nowMs })
+        const position = request.promptParts.indexOf(part)
+        addSighting({ service, part, request: request.fingerprint, targetId: id, bornMs, ...(position < 0 ? {} : { position }), atMs: nowMs, learnedMs: nowMs })
       }
     },
     noteAnswered (request) {
--- a/src/crash/createCrashEvidence/test.ts
+++ b/src/crash/createCrashEvidence/test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import fc from 'fast-check'
 import type { Target } from '../../fleet/types.js'
 import { buildEngine } from '../../../test/fakes/buildFleet.js'
 import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
@@ -208,3 +209,54 @@
     t.true(isFound, `timer ${earlyMs} ms early`)
   }
 })
+
+test('two parts that crash engines leave requests with the first part that they share served', async t => {
+  const { runtime, evidence, crash, isFound } = createHost()
+  evidence.noteAnswered(requestOf('model', 'shared', '0'))
+  await runtime.advance(61_000)
+  crash('shared', 'bad-1', '1')
+  crash('shared', 'bad-1', '1')
+  crash('shared', 'bad-2', '2')
+  await runtime.advance(SETTLING_MS)
+  t.deepEqual([['shared', '3'], ['shared', 'bad-1', '3'], ['shared', 'bad-2', '3'], ['shared', 'other', '3']].map(parts => isFound(...parts)), [false, true, true, false])
+  evidence.noteAnswered(requestOf('model', 'shared', '3'))
+  crash('shared', 'bad-1', '4')
+  await runtime.advance(SETTLING_MS)
+  t.deepEqual([['shared', '5'], ['shared', 'bad-1', '5'], ['else', 'bad-1', '5']].map(parts => isFound(...parts)), [false, true, true])
+})
+
+/** Engine crashes after which a part must be known, and requests that may still reach engines. */
+const CRASHES_TO_KNOW = 5
+const REQUESTS_AFTER = 3
+
+/** One part or two that crash engines, before or behind the others of their prompts. */
+const CRASHING_PROMPTS = [{ firsts: 1, bads: 1, isFront: false }, { firsts: 1, bads: 2, isFront: false }, { firsts: 2, bads: 2, isFront: false }, { firsts: 2, bads: 1, isFront: true }]
+
+for (const { firsts, bads, isFront } of CRASHING_PROMPTS) {
+  test(`few requests with parts that crash engines reach any, and most sound ones are served: ${bads} ${isFront ? 'before' : 'behind'} ${firsts}`, async t => {
+    const prompts = fc.array(fc.record({ first: fc.nat(firsts - 1), bad: fc.option(fc.nat(bads - 1)), middle: fc.nat(11) }), { minLength: 80, maxLength: 80 })
+    await fc.assert(fc.asyncProperty(prompts, fc.nat(30), async (sent, soundFrom) => {
+      const { runtime, evidence, crash } = createHost()
+      const crashes = new Map<number, number>()
+      let [sound, refused] = [0, 0]
+      for (const [index, { first, bad, middle }] of sent.entries()) {
+        const badParts = bad === null ? [] : [`bad-${bad}`]
+        const parts = [...(isFront ? badParts : []), `first-${first}`, ...(isFront ? [] : badParts), `middle-${middle}`, String(index)]
+        await runtime.advance(400)
+        // No sound request comes before a moment, so that nothing speaks for the parts that it shares.
+        if (bad === null && index < soundFrom) continue
+        const isRefused = evidence.findCrashing(requestOf('model', ...parts)) !== undefined
+        if (bad === null) {
+          sound++
+          if (isRefused) refused++
+          else evidence.noteAnswered(requestOf('model', ...parts))
+        } else if (!isRefused) {
+          crashes.set(bad, (crashes.get(bad) ?? 0) + 1)
+          crash(...parts)
+        }
+      }
+      for (const [part, count] of crashes) t.true(count <= CRASHES_TO_KNOW + REQUESTS_AFTER, `bad-${part}: ${count} crashes`)
+      t.true(refused <= sound / 2, `${refused} of ${sound} sound requests refused`)
+    }), { seed: 29, numRuns: 200 })
+  })
+}
--- a/src/crash/findCrashingTraits/index.ts
+++ b/src/crash/findCrashingTraits/index.ts
@@ -11,7 +11,13 @@
  * crashes, more of them are needed; then the rarest is taken, and if it is the wrong one, the next
  * crash gives another part the most. Parts that only ever occurred together cannot be told apart:
  * they count together, and a request with one of them alone is not affected.
+ *
+ * Several parts may crash engines at once. What their requests share, mostly the first parts of
+ * prompts, then has more crashes than any of them. As long as a few parts further back may explain
+ * the crashes of a part, only the combinations that have crashed engines are held back: a request
+ * with the shared part and another one shows by its answer, or by one more crash, which it is.
  */
+import { findCover } from '../_lib/findCover.js'
 import { engineOf } from '../_lib/createSightings.js'
 import { isWholeRequest, traitKey } from '../_lib/listTraits.js'
 import type { CrashingTraits, CrashSighting } from '../types.js'
@@ -23,7 +29,10 @@
 /** Number of crashes that shows that a part is the cause even if another part may explain them. */
 const CERTAIN_CRASHES = 5
 
-type Sighting = Pick<CrashSighting, 'service' | 'part' | 'request' | 'targetId' | 'bornMs'>
+/** Most parts that are thought to crash engines at once; if more were needed to explain crashes, what their prompts share is the cause. */
+const MAX_SEPARATE_CAUSES = 2
+
+type Sighting = Pick<CrashSighting, 'service' | 'part' | 'request' | 'targetId' | 'bornMs' | 'position'>
 
 interface Suspect {
   service: string
@@ -31,6 +40,8 @@
   engines: Set<string>
   /** Engines that ended under each request. */
   enginesByRequest: Map<string, Set<string>>
+  /** Least index in the prompts; `undefined` if some are not known. */
+  position: number | undefined
   sightings: number
 }
 
@@ -53,12 +64,13 @@
 function collectSuspects (sightings: Iterable<Sighting>): Suspect[] {
   const suspects = new Map<string, Suspect>()
   for (const sighting of sightings) {
-    const { service, part, request } = sighting
-    const suspect = suspects.get(traitKey(sighting)) ?? { service, part, engines: new Set(), enginesByRequest: new Map(), sightings: 0 }
+    const { service, part, request, position } = sighting
+    const suspect = suspects.get(traitKey(sighting)) ?? { service, part, engines: new Set(), enginesByRequest: new Map(), position, sightings: 0 }
     suspects.set(traitKey(sighting), suspect)
     const engine = engineOf(sighting)
     suspect.engines.add(engine)
     suspect.enginesByRequest.set(request, (suspect.enginesByRequest.get(request) ?? new Set()).add(engine))
+    suspect.position = position === undefined || suspect.position === undefined ? undefined : Math.min(position, suspect.position)
     suspect.sightings++
   }
   return [...suspects.values()]
@@ -67,18 +79,50 @@
 /** Finds parts of prompts, and adds the engines whose end they explain to `explained`. */
 function findCrashingParts (suspects: readonly Suspect[], explained: Set<string>): CrashingTraits[] {
   const found: CrashingTraits[] = []
+  const combinations: CrashingTraits[] = []
+  const ambiguous: Suspect[][] = []
   const groups = groupBySameEvidence(suspects)
   for (const group of groups) {
     const { service, engines, enginesByRequest } = group[0]!
     const unexplained = [...engines].filter(engine => !explained.has(engine))
     const crashes = countDistinctCrashes(unexplained, [...enginesByRequest.values()])
-    const hasRival = (): boolean => groups.some(other => other !== group && unexplained.every(engine => other[0]!.engines.has(engine)))
-    const isShown = enginesByRequest.size >= MIN_REQUESTS && (crashes >= CERTAIN_CRASHES || (crashes >= MIN_CRASHES && !hasRival()))
-    if (!isShown) continue
+    if (enginesByRequest.size < MIN_REQUESTS || crashes < MIN_CRASHES) continue
+    const behind = groups.filter(other => other[0]!.service === service && isBehind(other, group))
+    const ownCauses = findCover(unexplained, behind, other => listCommonEngines(group, other), MAX_SEPARATE_CAUSES)
+    if (ownCauses !== undefined) {
+      ambiguous.push(group)
+      combinations.push(...ownCauses.map(cause => combine(group, cause)))
+      continue
+    }
+    const hasRival = (): boolean =>
+      groups.some(other => other !== group && unexplained.every(engine => other[0]!.engines.has(engine))) ||
+      findCover(unexplained, behind, other => other[0]!.engines, MAX_SEPARATE_CAUSES) !== undefined ||
+      findCover(unexplained, ambiguous, other => listCommonEngines(group, other), MAX_SEPARATE_CAUSES) !== undefined
+    if (crashes < CERTAIN_CRASHES && hasRival()) continue
     for (const engine of engines) explained.add(engine)
     found.push({ service, parts: group.map(({ part }) => part), crashes: engines.size, requests: enginesByRequest.size })
   }
-  return found
+  const isRedundant = ({ service, parts }: CrashingTraits): boolean => found.some(other => other.service === service && other.parts.every(part => parts.includes(part)))
+  return [...found, ...combinations.filter(combination => !isRedundant(combination))]
+}
+
+/** Whether parts stand further back in prompts than others, and so are shared by fewer. */
+function isBehind ([one]: readonly Suspect[], [other]: readonly Suspect[]): boolean {
+  return one!.position !== undefined && other!.position !== undefined && one!.position > other!.position
+}
+
+/** Engines that ended under a request with the parts of both groups. */
+function listCommonEngines ([one]: readonly Suspect[], [other]: readonly Suspect[]): Set<string> {
+  return new Set([...one!.enginesByRequest].flatMap(([request, engines]) => {
+    const otherEngines = other!.enginesByRequest.get(request)
+    return otherEngines === undefined ? [] : [...engines].filter(engine => otherEngines.has(engine))
+  }))
+}
+
+/** The parts of two groups together. */
+function combine (one: readonly Suspect[], other: readonly Suspect[]): CrashingTraits {
+  const requests = [...one[0]!.enginesByRequest.keys()].filter(request => other[0]!.enginesByRequest.has(request))
+  return { service: one[0]!.service, parts: [...one, ...other].map(({ part }) => part).sort(), crashes: listCommonEngines(one, other).size, requests: requests.length }
 }
 
 /** Number of crashes that speak against a part; those that a single request explains count as one. */
--- a/src/crash/findCrashingTraits/test.ts
+++ b/src/crash/findCrashingTraits/test.ts
@@ -3,6 +3,8 @@
 import { findCrashingTraits } from './index.js'
 
 const sighting = (part: string, request: string, engine: number) => ({ service: 'model', part, request, targetId: `i-${engine}`, bornMs: 1 })
+/** Sightings of the parts of one prompt on the engines that ended under it; the last part is its own. */
+const prompt = (request: string, engines: number[], ...parts: string[]) => engines.flatMap(engine => parts.map((part, position) => ({ ...sighting(part, request, engine), position })))
 const whole = (request: string, engine: number) => ({ service: '', part: `request:${request}`, request, targetId: `i-${engine}`, bornMs: 1 })
 const partsOf = (sightings: Parameters<typeof findCrashingTraits>[0]): string[][] => findCrashingTraits(sightings).map(({ parts }) => parts)
 
@@ -69,3 +71,24 @@
     t.true(found.length <= 2)
   }), { seed: 5, numRuns: 300 })
 })
+
+test('a first part is not taken for the cause of crashes that parts behind it may have caused', t => {
+  const crashes = [...prompt('1', [1, 2], 'shared', 'bad-1'), ...prompt('2', [3], 'shared', 'bad-2')]
+  t.deepEqual(partsOf(crashes), [['bad-1', 'shared'], ['bad-2', 'shared']], 'only what has crashed engines is held back')
+})
+
+test('a first part is the cause once too many others would have to be', t => {
+  const crashes = ['a', 'b', 'c'].flatMap((part, index) => prompt(part, index === 0 ? [0, 10] : [index], 'bad', part))
+  t.deepEqual(partsOf(crashes), [['bad']])
+  t.deepEqual(partsOf(['1', '2', '3'].flatMap((request, index) => prompt(request, [index], 'bad'))), [['bad']], 'no other part is behind it')
+})
+
+test('a part behind first parts is the cause after three crashes', t => {
+  t.deepEqual(partsOf(['a', 'b', 'c'].flatMap((part, index) => prompt(part, [index], part, 'bad'))), [['bad']])
+})
+
+test('a part that was on engines by chance is not taken for the cause while two other parts may be', t => {
+  const bad = [...prompt('1', [1, 2], 'first', 'bad-1'), ...prompt('2', [3], 'second', 'bad-2')]
+  const bystanders = [1, 2, 3].flatMap(engine => prompt(`s${engine}`, [engine], 'shared'))
+  t.deepEqual(partsOf([...bad, ...bystanders]), [])
+})
--- a/src/crash/types.ts
+++ b/src/crash/types.ts
@@ -14,6 +14,8 @@
   targetId: z.string(),
   /** Start of the target, in Unix milliseconds; tells apart two starts with one id. */
   bornMs: z.number(),
+  /** Index of the part in the prompt; the first ones are shared most. Absent for whole requests, and from hosts of earlier versions. */
+  position: z.int().min(0).optional(),
   /** Time since the crash, in milliseconds. */
   ageMs: z.number().min(0)
 })
