--- a/src/fleet/createFleetState/test.ts
+++ b/src/fleet/createFleetState/test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check'
 import { buildEngine } from '../../../test/fakes/buildFleet.js'
 import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
+import { createSystemRuntime } from '../../runtime/createSystemRuntime/index.js'
 import type { FleetConfiguration } from '../types.js'
 import { createFleetState } from './index.js'
 
@@ -52,6 +53,15 @@
   t.is(fleet.servingTargets('model').length, 1)
 })
 
+test('a target with a defect, which a peer of an earlier version may pass on, is not used but counts in the fingerprint', t => {
+  const [one, other] = [0, 1].map(() => createFleetState({ runtime: createManualRuntime() }))
+  const targets = [engine('a'), { ...engine('odd'), address: '10.0.0.1:99999' }]
+  one!.applySnapshot({ revision: 5, targets })
+  other!.applySnapshot({ revision: 5, targets: targets.slice(0, 1) })
+  t.deepEqual(one!.targets().map(({ id }) => id), ['a'])
+  t.not(one!.fingerprint(), other!.fingerprint())
+})
+
 test('layers seen on an engine count before its entry shows them, for that start of it only', t => {
   const fleet = createFleetState({ runtime: createManualRuntime() })
   fleet.applySnapshot({ revision: 1, targets: [engine('a')] })
@@ -110,3 +120,53 @@
   await runtime.advance(1_900)
   t.deepEqual([peer, own].map(fleet => fleet.targets().map(target => target.id)), [['b'], ['b']])
 })
+
+test('a target whose entry said that it leaves is leaving for good, whatever later lists say, and another start of it is not', t => {
+  for (const comeBack of ['applySnapshot', 'applyChanges'] as const) {
+    const fleet = createFleetState({ runtime: createManualRuntime() })
+    fleet.applySnapshot({ revision: 1, targets: [engine('a')] })
+    fleet.applyChanges({ revision: 2, changed: [{ ...engine('a'), isLeaving: true }], removedIds: [] })
+    fleet.applyChanges({ revision: 3, changed: [], removedIds: ['a'] })
+    if (comeBack === 'applySnapshot') fleet.applySnapshot({ revision: 4, targets: [engine('a')] })
+    else fleet.applyChanges({ revision: 4, changed: [engine('a')], removedIds: [] })
+    t.deepEqual([fleet.servingTargets('model').length, fleet.isServing(engine('a'))], [0, false])
+    t.deepEqual(fleet.knownLeaving(), [{ targetId: 'a', bornMs: 1 }])
+    fleet.applyChanges({ revision: 5, changed: [{ ...engine('a'), bornMs: 2 }], removedIds: [] })
+    t.is(fleet.servingTargets('model').length, 1)
+  }
+})
+
+test('hosts are told of leaving targets only if the entries do not say it, or the targets said it themselves', t => {
+  const fleet = createFleetState({ runtime: createManualRuntime() })
+  fleet.applySnapshot({ revision: 1, targets: [{ ...engine('a'), isLeaving: true }, engine('b'), engine('c')] })
+  t.true(fleet.recordLeaving(engine('b')))
+  t.false(fleet.recordLeaving(engine('b')))
+  t.deepEqual(fleet.knownLeaving().map(({ targetId }) => targetId), ['b'])
+  t.true(fleet.recordLeaving(engine('a')))
+  t.deepEqual(fleet.knownLeaving().map(({ targetId }) => targetId), ['b', 'a'])
+})
+
+test('what is heard late of an earlier start does not hide that the present one leaves', t => {
+  const fleet = createFleetState({ runtime: createManualRuntime() })
+  fleet.applySnapshot({ revision: 1, targets: [{ ...engine('a'), bornMs: 2 }] })
+  fleet.recordLeaving({ id: 'a', bornMs: 2 })
+  fleet.recordLeaving({ id: 'a', bornMs: 1 })
+  t.is(fleet.servingTargets('model').length, 0)
+})
+
+test('a target whose entry lapsed does not stay listed because its timer fired early', async t => {
+  const runtime = createSystemRuntime()
+  // Timers of a runtime do not keep the process alive.
+  const keptAlive = setInterval(() => {}, 1_000)
+  t.teardown(() => clearInterval(keptAlive))
+  await Promise.all(Array.from({ length: 100 }, async (_, index) => {
+    // Spreads the timers over the milliseconds to which the event loop rounds its clock.
+    await new Promise(resolve => { setTimeout(resolve, index / 10) })
+    const fleet = createFleetState({ runtime })
+    fleet.applySnapshot({ revision: 1, targets: [engine('a')] })
+    const removed = new Promise<void>(resolve => { fleet.onChange(resolve) })
+    fleet.applySnapshot({ revision: 2, targets: [] }, { keepMissingMs: 15 })
+    await removed
+    t.deepEqual(fleet.targets(), [])
+  }))
+})
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -5,6 +5,8 @@
 import { withConnectionClose, type BufferedAnswer } from './answerCaller.js'
 import { noteProgress } from './crashingRequests.js'
 import { describeBrokenEnd } from './describeRun.js'
+import { containsAnswerHead } from './containsAnswerHead.js'
+import { judgeAnswer } from './judgeAnswer.js'
 import { noteStatements } from './noteStatements.js'
 import { learnOutput } from './estimateRequestSize.js'
 import { createEventSplitter } from './createEventSplitter.js'
@@ -15,16 +17,17 @@
 /** Weight of the latest pause in the moving average of a stream's pauses. */
 const PAUSE_WEIGHT = 0.2
 
-/** Largest event of a stream, in bytes; it is kept until it is complete. */
-const MAX_EVENT_BYTES = 2 ** 20
+/** Largest event of a stream, in bytes, and most pieces in which it may come; it is kept until it is complete. */
+const MAX_EVENT_BYTES = 256 * 2 ** 10
+const MAX_EVENT_PIECES = 4_096
 
 /** Outcome of one try of a stream. */
 export type StreamResult =
   | { kind: 'complete' }
   /** The engine answered with an error status, which is relayed to the caller. */
   | { kind: 'refusedByTarget' } & BufferedAnswer
-  /** `isOwnLink`: the request could not be sent, which says nothing of the engine; `isPause`: the engine asked for a pause. */
-  | { kind: 'notRun', cause: string, faultyAddress: string | undefined, hasReachedTarget: boolean, isOwnLink?: boolean, isPause?: boolean }
+  /** `isOwnLink`: the request could not be sent, which says nothing of the engine; `isPause`: the engine asked for a pause; `hasLeft`: an engine of the path left before the request was sent. */
+  | { kind: 'notRun', cause: string, faultyAddress: string | undefined, hasReachedTarget: boolean, isOwnLink?: boolean, isPause?: boolean, hasLeft?: boolean }
   /** `isBrokenByTarget` is false if this host closed the connection. */
   | { kind: 'brokenOff', cause: string, isBrokenByTarget: boolean }
 
@@ -55,14 +58,16 @@
   const metadata = context.format.readAnswer(answer.headers)
   const status = answer.statusCode ?? 0
   const isPause = noteStatements(metadata, status, call, run.target, context)
+  const verdict = judgeAnswer({ status, metadata, isEncoded: answer.headers['content-encoding'] !== undefined, isRepeatable: call.route.isResumable }, call.facts)
+  if (verdict.kind === 'notRun') return { kind: 'notRun', cause: `status ${status}`, faultyAddress: verdict.faultyAddress, hasReachedTarget: true, isPause }
+  if (verdict.kind === 'unusable') return { kind: 'brokenOff', cause: verdict.cause, isBrokenByTarget: false }
   if (status !== 200) {
-    const body = await readAnswerBody(answer, () => settleAnswerEnd({ answer, exchange, run }, call, { isStream: false }, context))
-    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, faultyAddress: metadata.faultyAddress, hasReachedTarget: true, isPause }
-    if (body === undefined || !metadata.isSigned || metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
-    return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, framing: run.answer?.framing ?? 'connection' }
+    const body = await readAnswerBody(answer, () => settleAnswerEnd({ answer, exchange, run }, call, { isStream: false }, context), context)
+    if (body === undefined) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
+    const framing = run.answer?.framing ?? 'connection'
+    if (framing === 'connection' && containsAnswerHead(body, context.format)) return { kind: 'brokenOff', cause: 'another answer follows', isBrokenByTarget: false }
+    return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, framing }
   }
-  if (metadata.requestId !== call.facts.requestId) return { kind: 'brokenOff', cause: 'answer has another request id', isBrokenByTarget: false }
-  if (!metadata.isSigned || answer.headers['content-encoding'] !== undefined) return { kind: 'brokenOff', cause: 'answer unsigned or encoded', isBrokenByTarget: false }
   return await relayEvents(answer, exchange, call, progress, observed, context)
 }
 
@@ -70,19 +75,32 @@
   const { response, startedMs } = call
   const { format, metrics, runtime, suspicions } = context
   const split = createEventSplitter()
+  const paced = context.answerPacer.pace(answer)
   let isHeldUp = false
+  /** Chunks and the end that have already arrived are still emitted after the answer was destroyed. */
+  let isGivenUp = false
   return new Promise(resolve => {
     const fail = (cause: string): void => {
+      isGivenUp = true
       const isBrokenByTarget = !exchange.isClosedHere()
       answer.destroy()
       resolve({ kind: 'brokenOff', cause, isBrokenByTarget })
     }
     answer.on('data', (chunk: Buffer) => {
+      if (isGivenUp) return
+      paced.noteChunk()
+      const events = split(chunk)
+      const isTooLarge = split.bufferedBytes() > MAX_EVENT_BYTES || split.pieces() > MAX_EVENT_PIECES
+      if (events.length === 0 && isTooLarge) return fail('event too large')
+      // Less than an event is no progress.
+      if (events.length === 0) return
       const nowMs = runtime.monotonicMs()
       const wasHeldUp = isHeldUp
       isHeldUp = false
-      for (const event of split(chunk)) {
+      for (const event of events) {
+        if (!event.isWellFormed) return fail('text that is no event')
         if (event.id === undefined) return fail('event without id')
+        if (run.answer?.framing === 'connection' && containsAnswerHead(event.bytes, format)) return fail('another answer follows')
         if (progress.lastEventId !== undefined && event.id !== progress.lastEventId + 1) return fail(`event id ${event.id} follows ${progress.lastEventId}`)
         if (!response.headersSent) response.writeHead(200, withConnectionClose(context, format.buildAnswerHeaders(answer.rawHeaders)))
         if (progress.firstEventMs === undefined) {
@@ -93,13 +111,13 @@
         run.eventCount = (run.eventCount ?? 0) + 1
         progress.lastEventId = event.id
         recordPause(progress, nowMs)
-        if (!response.write(event.bytes)) {
+        if (!response.write(event.bytes) && !isHeldUp) {
           isHeldUp = true
-          answer.pause()
-          response.once('drain', () => answer.resume())
+          paced.pause()
+          response.once('drain', paced.resume)
         }
       }
-      if (split.bufferedBytes() > MAX_EVENT_BYTES) return fail('event too large')
+      if (isTooLarge) return fail('event too large')
       noteProgress(call, run, context)
       onProgress(progress.lastEventId, wasHeldUp)
       if (stream === undefined) return
@@ -110,9 +128,11 @@
     })
     let hasEnded = false
     answer.once('end', async () => {
+      if (isGivenUp) return
       hasEnded = true
       if (split.bufferedBytes() > 0) return fail('stream interrupted')
       const verdict = await settleAnswerEnd({ answer, exchange, run }, call, { isStream: true }, context)
+      if (isGivenUp) return
       if (verdict !== 'whole') return fail(describeBrokenEnd(run, verdict, 'stream interrupted'))
       response.end()
       learnOutput(call, progress.lastEventId, { isWhole: true }, context)
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -3,8 +3,11 @@
  * within its attempts and the retry budget; an unsafe one only if the previous target provably
  * did not run it.
  */
+import { containsAnswerHead } from './containsAnswerHead.js'
+import { judgeAnswer } from './judgeAnswer.js'
 import { noteStatements } from './noteStatements.js'
 import { closeWithCall } from './closeWithCall.js'
+import { findObstacle } from './findObstacle.js'
 import { openExchange } from './openExchange.js'
 import { readAnswerBody } from './readAnswerBody.js'
 import { settleAnswerEnd } from './settleAnswerEnd.js'
@@ -25,16 +28,13 @@
 /** Retry delay sent to callers when no target could take a call, in milliseconds. */
 const RETRY_AFTER_MS = 500
 
-/** Status codes that claim that the call did not run; without the header that proves it the claim is not trusted. */
-const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
-
 /** Cause of an attempt that was not started. */
 const NO_TIME_LEFT = 'no time left'
 
 type AttemptResult =
   | { kind: 'whole' } & BufferedAnswer
-  /** `isOwnLink`: the request could not be sent, which says nothing of the target; `isPause`: the target asked for a pause. */
-  | { kind: 'notRun', cause: string, hasReachedTarget: boolean, isOwnLink?: boolean, isPause?: boolean }
+  /** `isOwnLink`: the request could not be sent, which says nothing of the target; `isPause`: the target asked for a pause; `hasLeft`: it left before the request was sent. */
+  | { kind: 'notRun', cause: string, hasReachedTarget: boolean, isOwnLink?: boolean, isPause?: boolean, hasLeft?: boolean }
   /** `isBrokenByTarget`: the connection ended before the answer was complete, and this host did not close it. */
   | { kind: 'mayHaveRun', cause: string, isBrokenByTarget?: boolean }
 
@@ -60,7 +60,8 @@
     const result = await attemptCall(call, reservation, run, context)
     metrics.attempts.inc({ result: result.kind })
     attempts.push(`${reservation.target.id} ${result.kind === 'whole' ? result.status : result.cause}`)
-    excluded.add(reservation.target.id)
+    // Another start of the target may have the same id.
+    if (!(result.kind === 'notRun' && result.hasLeft === true)) excluded.add(reservation.target.id)
     if (result.kind === 'whole') {
       suspicions.note(reservation.target.id, result.status >= 500 ? 'failedAnswer' : 'answered')
       const isFinal = result.status < 500 || route.kind === 'unsafe'
@@ -71,7 +72,7 @@
     }
     if (result.kind === 'notRun') {
       const isGivenUp = signal.aborted && !result.hasReachedTarget
-      const saysNothing = isGivenUp || result.cause === NO_TIME_LEFT || result.isOwnLink === true || result.isPause === true
+      const saysNothing = isGivenUp || result.cause === NO_TIME_LEFT || result.isOwnLink === true || result.isPause === true || result.hasLeft === true
       if (!saysNothing) suspicions.note(reservation.target.id, result.hasReachedTarget ? 'refused' : 'unreachable')
       if (result.hasReachedTarget) countedAttempts++
       continue
@@ -119,31 +120,35 @@
     headers: format.buildHeaders(request, body, { requestId: facts.requestId, account, leftMs, targetId: reservation.target.id, path: undefined, lastEventId: undefined }),
     body,
     connect: context.links.connect,
-    mayStillSend: () => context.targetPauses.leftMs(reservation.target.id) === 0
+    findObstacle: () => findObstacle(reservation, context)
   })
   const closing = closeWithCall(call, exchange, context)
   using answerTimeout = withDeadline(route.objectiveMs * ANSWER_TIMEOUT_OBJECTIVES, { runtime })
   if (route.kind === 'safe') answerTimeout.signal.addEventListener('abort', () => exchange.close('no answer in time'), { once: true })
   try {
     const result = await exchange.result
-    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.isPause === true }
+    if (result.kind === 'notSent') return { kind: 'notRun', cause: result.cause, hasReachedTarget: false, isOwnLink: result.isOwnLink, isPause: result.obstacle === 'paused', hasLeft: result.obstacle === 'left' }
     if (result.kind === 'lost') return { kind: 'mayHaveRun', cause: result.cause, isBrokenByTarget: !exchange.isClosedHere() }
     const { answer } = result
     run.answer = { framing: findFraming(answer, request.method ?? 'GET'), relay: exchange.relay() }
     const metadata = format.readAnswer(answer.headers)
     const status = answer.statusCode ?? 0
     const isPause = noteStatements(metadata, status, call, reservation.target, context)
-    let verdict: EndVerdict = 'truncated'
-    const answerBody = await readAnswerBody(answer, async () => { verdict = await settleAnswerEnd({ answer, exchange, run }, call, { isStream: false }, context); return verdict })
-    const isBrokenByTarget = answerBody === undefined && !exchange.isClosedHere()
-    exchange.close('answer read')
-    if (metadata.isNotRun) return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true, isPause }
-    if (answerBody === undefined) return { kind: 'mayHaveRun', cause: describeBrokenEnd(run, verdict, 'answer truncated'), isBrokenByTarget }
-    if (metadata.requestId !== undefined && metadata.requestId !== facts.requestId) return { kind: 'mayHaveRun', cause: 'answer has another request id' }
-    if (answer.headers['content-encoding'] !== undefined || !metadata.isSigned) return { kind: 'mayHaveRun', cause: 'answer unsigned or encoded' }
-    if (NOT_RUN_STATUSES.has(status)) return { kind: 'mayHaveRun', cause: `status ${status} without proof that the call did not run` }
-    return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody, framing: run.answer.framing }
+    const verdict = judgeAnswer({ status, metadata, isEncoded: answer.headers['content-encoding'] !== undefined, isRepeatable: route.kind === 'safe' }, facts)
+    if (verdict.kind === 'notRun') return { kind: 'notRun', cause: `status ${status}`, hasReachedTarget: true, isPause }
+    if (verdict.kind === 'unusable') return { kind: 'mayHaveRun', cause: verdict.cause }
+    let endVerdict: EndVerdict = 'truncated'
+    const judgeEnd = async (): Promise<EndVerdict> => {
+      endVerdict = await settleAnswerEnd({ answer, exchange, run }, call, { isStream: false }, context)
+      return endVerdict
+    }
+    const answerBody = await readAnswerBody(answer, judgeEnd, context)
+    if (answerBody === undefined) return { kind: 'mayHaveRun', cause: describeBrokenEnd(run, endVerdict, 'answer truncated'), isBrokenByTarget: !exchange.isClosedHere() }
+    const { framing } = run.answer
+    if (framing === 'connection' && containsAnswerHead(answerBody, format)) return { kind: 'mayHaveRun', cause: 'another answer follows' }
+    return { kind: 'whole', status, rawHeaders: answer.rawHeaders, body: answerBody, framing }
   } finally {
     closing[Symbol.dispose]()
+    exchange.close('exchange ended')
   }
 }
--- a/src/gateway/_lib/settleAnswerEnd.ts
+++ b/src/gateway/_lib/settleAnswerEnd.ts
@@ -28,17 +28,19 @@
   const verdict = judgeAnswerEnd(end)
   if (verdict === 'unknown' && !end.isEndConfirmed) run.isLinkLost = true
   if (verdict !== 'unchecked') return verdict
-  const check = await Promise.race([checkTarget(run.target), untilAborted(signal)])
+  using callEnd = listenForEnd(signal)
+  const check = await Promise.race([checkTarget(run.target), callEnd.check])
   if (run.answer !== undefined) run.answer.check = check
   if (check === 'unknown') run.isLinkLost = true
   const checked = judgeAnswerEnd({ ...end, check })
   return checked === 'unchecked' ? 'unknown' : checked
 }
 
-/** Resolves when a call ends, which leaves the state of the target unknown. */
-function untilAborted (signal: AbortSignal): Promise<LinkCheck> {
-  return new Promise(resolve => {
-    if (signal.aborted) resolve('unknown')
-    else signal.addEventListener('abort', () => resolve('unknown'), { once: true })
-  })
+/** Resolves `check` when a call ends, which leaves the state of the target unknown. */
+function listenForEnd (signal: AbortSignal): Disposable & { check: Promise<LinkCheck> } {
+  let noteEnd = (): void => {}
+  const check = new Promise<LinkCheck>(resolve => { noteEnd = () => resolve('unknown') })
+  if (signal.aborted) noteEnd()
+  signal.addEventListener('abort', noteEnd)
+  return { check, [Symbol.dispose]: () => signal.removeEventListener('abort', noteEnd) }
 }
--- a/standin/platform/servePlatformStore/index.ts
+++ b/standin/platform/servePlatformStore/index.ts
@@ -3,6 +3,7 @@
  * watches, and faults.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { listen, type ListeningServer } from '../../../src/http/listen/index.js'
 import { sendJson } from '../../../src/http/sendJson/index.js'
 
@@ -31,6 +32,8 @@
   losesNextWriteAnswer?: boolean
   /** The next watch is answered with 410, as if the changes since its revision were no longer kept. */
   expiresNextWatch?: boolean
+  /** Pages of stale lists after the first show the state at this revision. */
+  laterPagesAt?: number
 }
 
 /** A running store. */
@@ -38,26 +41,42 @@
   faults: StoreFaults
   put: (kind: string, name: string, spec: unknown) => void
   remove: (kind: string, name: string) => void
+  /** The present state, for `restore`. */
+  copy: () => StoreCopy
+  /** Comes back from a copy, as in a drill: later changes are lost, their revisions are given out again, the era rises, and open connections are reset. */
+  restore: (copy: StoreCopy) => void
+  /** Makes the open connections go silent for good, while new ones work. */
+  silenceConnections: () => void
   /** Calls received, each as method and kind. */
   calls: string[]
 }
 
+/** The state of a store at a revision. */
+export interface StoreCopy {
+  objects: ReadonlyMap<string, StoreObject>
+  revision: number
+}
+
 /** Number of objects on one page of a list. */
 const PAGE_SIZE = 3
 
 /**
  * @name servePlatformStore
  * @summary Starts a store on a free loopback port.
+ * @param options - The first era; `undefined` for a store that does not state its era.
  * @returns The store.
  *
  * @example
  * await using store = await servePlatformStore()
  * store.put('servers', 'i-1', entry)
  */
-export async function servePlatformStore (): Promise<PlatformStoreStandin> {
-  const objects = new Map<string, StoreObject>()
-  const events: StoreEvent[] = []
+export async function servePlatformStore (options: { era?: number | undefined } = { era: 1 }): Promise<PlatformStoreStandin> {
+  let { era } = options
+  let objects = new Map<string, StoreObject>()
+  let events: StoreEvent[] = []
   const watchers = new Set<() => void>()
+  const sockets = new Set<Socket>()
+  const silentSockets = new WeakSet<Socket>()
   const faults: StoreFaults = {}
   const calls: string[] = []
   let revision = 0
@@ -83,11 +102,24 @@
     recordEvent(kind, { ...object, metadata: { ...object.metadata, revision: ++revision } }, true)
   }
 
+  /** The objects as they were at a revision. */
+  function objectsAt (atRevision: number): Map<string, StoreObject> {
+    const past = new Map<string, StoreObject>()
+    for (const { kind, object, deleted } of events.filter(event => event.revision <= atRevision)) {
+      if (deleted) past.delete(`${kind}/${object.metadata.name}`)
+      else past.set(`${kind}/${object.metadata.name}`, object)
+    }
+    return past
+  }
+
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store')
     const [, , kind = '', name] = url.pathname.split('/')
     calls.push(`${request.method} ${kind}`)
-    if (faults.isSilent) return
+    if (!sockets.has(request.socket)) request.socket.once('close', () => sockets.delete(request.socket))
+    sockets.add(request.socket)
+    if (era !== undefined) response.setHeader('Store-Era', era)
+    if (faults.isSilent || silentSockets.has(request.socket)) return
     if (faults.status !== undefined) return sendJson(response, faults.status, {})
     if (request.method === 'GET') return await read(url, kind, name, response)
     const body = await readJson(request) as Partial<StoreObject>
@@ -118,13 +150,15 @@
     }
     if (url.searchParams.has('watch')) return await watch(kind, Number(url.searchParams.get('watch')), Number(url.searchParams.get('wait_ms') ?? 0), response)
     const after = url.searchParams.get('after') ?? ''
-    const names = [...objects.keys()].filter(key => key.startsWith(`${kind}/`) && key.slice(kind.length + 1) > after).sort()
-    const items = names.slice(0, PAGE_SIZE).map(key => objects.get(key))
-    sendJson(response, 200, { items, truncated: names.length > PAGE_SIZE, as_of: revision })
+    const isOld = faults.laterPagesAt !== undefined && after !== '' && url.searchParams.has('stale_read')
+    const shown = isOld ? objectsAt(faults.laterPagesAt!) : objects
+    const names = [...shown.keys()].filter(key => key.startsWith(`${kind}/`) && key.slice(kind.length + 1) > after).sort()
+    const items = names.slice(0, PAGE_SIZE).map(key => shown.get(key))
+    sendJson(response, 200, { items, truncated: names.length > PAGE_SIZE, as_of: isOld ? faults.laterPagesAt : revision })
   }
 
   async function watch (kind: string, afterRevision: number, waitMs: number, response: ServerResponse): Promise<void> {
-    if (faults.expiresNextWatch) {
+    if (faults.expiresNextWatch || afterRevision > revision) {
       faults.expiresNextWatch = false
       return sendJson(response, 410, {})
     }
@@ -146,11 +180,28 @@
         })
       })
     }
+    if (response.socket !== null && silentSockets.has(response.socket)) return
     sendJson(response, 200, { events: findEvents().map(({ object, deleted }) => ({ object, deleted })), as_of: revision })
   }
 
   const server = await listen(handle, { address: '127.0.0.1', port: 0 })
-  return { ...server, faults, calls, put, remove, [Symbol.asyncDispose]: () => server[Symbol.asyncDispose]() }
+  return {
+    ...server,
+    faults,
+    calls,
+    put,
+    remove,
+    silenceConnections () { for (const socket of sockets) silentSockets.add(socket) },
+    copy: () => ({ objects: new Map(objects), revision }),
+    restore (copy) {
+      objects = new Map(copy.objects)
+      events = events.filter(event => event.revision <= copy.revision)
+      revision = copy.revision
+      if (era !== undefined) era++
+      for (const socket of sockets) socket.resetAndDestroy()
+    },
+    [Symbol.asyncDispose]: () => server[Symbol.asyncDispose]()
+  }
 }
 
 async function readJson (request: IncomingMessage): Promise<unknown> {
--- a/test/fleet/storeCalls.test.ts
+++ b/test/fleet/storeCalls.test.ts
@@ -2,6 +2,7 @@
 import { createFleetState, type FleetState } from '../../src/fleet/createFleetState/index.js'
 import { followFleet, type FleetFormat } from '../../src/fleet/followFleet/index.js'
 import { followStoreReaders } from '../../src/fleet/followStoreReaders/index.js'
+import { shareOfWait } from '../../src/fleet/shareOfWait/index.js'
 import { isStoreReader, ROOT_DELAY_MS } from '../../src/fleet/isStoreReader/index.js'
 import type { FleetConfiguration, Target } from '../../src/fleet/types.js'
 import type { ListResult, ObjectStore, StoredObject, WatchOptions, WatchResult } from '../../src/objectApi/types.js'
@@ -22,6 +23,7 @@
 const WATCH_GRACE_MS = 500
 const LIST_TIMEOUT_MS = 800
 const POLL_WAIT_MS = 2_000
+const PULL_GRACE_MS = 500
 
 const FORMAT: FleetFormat = {
   configurationKey: 'config/main',
@@ -35,9 +37,13 @@
   const objects = new Map<string, StoredObject>()
   const calls = { list: 0, staleList: 0, watch: 0 }
   let revision = 0
+  /** Open watches, which can be made to go silent for good. */
+  const open = new Set<{ prefix: string, isSilent: boolean }>()
   const select = (prefix: string, after: number): StoredObject[] => [...objects.values()].filter(({ key, version }) => key.startsWith(prefix) && version > after)
   return {
     calls,
+    /** Makes the open watches of some prefixes go silent for good, while new ones work. */
+    silenceOpenWatches (isMeant: (prefix: string) => boolean = () => true) { for (const watch of open) if (isMeant(watch.prefix)) watch.isSilent = true },
     put (key: string, value: unknown) { objects.set(key, { key, value, version: ++revision }) },
     clientOf (ip: string, runtime: Runtime): Pick<ObjectStore, 'list' | 'watch'> {
       return {
@@ -46,13 +52,20 @@
           if (isSilent(ip)) await sleep(LIST_TIMEOUT_MS, { runtime, signal: new AbortController().signal })
           return isRefused(ip) || isSilent(ip) ? { kind: 'unavailable', cause: 'status 503' } : { kind: 'listed', revision, objects: select(prefix, -1) }
         },
-        async watch (prefix, after, { signal, waitMs = WATCH_WAIT_MS, graceMs = WATCH_GRACE_MS }: WatchOptions): Promise<WatchResult> {
+        async watch (prefix, after, { signal, waitShare = 1, waitMs = WATCH_WAIT_MS * waitShare, graceMs = WATCH_GRACE_MS }: WatchOptions): Promise<WatchResult> {
           calls.watch++
           if (isRefused(ip)) return { kind: 'unavailable', cause: 'status 503' }
           const startMs = runtime.monotonicMs()
-          while ((select(prefix, after).length === 0 && runtime.monotonicMs() < startMs + waitMs) || isSilent(ip)) {
-            if (runtime.monotonicMs() >= startMs + waitMs + graceMs) return { kind: 'silent', afterMs: waitMs + graceMs }
-            await sleep(STEP_MS, { runtime, signal })
+          const own = { prefix, isSilent: false }
+          open.add(own)
+          try {
+            while ((select(prefix, after).length === 0 && runtime.monotonicMs() < startMs + waitMs) || isSilent(ip) || own.isSilent) {
+              if (runtime.monotonicMs() >= startMs + waitMs + graceMs) return { kind: 'silent', afterMs: waitMs + graceMs }
+              await sleep(STEP_MS, { runtime, signal })
+              if (signal.aborted) return { kind: 'unavailable', cause: 'aborted' }
+            }
+          } finally {
+            open.delete(own)
           }
           return { kind: 'changes', revision, objects: select(prefix, after) }
         }
@@ -62,10 +75,10 @@
 }
 
 /** Hosts that follow the store as a gateway does. */
-function startFollowers (count: number, isRefused: (host: SimulatedHost) => boolean = () => false, isSilent: (host: SimulatedHost) => boolean = () => false) {
-  const network = createSimulatedHosts({ seed: count })
+function startFollowers (count: number, isRefused: (host: SimulatedHost) => boolean = () => false, isSilent: (host: SimulatedHost) => boolean = () => false, isCut: (ip: string) => boolean = () => false) {
+  const network = createSimulatedHosts({ seed: count, isDelivered: (from, to) => !isCut(from) && !isCut(to) })
   const hostOf = (ip: string): SimulatedHost | undefined => network.hosts.find(host => host.ip === ip)
-  const store = createCountingStore(ip => { const host = hostOf(ip); return host !== undefined && isRefused(host) }, ip => { const host = hostOf(ip); return host !== undefined && isSilent(host) })
+  const store = createCountingStore(ip => { const host = hostOf(ip); return host !== undefined && isRefused(host) }, ip => { const host = hostOf(ip); return isCut(ip) || (host !== undefined && isSilent(host)) })
   const fleets = new Map<string, FleetState>()
   const updates: Array<() => void> = []
 
@@ -76,7 +89,7 @@
     const { signal } = new AbortController()
     const startedMs = runtime.monotonicMs()
     const isReader = (): boolean => isStoreReader({ ip: host.ip, depth: exchange.depth() }, exchange.readers(), { upMs: runtime.monotonicMs() - startedMs, hasNeighbors: exchange.peers().length > 0 })
-    const follower = followFleet(fleet, { store: store.clientOf(host.ip, runtime) as ObjectStore, format: FORMAT, log: host.log, runtime, signal, isStoreUpForPeers: () => exchange.readers().length > 0, isReader, isConfigurationWatcher: () => exchange.isRoot() && runtime.monotonicMs() - startedMs >= ROOT_DELAY_MS })
+    const follower = followFleet(fleet, { store: store.clientOf(host.ip, runtime) as ObjectStore, format: FORMAT, log: host.log, runtime, signal, isStoreUpForPeers: () => exchange.readers().length > 0, isReader, isConfigurationWatcher: () => exchange.isRoot() && runtime.monotonicMs() - startedMs >= ROOT_DELAY_MS, configurationWaitShare: () => shareOfWait(host.ip, exchange.otherRoots().map(({ ip }) => ip)) })
     const readers = () => {
       const parent = exchange.parent()
       return (parent !== undefined ? [parent] : exchange.otherRoots().filter(root => root.digest.isStoreConnected)).map(({ ip, digest }) => ({ address: ip, failureDomain: digest.failureDomain }))
@@ -91,8 +104,10 @@
       const source = fleets.get(ip)
       if (source === undefined) return false
       const endMs = runtime.monotonicMs() + waitMs
+      const isUnreachable = (): boolean => isCut(ip) || isCut(host.ip)
       const isSame = (): boolean => source.fingerprint() === fleet.fingerprint() && (source.configuration()?.version ?? -1) <= (fleet.configuration()?.version ?? -1)
-      while (isSame() && runtime.monotonicMs() < endMs) await sleep(STEP_MS, { runtime, signal })
+      while ((isSame() && runtime.monotonicMs() < endMs) || (isUnreachable() && runtime.monotonicMs() < endMs + PULL_GRACE_MS)) await sleep(STEP_MS, { runtime, signal })
+      if (isUnreachable()) return false
       const configuration = source.configuration()
       if (configuration !== undefined) fleet.applyConfiguration(configuration)
       const { isWhole, changed, ...update } = source.updateSince(fleet.fingerprint())
@@ -120,8 +135,8 @@
 type Followers = ReturnType<typeof startFollowers>
 
 /** Starts a fleet with a configuration and targets, some of which renew their entries all the time. */
-async function startFleet (count: number, isRefused?: (host: SimulatedHost) => boolean, isSilent?: (host: SimulatedHost) => boolean): Promise<Followers> {
-  const followers = startFollowers(count, isRefused, isSilent)
+async function startFleet (count: number, isRefused?: (host: SimulatedHost) => boolean, isSilent?: (host: SimulatedHost) => boolean, isCut?: (ip: string) => boolean): Promise<Followers> {
+  const followers = startFollowers(count, isRefused, isSilent, isCut)
   followers.store.put('config/main', { ...TEST_CONFIGURATION, version: 1 })
   for (let index = 0; index < ENGINE_COUNT; index++) followers.store.put(`servers/i-${index}`, buildEngine(`i-${index}`, 'north', 'large'))
   const renew = (index: number): void => {
@@ -183,3 +198,42 @@
   await followers.advance(3_000)
   t.deepEqual([...versionsOf(followers)], [2])
 })
+
+for (const count of [3, 8, 64]) {
+  for (const [which, isMeant] of Object.entries({ 'all open watches': () => true, 'the open watches of the configuration': (prefix: string) => prefix === 'config/' })) {
+    test.serial(`a version is in force at ${count} hosts 3 s after ${which} went silent together, shortly after another version`, async t => {
+      const followers = await startFleet(count)
+      followers.store.put('config/main', { ...TEST_CONFIGURATION, version: 2 })
+      await followers.advance(300)
+      t.deepEqual([...versionsOf(followers)], [2])
+      followers.store.silenceOpenWatches(isMeant)
+      await followers.advance(500)
+      followers.store.put('config/main', { ...TEST_CONFIGURATION, version: 3 })
+      await followers.advance(2_500)
+      t.deepEqual([...versionsOf(followers)], [3])
+    })
+  }
+}
+
+/** Hosts that are lost without a word, with their open connections. */
+const LOSSES: Record<string, (host: SimulatedHost) => boolean> = {
+  'both readers': host => host.state.isStoreConnected,
+  'a reader and every third other host': host => host.state.isStoreConnected !== (Number(host.ip.split('.')[3]) % 3 === 0)
+}
+
+for (const [which, isLost] of Object.entries(LOSSES)) {
+  for (const count of [8, 31]) {
+    test.serial(`an engine that reports that it leaves is known to leave at all of ${count} hosts within 2 s although ${which} are lost at that moment`, async t => {
+      const cut = new Set<string>()
+      const followers = await startFleet(count, undefined, undefined, ip => cut.has(ip))
+      for (const host of followers.network.hosts) if (isLost(host)) cut.add(host.ip)
+      t.true(cut.size > 0 && cut.size < count)
+      followers.store.put('servers/leaver', { ...buildEngine('leaver', 'north', 'large'), isLeaving: true })
+      const late = (): string[] => [...followers.fleets].filter(([ip, fleet]) => !cut.has(ip) && !fleet.targets().some(({ id }) => id === 'leaver')).map(([ip]) => ip)
+      let elapsedMs = 0
+      for (; late().length > 0 && elapsedMs < 6_000; elapsedMs += 50) await followers.advance(50)
+      t.log(`${elapsedMs} ms`)
+      t.true(elapsedMs <= 2_000)
+    })
+  }
+}
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -5,6 +5,7 @@
 import { followFleet } from '../../src/fleet/followFleet/index.js'
 import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 import { servePlatformStore, type PlatformStoreStandin } from '../../standin/platform/servePlatformStore/index.js'
+import { createManualRuntime } from '../fakes/createManualRuntime.js'
 import { createTestLog } from '../fakes/createTestLog.js'
 
 const runtime = createSystemRuntime()
@@ -24,6 +25,18 @@
   if (listed.kind === 'listed') t.deepEqual(listed.objects.map(object => object.key), ['a', 'b', 'c', 'd', 'e', 'f', 'g'].map(name => `servers/${name}`))
 })
 
+test('a stale list whose later pages are older is watched from the oldest page, so that no change is missed', async t => {
+  await using standin = await servePlatformStore()
+  await using store = open(standin)
+  for (const name of ['a', 'b', 'c', 'd']) standin.put('servers', name, 'ready')
+  standin.faults.laterPagesAt = 4
+  standin.put('servers', 'd', 'draining')
+  const listed = await store.list('servers/', { mayBeStale: true })
+  if (listed.kind !== 'listed') return t.fail(listed.cause)
+  t.deepEqual(listed.objects.map(({ value }) => value), ['ready', 'ready', 'ready', 'ready'])
+  t.like(await store.watch('servers/', listed.revision, { signal: new AbortController().signal }), { kind: 'changes', objects: [{ key: 'servers/d', value: 'draining' }] })
+})
+
 test('a watch returns changes and removals, or none after its wait', async t => {
   await using standin = await servePlatformStore()
   await using store = open(standin)
@@ -48,6 +61,20 @@
   t.is((await impatient.watch('servers/', 0, { signal })).kind, 'silent')
 })
 
+test('after a call that was not answered in time, calls use new connections, as the open ones may have gone silent together', async t => {
+  await using standin = await servePlatformStore()
+  const clock = createManualRuntime()
+  await using store = createPlatformStore({ address: standin.address, callTimeoutMs: 800, watchWaitMs: 10, watchGraceMs: 800, runtime: clock, onCall: () => {} })
+  standin.put('config', 'main', 1)
+  const readTwice = async () => (await Promise.all([store.read('config/main'), store.read('config/main')])).map(({ kind }) => kind)
+  t.deepEqual(await readTwice(), ['found', 'found'])
+  standin.silenceConnections()
+  const first = store.read('config/main')
+  await clock.advance(800)
+  t.is((await first).kind, 'unavailable')
+  t.deepEqual(await readTwice(), ['found', 'found'])
+})
+
 test('a write is applied, in conflict, not applied, or possibly applied', async t => {
   await using standin = await servePlatformStore()
   await using store = open(standin)
