Share the time of the event loop among connections with many short chunks

The pacer bounds how many chunks of an answer are handled in a turn, but one read of a connection (64 KiB) can hold 7,000 chunks of 4 bytes, and the HTTP parser makes a call for each of them whether the answer is paused or not.

Input is now handed to the parser in slices of 4 KiB; once slices have taken 5 ms of a turn, each connection gets one slice in it, and is not read while some of its input waits. Reads of up to 4 KiB pass as before. The pieces of an event are limited to 1,024 (4,096), as no more of a faulty answer needs to be parsed.

--- a/src/gateway/_lib/attemptStream.ts
+++ b/src/gateway/_lib/attemptStream.ts
@@ -27,7 +27,8 @@
     headers: format.buildHeaders(request, body, { requestId: facts.requestId, account, leftMs, targetId: reservation.target.id, path: reservation.path, lastEventId }),
     body,
     connect: context.links.connect,
-    findObstacle: () => findObstacle(reservation, context)
+    findObstacle: () => findObstacle(reservation, context),
+    onOpen: context.inputSlicer.slice
   })
   const closing = closeWithCall(call, exchange, context)
   const crashWatch = closeWhenCrashing(call, run, exchange, context)
--- a/src/gateway/_lib/openExchange.ts
+++ b/src/gateway/_lib/openExchange.ts
@@ -41,13 +41,15 @@
   connect: ConnectTarget
   /** What keeps the request from being sent, asked once the connection is open or could not be opened; nothing by default. */
   findObstacle?: () => Obstacle | undefined
+  /** Called with the connection before the request is sent. */
+  onOpen?: (socket: Socket) => void
 }
 
 const OBSTACLE_CAUSES: Record<Obstacle, string> = { paused: 'target asked for a pause meanwhile', left: 'target left meanwhile' }
 
 /** Sends a request to `ip:port`. */
 export function openExchange (address: string, options: ExchangeOptions): Exchange {
-  const { connect, findObstacle = () => undefined } = options
+  const { connect, findObstacle = () => undefined, onOpen = () => {} } = options
   let hasFailed = false
   let closedBy: Error | undefined
   let request: http.ClientRequest | undefined
@@ -83,6 +85,7 @@
       return { kind: 'notSent', cause: OBSTACLE_CAUSES[obstacle], isOwnLink: false, obstacle }
     }
     relay = connection.relay
+    onOpen(connection.socket)
     request = sendOver(connection.socket, options)
     // After this event the HTTP parser ends an answer without a length as if it were complete.
     request.on('error', () => { hasFailed = true })
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -18,7 +18,7 @@
 
 /** Largest event of a stream, in bytes, and most pieces in which it may come; it is kept until it is complete. */
 const MAX_EVENT_BYTES = 256 * 2 ** 10
-const MAX_EVENT_PIECES = 4_096
+const MAX_EVENT_PIECES = 1_024
 
 /** Outcome of one try of a stream. */
 export type StreamResult =
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -116,7 +116,8 @@
     headers: format.buildHeaders(request, body, { requestId: facts.requestId, account, leftMs, targetId: reservation.target.id, path: undefined, lastEventId: undefined }),
     body,
     connect: context.links.connect,
-    findObstacle: () => findObstacle(reservation, context)
+    findObstacle: () => findObstacle(reservation, context),
+    onOpen: context.inputSlicer.slice
   })
   const closing = closeWithCall(call, exchange, context)
   using answerTimeout = withDeadline(route.objectiveMs * ANSWER_TIMEOUT_OBJECTIVES, { runtime })
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -37,6 +37,7 @@
 import { discoverPeers, registerHost } from '../_lib/discoverPeers.js'
 import { createAnswerPacer } from '../_lib/createAnswerPacer.js'
 import { createByteBudget } from '../_lib/createByteBudget.js'
+import { createInputSlicer } from '../_lib/createInputSlicer.js'
 import { createCrashDetector } from '../_lib/createCrashDetector.js'
 import { createLeaderElection } from '../_lib/createLeaderElection.js'
 import { explainPlace } from '../_lib/explainPlace.js'
@@ -197,6 +198,7 @@
     targetPauses,
     answerBytes: createByteBudget(),
     answerPacer: createAnswerPacer(),
+    inputSlicer: createInputSlicer(runtime),
     costs: createCostModel({ runtime }),
     slowdowns,
     crashEvidence,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -27,6 +27,7 @@
 import type { Suspicions } from '../suspicion/createSuspicions/index.js'
 import type { Dispatcher } from '../waiting/createDispatcher/index.js'
 import type { AnswerPacer } from './_lib/createAnswerPacer.js'
+import type { InputSlicer } from './_lib/createInputSlicer.js'
 import type { ByteBudget } from './_lib/createByteBudget.js'
 import type { GatewayMetrics } from './createGatewayMetrics/index.js'
 
@@ -201,6 +202,8 @@
   answerBytes: ByteBudget
   /** Paces the reading of answers in many short chunks. */
   answerPacer: AnswerPacer
+  /** Shares the time of the event loop among connections with much input. */
+  inputSlicer: InputSlicer
   format: CallFormat
   runtime: Runtime
   log: EventLog
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -9,6 +9,7 @@
 import { createCrashEvidence } from '../../src/crash/createCrashEvidence/index.js'
 import { createAnswerPacer } from '../../src/gateway/_lib/createAnswerPacer.js'
 import { createByteBudget } from '../../src/gateway/_lib/createByteBudget.js'
+import { createInputSlicer } from '../../src/gateway/_lib/createInputSlicer.js'
 import { createCrashDetector } from '../../src/gateway/_lib/createCrashDetector.js'
 import type { GatewayContext, Reservation } from '../../src/gateway/types.js'
 import { createFleetState } from '../../src/fleet/createFleetState/index.js'
@@ -100,6 +101,7 @@
     targetPauses: createTargetPauses({ runtime, log }),
     answerBytes: createByteBudget(),
     answerPacer: createAnswerPacer(),
+    inputSlicer: createInputSlicer(runtime),
     costs: createCostModel({ runtime }),
     slowdowns,
     crashEvidence: createCrashEvidence({ runtime, log }),
