A part that is held to crash engines is tried again while others may explain the crashes

Now a verdict is in doubt while few other parts may explain the crashes as well. One request whose only suspect is that part is sent every four seconds, by the host that sent the request of the latest crash, and its answer clears the part everywhere; from the sixth crash on there are no tries (five crashes and three more requests are allowed).

--- a/src/crash/_lib/createSightings.ts
+++ b/src/crash/_lib/createSightings.ts
@@ -9,6 +9,8 @@
 export interface KeptSighting extends Omit<CrashSighting, 'ageMs'> {
   atMs: number
   learnedMs: number
+  /** Whether this host sent the request itself. */
+  isOwn: boolean
 }
 
 /** The sightings that a host keeps. */
--- a/src/crash/_lib/findCover.ts
+++ b/src/crash/_lib/findCover.ts
@@ -11,7 +11,7 @@
   const cover: Candidate[] = []
   let missing = [...items]
   while (missing.length > 0) {
-    if (cover.length === maxCount) return undefined
+    if (cover.length + 1 > maxCount) return undefined
     let best: { candidate: Candidate, rest: string[] } | undefined
     for (const { candidate, set } of sets) {
       const rest = missing.filter(item => !set.has(item))
--- a/src/crash/createCrashEvidence/index.ts
+++ b/src/crash/createCrashEvidence/index.ts
@@ -5,7 +5,8 @@
  * which its repeats share, and against the parts of its prompt that others share. Traits that were
  * answered completely a short time before are left out, and a complete answer anywhere voids what
  * was held against its traits. Nothing is voided by waiting: a request that is tried to see whether
- * it is sound may cost another engine.
+ * it is sound may cost another engine. Requests are tried only while other parts may explain the
+ * crashes as well, one at a time, and only a few after the crashes that show a part for certain.
  *
  * Hosts tell each other what is new at once, and everything at intervals, so that lost digests do
  * no harm and a host that has just started learns what the others know.
@@ -66,6 +67,13 @@
 /** Crashes held against a trait from which its requests are held back while the latest crash settles. */
 const MIN_HELD_CRASHES = 2
 
+/** Time without a crash or a trial after which a request with a part that may be sound is tried, in milliseconds, and for how long that request is. */
+const TRIAL_DELAY_MS = 4_000
+const TRIAL_MS = 20_000
+
+/** Crashes held against a part from which its requests are not tried: one more than show a part for certain. */
+const MAX_TRIAL_CRASHES = 6
+
 /** Most parts of one prompt against which a crash counts; callers choose them. */
 const MAX_PARTS_PER_CRASH = 8
 
@@ -107,6 +115,8 @@
   const objections = new Map<string, Objection>()
   const retoldMs = new Map<string, number>()
   const listeners = new Set<() => void>()
+  /** The latest request that was tried although it has parts that are held to crash engines, by these parts. */
+  const trials = new Map<string, { fingerprint: string, atMs: number }>()
   let crashing: CrashingTraits[] = []
   /** When the next crash counts, in monotonic milliseconds, with the timer for it. */
   let settling: { dueMs: number, timer: Disposable } | undefined
@@ -179,6 +189,7 @@
   function dropExpired (): boolean {
     const nowMs = runtime.monotonicMs()
     for (const [key, { learnedMs }] of objections) if (nowMs - learnedMs > ANSWER_VALID_MS) objections.delete(key)
+    for (const [key, { atMs }] of trials) if (nowMs - atMs > TRIAL_MS) trials.delete(key)
     for (const [ip, atMs] of retoldMs) if (nowMs - atMs > ANSWER_VALID_MS) retoldMs.delete(ip)
     return sightings.drop(({ atMs }) => nowMs - atMs > CRASH_VALID_MS)
   }
@@ -188,16 +199,37 @@
     const known = new Set(crashing.map(({ service, parts }) => JSON.stringify([service, parts])))
     crashing = findCrashingTraits(listSettled(nowMs))
     const found = crashing.filter(({ service, parts }) => !known.has(JSON.stringify([service, parts])))
-    for (const { service, parts, crashes, requests } of found) {
+    for (const { service, parts, crashes, requests, isAmbiguous } of found) {
       const targets = [...new Set(parts.flatMap(part => sightings.listOf({ service, part }).map(({ targetId }) => targetId)))]
       const kind = kindOf({ part: parts[0]! })
       if (kind === 'request') log.emit('requestCrashing', { fingerprint: fingerprintOf({ part: parts[0]! }), crashes, targets })
-      else log.emit('promptPartCrashing', { service, parts, crashes, requests, targets })
+      else log.emit('promptPartCrashing', { service, parts, crashes, requests, isAmbiguous, targets })
       onVerdict('crashing', kind)
     }
     if (found.length > 0) for (const listener of [...listeners]) listener()
   }
 
+  /**
+   * Whether a request may be sent to find out whether parts crash engines. It has no other trait that took
+   * part in crashes, and comes to the host that sent the request of the latest one, so that hosts do not try at once.
+   */
+  function mayTry (request: RequestTraits, { service, parts }: CrashingTraits): boolean {
+    const nowMs = runtime.monotonicMs()
+    const key = JSON.stringify([service, parts])
+    const trial = trials.get(key)
+    if (trial !== undefined && nowMs - trial.atMs < TRIAL_MS && trial.fingerprint === request.fingerprint) return true
+    const held = sightings.listOf({ service, part: parts[0]! })
+    const latest = held.find(({ atMs }) => held.every(sighting => sighting.atMs <= atMs))
+    if (latest === undefined) return false
+    const isDue = nowMs - Math.max(latest.atMs, trial?.atMs ?? -Infinity) >= TRIAL_DELAY_MS
+    if (!isDue || !latest.isOwn || sightings.countEngines(latest) >= MAX_TRIAL_CRASHES) return false
+    const hasOtherSuspect = listTraits(request).some(trait => sightings.countEngines(trait) > 0 && !(trait.service === service && parts.includes(trait.part)))
+    if (hasOtherSuspect) return false
+    trials.set(key, { fingerprint: request.fingerprint, atMs: nowMs })
+    log.emit('promptPartTried', { service, parts, fingerprint: request.fingerprint, crashes: sightings.countEngines(latest) })
+    return true
+  }
+
   const isNewsNow = ({ learnedMs }: { learnedMs: number }): boolean => runtime.monotonicMs() - learnedMs <= TOLD_MS
 
   return {
@@ -208,7 +240,7 @@
       const others = suspects.filter(trait => !isWholeRequest(trait) && !known.includes(trait))
       for (const { service, part } of [...suspects.filter(isWholeRequest), ...[...known, ...others].slice(0, MAX_PARTS_PER_CRASH)]) {
         const position = request.promptParts.indexOf(part)
-        addSighting({ service, part, request: request.fingerprint, targetId: id, bornMs, ...(position < 0 ? {} : { position }), atMs: nowMs, learnedMs: nowMs })
+        addSighting({ service, part, request: request.fingerprint, targetId: id, bornMs, ...(position < 0 ? {} : { position }), atMs: nowMs, learnedMs: nowMs, isOwn: true })
       }
     },
     noteAnswered (request) {
@@ -225,7 +257,7 @@
       if (dropExpired()) update(runtime.monotonicMs())
       const keys = new Set(listTraits(request).map(traitKey))
       const found = crashing.find(({ service, parts }) => parts.every(part => keys.has(traitKey({ service, part }))))
-      if (found === undefined) return undefined
+      if (found === undefined || (found.isAmbiguous && mayTry(request, found))) return undefined
       const timesMs = sightings.listOf({ service: found.service, part: found.parts[0]! }).map(({ atMs }) => atMs)
       return { ...found, kind: kindOf({ part: found.parts[0]! }), lastCrashAgeMs: Math.round(runtime.monotonicMs() - Math.max(...timesMs)) }
     },
@@ -249,7 +281,7 @@
       }
       const select = <Entry extends { learnedMs: number }>(entries: Iterable<Entry>): Entry[] => [...entries].filter(entry => isRetold || isNewsNow(entry))
       return {
-        sightings: sortByUse(select(sightings.list())).slice(0, MAX_TOLD).map(({ atMs, learnedMs, ...sighting }) => ({ ...sighting, ageMs: Math.max(0, Math.round(nowMs - atMs)) })),
+        sightings: sortByUse(select(sightings.list())).slice(0, MAX_TOLD).map(({ atMs, learnedMs, isOwn, ...sighting }) => ({ ...sighting, ageMs: Math.max(0, Math.round(nowMs - atMs)) })),
         answered: select(objections.values()).slice(-MAX_TOLD).map(({ service, part }) => ({ service, part, ageMs: Math.max(0, Math.round(nowMs - answers.latestMs({ service, part }))) })).filter(({ ageMs }) => Number.isFinite(ageMs))
       }
     },
@@ -266,7 +298,7 @@
       for (const { ageMs, ...sighting } of news.sightings) {
         const atMs = nowMs - ageMs
         if (ageMs > CRASH_VALID_MS) continue
-        if (!answers.isVoid(sighting, atMs)) hasNews = addSighting({ ...sighting, atMs, learnedMs: nowMs }) || hasNews
+        if (!answers.isVoid(sighting, atMs)) hasNews = addSighting({ ...sighting, atMs, learnedMs: nowMs, isOwn: false }) || hasNews
         else if (!objections.has(traitKey(sighting))) {
           object(sighting)
           hasNews = true
--- a/src/crash/createCrashEvidence/test.ts
+++ b/src/crash/createCrashEvidence/test.ts
@@ -225,12 +225,62 @@
   t.deepEqual([['shared', '5'], ['shared', 'bad-1', '5'], ['else', 'bad-1', '5']].map(parts => isFound(...parts)), [false, true, true])
 })
 
+/** One host on whose engines two parts, which stand before what their prompts share, have ended one each and two. */
+async function createDoubtingHost () {
+  const host = createHost()
+  host.crash('bad-1', 'shared', '1')
+  host.crash('bad-1', 'shared', '1')
+  host.crash('bad-2', 'shared', '2')
+  await host.runtime.advance(SETTLING_MS)
+  return host
+}
+
+/** Time without a crash after which a request may be tried. */
+const TRIAL_DELAY_MS = 4_000
+
+test('a part that others may explain is tried, and an answer clears it', async t => {
+  const { runtime, log, evidence, isFound } = await createDoubtingHost()
+  t.true(isFound('shared', '3'))
+  await runtime.advance(TRIAL_DELAY_MS)
+  t.true(isFound('bad-1', 'shared', '4'), 'a request with another suspect would show nothing')
+  t.false(isFound('shared', '5'))
+  t.true(isFound('shared', '6'), 'one at a time')
+  t.false(isFound('shared', '5'), 'it is tried until it has an answer')
+  t.is(log.recent().filter(({ name }) => name === 'promptPartTried').length, 1)
+  evidence.noteAnswered(requestOf('model', 'shared', '5'))
+  t.false(isFound('shared', '6'))
+})
+
+test('a part that crashes engines whenever it is tried is not tried after the sixth crash', async t => {
+  const { runtime, crash, isFound } = await createDoubtingHost()
+  let tried = 0
+  for (let index = 3; index < 50; index++) {
+    await runtime.advance(TRIAL_DELAY_MS)
+    if (isFound('shared', String(index))) continue
+    crash('shared', String(index))
+    tried++
+  }
+  t.true(tried <= 3, `${tried} requests tried`)
+})
+
+test('a part that only it explains is not tried, nor at hosts that did not send the request of the latest crash', async t => {
+  const { runtime, crash, isFound } = createHost()
+  for (const request of ['1', '2', '3']) crash('bad', request)
+  await runtime.advance(TRIAL_DELAY_MS + SETTLING_MS)
+  t.true(isFound('bad', '9'))
+  const witness = await createDoubtingHost()
+  const other = createHost(witness.runtime)
+  other.evidence.applyNews(witness.evidence.newsFor('other'))
+  await witness.runtime.advance(TRIAL_DELAY_MS)
+  t.deepEqual([other.isFound('shared', '3'), witness.isFound('shared', '3')], [true, false])
+})
+
 /** Engine crashes after which a part must be known, and requests that may still reach engines. */
 const CRASHES_TO_KNOW = 5
 const REQUESTS_AFTER = 3
 
 /** One part or two that crash engines, before or behind the others of their prompts. */
-const CRASHING_PROMPTS = [{ firsts: 1, bads: 1, isFront: false }, { firsts: 1, bads: 2, isFront: false }, { firsts: 2, bads: 2, isFront: false }, { firsts: 2, bads: 1, isFront: true }]
+const CRASHING_PROMPTS = [{ firsts: 1, bads: 1, isFront: false }, { firsts: 1, bads: 2, isFront: false }, { firsts: 2, bads: 2, isFront: false }, { firsts: 2, bads: 1, isFront: true }, { firsts: 1, bads: 2, isFront: true }]
 
 for (const { firsts, bads, isFront } of CRASHING_PROMPTS) {
   test(`few requests with parts that crash engines reach any, and most sound ones are served: ${bads} ${isFront ? 'before' : 'behind'} ${firsts}`, async t => {
--- a/src/crash/findCrashingTraits/index.ts
+++ b/src/crash/findCrashingTraits/index.ts
@@ -32,6 +32,9 @@
 /** Most parts that are thought to crash engines at once; if more were needed to explain crashes, what their prompts share is the cause. */
 const MAX_SEPARATE_CAUSES = 2
 
+/** Crashes for each part, except one, that must be explained by others for a verdict to be in doubt: a part that crashes engines mostly comes with another part each time. */
+const CRASHES_PER_CAUSE = 2
+
 type Sighting = Pick<CrashSighting, 'service' | 'part' | 'request' | 'targetId' | 'bornMs' | 'position'>
 
 interface Suspect {
@@ -100,7 +103,8 @@
       findCover(unexplained, ambiguous, other => listCommonEngines(group, other), MAX_SEPARATE_CAUSES) !== undefined
     if (crashes < CERTAIN_CRASHES && hasRival()) continue
     for (const engine of engines) explained.add(engine)
-    found.push({ service, parts: group.map(({ part }) => part), crashes: engines.size, requests: enginesByRequest.size })
+    const isAmbiguous = findCover(unexplained, groups.filter(other => other !== group), other => other[0]!.engines, (crashes + 1) / CRASHES_PER_CAUSE) !== undefined
+    found.push({ service, parts: group.map(({ part }) => part), crashes: engines.size, requests: enginesByRequest.size, isAmbiguous })
   }
   const isRedundant = ({ service, parts }: CrashingTraits): boolean => found.some(other => other.service === service && other.parts.every(part => parts.includes(part)))
   return [...found, ...combinations.filter(combination => !isRedundant(combination))]
@@ -122,7 +126,7 @@
 /** The parts of two groups together. */
 function combine (one: readonly Suspect[], other: readonly Suspect[]): CrashingTraits {
   const requests = [...one[0]!.enginesByRequest.keys()].filter(request => other[0]!.enginesByRequest.has(request))
-  return { service: one[0]!.service, parts: [...one, ...other].map(({ part }) => part).sort(), crashes: listCommonEngines(one, other).size, requests: requests.length }
+  return { service: one[0]!.service, parts: [...one, ...other].map(({ part }) => part).sort(), crashes: listCommonEngines(one, other).size, requests: requests.length, isAmbiguous: false }
 }
 
 /** Number of crashes that speak against a part; those that a single request explains count as one. */
@@ -138,7 +142,7 @@
   const remaining = suspects.map(({ part, engines }) => ({ part, engines: [...engines].filter(engine => !explained.has(engine)) })).filter(({ engines }) => engines.length >= MIN_CRASHES)
   const isExplained = (engines: readonly string[]): boolean =>
     remaining.some(other => other.engines.length > engines.length && engines.every(engine => other.engines.includes(engine)))
-  return remaining.filter(({ engines }) => !isExplained(engines)).map(({ part, engines }) => ({ service: '', parts: [part], crashes: engines.length, requests: 1 }))
+  return remaining.filter(({ engines }) => !isExplained(engines)).map(({ part, engines }) => ({ service: '', parts: [part], crashes: engines.length, requests: 1, isAmbiguous: false }))
 }
 
 /** Suspects with the same crashes and requests together, in an order on which all hosts agree: most crashes first, then the rarest. */
--- a/src/crash/types.ts
+++ b/src/crash/types.ts
@@ -57,4 +57,6 @@
   crashes: number
   /** Number of different requests that they had begun to answer. */
   requests: number
+  /** Whether few other parts may explain the crashes as well. */
+  isAmbiguous: boolean
 }
