--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -10,8 +10,10 @@
 import type { HostState, Notices } from '../../digest/types.js'
 import type { EventFields } from '../../event/types.js'
 import { createFleetState, type SeenLayers } from '../../fleet/createFleetState/index.js'
+import type { Target } from '../../fleet/types.js'
 import { followFleet } from '../../fleet/followFleet/index.js'
 import { followStoreReaders, type StoreReader } from '../../fleet/followStoreReaders/index.js'
+import { shareOfWait } from '../../fleet/shareOfWait/index.js'
 import { isStoreReader, ROOT_DELAY_MS } from '../../fleet/isStoreReader/index.js'
 import { createOpenCalls } from '../../http/createOpenCalls/index.js'
 import { listen } from '../../http/listen/index.js'
@@ -34,6 +36,8 @@
 import { createCallHandler } from '../createCallHandler/index.js'
 import { rerouteStreams } from '../rerouteStreams/index.js'
 import { discoverPeers, registerHost } from '../_lib/discoverPeers.js'
+import { createAnswerPacer } from '../_lib/createAnswerPacer.js'
+import { createByteBudget } from '../_lib/createByteBudget.js'
 import { createCrashDetector } from '../_lib/createCrashDetector.js'
 import { createLeaderElection } from '../_lib/createLeaderElection.js'
 import { explainPlace } from '../_lib/explainPlace.js'
@@ -95,7 +99,7 @@
   /** Aborts when the calls that are still open have to end. */
   const callsController = new AbortController()
   setMaxListeners(0, callsController.signal)
-  const fleet = createFleetState({ runtime })
+  const fleet = createFleetState({ runtime, onNewEra: change => log.emit('storeRestored', { ...change }) })
   const loadTracker = createLoadTracker({ runtime, hostCount: () => exchange.hostCount() })
   const slowdowns = createSlowdowns({ runtime })
   const suspicions = createSuspicions({ runtime, slowdownOf: slowdowns.slowdownOf })
@@ -120,7 +124,7 @@
     signal,
     load: loadTracker,
     buildState,
-    ownNotices: () => ({ suspicions: suspicions.share(), seenLayers: fleet.seenLayers(), limits: targetLimits.share(), leaving: fleet.leavingByOwnWord() }),
+    ownNotices: () => ({ suspicions: suspicions.share(), seenLayers: fleet.seenLayers(), limits: targetLimits.share(), leaving: fleet.knownLeaving() }),
     onNotices: applyNotices,
     crashEvidence,
     isFollowingStore: () => follower.isConnected() || readerFollower.isConnected(),
@@ -132,7 +136,7 @@
   const isStoreUpForPeers = (): boolean => exchange.readers().length > 0
   const isReader = (): boolean => isStoreReader({ ip: settings.ip, depth: exchange.depth() }, exchange.readers(), { upMs: runtime.monotonicMs() - startedAtMs, hasNeighbors: exchange.peers().length > 0 })
   const isConfigurationWatcher = (): boolean => exchange.isRoot() && runtime.monotonicMs() - startedAtMs >= ROOT_DELAY_MS
-  const follower = followFleet(fleet, { store, format: ports.fleetFormat, log, runtime, signal, isStoreUpForPeers, isReader, isConfigurationWatcher })
+  const follower = followFleet(fleet, { store, format: ports.fleetFormat, log, runtime, signal, isStoreUpForPeers, isReader, isConfigurationWatcher, configurationWaitShare: () => shareOfWait(settings.ip, exchange.otherRoots().map(({ ip }) => ip)) })
   const readerFollower = followStoreReaders({
     ownDomain: settings.failureDomain,
     isReader,
@@ -169,13 +173,15 @@
     log,
     signal,
     onChange: isImpaired => metrics.isImpaired.set(isImpaired ? 1 : 0),
-    onRelay: result => metrics.relayedConnections.inc({ result })
+    onRelay: result => metrics.relayedConnections.inc({ result }),
+    onTargetLeaving: noteLeavingByPeer
   })
   const relayHandler = createRelayHandler({
     targets: fleet.targets,
     runtime,
     maxAgeMs: () => Math.max(0, ...(fleet.configuration()?.routes ?? []).map(route => route.timeoutMs)),
     connect: links.connectForPeer,
+    hasLeft: fleet.hasLeft,
     pauseLeftMs: targetPauses.leftMs,
     onAnswerHead: (target, head) => noteRelayedStatements(head, target, context),
     onResult: result => metrics.relaysServed.inc({ result }),
@@ -191,6 +197,8 @@
     links,
     targetLimits,
     targetPauses,
+    answerBytes: createByteBudget(),
+    answerPacer: createAnswerPacer(),
     costs: createCostModel({ runtime }),
     slowdowns,
     crashEvidence,
@@ -250,7 +258,7 @@
   log.emit('processStarted', { address: callers.address, failureDomain: settings.failureDomain })
 
   watchStalls({ runtime, log, signal, onDelay: lateMs => metrics.loopDelaySeconds.observe(lateMs / MS_PER_S) })
-  registerHost(settings, { exchange, store, runtime, log, signal })
+  registerHost(settings, { exchange, store, storeEra: fleet.era, runtime, log, signal })
   discoverPeers({ exchange, store, runtime, log, signal })
   rerouteStreams(context, { signal, onSuspicion: exchange.sendNow })
   runPlacement({ fleet, suspicions, pauseLeftMs: targetPauses.leftMs, control, runtime, log, metrics, signal, fencing: election.fencing, onLoaded: exchange.sendNow })
@@ -280,6 +288,7 @@
       startedMs,
       statePort: settings.internalAddress.port,
       configurationVersion: fleet.configuration()?.version ?? -1,
+      targetsEra: fleet.era(),
       targetsRevision: fleet.revision(),
       targetsFingerprint: fleet.fingerprint(),
       isStoreConnected: follower.isConnected() && drainingSinceMs === undefined,
@@ -298,10 +307,14 @@
   function applyNotices (notices: Notices): void {
     notices.suspicions.forEach(suspicions.applyPeerSuspicion)
     notices.limits.forEach(targetLimits.applyPeerLimit)
-    for (const { targetId, bornMs } of notices.leaving) if (fleet.recordLeaving({ id: targetId, bornMs })) log.emit('targetLeaving', { leavingIds: [targetId], source: 'peer' })
+    for (const { targetId, bornMs } of notices.leaving) noteLeavingByPeer({ id: targetId, bornMs })
     for (const seen of notices.seenLayers) if (!areLayersKnown(seen)) fleet.recordSeenLayers(seen)
   }
 
+  function noteLeavingByPeer (target: Pick<Target, 'id' | 'bornMs'>): void {
+    if (fleet.recordLeaving(target)) log.emit('targetLeaving', { leavingIds: [target.id], source: 'peer' })
+  }
+
   function areLayersKnown (seen: SeenLayers): boolean {
     const target = fleet.targets().find(candidate => candidate.id === seen.targetId)
     return target?.layers?.from === seen.layers?.from && target?.layers?.to === seen.layers?.to
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -26,6 +26,8 @@
 import type { Runtime } from '../runtime/types.js'
 import type { Suspicions } from '../suspicion/createSuspicions/index.js'
 import type { Dispatcher } from '../waiting/createDispatcher/index.js'
+import type { AnswerPacer } from './_lib/createAnswerPacer.js'
+import type { ByteBudget } from './_lib/createByteBudget.js'
 import type { GatewayMetrics } from './createGatewayMetrics/index.js'
 
 /** Parameters that a caller sends with its call. */
@@ -195,6 +197,10 @@
   tellPeers: () => void
   /** Resolves with whether a target that broke off an answer has ended. */
   hasCrashed: (target: Target) => Promise<boolean>
+  /** Memory of the answers that are being read. */
+  answerBytes: ByteBudget
+  /** Paces the reading of answers in many short chunks. */
+  answerPacer: AnswerPacer
   format: CallFormat
   runtime: Runtime
   log: EventLog
