End a call at its deadline although it is not known yet whether its target has ended

Callers saw an answer later than their deadline, or none by the end of the grace period: after a target broke off an answer, the call waited for the check that tells whether the target has ended, whatever the call's own end. The check waits 25 ms, then for one that is under way, then for a connect and for peers that may be silent.

The wait ends with the call, as the judging of an answer's end already does (both use untilCallEnds). What the check shows later is still recorded as evidence on crashes, only the call does not wait for it. A stream that has ended meanwhile is recorded as such, and not as 'attempts spent'.

--- a/src/gateway/_lib/crashingRequests.ts
+++ b/src/gateway/_lib/crashingRequests.ts
@@ -4,6 +4,7 @@
  */
 import { endWithReason, type LogDetails } from './answerCaller.js'
 import type { Exchange } from './openExchange.js'
+import { untilCallEnds } from './untilCallEnds.js'
 import type { CrashingCause } from '../../crash/createCrashEvidence/index.js'
 import type { RequestTraits } from '../../crash/types.js'
 import type { Call, GatewayContext, TargetRun } from '../types.js'
@@ -33,7 +34,7 @@
 }
 
 /** Records a run whose target ended, and logs it; returns whether the request should not be sent to another target. */
-export function noteCrash (call: Call, { target, sentMs, firstEventMs }: TargetRun, context: GatewayContext): boolean {
+function noteCrash (call: Call, { target, sentMs, firstEventMs }: TargetRun, context: GatewayContext): boolean {
   const { facts, fingerprint, route, service } = call
   const { crashEvidence, log, metrics, runtime } = context
   const nowMs = runtime.monotonicMs()
@@ -57,6 +58,15 @@
   return crashEvidence.countCrashes(traitsOf(call)) >= MAX_REPEATED_CRASHES
 }
 
+/**
+ * Finds out whether the target that broke off a run has ended, and records that; returns whether the request
+ * should not be sent to another target. A call that ends meanwhile does not wait, but what it shows is recorded.
+ */
+export async function isSuspectedAfter (run: TargetRun, call: Call, context: GatewayContext): Promise<boolean> {
+  const noted = context.hasCrashed(run.target).then(hasCrashed => hasCrashed && noteCrash(call, run, context))
+  return await untilCallEnds(noted, call) ?? false
+}
+
 /** Ends a call that is known to crash engines; returns whether it did. */
 export function endCrashingCall (call: Call, context: GatewayContext, { mayHaveRun, ...details }: LogDetails & { mayHaveRun: boolean }): boolean {
   const found = findCrashing(call, context)
--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -18,7 +18,7 @@
 import { describeReturn } from './describeReturn.js'
 import { isAnyHeldBack } from './reserveCapacity.js'
 import { reserveTarget } from './reserveTarget.js'
-import { endCrashingCall, findCrashing, noteCrash, traitsOf } from './crashingRequests.js'
+import { endCrashingCall, findCrashing, isSuspectedAfter, traitsOf } from './crashingRequests.js'
 import type { EndVerdict } from '../judgeAnswerEnd/index.js'
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 
@@ -82,7 +82,7 @@
     else {
       if (!run.isLinkLost) suspicions.note(reservation.target.id, 'lostAnswer')
       mayHaveRun = true
-      const isSuspect = result.isBrokenByTarget === true && await context.hasCrashed(reservation.target) && noteCrash(call, run, context)
+      const isSuspect = result.isBrokenByTarget === true && await isSuspectedAfter(run, call, context)
       if (isSuspect) break
       if (route.kind === 'unsafe') break
     }
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -13,7 +13,7 @@
 import type { Call, GatewayContext, Reservation, TargetRun } from '../types.js'
 import { describeRequest, endStopped, endWithReason, recordCallerGone, sendAnswer, type LogDetails } from './answerCaller.js'
 import { attemptStream } from './attemptStream.js'
-import { endCrashingCall, noteCrash, traitsOf } from './crashingRequests.js'
+import { endCrashingCall, isSuspectedAfter, traitsOf } from './crashingRequests.js'
 import { describeRun } from './describeRun.js'
 import { describeReturn } from './describeReturn.js'
 import { countTokens, estimateRequestSize } from './estimateRequestSize.js'
@@ -106,10 +106,11 @@
       ranOn.push(target)
       failedIds.add(target.id)
       if (!run.isLinkLost) context.suspicions.note(target.id, result.kind === 'refusedByTarget' ? 'failedAnswer' : 'lostAnswer')
-      if (result.kind === 'brokenOff' && result.isBrokenByTarget && await context.hasCrashed(target) && noteCrash(call, run, context)) {
+      if (result.kind === 'brokenOff' && result.isBrokenByTarget && await isSuspectedAfter(run, call, context)) {
         if (!isEndedAsCrashing()) endWithoutAnswer('request suspected of crashes')
         return
       }
+      if (signal.aborted) break
       if (result.kind === 'refusedByTarget') {
         if (route.isResumable && !areRunsExhausted()) continue
         return relayFailure(result)
