--- a/src/service/createHttpService/test.ts
+++ b/src/service/createHttpService/test.ts
@@ -21,7 +21,7 @@
     for (const socket of sockets) socket.destroy()
     await new Promise(resolve => { server.close(resolve) })
   }
-  return { address, sockets, close, [Symbol.asyncDispose]: close }
+  return { address, sockets, close, stopListening: () => server.close(), [Symbol.asyncDispose]: close }
 }
 
 async function send (address: string, options: Partial<SendOptions> = {}) {
@@ -54,6 +54,26 @@
   t.is((await send(server.address)).kind, 'lost')
 })
 
+const UNFRAMED = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf'
+
+test('a call is lost when its service is gone at the end of an answer without a length', async t => {
+  await using server = await serve(socket => socket.once('data', () => {
+    server.stopListening()
+    socket.end(UNFRAMED)
+  }))
+  t.is((await send(server.address)).kind, 'lost')
+})
+
+test('a call is lost when a reset arrives with the last bytes of an answer without a length', async t => {
+  await using server = await serve(socket => socket.once('data', () => socket.write(UNFRAMED, () => socket.resetAndDestroy())))
+  t.is((await send(server.address)).kind, 'lost')
+})
+
+test('an answer without a length is whole when its service goes on', async t => {
+  await using server = await serve(socket => socket.once('data', () => socket.end(UNFRAMED)))
+  t.like(await send(server.address), { kind: 'answered', status: 200, body: Buffer.from('half') })
+})
+
 test('a call is lost when the response is not HTTP', async t => {
   await using server = await serve(socket => socket.once('data', () => socket.end('hello\r\n\r\n')))
   t.is((await send(server.address)).kind, 'lost')
