Test that a leaving engine is known to hosts that were cut off

Simulated fleet of 31 hosts of which both readers, every third host or all are cut off from each other and from the store for 10 s while an engine reports that it leaves: all know it 3 s after they are back (stability_ms). The simulated hosts now take a state that is behind for a failed read, as the gateway does; without that the simulation did not end.

--- a/test/fleet/storeCalls.test.ts
+++ b/test/fleet/storeCalls.test.ts
@@ -111,6 +111,7 @@
       const configuration = source.configuration()
       if (configuration !== undefined) fleet.applyConfiguration(configuration)
       const { isWhole, changed, ...update } = source.updateSince(fleet.fingerprint())
+      if (fleet.isBehind(update) && update.fingerprint !== fleet.fingerprint()) return false
       if (isWhole) fleet.applySnapshot({ ...update, targets: changed })
       else fleet.applyChanges({ ...update, changed })
       return true
@@ -237,3 +238,27 @@
     })
   }
 }
+
+/** Hosts that others, the store and their parents do not reach for a time. */
+const PARTITIONS: Record<string, (host: SimulatedHost) => boolean> = {
+  'both readers': host => host.state.isStoreConnected,
+  'every third host': host => Number(host.ip.split('.')[3]) % 3 === 0,
+  'all hosts': () => true
+}
+
+for (const [which, isCutOff] of Object.entries(PARTITIONS)) {
+  test.serial(`an engine that left while ${which} of 31 were cut off is known to leave at all of them 3 s after they are back`, async t => {
+    const cut = new Set<string>()
+    const followers = await startFleet(31, undefined, undefined, ip => cut.has(ip))
+    const leaver = buildEngine('leaver', 'north', 'large')
+    followers.store.put('servers/leaver', leaver)
+    await followers.advance(1_000)
+    for (const host of followers.network.hosts) if (isCutOff(host)) cut.add(host.ip)
+    await followers.advance(1_000)
+    followers.store.put('servers/leaver', { ...leaver, isLeaving: true })
+    await followers.advance(9_000)
+    cut.clear()
+    await followers.advance(3_000)
+    t.deepEqual([...followers.fleets].filter(([, fleet]) => fleet.servingTargets('model').some(({ id }) => id === 'leaver')).map(([ip]) => ip), [])
+  })
+}
