--- a/src/gateway/_lib/readAnswerBody.ts
+++ b/src/gateway/_lib/readAnswerBody.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { createByteBuffer } from '../../http/createByteBuffer/index.js'
+import type { EndVerdict } from '../judgeAnswerEnd/index.js'
 import type { GatewayContext } from '../types.js'
 import { createAnswerPacer } from './createAnswerPacer.js'
 import { createByteBudget } from './createByteBudget.js'
@@ -16,24 +17,21 @@
 /** Lowest status of an error. */
 const FIRST_ERROR_STATUS = 400
 
-/** Whether the headers of an answer define where its body ends. */
-export function isFramed (answer: IncomingMessage): boolean {
-  return answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined
-}
-
 /**
- * Resolves with the body, or with `undefined` if it was truncated or is too large; the answer is
- * then closed. An unframed body counts as truncated if its connection failed; a complete framed one is
- * valid whatever happens afterwards. Memory and time are shared with the other answers of the host, if
+ * Resolves with the body, or with `undefined` if it is too large, or `judgeEnd`, asked at its end, does
+ * not find it whole; the answer is then closed. Memory and time are shared with the other answers of the host, if
  * these are given.
  */
 export function readAnswerBody (
   answer: IncomingMessage,
-  hasFailed: () => boolean,
+  judgeEnd: () => Promise<EndVerdict>,
   { answerBytes, answerPacer }: Pick<GatewayContext, 'answerBytes' | 'answerPacer'> = { answerBytes: createByteBudget(), answerPacer: createAnswerPacer() }
 ): Promise<Buffer | undefined> {
   const maxBytes = (answer.statusCode ?? 0) >= FIRST_ERROR_STATUS ? MAX_ERROR_BODY_BYTES : MAX_BODY_BYTES
-  const body = createByteBuffer()
+  /** Only an answer that does not state its length may go on without end. */
+  const lengthBytes = answer.headers['content-length'] === undefined ? undefined : Number(answer.headers['content-length'])
+  const body = createByteBuffer(lengthBytes === undefined ? {} : { expectedBytes: lengthBytes })
+  const takeBody = (): Buffer => lengthBytes === undefined ? Buffer.from(body.bytes()) : body.bytes()
   const claim = answerBytes.claim()
   const paced = answerPacer.pace(answer)
   return new Promise(resolve => {
@@ -48,12 +46,17 @@
     answer.on('data', (chunk: Buffer) => {
       if (isSettled) return
       paced.noteChunk()
-      if (body.size() + chunk.length <= maxBytes && claim.tryGrow(chunk.length)) return body.append(chunk)
+      if (body.size() + chunk.length <= maxBytes && (lengthBytes !== undefined || claim.tryGrow(chunk.length))) return body.append(chunk)
       finish(undefined)
       answer.destroy()
     })
-    answer.once('end', () => finish(answer.complete && (isFramed(answer) || !hasFailed()) ? body.bytes() : undefined))
+    let hasEnded = false
+    answer.once('end', async () => {
+      if (isSettled) return
+      hasEnded = true
+      finish(await judgeEnd() === 'whole' ? takeBody() : undefined)
+    })
     answer.once('error', () => finish(undefined))
-    answer.once('close', () => finish(undefined))
+    answer.once('close', () => { if (!hasEnded) finish(undefined) })
   })
 }
--- a/src/gateway/_lib/relayStream.ts
+++ b/src/gateway/_lib/relayStream.ts
@@ -4,13 +4,14 @@
 import type { IncomingMessage } from 'node:http'
 import { withConnectionClose, type BufferedAnswer } from './answerCaller.js'
 import { noteProgress } from './crashingRequests.js'
+import { describeBrokenEnd } from './describeRun.js'
 import { containsAnswerHead } from './containsAnswerHead.js'
 import { judgeAnswer } from './judgeAnswer.js'
 import { noteStatements } from './noteStatements.js'
 import { learnOutput } from './estimateRequestSize.js'
 import { createEventSplitter } from './createEventSplitter.js'
-import { isFramed, readAnswerBody } from './readAnswerBody.js'
-import type { Exchange } from './openExchange.js'
+import { readAnswerBody } from './readAnswerBody.js'
+import { settleAnswerEnd, type EndedAnswer } from './settleAnswerEnd.js'
 import type { ActiveStream, Call, GatewayContext, TargetRun, TryProgress } from '../types.js'
 
 /** Weight of the latest pause in the moving average of a stream's pauses. */
@@ -18,7 +19,7 @@
 
 /** Largest event of a stream, in bytes, and most pieces in which it may come; it is kept until it is complete. */
 const MAX_EVENT_BYTES = 256 * 2 ** 10
-const MAX_EVENT_PIECES = 4_096
+const MAX_EVENT_PIECES = 1_024
 
 /** Outcome of one try of a stream. */
 export type StreamResult =
@@ -52,7 +53,7 @@
 }
 
 /** Checks the status and headers of an answer and relays its events. */
-export async function relayStream (answer: IncomingMessage, exchange: Pick<Exchange, 'hasFailed' | 'isClosedHere'>, call: Call, progress: CallProgress, observed: ObservedRun, context: GatewayContext): Promise<StreamResult> {
+export async function relayStream (answer: IncomingMessage, exchange: EndedAnswer['exchange'], call: Call, progress: CallProgress, observed: ObservedRun, context: GatewayContext): Promise<StreamResult> {
   const { run } = observed
   const metadata = context.format.readAnswer(answer.headers)
   const status = answer.statusCode ?? 0
@@ -61,15 +62,16 @@
   if (verdict.kind === 'notRun') return { kind: 'notRun', cause: `status ${status}`, faultyAddress: verdict.faultyAddress, hasReachedTarget: true, isPause }
   if (verdict.kind === 'unusable') return { kind: 'brokenOff', cause: verdict.cause, isBrokenByTarget: false }
   if (status !== 200) {
-    const body = await readAnswerBody(answer, exchange.hasFailed, context)
+    const body = await readAnswerBody(answer, () => settleAnswerEnd({ answer, exchange, run }, call, { isStream: false }, context), context)
     if (body === undefined) return { kind: 'brokenOff', cause: `status ${status}`, isBrokenByTarget: !exchange.isClosedHere() }
-    if (!isFramed(answer) && containsAnswerHead(body, context.format)) return { kind: 'brokenOff', cause: 'another answer follows', isBrokenByTarget: false }
-    return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, isFramed: isFramed(answer) }
+    const framing = run.answer?.framing ?? 'connection'
+    if (framing === 'connection' && containsAnswerHead(body, context.format)) return { kind: 'brokenOff', cause: 'another answer follows', isBrokenByTarget: false }
+    return { kind: 'refusedByTarget', status, rawHeaders: answer.rawHeaders, body, framing }
   }
   return await relayEvents(answer, exchange, call, progress, observed, context)
 }
 
-function relayEvents (answer: IncomingMessage, exchange: Pick<Exchange, 'hasFailed' | 'isClosedHere'>, call: Call, progress: CallProgress, { run, stream, onProgress }: ObservedRun, context: GatewayContext): Promise<StreamResult> {
+function relayEvents (answer: IncomingMessage, exchange: EndedAnswer['exchange'], call: Call, progress: CallProgress, { run, stream, onProgress }: ObservedRun, context: GatewayContext): Promise<StreamResult> {
   const { response, startedMs } = call
   const { format, metrics, runtime, suspicions } = context
   const split = createEventSplitter()
@@ -98,7 +100,7 @@
       for (const event of events) {
         if (!event.isWellFormed) return fail('text that is no event')
         if (event.id === undefined) return fail('event without id')
-        if (!isFramed(answer) && containsAnswerHead(event.bytes, format)) return fail('another answer follows')
+        if (run.answer?.framing === 'connection' && containsAnswerHead(event.bytes, format)) return fail('another answer follows')
         if (progress.lastEventId !== undefined && event.id !== progress.lastEventId + 1) return fail(`event id ${event.id} follows ${progress.lastEventId}`)
         if (!response.headersSent) response.writeHead(200, withConnectionClose(context, format.buildAnswerHeaders(answer.rawHeaders)))
         if (progress.firstEventMs === undefined) {
@@ -106,6 +108,7 @@
           metrics.firstEventSeconds.observe((nowMs - startedMs) / 1_000)
         }
         run.firstEventMs ??= nowMs
+        run.eventCount = (run.eventCount ?? 0) + 1
         progress.lastEventId = event.id
         recordPause(progress, nowMs)
         if (!response.write(event.bytes) && !isHeldUp) {
@@ -123,16 +126,20 @@
       stream.hasStarted = true
       for (const stage of stream.path) suspicions.note(stage.target.id, 'progressed')
     })
-    answer.once('end', () => {
+    let hasEnded = false
+    answer.once('end', async () => {
       if (isGivenUp) return
-      const isWhole = answer.complete && (isFramed(answer) || !exchange.hasFailed())
-      if (!isWhole || split.bufferedBytes() > 0 || progress.firstEventMs === undefined) return fail('stream interrupted')
+      hasEnded = true
+      if (split.bufferedBytes() > 0) return fail('stream interrupted')
+      const verdict = await settleAnswerEnd({ answer, exchange, run }, call, { isStream: true }, context)
+      if (isGivenUp) return
+      if (verdict !== 'whole') return fail(describeBrokenEnd(run, verdict, 'stream interrupted'))
       response.end()
       learnOutput(call, progress.lastEventId, { isWhole: true }, context)
       resolve({ kind: 'complete' })
     })
     answer.once('error', error => fail(error.message))
-    answer.once('close', () => fail('stream interrupted'))
+    answer.once('close', () => { if (!hasEnded) fail('stream interrupted') })
   })
 }
 
