--- a/test/gateway/foreignAnswer.test.ts
+++ b/test/gateway/foreignAnswer.test.ts
@@ -150,3 +150,11 @@
   t.is((await sendCall(hosts.cutHost.address, '/unsafe/x', {}, '')).status, 502)
   t.is(received, 1)
 })
+
+test('an answer to another request sets no rate for its target, and still says that it leaves', async t => {
+  await using engine = await servePlatformEngine((request, socket) => { socket.end(buildAnswer(another(request), 'done', { headers: ['Server-Limit: 0.5', 'Server-Leaving: 1'] })) })
+  await using gateway = await startTestGateway([plain('i-1', engine.address)])
+  t.is((await gateway.send('/safe/x')).status, 502)
+  t.is(gateway.parts.targetLimits.count(), 0)
+  t.is(gateway.parts.fleet.servingTargets('orders').length, 0)
+})
