--- a/src/gateway/_lib/answerCaller.ts
+++ b/src/gateway/_lib/answerCaller.ts
@@ -2,8 +2,9 @@
  * Answers callers with the unchanged answer of a target, or with a refusal or an error of the
  * gateway itself.
  */
+import { cutAnswer } from '../../http/cutAnswer/index.js'
 import { REASONS, type ReasonName } from '../../verdict/reasons.js'
-import type { Call, CutCause, GatewayContext } from '../types.js'
+import type { Call, CutCause, Framing, GatewayContext } from '../types.js'
 import { reportCutAnswer } from './reportCut.js'
 
 /** Additional fields for the log line of an answer. */
@@ -14,26 +15,15 @@
   status: number
   rawHeaders: readonly string[]
   body: Buffer
-  /** Whether a content length or chunked encoding marks the end of the body; otherwise only the end of the connection does. */
-  isFramed: boolean
+  framing: Framing
 }
 
-/**
- * Sends a target's answer. An unframed one may have been truncated unnoticed, so it is sent
- * without a length and ends with the caller's connection too.
- */
+/** Sends a target's answer, always with its length: a caller can then tell when this process has ended in the middle. */
 export function sendAnswer (call: Call, context: GatewayContext, answer: BufferedAnswer): void {
   const { response } = call
   if (response.headersSent || response.destroyed) return
   const headers = context.format.buildAnswerHeaders(answer.rawHeaders)
-  if (!answer.isFramed) {
-    response.useChunkedEncodingByDefault = false
-    response.shouldKeepAlive = false
-    response.writeHead(answer.status, headers)
-    response.end(answer.body)
-    return
-  }
-  headers.push('Content-Length', String(answer.body.length))
+  if (answer.framing !== 'none') headers.push('Content-Length', String(answer.body.length))
   response.writeHead(answer.status, withConnectionClose(context, headers))
   response.end(answer.body)
 }
@@ -60,7 +50,7 @@
   const { status } = REASONS[reason]
   const isCut = response.headersSent && !response.destroyed
   const isRefusal = !isCut && (status < 500 || status === 503)
-  if (isCut) response.destroy()
+  if (isCut) cutAnswer(response)
   else if (!response.destroyed) writeRefusal(call, context, status, details.retryAfterMs)
   log.emit(isRefusal ? 'gatewayRefused' : 'gatewayFailed', {
     ...describeRequest(call),
--- a/src/gateway/_lib/readAnswerBody.ts
+++ b/src/gateway/_lib/readAnswerBody.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { createByteBuffer } from '../../http/createByteBuffer/index.js'
+import type { EndVerdict } from '../judgeAnswerEnd/index.js'
 import type { GatewayContext } from '../types.js'
 import { createAnswerPacer } from './createAnswerPacer.js'
 import { createByteBudget } from './createByteBudget.js'
@@ -16,20 +17,14 @@
 /** Lowest status of an error. */
 const FIRST_ERROR_STATUS = 400
 
-/** Whether the headers of an answer define where its body ends. */
-export function isFramed (answer: IncomingMessage): boolean {
-  return answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined
-}
-
 /**
- * Resolves with the body, or with `undefined` if it was truncated or is too large; the answer is
- * then closed. An unframed body counts as truncated if its connection failed; a complete framed one is
- * valid whatever happens afterwards. Memory and time are shared with the other answers of the host, if
+ * Resolves with the body, or with `undefined` if it is too large, or `judgeEnd`, asked at its end, does
+ * not find it whole; the answer is then closed. Memory and time are shared with the other answers of the host, if
  * these are given.
  */
 export function readAnswerBody (
   answer: IncomingMessage,
-  hasFailed: () => boolean,
+  judgeEnd: () => Promise<EndVerdict>,
   { answerBytes, answerPacer }: Pick<GatewayContext, 'answerBytes' | 'answerPacer'> = { answerBytes: createByteBudget(), answerPacer: createAnswerPacer() }
 ): Promise<Buffer | undefined> {
   const maxBytes = (answer.statusCode ?? 0) >= FIRST_ERROR_STATUS ? MAX_ERROR_BODY_BYTES : MAX_BODY_BYTES
@@ -55,8 +50,13 @@
       finish(undefined)
       answer.destroy()
     })
-    answer.once('end', () => finish(answer.complete && (isFramed(answer) || !hasFailed()) ? takeBody() : undefined))
+    let hasEnded = false
+    answer.once('end', async () => {
+      if (isSettled) return
+      hasEnded = true
+      finish(await judgeEnd() === 'whole' ? takeBody() : undefined)
+    })
     answer.once('error', () => finish(undefined))
-    answer.once('close', () => finish(undefined))
+    answer.once('close', () => { if (!hasEnded) finish(undefined) })
   })
 }
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -40,6 +40,7 @@
 import { createByteBudget } from '../_lib/createByteBudget.js'
 import { createInputSlicer } from '../_lib/createInputSlicer.js'
 import { createCrashDetector } from '../_lib/createCrashDetector.js'
+import { createTargetCheck } from '../_lib/createTargetCheck.js'
 import { createLeaderElection } from '../_lib/createLeaderElection.js'
 import { explainPlace } from '../_lib/explainPlace.js'
 import { createInternalHandler, readPeerState } from '../_lib/internalPort.js'
@@ -188,6 +189,7 @@
     onResult: result => metrics.relaysServed.inc({ result }),
     onOpenCount: count => metrics.relaysOpen.set(count)
   })
+  const checkTarget = createTargetCheck({ links, runtime })
   const context: GatewayContext = {
     fleet,
     loadTracker,
@@ -205,7 +207,8 @@
     slowdowns,
     crashEvidence,
     tellPeers: exchange.sendNow,
-    hasCrashed: createCrashDetector({ links, runtime }),
+    checkTarget,
+    hasCrashed: createCrashDetector({ checkTarget }),
     format,
     runtime,
     log,
