Count a stream that its engine mixed with another answer as broken off by the engine

That end is the engine's, as one that breaks off; the ledger now says which answers a target mixed with others. Only the check of losses around planned work uses it; the case has a line in soak/test.ts.

--- a/soak/_lib/checkRecords.ts
+++ b/soak/_lib/checkRecords.ts
@@ -121,7 +121,7 @@
   if (!isStopping && !isReloading && !isReconfiguring) return []
   const lastTry = tries.at(-1)
   if (lastTry === undefined && endedMs <= lastByteMs + LOSS_SLACK_MS) return []
-  if (endedMs >= sentMs + deadlineMs || lastTry?.outcome === 'brokenOff') return []
+  if (endedMs >= sentMs + deadlineMs || lastTry?.outcome === 'brokenOff' || lastTry?.isMixed === true) return []
   const isLateWork = lastTry !== undefined && lastTry.hasRun && lastTry.endedMs >= stoppedMs + LATE_WORK_FROM_MS
   if (isLateWork && sentMs <= stoppedMs + LATE_WORK_SENT_MS) return []
   const work = [...isStopping ? [`${Math.round(endedMs - stoppedMs)} ms after SIGTERM`] : [], ...isReloading ? ['after SIGHUP'] : [], ...isReconfiguring ? ['after a configuration change'] : []]
--- a/soak/_lib/createTargetHandler.ts
+++ b/soak/_lib/createTargetHandler.ts
@@ -25,6 +25,8 @@
   saidLeaving: boolean
   /** How long before the request the store had accepted that the target leaves, in milliseconds; 0 if it had not. */
   leavingForMs: number
+  /** Whether the target wrote another answer beside its own. */
+  isMixed: boolean
 }
 
 /**
@@ -126,7 +128,7 @@
     const requestId = String(request.headers['request-id'])
     const promptParts = String(request.headers['prompt-prefix'] ?? '').split(',').map(entry => entry.split(':')[0]!)
     const recordRequest = (hasRun: boolean): LedgerEntry => {
-      const entry: LedgerEntry = { requestId, targetId: state.id, service, promptParts, atMs: performance.now(), hasRun, outcome: hasRun ? 'running' : 'shed', endedMs: Infinity, pauseMs: 0, saidLeaving: state.leavingSinceMs !== undefined, leavingForMs: state.storeToldMs === undefined ? 0 : performance.now() - state.storeToldMs }
+      const entry: LedgerEntry = { requestId, targetId: state.id, service, promptParts, atMs: performance.now(), hasRun, outcome: hasRun ? 'running' : 'shed', endedMs: Infinity, pauseMs: 0, saidLeaving: state.leavingSinceMs !== undefined, leavingForMs: state.storeToldMs === undefined ? 0 : performance.now() - state.storeToldMs, isMixed: false }
       const { bornMs } = state
       ledger.push(entry)
       response.once('close', () => {
@@ -200,10 +202,11 @@
   }
 
   /** Sends the head of an answer, at times one without a length or chunks. */
-  function writeHead ({ requestId }: LedgerEntry, response: ServerResponse, status: number, headers: Record<string, string | number>): void {
-    if (state.stutter === 'refusalBefore' && state.lastRequestId !== undefined) response.socket?.write(buildAnswer(state.lastRequestId, '503 Full', '', ['Not-Executed: 1']))
+  function writeHead (entry: LedgerEntry, response: ServerResponse, status: number, headers: Record<string, string | number>): void {
+    entry.isMixed = state.stutter === 'refusalBefore' && state.lastRequestId !== undefined
+    if (entry.isMixed) response.socket?.write(buildAnswer(state.lastRequestId!, '503 Full', '', ['Not-Executed: 1']))
     if (headers['Content-Length'] === undefined && random() < UNFRAMED_RATIO) Object.assign(response, { useChunkedEncodingByDefault: false, shouldKeepAlive: false })
-    response.writeHead(status, { 'Request-Id': requestId, 'Server-Seal': 's', ...headers, ...ownHeaders() })
+    response.writeHead(status, { 'Request-Id': entry.requestId, 'Server-Seal': 's', ...headers, ...ownHeaders() })
   }
 
   /** Ends an answer; a target that stutters writes another one behind it. */
@@ -218,7 +221,7 @@
       response.end()
       return
     }
-    entry.outcome = 'brokenOff'
+    entry.isMixed = true
     const { socket } = response
     if (isFramed(response)) {
       response.end()
--- a/soak/test.ts
+++ b/soak/test.ts
@@ -11,7 +11,7 @@
 const record = (change: Partial<CallRecord>): CallRecord => ({
   requestId: 'r1', kind: 'unsafe', host: HOST, startCount: 1, plannedWork: { stoppedMs: undefined, reloadsMs: [] }, isSound: true, key: 'steady', sentMs: 0, lastByteMs: 1, endedMs: 100, lastDataMs: 99, deadlineMs: 4_000, leftMs: undefined, errorCode: undefined, status: 200, retryAfter: undefined, answerId: change.requestId ?? 'r1', isSigned: true, body: 'answer to r1', isComplete: true, ...change
 })
-const run = (change: Partial<LedgerEntry> = {}): LedgerEntry => ({ requestId: 'r1', targetId: 'orders-1', service: 'orders', promptParts: [], atMs: 50, hasRun: true, outcome: 'answered', endedMs: 80, pauseMs: 0, saidLeaving: false, leavingForMs: 0, ...change })
+const run = (change: Partial<LedgerEntry> = {}): LedgerEntry => ({ requestId: 'r1', targetId: 'orders-1', service: 'orders', promptParts: [], atMs: 50, hasRun: true, outcome: 'answered', endedMs: 80, pauseMs: 0, saidLeaving: false, leavingForMs: 0, isMixed: false, ...change })
 const events = (ids: number[]): string => ids.map(id => `id: ${id}\ndata: piece ${id}\n\n`).join('')
 const wholeStream = Array.from({ length: countEvents('r1') }, (_, index) => index + 1)
 
@@ -120,6 +120,7 @@
   for (const [change, ledger, evidence] of losses) t.regex(check(record(change), ledger, evidence, false).join('\n'), /lost/)
   const exceptions: typeof losses = [
     [{ ...cut, ...stopped }, [run({ outcome: 'brokenOff' })], {}],
+    [{ ...cut, ...stopped }, [run({ outcome: 'closed', isMixed: true })], {}],
     [cut, [shed, run({ outcome: 'brokenOff' })], changed],
     [{ ...cut, ...stopped, endedMs: 4_000 }, [closed], {}],
     [{ ...cut, ...stopped, sentMs: 2_900, endedMs: 6_800 }, [run({ outcome: 'closed', endedMs: 6_800 })], {}],
