--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -38,7 +38,9 @@
 import { discoverPeers, registerHost } from '../_lib/discoverPeers.js'
 import { createAnswerPacer } from '../_lib/createAnswerPacer.js'
 import { createByteBudget } from '../_lib/createByteBudget.js'
+import { createInputSlicer } from '../_lib/createInputSlicer.js'
 import { createCrashDetector } from '../_lib/createCrashDetector.js'
+import { createTargetCheck } from '../_lib/createTargetCheck.js'
 import { createLeaderElection } from '../_lib/createLeaderElection.js'
 import { explainPlace } from '../_lib/explainPlace.js'
 import { createInternalHandler, readPeerState } from '../_lib/internalPort.js'
@@ -187,6 +189,7 @@
     onResult: result => metrics.relaysServed.inc({ result }),
     onOpenCount: count => metrics.relaysOpen.set(count)
   })
+  const checkTarget = createTargetCheck({ links, runtime })
   const context: GatewayContext = {
     fleet,
     loadTracker,
@@ -199,11 +202,13 @@
     targetPauses,
     answerBytes: createByteBudget(),
     answerPacer: createAnswerPacer(),
+    inputSlicer: createInputSlicer(runtime),
     costs: createCostModel({ runtime }),
     slowdowns,
     crashEvidence,
     tellPeers: exchange.sendNow,
-    hasCrashed: createCrashDetector({ links, runtime }),
+    checkTarget,
+    hasCrashed: createCrashDetector({ checkTarget }),
     format,
     runtime,
     log,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -12,7 +12,7 @@
 import type { FleetFormat } from '../fleet/followFleet/index.js'
 import type { Path, Route, Service, Target } from '../fleet/types.js'
 import type { OpenCall } from '../http/createOpenCalls/index.js'
-import type { TargetLinks } from '../links/createTargetLinks/index.js'
+import type { LinkCheck, TargetLinks } from '../links/createTargetLinks/index.js'
 import type { ConnectDirectly } from '../links/types.js'
 import type { ObjectStore } from '../objectApi/types.js'
 import type { Coverage } from '../path/createCoverageCheck/index.js'
@@ -27,7 +27,9 @@
 import type { Suspicions } from '../suspicion/createSuspicions/index.js'
 import type { Dispatcher } from '../waiting/createDispatcher/index.js'
 import type { AnswerPacer } from './_lib/createAnswerPacer.js'
+import type { InputSlicer } from './_lib/createInputSlicer.js'
 import type { ByteBudget } from './_lib/createByteBudget.js'
+import type { CheckTarget } from './_lib/createTargetCheck.js'
 import type { GatewayMetrics } from './createGatewayMetrics/index.js'
 
 /** Parameters that a caller sends with its call. */
@@ -111,6 +113,18 @@
   callerLeftAtMs?: number
 }
 
+/** What tells where the body of an answer ends: its head alone, a length, chunks, or the end of its connection. */
+export type Framing = 'none' | 'length' | 'chunks' | 'connection'
+
+/** How an answer came. */
+export interface AnswerOrigin {
+  framing: Framing
+  /** The peer through which it came; `undefined` on a direct connection. */
+  relay: string | undefined
+  /** What a check of the target showed after the end of the connection, if that had to tell. */
+  check?: LinkCheck
+}
+
 /** One run of a call on a target, from the sending of the request. */
 export interface TargetRun {
   target: Target
@@ -118,9 +132,13 @@
   sentMs: number
   /** Monotonic time of the first event that arrived, in milliseconds. */
   firstEventMs: number | undefined
+  /** Number of events that this run brought; absent for a plain call. */
+  eventCount?: number
+  /** Absent until the head of an answer has arrived. */
+  answer?: AnswerOrigin
   /** Whether the answer has gone on for so long that its prompt does not crash the target. */
   isProvedSound: boolean
-  /** Whether this host ended the run because its own link to the target was lost, so that the target is not to blame. */
+  /** Whether the run ended for a cause in this host's own links, so that the target is not to blame. */
   isLinkLost: boolean
 }
 
@@ -195,12 +213,16 @@
   crashEvidence: CrashEvidence
   /** Sends digests at once. */
   tellPeers: () => void
+  /** Finds out whether a target is there, by a check that begins after the call of this function. */
+  checkTarget: CheckTarget
   /** Resolves with whether a target that broke off an answer has ended. */
   hasCrashed: (target: Target) => Promise<boolean>
   /** Memory of the answers that are being read. */
   answerBytes: ByteBudget
   /** Paces the reading of answers in many short chunks. */
   answerPacer: AnswerPacer
+  /** Shares the time of the event loop among connections with much input. */
+  inputSlicer: InputSlicer
   format: CallFormat
   runtime: Runtime
   log: EventLog
