Evidence on requests that crash engines outlives the end of all hosts

A request that had crashed three engines reached engines again, several times at once, after all gateways were killed and started (BUDGET): what is known was in memory only, and hosts that have just started have nobody to learn it from.

The sightings behind the verdicts are now kept in one object of the platform's store. The host that sent the request of the latest crash writes it when the verdicts change (one read, one write); hosts that read the store for the others read it once after their start, and digests carry it on.

--- a/src/crash/createCrashEvidence/index.ts
+++ b/src/crash/createCrashEvidence/index.ts
@@ -18,7 +18,7 @@
 import { createSightings, engineOf, type KeptSighting } from '../_lib/createSightings.js'
 import { fingerprintOf, isWholeRequest, listTraits, traitKey, type Trait } from '../_lib/listTraits.js'
 import { findCrashingTraits } from '../findCrashingTraits/index.js'
-import type { CrashingTraits, CrashNews, RequestTraits } from '../types.js'
+import type { CrashingTraits, CrashNews, CrashSighting, RequestTraits } from '../types.js'
 
 /** A change of what is held against a trait. */
 export type CrashVerdict = 'suspected' | 'crashing' | 'sound'
@@ -47,10 +47,22 @@
   newsFor: (ip: string) => CrashNews
   /** Applies what a neighbor told; returns whether something was new. */
   applyNews: (news: CrashNews) => boolean
+  /** What is held to crash engines, for a store that outlives the hosts. */
+  verdicts: () => CrashVerdicts
   /** Numbers of traits that are suspected, and that are known to crash engines. */
   counts: (kind: TraitKind) => { suspected: number, crashing: number }
 }
 
+/** What is held to crash engines at present. */
+export interface CrashVerdicts {
+  /** Tells one set of verdicts from another; empty if there are none. */
+  key: string
+  /** Whether this host sent the request of the latest crash that they rest on. */
+  isOwn: boolean
+  /** The crashes that they rest on, with other suspects, as none of these is judged alone; empty if there are no verdicts. */
+  sightings: CrashSighting[]
+}
+
 interface EvidenceOptions {
   runtime: Runtime
   log: EventLog
@@ -86,6 +98,9 @@
 /** Most entries of each kind in one digest. */
 const MAX_TOLD = 40
 
+/** Most sightings to store; some ten kilobytes. */
+const MAX_STORED = 100
+
 /** Most traits of which others are told that they were answered. */
 const MAX_OBJECTIONS = 512
 
@@ -230,6 +245,9 @@
     return true
   }
 
+  /** A sighting as it is told to others. */
+  const toTold = ({ atMs, learnedMs, isOwn, ...sighting }: KeptSighting): CrashSighting => ({ ...sighting, ageMs: Math.max(0, Math.round(runtime.monotonicMs() - atMs)) })
+
   const isNewsNow = ({ learnedMs }: { learnedMs: number }): boolean => runtime.monotonicMs() - learnedMs <= TOLD_MS
 
   return {
@@ -281,7 +299,7 @@
       }
       const select = <Entry extends { learnedMs: number }>(entries: Iterable<Entry>): Entry[] => [...entries].filter(entry => isRetold || isNewsNow(entry))
       return {
-        sightings: sortByUse(select(sightings.list())).slice(0, MAX_TOLD).map(({ atMs, learnedMs, isOwn, ...sighting }) => ({ ...sighting, ageMs: Math.max(0, Math.round(nowMs - atMs)) })),
+        sightings: sortByUse(select(sightings.list())).slice(0, MAX_TOLD).map(toTold),
         answered: select(objections.values()).slice(-MAX_TOLD).map(({ service, part }) => ({ service, part, ageMs: Math.max(0, Math.round(nowMs - answers.latestMs({ service, part }))) })).filter(({ ageMs }) => Number.isFinite(ageMs))
       }
     },
@@ -307,6 +325,16 @@
       if (hasNews) update(nowMs)
       return hasNews
     },
+    verdicts () {
+      if (crashing.length > 0 && dropExpired()) update(runtime.monotonicMs())
+      const held = sightings.list().filter(isCrashing)
+      const latestMs = Math.max(...held.map(({ atMs }) => atMs))
+      return {
+        key: crashing.map(({ service, parts }) => JSON.stringify([service, parts])).sort().join('\n'),
+        isOwn: held.some(({ atMs, isOwn }) => isOwn && atMs === latestMs),
+        sightings: held.length === 0 ? [] : sortByUse(sightings.list()).slice(0, MAX_STORED).map(toTold)
+      }
+    },
     counts (kind) {
       const suspected = new Set(sightings.list().filter(sighting => kindOf(sighting) === kind && isSuspected(sighting)).map(traitKey))
       const found = new Set(crashing.flatMap(({ service, parts }) => parts.filter(part => kindOf({ part }) === kind).map(part => traitKey({ service, part }))))
--- a/src/event/catalogue.ts
+++ b/src/event/catalogue.ts
@@ -78,6 +78,8 @@
   promptPartSuspected: { number: 6006, level: 'warn', text: 'part of a prompt suspected to crash engines' },
   promptPartCrashing: { number: 6007, level: 'warn', text: 'part of a prompt crashes engines; its requests are refused' },
   promptPartSound: { number: 6008, level: 'info', text: 'part of a prompt answered completely; nothing is held against it' },
+  crashEvidenceRead: { number: 6051, level: 'info', text: 'evidence on requests that crash engines read from the store after a start' },
+  crashEvidenceWritten: { number: 6052, level: 'info', text: 'evidence on requests that crash engines written to the store' },
   promptPartTried: { number: 6050, level: 'info', text: 'request sent to find out whether a part of its prompt crashes engines' },
   requestSuspected: { number: 6041, level: 'warn', text: 'repeats of a request suspected to crash engines' },
   requestCrashing: { number: 6042, level: 'warn', text: 'request crashes engines; its repeats are refused' },
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -40,6 +40,7 @@
 import { createByteBudget } from '../_lib/createByteBudget.js'
 import { createCrashDetector } from '../_lib/createCrashDetector.js'
 import { createLeaderElection } from '../_lib/createLeaderElection.js'
+import { keepCrashEvidence } from '../_lib/keepCrashEvidence.js'
 import { explainPlace } from '../_lib/explainPlace.js'
 import { createInternalHandler, readPeerState } from '../_lib/internalPort.js'
 import { listRanks } from '../_lib/listRanks.js'
@@ -260,6 +261,7 @@
   watchStalls({ runtime, log, signal, onDelay: lateMs => metrics.loopDelaySeconds.observe(lateMs / MS_PER_S) })
   registerHost(settings, { exchange, store, storeEra: fleet.era, runtime, log, signal })
   discoverPeers({ exchange, store, runtime, log, signal })
+  keepCrashEvidence({ store, evidence: crashEvidence, isReader, runtime, log, signal })
   rerouteStreams(context, { signal, onSuspicion: exchange.sendNow })
   runPlacement({ fleet, suspicions, pauseLeftMs: targetPauses.leftMs, control, runtime, log, metrics, signal, fencing: election.fencing, onLoaded: exchange.sendNow })
   repeatTask(election.step, { intervalMs: LEASE_RENEWAL_MS, task: 'lease', runtime, log, signal })
