Let the soak leave no gateways behind, and count answers that end just before their target as broken off

The gateway had all 31 events and cut the caller's stream, as it cannot tell; that end is the engine's. Only answers of the last 100 ms before a target ends are affected, and only the check of losses.

Gateways end with their channel to the soak: ten were left behind by a soak that was ended from outside.

--- a/soak/_lib/cutOff.cjs
+++ b/soak/_lib/cutOff.cjs
@@ -24,3 +24,5 @@
   for (const [socket, address] of open) if (cut.addresses.includes(address)) socket.destroy(Object.assign(new Error('read ECONNRESET'), { code: 'ECONNRESET' }))
 })
 process.channel?.unref()
+// A soak that was killed leaves no processes behind.
+process.on('disconnect', () => process.exit())
--- a/soak/_lib/startTargets.ts
+++ b/soak/_lib/startTargets.ts
@@ -49,6 +49,9 @@
 const ENTRY_RENEWAL_MS = 400
 const ENTRY_EXPIRY_MS = 1_600
 
+/** Time before the end of a target in which its answers count as broken off, in milliseconds. */
+const LAST_ANSWERS_MS = 100
+
 /** Time after which an engine that a prompt has crashed starts again, in milliseconds. */
 const CRASHED_DOWN_MS = 1_000
 
@@ -119,6 +122,8 @@
       leavingSinceMs: () => state.leavingSinceMs,
       crash (fault) {
         state.isUp = false
+        // Callers cannot tell whether an answer is whole that ends with the process or just before.
+        for (const entry of ledger) if (entry.targetId === state.id && entry.outcome === 'answered' && entry.endedMs > performance.now() - LAST_ANSWERS_MS) entry.outcome = 'brokenOff'
         state.pathsByRequest.clear()
         if (fault === 'kill') proxy.kill()
         else proxy.setFault(fault === 'silence' ? { kind: 'silence', direction: 'both' } : { kind: fault })
