Which host tries or stores a verdict does not depend on when hosts heard of a crash

When requests of several hosts were on an engine that ended, each host took part in deciding by time who had sent the request of the latest crash. News counts from its arrival, so none or all of them took it for their own: two hosts tried a request at the same moment, and a verdict could be stored by none.

Now the hosts whose requests took part try one after the other, in the order of these requests, and each stores the verdicts unless they are stored.

New test: 'of the hosts whose requests took part in crashes one writes'.

--- a/src/crash/createCrashEvidence/index.ts
+++ b/src/crash/createCrashEvidence/index.ts
@@ -57,7 +57,7 @@
 export interface CrashVerdicts {
   /** Tells one set of verdicts from another; empty if there are none. */
   key: string
-  /** Whether this host sent the request of the latest crash that they rest on. */
+  /** Whether this host sent a request that took part in a crash that they rest on. */
   isOwn: boolean
   /** The crashes that they rest on, with other suspects, as none of these is judged alone; empty if there are no verdicts. */
   sightings: CrashSighting[]
@@ -226,7 +226,8 @@
 
   /**
    * Whether a request may be sent to find out whether parts crash engines. It has no other trait that took
-   * part in crashes, and comes to the host that sent the request of the latest one, so that hosts do not try at once.
+   * part in crashes. Hosts do not try at once: those that sent requests which took part do so one after the other,
+   * in the order of these requests. Times would not tell the order, as they include the way of the news.
    */
   function mayTry (request: RequestTraits, { service, parts }: CrashingTraits): boolean {
     const nowMs = runtime.monotonicMs()
@@ -234,14 +235,16 @@
     const trial = trials.get(key)
     if (trial !== undefined && nowMs - trial.atMs < TRIAL_MS && trial.fingerprint === request.fingerprint) return true
     const held = sightings.listOf({ service, part: parts[0]! })
-    const latest = held.find(({ atMs }) => held.every(sighting => sighting.atMs <= atMs))
-    if (latest === undefined) return false
-    const isDue = nowMs - Math.max(latest.atMs, trial?.atMs ?? -Infinity) >= TRIAL_DELAY_MS
-    if (!isDue || !latest.isOwn || sightings.countEngines(latest) >= MAX_TRIAL_CRASHES) return false
+    const requests = [...new Set(held.map(sighting => sighting.request))].sort()
+    const rank = requests.findIndex(name => held.some(sighting => sighting.isOwn && sighting.request === name))
+    const crashes = new Set(held.map(engineOf)).size
+    if (rank < 0 || crashes >= MAX_TRIAL_CRASHES) return false
+    const quietMs = nowMs - Math.max(trial?.atMs ?? -Infinity, ...held.map(({ atMs }) => atMs))
+    if (quietMs < TRIAL_DELAY_MS * (1 + rank)) return false
     const hasOtherSuspect = listTraits(request).some(trait => sightings.countEngines(trait) > 0 && !(trait.service === service && parts.includes(trait.part)))
     if (hasOtherSuspect) return false
     trials.set(key, { fingerprint: request.fingerprint, atMs: nowMs })
-    log.emit('promptPartTried', { service, parts, fingerprint: request.fingerprint, crashes: sightings.countEngines(latest) })
+    log.emit('promptPartTried', { service, parts, fingerprint: request.fingerprint, crashes })
     return true
   }
 
@@ -328,10 +331,9 @@
     verdicts () {
       if (crashing.length > 0 && dropExpired()) update(runtime.monotonicMs())
       const held = sightings.list().filter(isCrashing)
-      const latestMs = Math.max(...held.map(({ atMs }) => atMs))
       return {
         key: crashing.map(({ service, parts }) => JSON.stringify([service, parts])).sort().join('\n'),
-        isOwn: held.some(({ atMs, isOwn }) => isOwn && atMs === latestMs),
+        isOwn: held.some(({ isOwn }) => isOwn),
         sightings: held.length === 0 ? [] : sortByUse(sightings.list()).slice(0, MAX_STORED).map(toTold)
       }
     },
--- a/src/crash/createCrashEvidence/test.ts
+++ b/src/crash/createCrashEvidence/test.ts
@@ -263,7 +263,7 @@
   t.true(tried <= 3, `${tried} requests tried`)
 })
 
-test('a part that only it explains is not tried, nor at hosts that did not send the request of the latest crash', async t => {
+test('a part that only it explains is not tried, nor at hosts that sent no request which took part', async t => {
   const { runtime, crash, isFound } = createHost()
   for (const request of ['1', '2', '3']) crash('bad', request)
   await runtime.advance(TRIAL_DELAY_MS + SETTLING_MS)
@@ -275,6 +275,27 @@
   t.deepEqual([other.isFound('shared', '3'), witness.isFound('shared', '3')], [true, false])
 })
 
+test('hosts whose requests took part in the same crashes try one after the other', async t => {
+  const runtime = createManualRuntime()
+  const hosts = [createHost(runtime), createHost(runtime)]
+  const engines = ['i-1', 'i-2', 'i-3'].map(id => buildEngine(id, 'north', 'large'))
+  for (const [engineIndex, engine] of engines.entries()) {
+    for (const [index, { evidence }] of hosts.entries()) evidence.noteCrash(requestOf('model', `bad-${engineIndex % 2}`, 'shared', `${index}${engineIndex}`), engine)
+    // News is told later than the own crash is known.
+    await runtime.advance(10)
+    for (const [index, { evidence }] of hosts.entries()) hosts[1 - index]!.evidence.applyNews(evidence.newsFor('x'))
+  }
+  await runtime.advance(SETTLING_MS)
+  const tries: number[] = []
+  for (let timeMs = 0; timeMs < 12_000; timeMs += 500) {
+    for (const [index, { isFound }] of hosts.entries()) if (!isFound('shared', 'new') && !tries.includes(index)) tries.push(index)
+    if (timeMs === 1_000) t.deepEqual(tries, [])
+    if (timeMs === 6_000) t.is(tries.length, 1)
+    await runtime.advance(500)
+  }
+  t.true(tries.length >= 1)
+})
+
 /** Engine crashes after which a part must be known, and requests that may still reach engines. */
 const CRASHES_TO_KNOW = 5
 const REQUESTS_AFTER = 3
--- a/src/gateway/_lib/keepCrashEvidence.ts
+++ b/src/gateway/_lib/keepCrashEvidence.ts
@@ -1,11 +1,11 @@
 /**
  * Keeps what is held to crash engines in the store, for the case that all hosts end at once: as long as
- * one of them runs, it tells the others. The host that sent the request of the latest crash writes
- * when the verdicts change; hosts that read the store for the others read it once after their start.
+ * one of them runs, it tells the others. Hosts that sent requests which took part in the crashes write
+ * when the verdicts change, unless another one has; hosts that read the store for the others read it once after their start.
  */
 import { z } from 'zod'
 import type { CrashEvidence } from '../../crash/createCrashEvidence/index.js'
-import { crashSightingSchema } from '../../crash/types.js'
+import { crashSightingSchema, type CrashSighting } from '../../crash/types.js'
 import type { EventLog } from '../../event/types.js'
 import type { ObjectStore, WriteCondition } from '../../objectApi/types.js'
 import { repeatTask } from '../../runtime/repeatTask/index.js'
@@ -19,7 +19,7 @@
 
 /** Sightings with the time of the crash in Unix milliseconds. */
 const storedSightingSchema = crashSightingSchema.omit({ ageMs: true }).extend({ crashedMs: z.number() })
-const storedSchema = z.object({ sightings: z.array(storedSightingSchema) })
+const storedSchema = z.object({ key: z.string(), sightings: z.array(storedSightingSchema) })
 
 interface KeepOptions {
   store: Pick<ObjectStore, 'read' | 'write'>
@@ -54,27 +54,25 @@
     if (evidence.applyNews({ sightings, answered: [] })) log.emit('crashEvidenceRead', { sightings: sightings.length })
   }
 
-  /** The condition for replacing the object as it is now; `undefined` if the store does not tell. */
-  async function findCondition (): Promise<WriteCondition | undefined> {
-    const read = await store.read(EVIDENCE_KEY)
-    if (read.kind === 'unavailable') return undefined
-    return read.kind === 'absent' ? { ifAbsent: true } : { ifVersion: read.object.version }
-  }
-
   async function writeChange (): Promise<void> {
     const { key, isOwn, sightings } = evidence.verdicts()
     if (isAwaitingRead && key !== '' && !isOwn) storedKey = key
     if (key !== '') isAwaitingRead = false
     if (key === storedKey || !(isOwn || isResponsible)) return
-    const condition = await findCondition()
-    if (condition === undefined) return
-    const nowMs = runtime.nowMs()
-    const value: z.infer<typeof storedSchema> = { sightings: sightings.map(({ ageMs, ...sighting }) => ({ ...sighting, crashedMs: Math.round(nowMs - ageMs) })) }
-    const written = await store.write(EVIDENCE_KEY, value, condition)
-    if (written.kind !== 'written') return
+    const read = await store.read(EVIDENCE_KEY)
+    if (read.kind === 'unavailable') return
+    const isWritten = read.kind === 'found' && storedSchema.safeParse(read.object.value).data?.key === key
+    if (!isWritten && !await write(read.kind === 'absent' ? { ifAbsent: true } : { ifVersion: read.object.version }, key, sightings)) return
     storedKey = key
     isResponsible = key !== ''
-    log.emit('crashEvidenceWritten', { sightings: sightings.length })
+  }
+
+  async function write (condition: WriteCondition, key: string, sightings: readonly CrashSighting[]): Promise<boolean> {
+    const nowMs = runtime.nowMs()
+    const value: z.infer<typeof storedSchema> = { key, sightings: sightings.map(({ ageMs, ...sighting }) => ({ ...sighting, crashedMs: Math.round(nowMs - ageMs) })) }
+    const written = await store.write(EVIDENCE_KEY, value, condition)
+    if (written.kind === 'written') log.emit('crashEvidenceWritten', { sightings: sightings.length })
+    return written.kind === 'written'
   }
 
   repeatTask(async () => {
--- a/test/gateway/keepCrashEvidence.test.ts
+++ b/test/gateway/keepCrashEvidence.test.ts
@@ -11,7 +11,7 @@
 const promptOf = (request: string, ...parts: string[]): RequestTraits => ({ service: 'model', fingerprint: request, promptParts: [...parts, request] })
 
 /** One process of a host, and how to end it. */
-function startProcess (store: MemoryObjectStore, runtime: ReturnType<typeof createManualRuntime>, isReader = true) {
+function startProcess (store: MemoryObjectStore, runtime: ReturnType<typeof createManualRuntime>, { isReader = true, name = 'i' } = {}) {
   const controller = new AbortController()
   const log = createTestLog()
   const evidence = createCrashEvidence({ runtime, log })
@@ -25,7 +25,7 @@
   return {
     evidence,
     calls,
-    crash: (request: RequestTraits) => evidence.noteCrash(request, buildEngine(`i-${crashes++}`, 'north', 'large')),
+    crash: (request: RequestTraits) => evidence.noteCrash(request, buildEngine(`${name}-${crashes++}`, 'north', 'large')),
     [Symbol.dispose]: () => controller.abort()
   }
 }
@@ -40,7 +40,7 @@
   }
   await runtime.advance(10_000)
   using next = startProcess(store, runtime)
-  using follower = startProcess(store, runtime, false)
+  using follower = startProcess(store, runtime, { isReader: false })
   await runtime.advance(1_500)
   t.like(next.evidence.findCrashing(REQUEST), { kind: 'request', crashes: 3 })
   t.is(next.evidence.findCrashing(promptOf('2')), undefined)
@@ -63,6 +63,25 @@
   t.deepEqual([promptOf('5', 'shared'), promptOf('6', 'shared', 'bad-1')].map(request => next.evidence.findCrashing(request) !== undefined), [false, true])
 })
 
+test('of the hosts whose requests took part in crashes one writes', async t => {
+  const [store, runtime] = [createMemoryObjectStore(), createManualRuntime()]
+  using one = startProcess(store, runtime)
+  using other = startProcess(store, runtime, { name: 'j' })
+  await runtime.advance(1_500)
+  one.calls.length = other.calls.length = 0
+  for (const crash of [one.crash, one.crash, other.crash]) {
+    crash(REQUEST)
+    // News is told later than the own crash is known.
+    await runtime.advance(10)
+    one.evidence.applyNews(other.evidence.newsFor('one'))
+    other.evidence.applyNews(one.evidence.newsFor('other'))
+  }
+  await runtime.advance(10_000)
+  t.is(store.snapshot().length, 1)
+  t.is([...one.calls, ...other.calls].filter(call => call === 'write').length, 1)
+  t.true(one.calls.length + other.calls.length <= 4)
+})
+
 test('the store is called only when verdicts change, also after an outage', async t => {
   const [store, runtime] = [createMemoryObjectStore(), createManualRuntime()]
   using process = startProcess(store, runtime)
@@ -83,11 +102,11 @@
   process.evidence.noteAnswered(REQUEST)
   await runtime.advance(60_000)
   t.deepEqual(process.calls, ['read', 'write'])
-  t.deepEqual(store.snapshot().map(({ value }) => value), [{ sightings: [] }])
+  t.deepEqual(store.snapshot().map(({ value }) => value), [{ key: '', sightings: [] }])
 })
 
 test('evidence that is odd or too old is not used', async t => {
-  for (const value of [null, [], { sightings: [{ part: 7 }] }, { sightings: 'x' }]) {
+  for (const value of [null, [], { key: 'k', sightings: [{ part: 7 }] }, { key: 'k', sightings: 'x' }]) {
     const [store, runtime] = [createMemoryObjectStore(), createManualRuntime()]
     await store.write('crashes/evidence', value, { ifAbsent: true })
     using process = startProcess(store, runtime)
