Soak: a stream that its engine wrote twice and whose events all arrived is no loss

The check is narrowed to streams whose caller has every event and whose engine mixed in another answer; a cut stream that lacks an event, or whose engines wrote no other answer, stays a finding, both with a line of the test.

--- a/soak/test.ts
+++ b/soak/test.ts
@@ -109,7 +109,10 @@
   const closed = run({ outcome: 'closed' })
   const shed = run({ hasRun: false, outcome: 'shed' })
   const changed = { configurationsMs: [0] }
+  const all: Partial<CallRecord> = { ...cut, body: events(wholeStream) }
   const losses: Array<[Partial<CallRecord>, LedgerEntry[], Partial<Evidence>]> = [
+    [{ ...all, ...stopped }, [run(), run({ outcome: 'closed' })], {}],
+    [{ ...cut, ...stopped }, [run({ isMixed: true }), run({ outcome: 'closed' })], {}],
     [{ ...missing, ...stopped }, [closed], {}],
     [{ ...missing, ...stopped, endedMs: 300 }, [], {}],
     [{ ...cut, ...stopped }, [closed], {}],
@@ -121,6 +124,7 @@
   const exceptions: typeof losses = [
     [{ ...cut, ...stopped }, [run({ outcome: 'brokenOff' })], {}],
     [{ ...cut, ...stopped }, [run({ outcome: 'closed', isMixed: true })], {}],
+    [{ ...all, ...stopped }, [run({ isMixed: true }), run()], {}],
     [cut, [shed, run({ outcome: 'brokenOff' })], changed],
     [{ ...cut, ...stopped, endedMs: 4_000 }, [closed], {}],
     [{ ...cut, ...stopped, sentMs: 2_900, endedMs: 6_800 }, [run({ outcome: 'closed', endedMs: 6_800 })], {}],
