--- a/src/gateway/_lib/containsAnswerHead.ts
+++ b/src/gateway/_lib/containsAnswerHead.ts
@@ -26,7 +26,7 @@
  * looked at once.
  *
  * @example
- * containsAnswerHead(Buffer.from('doneHTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\ndone'), format) // true
+ * if (containsAnswerHead(body, format)) return { kind: 'mayHaveRun', cause: 'another answer follows' }
  */
 export function containsAnswerHead (body: Buffer, { readAnswerHead }: Pick<CallFormat, 'readAnswerHead'>): boolean {
   const firstAt = body.indexOf(MARKER)
