Count the grace period from when the process last ran, not from when it handled SIGTERM

Cause: a host whose event loop stands still when SIGTERM comes handles the signal when it runs again, and counted balancer lag and grace period from then. After a stall of 3 s it took requests until 5.8 s after the signal, and meant to end them at 10.6 s, when the platform has long killed it at 8 s.

Fix: the watch of stalls says when the event loop ran last.

Evidence: both new tests of test/gateway/startGateway.test.ts, with a clock that is set forward, failed before: a booking got 200 after the lag, and an open call was still open when the run was ended after 30 s.

--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -263,7 +263,7 @@
   resources.use(await listen(internal, { ...settings.metricsAddress, onHandlerError: logError }))
   log.emit('processStarted', { address: callers.address, failureDomain: settings.failureDomain })
 
-  watchStalls({ runtime, log, signal, onDelay: lateMs => metrics.loopDelaySeconds.observe(lateMs / MS_PER_S) })
+  const stalls = watchStalls({ runtime, log, signal, onDelay: lateMs => metrics.loopDelaySeconds.observe(lateMs / MS_PER_S) })
   registerHost(settings, { exchange, store, storeEra: fleet.era, runtime, log, signal })
   discoverPeers({ exchange, store, runtime, log, signal })
   keepCrashEvidence({ store, evidence: crashEvidence, isReader, runtime, log, signal })
@@ -350,10 +350,12 @@
 
   return {
     async drain () {
-      drainingSinceMs = runtime.monotonicMs()
-      log.emit('processDraining', { openCalls: calls.size() })
-      using drainDeadline = withDeadline(settings.graceMs - EXIT_RESERVE_MS, { runtime })
-      await sleep(settings.balancerLagMs, { runtime, signal: drainDeadline.signal })
+      // The grace period began when the signal was sent, not when the process could handle it.
+      drainingSinceMs = stalls.lastTurnMs()
+      const lateMs = runtime.monotonicMs() - drainingSinceMs
+      log.emit('processDraining', { openCalls: calls.size(), lateMs: Math.round(lateMs) })
+      using drainDeadline = withDeadline(Math.max(0, settings.graceMs - EXIT_RESERVE_MS - lateMs), { runtime })
+      await sleep(Math.max(0, settings.balancerLagMs - lateMs), { runtime, signal: drainDeadline.signal })
       hasPortClosed = true
       callers.stopAccepting()
       await calls.whenIdle(drainDeadline.signal)
--- a/test/gateway/startGateway.test.ts
+++ b/test/gateway/startGateway.test.ts
@@ -11,10 +11,10 @@
 import { startGateway } from '../../src/gateway/startGateway/index.js'
 import type { CallFormat } from '../../src/gateway/types.js'
 import { connectSocket } from '../../src/links/connectSocket/index.js'
-import { createSystemRuntime } from '../../src/runtime/createSystemRuntime/index.js'
 import type { Runtime } from '../../src/runtime/types.js'
 import { buildAnswer, servePlatformEngine, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
 import { servePlatformStore } from '../../standin/platform/servePlatformStore/index.js'
+import { createShiftedRuntime } from '../fakes/createShiftedRuntime.js'
 import { createTestLog } from '../fakes/createTestLog.js'
 import { findFreePort } from '../fakes/findFreePort.js'
 import { sendCall } from '../fakes/startTestGateway.js'
@@ -25,7 +25,7 @@
 async function startConfigurableGateway (script: EngineScript, options: { graceMs?: number, balancerLagMs?: number, lateMs?: number, format?: CallFormat } = {}) {
   const { graceMs = 60_000, balancerLagMs = 50, lateMs = 0, format = platformHeaders } = options
   const [store, target] = [await servePlatformStore(), await servePlatformEngine(script)]
-  const systemRuntime = createSystemRuntime()
+  const systemRuntime = createShiftedRuntime()
   const runtime: Runtime = { ...systemRuntime, setTimer: (delayMs, run) => systemRuntime.setTimer(delayMs === balancerLagMs ? delayMs + lateMs : delayMs, run) }
   const log = createTestLog()
   const [caller, readiness, internal, metrics] = [await findFreePort(), await findFreePort(), await findFreePort(), await findFreePort()]
@@ -61,6 +61,8 @@
     target,
     gateway,
     log,
+    /** Lets the event loop seem to have stood still. */
+    standStill: systemRuntime.skip,
     isReady,
     callerAddress: `${address}:${caller}`,
     metricsUrl: `http://${address}:${metrics}/metrics`,
@@ -221,3 +223,43 @@
   await running.gateway.drain()
   t.is((await answer).status, 504)
 })
+
+/** Opens a connection on which no request has been sent yet, and sends a booking on it when asked; resolves with what comes back first. */
+async function connectCaller (callerAddress: string) {
+  const [host, port] = callerAddress.split(':')
+  const socket = net.connect(Number(port), host)
+  await once(socket, 'connect')
+  return {
+    async book () {
+      socket.write('POST /unsafe/x HTTP/1.1\r\nhost: studio.example\r\nauthorization: Token secret\r\nrequest-id: r1\r\ncontent-length: 0\r\n\r\n')
+      return String((await once(socket, 'data'))[0])
+    },
+    [Symbol.dispose]: () => { socket.destroy() }
+  }
+}
+
+// Guards against bookings that are taken too late in the grace period, as it seemed to begin when the process could run again (LOST).
+test('a process that stood still when the signal came counts the balancer lag from before that', async t => {
+  await using running = await startConfigurableGateway((request, socket) => socket.end(buildAnswer(request, 'done')), { balancerLagMs: 2_800 })
+  running.configure()
+  await waitFor(running.isReady, 200)
+  using caller = await connectCaller(running.callerAddress)
+  running.standStill(3_000)
+  const drained = running.gateway.drain()
+  t.regex(await caller.book(), /^HTTP\/1.1 503 /)
+  t.is(running.target.received.length, 0)
+  await drained
+  t.like(running.log.recent().find(({ name }) => name === 'processDraining'), { openCalls: 0 })
+})
+
+// Guards against open calls that are cut without an answer, as the process is killed before it ends them (LOST).
+test('a process that stood still when the signal came ends its open calls before the grace period is over', async t => {
+  await using running = await startConfigurableGateway(() => {}, { graceMs: 60_000 })
+  running.configure()
+  await waitFor(running.isReady, 200)
+  const answer = call(running.callerAddress)
+  await waitFor(async () => running.target.received.length, 1)
+  running.standStill(59_000)
+  await running.gateway.drain()
+  t.like(await answer, { status: 504, isComplete: true })
+})
