Open no connections for peers once a leaving host takes no requests either

Cause: the handler of peers' connections had no part in the shutdown. A host that is cut off from its targets could send a request through a leaving peer until that peer's process ended, which cut it in the middle: 502 for what may not be repeated. Hosts that are no neighbours in the tree don't hear that a peer leaves, so they go on asking it (listRelays).

Fix: connections for peers are opened as long as callers' requests are taken, and are refused from then on with a status after which the host asks another peer. That is looked at again once the connection to the target is open.

--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -184,6 +184,8 @@
     runtime,
     maxAgeMs: () => Math.max(0, ...(fleet.configuration()?.routes ?? []).map(route => route.timeoutMs)),
     connect: links.connectForPeer,
+    // A request that comes through later would be cut by the end of this process.
+    isAccepting: () => !hasBalancerLagPassed(),
     hasLeft: fleet.hasLeft,
     pauseLeftMs: targetPauses.leftMs,
     onAnswerHead: (target, head) => noteRelayedStatements(head, target, context),
--- a/src/links/createRelayHandler/index.ts
+++ b/src/links/createRelayHandler/index.ts
@@ -36,6 +36,8 @@
   maxAgeMs: () => number
   /** Opens a direct connection; `unknown` if its failure may be due to this host's own links. */
   connect: (address: string) => Promise<Socket | 'targetUnreachable' | 'unknown'>
+  /** Whether connections are opened at all; by default they always are. */
+  isAccepting?: () => boolean
   /** Whether a target has said, itself or by its entry, that it leaves, and is not only left out for a time; by default all targets have that are marked as leaving. */
   hasLeft?: (target: Target) => boolean
   /** Time for which a target wants no requests from this host, in milliseconds; 0 by default. */
@@ -55,6 +57,7 @@
 }
 
 const NOT_LISTED: Refusal = { status: NO_TARGET_STATUS }
+const NOT_ACCEPTING: Refusal = { status: UNKNOWN_STATUS }
 
 /** Longest head of an answer that is read, in bytes. */
 const MAX_HEAD_BYTES = 16_384
@@ -75,7 +78,7 @@
  * @example
  * const relay = createRelayHandler({ targets: fleet.targets, runtime, maxAgeMs, connect: links.connectForPeer, onResult })
  */
-export function createRelayHandler ({ targets, runtime, maxAgeMs, connect, hasLeft = ({ isLeaving }) => isLeaving, pauseLeftMs = () => 0, onAnswerHead = () => {}, onResult, onOpenCount = () => {} }: RelayHandlerOptions): RelayHandler {
+export function createRelayHandler ({ targets, runtime, maxAgeMs, connect, isAccepting = () => true, hasLeft = ({ isLeaving }) => isLeaving, pauseLeftMs = () => 0, onAnswerHead = () => {}, onResult, onOpenCount = () => {} }: RelayHandlerOptions): RelayHandler {
   const open = new Set<Socket>()
   const waiters = new Set<() => void>()
 
@@ -89,6 +92,7 @@
 
   /** Why a target gets no connection now; `undefined` if it does. */
   function findRefusal (target: Target | undefined): Refusal | undefined {
+    if (!isAccepting()) return NOT_ACCEPTING
     if (target === undefined) return NOT_LISTED
     const retryS = target.isLeaving ? UNUSED_RETRY_S : pauseLeftMs(target.id) / MS_PER_S
     if (retryS === 0) return undefined
@@ -119,9 +123,8 @@
       const peer = stream as Socket
       peer.on('error', () => { /* The close that follows ends the connection to the target. */ })
       const listed = findTarget(address)
-      if (listed === undefined) return refuse(peer, NOT_LISTED)
       const refusal = findRefusal(listed)
-      if (refusal !== undefined) return refuse(peer, refusal)
+      if (listed === undefined || refusal !== undefined) return refuse(peer, refusal ?? NOT_LISTED)
       const target = await connect(address)
       if (target === 'unknown') return refuse(peer, { status: UNKNOWN_STATUS })
       if (target === 'targetUnreachable') return refuse(peer, { status: TARGET_UNREACHABLE_STATUS })
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -34,11 +34,13 @@
   hasLeft?: () => boolean
   /** Whether the peer lists the target. */
   isListed?: () => boolean
+  /** Whether the peer opens connections. */
+  isAccepting?: () => boolean
   furtherRelays?: string[]
 }
 
 /** A target, a peer that reaches it, and a host that does not; no time limit of theirs passes. */
-async function startRelay (serve: (socket: Socket) => void, { onAccept = () => {}, isLeaving = () => false, hasLeft = isLeaving, isListed = () => true, furtherRelays = [] }: RelayOptions = {}) {
+async function startRelay (serve: (socket: Socket) => void, { onAccept = () => {}, isLeaving = () => false, hasLeft = isLeaving, isListed = () => true, isAccepting = () => true, furtherRelays = [] }: RelayOptions = {}) {
   const leaving: Array<Pick<Target, 'id' | 'bornMs'>> = []
   const target = createServer(socket => {
     onAccept()
@@ -53,7 +55,7 @@
   const options = { targets: () => targets, runtime: clock, log: createTestLog(), signal: controller.signal }
   const connectDirectly = (to: string) => connectSocket(to, { timeoutMs: 100, runtime: clock })
   const peer = createTargetLinks({ ...options, connectDirectly, isReachable: async () => true, relays: () => [] })
-  const handler = createRelayHandler({ targets: () => targets.filter(isListed).map(listed => ({ ...listed, isLeaving: isLeaving() })), hasLeft, runtime: clock, maxAgeMs: () => MAX_AGE_MS, connect: peer.connectForPeer, onResult: () => {} })
+  const handler = createRelayHandler({ targets: () => targets.filter(isListed).map(listed => ({ ...listed, isLeaving: isLeaving() })), isAccepting, hasLeft, runtime: clock, maxAgeMs: () => MAX_AGE_MS, connect: peer.connectForPeer, onResult: () => {} })
   const server = await listen(async (_request, response) => { response.end() }, { address: '127.0.0.1', port: 0, onConnect: handler.handle })
   const host = createTargetLinks({ ...options, connectDirectly: () => Promise.reject(new Error('cut')), isReachable: async () => false, relays: () => [server.address, ...furtherRelays], onTargetLeaving: instance => { leaving.push(instance) } })
   return {
@@ -179,6 +181,17 @@
   controller.abort()
 })
 
+// Guards against requests that a leaving peer passes on and cuts at the end of its grace period (LOST).
+test('a peer that no longer accepts connections passes nothing on, also if it stopped while the connection opened', async t => {
+  for (const isAcceptingFirst of [false, true]) {
+    let [asked, served] = [0, 0]
+    await using relay = await startRelay(() => { served++ }, { isAccepting: () => isAcceptingFirst && asked++ === 0 })
+    const error = await t.throwsAsync(relay.host.connect(relay.address), { instanceOf: OwnLinkError })
+    t.regex(error.message, /peer: status 503/)
+    t.is(served, 0)
+  }
+})
+
 test('a host that shuts down waits for the connections that it relays', async t => {
   let noteArrival = (_socket: Socket): void => {}
   const arrived = new Promise<Socket>(resolve => { noteArrival = resolve })
--- a/test/gateway/startGateway.test.ts
+++ b/test/gateway/startGateway.test.ts
@@ -65,6 +65,7 @@
     standStill: systemRuntime.skip,
     isReady,
     callerAddress: `${address}:${caller}`,
+    internalPort: internal,
     metricsUrl: `http://${address}:${metrics}/metrics`,
     configure () {
       store.put('servers', 'i-1', { service: 'orders', address: target.address, zone: 'north', version: 'v1', slots: 4, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 5 })
@@ -263,3 +264,22 @@
   await running.gateway.drain()
   t.like(await answer, { status: 504, isComplete: true })
 })
+
+// Guards against requests of cut-off peers that are passed on late in the grace period and cut at its end (LOST).
+test('a host that shuts down opens connections for peers as long as it takes requests, and no longer', async t => {
+  await using running = await startConfigurableGateway((request, socket) => socket.end(buildAnswer(request, 'done')), { balancerLagMs: 2_800 })
+  running.configure()
+  await waitFor(running.isReady, 200)
+  const askForConnection = async (): Promise<string> => {
+    const peer = net.connect(running.internalPort, '127.0.0.1')
+    peer.write(`CONNECT ${running.target.address} HTTP/1.1\r\nHost: x\r\n\r\n`)
+    const [head] = await once(peer, 'data')
+    peer.destroy()
+    return String(head).split('\r\n')[0]!
+  }
+  const drained = running.gateway.drain()
+  t.is(await askForConnection(), 'HTTP/1.1 200 Connected')
+  running.standStill(2_801)
+  t.is(await askForConnection(), 'HTTP/1.1 503 Refused')
+  await drained
+})
