Wait for open calls and relayed connections with one function

Both had the same code for those who wait until nothing is open or their signal aborts; a third place needs it next.

--- a/src/http/createOpenCalls/index.ts
+++ b/src/http/createOpenCalls/index.ts
@@ -3,6 +3,7 @@
  * remaining ones with a refusal whose verdict is correct.
  */
 import type { ServerResponse } from 'node:http'
+import { createWaiters } from '../../runtime/createWaiters/index.js'
 import { sleep } from '../../runtime/sleep/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import { cutAnswer } from '../cutAnswer/index.js'
@@ -53,13 +54,13 @@
 export function createOpenCalls<Tracked extends OpenCall = OpenCall> (options: { runtime: Runtime }): OpenCalls<Tracked> {
   const calls = new Set<Tracked>()
   const tasks = new Set<Promise<unknown>>()
-  const waiters = new Set<() => void>()
+  const waiters = createWaiters()
 
   function addTask (task: Promise<unknown>): void {
     tasks.add(task)
     task.finally(() => {
       tasks.delete(task)
-      if (tasks.size === 0) for (const finish of [...waiters]) finish()
+      if (tasks.size === 0) waiters.release()
     })
   }
 
@@ -77,16 +78,7 @@
     list: () => [...calls],
     size: () => tasks.size,
     async whenIdle (signal) {
-      if (tasks.size === 0 || signal.aborted) return
-      await new Promise<void>(resolve => {
-        const finish = (): void => {
-          waiters.delete(finish)
-          signal.removeEventListener('abort', finish)
-          resolve()
-        }
-        waiters.add(finish)
-        signal.addEventListener('abort', finish, { once: true })
-      })
+      if (tasks.size > 0) await waiters.wait(signal)
     },
     async endAll (refuse) {
       const unfinished = [...calls]
--- a/src/links/createRelayHandler/index.ts
+++ b/src/links/createRelayHandler/index.ts
@@ -10,6 +10,7 @@
 import type { Socket } from 'node:net'
 import type { Target } from '../../fleet/types.js'
 import { pollInput } from '../../runtime/pollInput/index.js'
+import { createWaiters } from '../../runtime/createWaiters/index.js'
 import type { Runtime } from '../../runtime/types.js'
 import { CHUNKED, createChunkEncoder, FRAMING_HEADER } from '../createChunkEncoder/index.js'
 import { formatLeaving, LEAVING_HEADER } from '../_lib/leavingHeader.js'
@@ -80,7 +81,7 @@
  */
 export function createRelayHandler ({ targets, runtime, maxAgeMs, connect, isAccepting = () => true, hasLeft = ({ isLeaving }) => isLeaving, pauseLeftMs = () => 0, onAnswerHead = () => {}, onResult, onOpenCount = () => {} }: RelayHandlerOptions): RelayHandler {
   const open = new Set<Socket>()
-  const waiters = new Set<() => void>()
+  const waiters = createWaiters()
 
   /** The target at an address; one that leaves may still be listed beside the one that has its address now. */
   function findTarget (address: string): Target | undefined {
@@ -153,7 +154,7 @@
         open.delete(peer)
         onOpenCount(open.size)
         target.destroy()
-        if (open.size === 0) for (const resolve of [...waiters]) resolve()
+        if (open.size === 0) waiters.release()
       })
       peer.setNoDelay(true)
       const isFramed = headers[FRAMING_HEADER] === CHUNKED
@@ -168,16 +169,7 @@
       watchHead(listed, target)
     },
     whenIdle (signal) {
-      if (open.size === 0 || signal.aborted) return Promise.resolve()
-      return new Promise(resolve => {
-        const finish = (): void => {
-          waiters.delete(finish)
-          signal.removeEventListener('abort', finish)
-          resolve()
-        }
-        waiters.add(finish)
-        signal.addEventListener('abort', finish, { once: true })
-      })
+      return open.size === 0 ? Promise.resolve() : waiters.wait(signal)
     },
     async [Symbol.asyncDispose] () {
       for (const peer of open) peer.destroy()
