Refuse the next request on a connection that outlasts the port, rather than reset it

Its head had promised that it stays open. The request was not passed on, but a caller can't know that.

Cause: a connection was closed the moment its answer had ended, and a request that was on its way met a closed socket.

Fix: such a connection stays open for 300 ms, several round trips to a caller. A request that comes in that time gets 503 (draining, not run, Retry-After 0) with Connection: close; after it, or without one, the connection closes. The process waits for that within its grace period.

--- a/scenario/createSimulation/index.ts
+++ b/scenario/createSimulation/index.ts
@@ -152,7 +152,7 @@
       }),
       async listen (handler, { address, port }) {
         handlers.set(port, handler)
-        return { address: `${address}:${port}`, stopAccepting: () => { handlers.delete(port) }, async [Symbol.asyncDispose] () { handlers.delete(port) } }
+        return { address: `${address}:${port}`, stopAccepting: () => { handlers.delete(port) }, whenClosed: async () => {}, async [Symbol.asyncDispose] () { handlers.delete(port) } }
       }
     }
   }
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -79,6 +79,9 @@
 /** Calls cut by the shutdown that get a line each; the others are only counted. */
 const MAX_CUT_LINES = 20
 
+/** Time for which a connection stays open after an answer that promised so, once the port is closed, in milliseconds: a next request that crosses the close gets a refusal. */
+const LINGER_MS = 300
+
 /** Time limit for callers to receive the last answers, in milliseconds. */
 const FLUSH_TIMEOUT_MS = 200
 
@@ -252,6 +255,7 @@
     headerSizeBytes: HEADER_SIZE_BYTES,
     requestDeadlineMs: REQUEST_DEADLINE_MS,
     idleTimeoutMs: IDLE_TIMEOUT_MS,
+    linger: { forMs: LINGER_MS, runtime },
     isContinueSentByHandler: false
   }))
   resources.use(await listen(async (_request, response) => {
@@ -362,6 +366,7 @@
       callers.stopAccepting()
       await calls.whenIdle(drainDeadline.signal)
       if (calls.size() > 0) await endOpenCalls()
+      await callers.whenClosed(drainDeadline.signal)
       await relayHandler.whenIdle(drainDeadline.signal)
       log.emit('processStopped')
     },
--- a/src/http/listen/index.ts
+++ b/src/http/listen/index.ts
@@ -6,6 +6,8 @@
 import type { Duplex } from 'node:stream'
 import { cutAnswer } from '../cutAnswer/index.js'
 import { PROBLEM_CONTENT_TYPE, toProblem } from '../../verdict/toProblem/index.js'
+import { createWaiters } from '../../runtime/createWaiters/index.js'
+import type { Runtime } from '../../runtime/types.js'
 import type { Refusal } from '../../verdict/types.js'
 
 /** Interval at which Node checks for requests that arrive too slowly, in milliseconds. */
@@ -24,8 +26,10 @@
 export interface ListeningServer extends AsyncDisposable {
   /** `ip:port`. */
   address: string
-  /** Accepts no more connections and closes the idle ones; requests in progress continue, and their connections close after the answers. */
+  /** Accepts no more connections and closes the idle ones; requests in progress continue, and their connections close some time after the answers. */
   stopAccepting: () => void
+  /** Resolves once all connections that have had a request are closed, or when the signal aborts. */
+  whenClosed: (signal: AbortSignal) => Promise<void>
 }
 
 /** Starts an HTTP server, or a replacement for one, as in tests. */
@@ -44,6 +48,8 @@
   requestDeadlineMs?: number
   /** How long an idle connection is kept open between requests; Node's default unless given. */
   idleTimeoutMs?: number
+  /** How long a connection stays open after its answer once no more are accepted, for a caller that was promised to be able to send on; it closes at once by default. */
+  linger?: { forMs: number, runtime: Pick<Runtime, 'setTimer'> }
   /** Creates the refusal that is sent if no request could be parsed; if absent, the connection is closed without a response. */
   refuseMalformed?: (reason: MalformedReason) => Refusal
   /** `true`: the handler answers `Expect: 100-continue`; otherwise Node sends `100 Continue` before it calls the handler. */
@@ -68,7 +74,7 @@
   handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
   options: ListenOptions
 ): Promise<ListeningServer> {
-  const { address, port, headerSizeBytes, requestDeadlineMs, idleTimeoutMs, refuseMalformed, isContinueSentByHandler = false, onConnect, onHandlerError } = options
+  const { address, port, headerSizeBytes, requestDeadlineMs, idleTimeoutMs, linger, refuseMalformed, isContinueSentByHandler = false, onConnect, onHandlerError } = options
   const server = http.createServer({
     ...(headerSizeBytes === undefined ? {} : { maxHeaderSize: headerSizeBytes }),
     ...(requestDeadlineMs === undefined
@@ -83,18 +89,30 @@
   const openResponses = new Map<Socket, Set<http.ServerResponse>>()
   /** Connections with bytes that are no request; they close after their answers. */
   const brokenConnections = new WeakSet<Socket>()
+  const closeWaiters = createWaiters()
   let isAccepting = true
 
+  function forget (socket: Socket): void {
+    openResponses.delete(socket)
+    if (openResponses.size === 0) closeWaiters.release()
+  }
+
   function trackResponse (socket: Socket, response: http.ServerResponse): void {
     const responses = openResponses.get(socket) ?? new Set()
-    if (!openResponses.has(socket)) socket.once('close', () => openResponses.delete(socket))
+    if (!openResponses.has(socket)) socket.once('close', () => forget(socket))
     openResponses.set(socket, responses.add(response))
     response.once('close', () => {
       responses.delete(response)
-      if (!isAccepting || brokenConnections.has(socket)) closeIfIdle(socket)
+      if (brokenConnections.has(socket) || (!isAccepting && linger === undefined)) closeIfIdle(socket)
+      else if (!isAccepting) closeLater(socket, linger!)
     })
   }
 
+  function closeLater (socket: Socket, { forMs, runtime }: NonNullable<ListenOptions['linger']>): void {
+    const timer = runtime.setTimer(forMs, () => closeIfIdle(socket))
+    socket.once('close', () => timer[Symbol.dispose]())
+  }
+
   function closeIfIdle (socket: Socket): void {
     if (openResponses.get(socket)?.size === 0) socket.destroySoon()
   }
@@ -137,6 +155,9 @@
       NetServer.prototype.close.call(server)
       for (const socket of openResponses.keys()) closeIfIdle(socket)
     },
+    whenClosed (signal) {
+      return openResponses.size === 0 ? Promise.resolve() : closeWaiters.wait(signal)
+    },
     [Symbol.asyncDispose]: () => new Promise(resolve => {
       server.close(() => resolve())
       server.closeAllConnections()
--- a/src/http/listen/test.ts
+++ b/src/http/listen/test.ts
@@ -1,5 +1,7 @@
+import { once } from 'node:events'
 import net from 'node:net'
 import test from 'ava'
+import { createManualRuntime } from '../../../test/fakes/createManualRuntime.js'
 import { listen } from './index.js'
 
 const GET = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
@@ -41,6 +43,54 @@
   t.regex(await received, /begun[^]*ended\r\n0\r\n\r\n$/)
 })
 
+// Guards against callers that meet a reset, as their next request crosses the close of a connection that was promised to stay open.
+test('a connection whose answer ends after the port was closed lingers for a next request', async t => {
+  const clock = createManualRuntime()
+  const begun = defer<() => void>()
+  let requests = 0
+  await using server = await listen(async (_request, response) => {
+    if (requests++ > 0) {
+      response.writeHead(503, { 'content-length': 0, connection: 'close' }).end()
+      return
+    }
+    response.write('begun')
+    begun.resolve(() => response.end('ended'))
+  }, { ...OPTIONS, linger: { forMs: 300, runtime: clock } })
+  const [sending, silent] = [connect(server.address, GET), connect(server.address, '')]
+  const end = await begun.promise
+  server.stopAccepting()
+  end()
+  await once(sending.socket, 'data')
+  while (clock.pendingTimers() === 0) await clock.settle()
+  await clock.advance(299)
+  sending.socket.write(GET)
+  t.regex(await sending.received, /begun[^]*ended\r\n0\r\n\r\nHTTP\/1.1 503 /)
+  await server.whenClosed(new AbortController().signal)
+  silent.socket.destroy()
+})
+
+test('a connection that lingers is closed when no request comes, and that is waited for', async t => {
+  const clock = createManualRuntime()
+  const begun = defer<() => void>()
+  await using server = await listen(async (_request, response) => {
+    response.write('begun')
+    begun.resolve(() => response.end('ended'))
+  }, { ...OPTIONS, linger: { forMs: 300, runtime: clock } })
+  const { received } = connect(server.address, GET)
+  const end = await begun.promise
+  server.stopAccepting()
+  let isClosed = false
+  const closed = server.whenClosed(new AbortController().signal).then(() => { isClosed = true })
+  end()
+  while (clock.pendingTimers() === 0) await clock.settle()
+  t.false(isClosed)
+  await server.whenClosed(AbortSignal.abort())
+  await clock.advance(300)
+  t.regex(await received, /ended\r\n0\r\n\r\n$/)
+  await closed
+  t.true(isClosed)
+})
+
 test('closing the port does not cut an answer that a slow caller still reads', async t => {
   const ended = defer<void>()
   await using server = await listen(async (_request, response) => {
--- a/test/gateway/startGateway.test.ts
+++ b/test/gateway/startGateway.test.ts
@@ -12,7 +12,7 @@
 import type { CallFormat } from '../../src/gateway/types.js'
 import { connectSocket } from '../../src/links/connectSocket/index.js'
 import type { Runtime } from '../../src/runtime/types.js'
-import { buildAnswer, servePlatformEngine, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
+import { buildAnswer, buildStreamHead, encodeEvents, servePlatformEngine, STREAM_END, type EngineScript } from '../../standin/platform/servePlatformEngine/index.js'
 import { servePlatformStore } from '../../standin/platform/servePlatformStore/index.js'
 import { createShiftedRuntime } from '../fakes/createShiftedRuntime.js'
 import { createTestLog } from '../fakes/createTestLog.js'
@@ -71,7 +71,10 @@
       store.put('servers', 'i-1', { service: 'orders', address: target.address, zone: 'north', version: 'v1', slots: 4, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 5 })
       store.put('config', 'main', {
         version: 1,
-        routes: [{ name: 'r', host: 'studio.example', path_prefix: '/unsafe/', kind: 'unsafe', timeout_ms: 60_000, target_latency_ms: 300, max_attempts: 1, service: 'orders' }],
+        routes: [
+          { name: 'r', host: 'studio.example', path_prefix: '/unsafe/', kind: 'unsafe', timeout_ms: 60_000, target_latency_ms: 300, max_attempts: 1, service: 'orders' },
+          { name: 's', host: 'studio.example', path_prefix: '/stream/', kind: 'streaming', timeout_ms: 60_000, target_latency_ms: 300, max_attempts: 1, service: 'orders' }
+        ],
         services: [{ name: 'orders' }],
         limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
         tenants: [{ name: 'studio', api_keys: ['secret'] }]
@@ -283,3 +286,43 @@
   t.is(await askForConnection(), 'HTTP/1.1 503 Refused')
   await drained
 })
+
+function isListening (address: string): Promise<boolean> {
+  const [host, port] = address.split(':')
+  return new Promise(resolve => {
+    const socket = net.connect(Number(port), host)
+    socket.once('error', () => resolve(false))
+    socket.once('connect', () => {
+      socket.destroy()
+      resolve(true)
+    })
+  })
+}
+
+// Guards against callers whose next request meets a reset, on a connection whose head had promised that it stays open.
+test('a booking behind a stream that outlasts the port is refused on its connection, and not sent on', async t => {
+  let end = (): void => {}
+  await using running = await startConfigurableGateway((request, socket) => {
+    socket.write(buildStreamHead(request) + encodeEvents([1]))
+    end = () => { socket.end(encodeEvents([2]) + STREAM_END) }
+  })
+  running.configure()
+  await waitFor(running.isReady, 200)
+  const [host, port] = running.callerAddress.split(':')
+  const caller = net.connect(Number(port), host)
+  let text = ''
+  caller.on('data', bytes => { text += bytes })
+  const send = (path: string): void => { caller.write(`POST ${path} HTTP/1.1\r\nhost: studio.example\r\nauthorization: Token secret\r\nrequest-id: r1\r\ntoken-usage: 100,40\r\ncontent-length: 0\r\n\r\n`) }
+  send('/stream/x')
+  await waitFor(async () => text.includes('piece 1'), true)
+  const drained = running.gateway.drain()
+  running.standStill(51)
+  await waitFor(async () => await isListening(running.callerAddress), false)
+  end()
+  await waitFor(async () => text.endsWith('0\r\n\r\n'), true)
+  send('/unsafe/x')
+  await once(caller, 'close')
+  t.regex(text, /piece 2[^]*0\r\n\r\nHTTP\/1.1 503 [^]*Connection: close/)
+  t.is(running.target.received.length, 1)
+  await drained
+})
