--- a/src/gateway/_lib/internalPort.ts
+++ b/src/gateway/_lib/internalPort.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from '../../event/types.js'
 import type { FleetState } from '../../fleet/createFleetState/index.js'
 import { fleetConfigurationSchema, targetUpdateSchema } from '../../fleet/types.js'
+import { readBoundedBody } from '../../http/readBoundedBody/index.js'
 import { sendJson } from '../../http/sendJson/index.js'
 import { rejectOnAbort } from '../../runtime/rejectOnAbort/index.js'
 import { withDeadline } from '../../runtime/withDeadline/index.js'
@@ -37,6 +38,9 @@
 /** How long a peer holds a long poll without a change, in milliseconds; half as long as a watch on the store, because an unresponsive peer is only detected when this wait is over. */
 const LONG_POLL_MS = 2_000
 
+/** Largest state that is read, compressed or not, in bytes; several times that of the largest fleet. */
+const MAX_STATE_BYTES = 16 * 2 ** 20
+
 /** Compression level of `/state`; the fastest takes a configuration to a sixth of its size. */
 const COMPRESSION_LEVEL = 1
 
@@ -128,8 +132,8 @@
   using deadline = withDeadline(waitMs + STATE_TIMEOUT_MS, { runtime })
   try {
     const response = await rejectOnAbort(request(`http://${address}/state?${query}`, { signal: deadline.signal, reset: true }), deadline.signal)
-    const body = Buffer.from(await response.body.arrayBuffer())
-    const text = response.headers['content-encoding'] === 'gzip' ? gunzipSync(body) : body
+    const body = await readBoundedBody(response.body, MAX_STATE_BYTES)
+    const text = response.headers['content-encoding'] === 'gzip' ? gunzipSync(body, { maxOutputLength: MAX_STATE_BYTES }) : body
     const { configuration, targets } = stateSchema.parse(JSON.parse(text.toString('utf8')))
     if (configuration !== null && fleet.applyConfiguration(configuration)) {
       log.emit('fleetConfigurationInForce', { version: configuration.version, source: address })
