--- a/src/http/createOpenCalls/index.ts
+++ b/src/http/createOpenCalls/index.ts
@@ -78,7 +78,8 @@
     list: () => [...calls],
     size: () => tasks.size,
     async whenIdle (signal) {
-      if (tasks.size > 0) await waiters.wait(signal)
+      if (tasks.size === 0 || signal.aborted) return
+      await waiters.wait(signal)
     },
     async endAll (refuse) {
       const unfinished = [...calls]
