Refuse on a leaving host what would outlast its grace period, if another host is ready

Cause: nothing compared how long an answer takes with what is left of the grace period. A request that waited for a place, or was tried anew, could also be passed on at any time until the end.

Fix: isTooLateToBegin decides it for each request of which nothing has run, on arrival and once it has a place, from the end of the grace period and the time that whole answers of the route took lately (createDurationModel). A host that knows no other ready one begins every request.

--- a/src/gateway/_lib/servePlain.ts
+++ b/src/gateway/_lib/servePlain.ts
@@ -7,6 +7,7 @@
 import { judgeAnswer } from './judgeAnswer.js'
 import { noteStatements } from './noteStatements.js'
 import { closeWithCall } from './closeWithCall.js'
+import { endIfTooLate } from './endIfTooLate.js'
 import { findObstacle } from './findObstacle.js'
 import { openExchange } from './openExchange.js'
 import { readAnswerBody } from './readAnswerBody.js'
@@ -52,6 +53,7 @@
     if (holdMs > 0) await sleep(holdMs, { runtime, signal })
     if (lastFailure === undefined && endCrashingCall(call, context, { mayHaveRun, attempts })) return
     if (signal.aborted || findCrashing(call, context) !== undefined) break
+    if (!mayHaveRun && lastFailure === undefined && endIfTooLate(call, 1, context, { attempts })) return
     using reservation = reserveTarget(service, excluded, ownDomain, context)
     if (reservation === undefined) break
     if (countedAttempts > 0 && (countedAttempts >= route.maxAttempts || !budget.trySpend(service.name))) break
@@ -94,7 +96,10 @@
   endWithReason(call, context, isAnyHeldBack(service, excluded, context) ? 'overloaded' : 'targetUnreachable', { attempts, ...describeReturn(call, { defaultMs: RETRY_AFTER_MS }, context) })
 
   function finishWithAnswer (result: Extract<AttemptResult, { kind: 'whole' }>, run: TargetRun): void {
-    if (result.status < 500) context.crashEvidence.noteAnswered(traitsOf(call))
+    if (result.status < 500) {
+      context.durations.note(route.name, 1, runtime.monotonicMs() - run.sentMs)
+      context.crashEvidence.noteAnswered(traitsOf(call))
+    }
     sendAnswer(call, context, result)
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
     log.emit('gatewayAnswered', {
--- a/src/gateway/_lib/serveStream.ts
+++ b/src/gateway/_lib/serveStream.ts
@@ -16,6 +16,7 @@
 import { endCrashingCall, isSuspectedAfter, traitsOf } from './crashingRequests.js'
 import { describeRun } from './describeRun.js'
 import { describeReturn } from './describeReturn.js'
+import { endIfTooLate } from './endIfTooLate.js'
 import { countTokens, estimateRequestSize } from './estimateRequestSize.js'
 import type { CallProgress, StreamResult } from './relayStream.js'
 import { requestPlace } from './requestPlace.js'
@@ -52,12 +53,13 @@
   /** Whether the runs use up the attempts; those on engines that have ended since no longer count. */
   const areRunsExhausted = (runs: readonly Target[] = ranOn): boolean => runs.filter(fleet.isListed).length >= route.maxAttempts
 
+  const isEndedAsTooLate = (): boolean => !hasBegun() && !progress.mayHaveRun && endIfTooLate(call, size.outputTokens, context, details())
   const isEndedAsCrashing = (): boolean => endCrashingCall(call, context, { mayHaveRun: progress.mayHaveRun, ...details() })
 
   while (!signal.aborted) {
     const holdMs = hasBegun() ? 0 : context.crashEvidence.settlingMs(traitsOf(call))
     if (holdMs > 0) await sleep(holdMs, { runtime, signal })
-    if (isEndedAsCrashing()) return
+    if (isEndedAsCrashing() || isEndedAsTooLate()) return
     if (progress.tries > 0) {
       if (hasBegun()) {
         if (refusalsInRow > 0) await sleep(Math.min(MAX_REFUSAL_PAUSE_MS, REFUSAL_PAUSE_MS * 2 ** (refusalsInRow - 1)), { runtime, signal })
@@ -75,7 +77,7 @@
       return
     }
     using reservation = outcome.place
-    if (isEndedAsCrashing()) return
+    if (isEndedAsCrashing() || isEndedAsTooLate()) return
     if (signal.aborted) break
     if (progress.tries > 0 && !hasBegun() && !budget.trySpend(service.name)) return endWithoutAnswer('retry budget spent')
     progress.tries++
@@ -134,6 +136,7 @@
   function recordAnswer (run: TargetRun): void {
     context.crashEvidence.noteAnswered(traitsOf(call))
     metrics.calls.inc({ kind: route.kind, outcome: 'answered' })
+    if (progress.attempts.length === 1 && facts.lastEventId === undefined) context.durations.note(route.name, countTokens(call, progress.lastEventId) ?? size.outputTokens, runtime.monotonicMs() - run.sentMs)
     if (progress.firstEventMs !== undefined && progress.attempts.length === 1) context.dispatcherOf(service.name).noteFirstEvent(progress.firstEventMs - call.startedMs - progress.waitedMs)
     log.emit('gatewayAnswered', {
       ...describeRequest(call),
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -4,6 +4,7 @@
  */
 import { setMaxListeners } from 'node:events'
 import { createCostModel } from '../../cost/createCostModel/index.js'
+import { createDurationModel } from '../../cost/createDurationModel/index.js'
 import { createSlowdowns } from '../../cost/createSlowdowns/index.js'
 import { createCrashEvidence } from '../../crash/createCrashEvidence/index.js'
 import { createDigestExchange } from '../../digest/createDigestExchange/index.js'
@@ -210,6 +211,7 @@
     answerPacer: createAnswerPacer(),
     inputSlicer: createInputSlicer(runtime),
     costs: createCostModel({ runtime }),
+    durations: createDurationModel({ runtime }),
     slowdowns,
     crashEvidence,
     tellPeers: exchange.sendNow,
@@ -226,6 +228,8 @@
     roomCheck: createRoomCheck(),
     dispatcherOf,
     isDraining: () => drainingSinceMs !== undefined,
+    graceLeftMs: () => drainingSinceMs === undefined ? undefined : drainingSinceMs + settings.graceMs - EXIT_RESERVE_MS - runtime.monotonicMs(),
+    isOtherHostReady: () => exchange.peers().some(({ digest }) => !digest.isImpaired && digest.configurationVersion >= 0),
     drainingForMs: () => drainingSinceMs === undefined ? undefined : Math.round(runtime.monotonicMs() - drainingSinceMs),
     targetsAgeMs: () => Math.min(follower.targetsAgeMs(), readerFollower.ageMs())
   }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
 import type { Slowdowns } from '../cost/createSlowdowns/index.js'
+import type { DurationModel } from '../cost/createDurationModel/index.js'
 import type { CostModel } from '../cost/createCostModel/index.js'
 import type { CrashEvidence } from '../crash/createCrashEvidence/index.js'
 import type { DigestSocket } from '../digest/types.js'
@@ -207,6 +208,8 @@
   targetPauses: TargetPauses
   /** What requests cost, as earlier answers show. */
   costs: CostModel
+  /** How long answers take. */
+  durations: DurationModel
   /** Which engines run slower than their kind. */
   slowdowns: Slowdowns
   /** Which parts of prompts crash engines. */
@@ -236,6 +239,10 @@
   /** Whether the process is shutting down; answers then ask the caller to close its connection. */
   isDraining: () => boolean
   /** Time since the shutdown was requested, in milliseconds. */
+  /** Time until the open calls are ended, in milliseconds; `undefined` unless the host shuts down. */
+  graceLeftMs: () => number | undefined
+  /** Whether another host is known to serve callers. */
+  isOtherHostReady: () => boolean
   drainingForMs: () => number | undefined
   /** Time since the list of targets was last confirmed, in milliseconds. */
   targetsAgeMs: () => number
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -5,6 +5,7 @@
 import { createGatewayMetrics } from '../../src/gateway/createGatewayMetrics/index.js'
 import { createCallHandler } from '../../src/gateway/createCallHandler/index.js'
 import { createCostModel } from '../../src/cost/createCostModel/index.js'
+import { createDurationModel } from '../../src/cost/createDurationModel/index.js'
 import { createSlowdowns } from '../../src/cost/createSlowdowns/index.js'
 import { createCrashEvidence } from '../../src/crash/createCrashEvidence/index.js'
 import { createAnswerPacer } from '../../src/gateway/_lib/createAnswerPacer.js'
@@ -72,6 +73,9 @@
   control?: Partial<EngineControl>
   endSignal?: AbortSignal
   connectDirectly?: ConnectDirectly
+  /** Time until the open calls of a gateway that shuts down are ended. */
+  graceLeftMs?: () => number | undefined
+  isOtherHostReady?: boolean
   /** Internal addresses of peers that open connections for the gateway. */
   relays?: string[]
   runtime?: Runtime
@@ -81,7 +85,7 @@
 
 /** Starts the handler. */
 export async function startTestGateway (targets: readonly Target[], options: TestGatewayOptions = {}) {
-  const { control = {}, relays = [], endSignal = new AbortController().signal, runtime = createSystemRuntime(), linksRuntime = runtime } = options
+  const { control = {}, graceLeftMs = () => undefined, isOtherHostReady = true, relays = [], endSignal = new AbortController().signal, runtime = createSystemRuntime(), linksRuntime = runtime } = options
   const { connectDirectly = address => connectSocket(address, { timeoutMs: 100, runtime }) } = options
   const fleet = createFleetState({ runtime })
   const configuration = 'configuration' in options ? options.configuration : TEST_CONFIGURATION
@@ -109,6 +113,7 @@
     answerPacer: createAnswerPacer(),
     inputSlicer: createInputSlicer(runtime),
     costs: createCostModel({ runtime }),
+    durations: createDurationModel({ runtime }),
     slowdowns,
     crashEvidence: createCrashEvidence({ runtime, log }),
     tellPeers: () => {},
@@ -128,7 +133,9 @@
       dispatchers.set(service, known)
       return known
     },
-    isDraining: () => false,
+    isDraining: () => graceLeftMs() !== undefined,
+    graceLeftMs,
+    isOtherHostReady: () => isOtherHostReady,
     drainingForMs: () => undefined,
     targetsAgeMs: () => 0
   }
