Share the time of the event loop among callers that send bodies in short chunks too

What callers see: 30 connections a host that send request bodies in chunks of one byte, with a valid key or with none, stop the event loops of all gateways for seconds.

Cause: the input of connections to targets is sliced, 5 ms a turn of the event loop; that of callers was not. A read of 64 KiB holds 10,000 such chunks, and the parser calls for each. Node.js lets it take a caller's bytes from the system, past the stream that is sliced.

Fix: the callers' port hands each new connection to the same slicer, so callers and targets share one time. A listener of its own on the connection makes the parser read through the stream.

--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -260,6 +260,7 @@
     requestDeadlineMs: REQUEST_DEADLINE_MS,
     idleTimeoutMs: IDLE_TIMEOUT_MS,
     linger: { forMs: LINGER_MS, runtime },
+    onConnection: context.inputSlicer.slice,
     isContinueSentByHandler: false
   }))
   resources.use(await listen(async (_request, response) => {
--- a/src/http/listen/index.ts
+++ b/src/http/listen/index.ts
@@ -56,6 +56,8 @@
   isContinueSentByHandler?: boolean
   /** Takes over the connection of a CONNECT request; if absent, the connection is closed. */
   onConnect?: (request: http.IncomingMessage, stream: Duplex, head: Buffer) => void
+  /** Called with each new connection; all that is read of it then passes through its stream, where it can be sliced. */
+  onConnection?: (socket: Socket) => void
   /** Called before a connection is destroyed because its handler rejected. */
   onHandlerError?: (error: unknown) => void
 }
@@ -74,7 +76,7 @@
   handler: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
   options: ListenOptions
 ): Promise<ListeningServer> {
-  const { address, port, headerSizeBytes, requestDeadlineMs, idleTimeoutMs, linger, refuseMalformed, isContinueSentByHandler = false, onConnect, onHandlerError } = options
+  const { address, port, headerSizeBytes, requestDeadlineMs, idleTimeoutMs, linger, refuseMalformed, isContinueSentByHandler = false, onConnect, onConnection, onHandlerError } = options
   const server = http.createServer({
     ...(headerSizeBytes === undefined ? {} : { maxHeaderSize: headerSizeBytes }),
     ...(requestDeadlineMs === undefined
@@ -141,6 +143,13 @@
   server.on('request', handleRequest)
   if (isContinueSentByHandler) server.on('checkContinue', handleRequest)
   if (onConnect !== undefined) server.on('connect', onConnect)
+  if (onConnection !== undefined) {
+    server.on('connection', socket => {
+      // Without a listener of its own the parser takes the bytes from the system, past the stream.
+      socket.on('data', () => {})
+      onConnection(socket)
+    })
+  }
   server.on('clientError', (error, socket) => handleClientError(error, socket as Socket))
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -73,6 +73,8 @@
   control?: Partial<EngineControl>
   endSignal?: AbortSignal
   connectDirectly?: ConnectDirectly
+  /** Replaces parts of the context. */
+  parts?: Partial<GatewayContext>
   /** Time until the open calls of a gateway that shuts down are ended. */
   graceLeftMs?: () => number | undefined
   isOtherHostReady?: boolean
@@ -85,7 +87,7 @@
 
 /** Starts the handler. */
 export async function startTestGateway (targets: readonly Target[], options: TestGatewayOptions = {}) {
-  const { control = {}, graceLeftMs = () => undefined, isOtherHostReady = true, relays = [], endSignal = new AbortController().signal, runtime = createSystemRuntime(), linksRuntime = runtime } = options
+  const { control = {}, parts = {}, graceLeftMs = () => undefined, isOtherHostReady = true, relays = [], endSignal = new AbortController().signal, runtime = createSystemRuntime(), linksRuntime = runtime } = options
   const { connectDirectly = address => connectSocket(address, { timeoutMs: 100, runtime }) } = options
   const fleet = createFleetState({ runtime })
   const configuration = 'configuration' in options ? options.configuration : TEST_CONFIGURATION
@@ -137,9 +139,10 @@
     graceLeftMs,
     isOtherHostReady: () => isOtherHostReady,
     drainingForMs: () => undefined,
-    targetsAgeMs: () => 0
+    targetsAgeMs: () => 0,
+    ...parts
   }
-  const server = await listen(createCallHandler(context, { ownDomain: 'north', isAccepting: () => true, endSignal }), { address: '127.0.0.1', port: 0 })
+  const server = await listen(createCallHandler(context, { ownDomain: 'north', isAccepting: () => true, endSignal }), { address: '127.0.0.1', port: 0, onConnection: context.inputSlicer.slice })
   return {
     parts: context,
     address: server.address,
