Bound the memory of the bodies of open requests together

What callers see: 150 connections a host that send bodies of 4 MiB, each within the limit of the configuration, and stop before the last byte, take gateways to 790 and 715 MB of 350; the platform ends such a process with all its calls.

Cause: the limit holds for each body alone. A body that was given up also stayed in memory until its connection closed, through the listeners of its request.

Fix: a body takes its memory from a budget as answers do: 256 KiB for itself, 48 MiB for all beyond that, held until its call ends. One that finds none is refused as not run, with 503 (overloaded) and Retry-After. The buffer of a body that was given up is released.

Evidence: 'the bodies of open requests share the memory of all, and one that finds none is refused as not run' fails without the claim.

--- a/src/entry/createCallerHandler/index.ts
+++ b/src/entry/createCallerHandler/index.ts
@@ -22,7 +22,7 @@
 const NOT_READY_RETRY_MS = 1_000
 
 /** Reasons to refuse a request, by the result of reading its body. */
-const BODY_REFUSAL_REASONS = { tooLarge: 'bodyTooLarge', tooSlow: 'senderTooSlow' } as const satisfies Record<string, ReasonName>
+const BODY_REFUSAL_REASONS = { tooLarge: 'bodyTooLarge', noRoom: 'overloaded', tooSlow: 'senderTooSlow' } as const satisfies Record<string, ReasonName>
 
 /**
  * @name createCallerHandler
--- a/src/gateway/_lib/createByteBudget.ts
+++ b/src/gateway/_lib/createByteBudget.ts
@@ -1,21 +1,22 @@
 /**
- * Bounds the memory of all answers without a stated length that a host is reading. Each one has a
- * small allowance of its own, so that answers without an end cannot take it from the others.
+ * Bounds the memory of what a host reads and keeps: all answers without a stated length together, and all
+ * bodies of requests. Each one has a small allowance of its own, so that those without an end, or
+ * very large ones, cannot take it from the others.
  */
 
-/** Bytes that an answer may hold whatever the others hold. */
+/** Bytes that one of them may hold whatever the others hold. */
 const ALLOWANCE_BYTES = 256 * 2 ** 10
 
-/** Bytes beyond the allowances that all answers may hold together; a host has 250 MB for all its work. */
+/** Bytes beyond the allowances that all may hold together; a host has 250 MB for all its work. */
 const SHARED_BYTES = 48 * 2 ** 20
 
-/** What one answer holds; its disposal returns that. */
+/** What one of them holds; its disposal returns that. */
 export interface ByteClaim extends Disposable {
   /** Takes further bytes; returns whether they are to be had. */
   tryGrow: (countBytes: number) => boolean
 }
 
-/** Memory that is shared by the answers that are being read. */
+/** Memory that is shared. */
 export interface ByteBudget {
   claim: () => ByteClaim
 }
--- a/src/gateway/createCallHandler/index.ts
+++ b/src/gateway/createCallHandler/index.ts
@@ -18,6 +18,9 @@
 import { withDeadline } from '../../runtime/withDeadline/index.js'
 import type { Call, CallFacts, GatewayContext, OpenRequest } from '../types.js'
 
+/** Retry delay sent to callers whose body finds no memory, in milliseconds; requests with large bodies take some time. */
+const NO_ROOM_RETRY_MS = 1_000
+
 /** Retry delay sent to callers while no configuration is known, in milliseconds. */
 const NOT_READY_RETRY_MS = 500
 
@@ -70,8 +73,10 @@
     if (configuration === undefined) return refuseEarly(request, response, facts, 'notReady', { retryAfterMs: NOT_READY_RETRY_MS })
     const resolved = resolveCall(configuration, request, facts, runtime.random())
     if (typeof resolved === 'string') return refuseEarly(request, response, facts, resolved, { host: request.headers.host, path: request.url })
-    const read = await readBody(request, { sizeBytes: configuration.limits.bodyBytes, deadlineMs: Math.min(facts.deadlineMs, resolved.route.timeoutMs), runtime, signal: endSignal })
+    using held = context.requestBytes.claim()
+    const read = await readBody(request, { tryGrow: held.tryGrow, sizeBytes: configuration.limits.bodyBytes, deadlineMs: Math.min(facts.deadlineMs, resolved.route.timeoutMs), runtime, signal: endSignal })
     if (read.kind === 'tooLarge') return refuse(response, facts, 'bodyTooLarge')
+    if (read.kind === 'noRoom') return refuse(response, facts, 'overloaded', { retryAfterMs: NO_ROOM_RETRY_MS, cause: 'no memory for the body' })
     if (read.kind === 'tooSlow') return refuse(response, facts, 'senderTooSlow')
     if (read.kind === 'aborted' && !endSignal.aborted) return
     if (read.kind === 'aborted' || !options.isAccepting()) return refuse(response, facts, 'draining', { retryAfterMs: 0 })
--- a/src/gateway/startGateway/index.ts
+++ b/src/gateway/startGateway/index.ts
@@ -208,6 +208,7 @@
     targetLimits,
     targetPauses,
     answerBytes: createByteBudget(),
+    requestBytes: createByteBudget(),
     answerPacer: createAnswerPacer(),
     inputSlicer: createInputSlicer(runtime),
     costs: createCostModel({ runtime }),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -222,6 +222,8 @@
   hasCrashed: (target: Target) => Promise<boolean>
   /** Memory of the answers that are being read. */
   answerBytes: ByteBudget
+  /** Memory of the bodies of open requests. */
+  requestBytes: ByteBudget
   /** Paces the reading of answers in many short chunks. */
   answerPacer: AnswerPacer
   /** Shares the time of the event loop among connections with much input. */
--- a/src/http/readBody/index.ts
+++ b/src/http/readBody/index.ts
@@ -10,6 +10,8 @@
 export type BodyResult =
   | { kind: 'body', body: Buffer }
   | { kind: 'tooLarge' }
+  /** There is no memory for it now. */
+  | { kind: 'noRoom' }
   | { kind: 'tooSlow' }
   | { kind: 'aborted' }
 
@@ -17,7 +19,7 @@
  * @name readBody
  * @summary Reads the whole body of a request.
  * @param request - The request.
- * @param options - Size limit in bytes, deadline in milliseconds, the runtime, and a signal that ends the reading early.
+ * @param options - Size limit in bytes, deadline in milliseconds, the runtime, a signal that ends the reading early, and `tryGrow`, which is asked for the memory of each piece, in bytes; all are granted by default.
  * @returns The body, or why it could not be read; the rest of the body is then drained, so that its connection can be used again.
  *
  * @example
@@ -25,9 +27,9 @@
  */
 export function readBody (
   request: IncomingMessage,
-  options: { sizeBytes: number, deadlineMs: number, runtime: Runtime, signal?: AbortSignal }
+  options: { sizeBytes: number, deadlineMs: number, runtime: Runtime, signal?: AbortSignal, tryGrow?: (countBytes: number) => boolean }
 ): Promise<BodyResult> {
-  const { sizeBytes, deadlineMs, runtime, signal } = options
+  const { sizeBytes, deadlineMs, runtime, signal, tryGrow = () => true } = options
   return new Promise(resolve => {
     const lengthBytes = Number(request.headers['content-length'] ?? Infinity)
     const body = createByteBuffer({ expectedBytes: lengthBytes })
@@ -38,11 +40,16 @@
       timer[Symbol.dispose]()
       request.removeListener('data', onData)
       signal?.removeEventListener('abort', abort)
-      if (result.kind !== 'body') drainBody(request, { runtime })
+      if (result.kind !== 'body') {
+        // The listeners of the request keep the buffer until its connection closes.
+        body.discard(body.size())
+        drainBody(request, { runtime })
+      }
       resolve(result)
     }
     const onData = (chunk: Buffer): void => {
       if (body.size() + chunk.length > sizeBytes) return finish({ kind: 'tooLarge' })
+      if (!tryGrow(chunk.length)) return finish({ kind: 'noRoom' })
       body.append(chunk)
     }
     const abort = (): void => finish({ kind: 'aborted' })
--- a/test/fakes/startTestGateway.ts
+++ b/test/fakes/startTestGateway.ts
@@ -112,6 +112,7 @@
     targetLimits: createTargetLimits({ runtime, log, ownIp: '127.0.0.1', otherIps: () => [] }),
     targetPauses: createTargetPauses({ runtime, log }),
     answerBytes: createByteBudget(),
+    requestBytes: createByteBudget(),
     answerPacer: createAnswerPacer(),
     inputSlicer: createInputSlicer(runtime),
     costs: createCostModel({ runtime }),
--- a/test/gateway/sharedReading.test.ts
+++ b/test/gateway/sharedReading.test.ts
@@ -54,3 +54,25 @@
     t.true(texts.some(text => text.startsWith('HTTP/1.1 200 OK')), 'a target')
   })
 }
+
+// Guards against large bodies of many callers that together fill the memory, each of them within its limit (LOST).
+test('the bodies of open requests share the memory of all, and one that finds none is refused as not run', async t => {
+  let release = (): void => {}
+  await using engine = await servePlatformEngine((request, socket) => { release = () => { socket.end(buildAnswer(request, 'done')) } })
+  await using gateway = await startTestGateway([buildPlainTarget('p-1', engine.address)], { parts: { requestBytes: createByteBudget({ allowanceBytes: 100, sharedBytes: 1_000 }) } })
+  const first = gateway.send('/unsafe/x', { 'request-id': 'first' }, 'x'.repeat(1_000))
+  while (engine.received.length === 0) await new Promise(resolve => { setImmediate(resolve) })
+  t.like(await gateway.send('/unsafe/x', { 'request-id': 'second' }, 'x'.repeat(1_000)), { status: 503, headers: { 'retry-after': '1' } })
+  t.is(engine.received.length, 1)
+  t.like(gateway.parts.log.recent().at(-1), { name: 'gatewayRefused', reason: 'overloaded' })
+  const small = gateway.send('/unsafe/x', { 'request-id': 'small' }, 'x'.repeat(100))
+  release()
+  t.is((await first).status, 200)
+  while (engine.received.length < 2) await new Promise(resolve => { setImmediate(resolve) })
+  release()
+  t.is((await small).status, 200)
+  const third = gateway.send('/unsafe/x', { 'request-id': 'third' }, 'x'.repeat(1_000))
+  while (engine.received.length < 3) await new Promise(resolve => { setImmediate(resolve) })
+  release()
+  t.is((await third).status, 200)
+})
