--- a/test/fleet/storeCalls.test.ts
+++ b/test/fleet/storeCalls.test.ts
@@ -200,6 +200,7 @@
   t.deepEqual([...versionsOf(followers)], [2])
 })
 
+// Guards against hosts that all keep an older configuration, as their watches went silent together (CONFIG, case 5 of the review).
 for (const count of [3, 8, 64]) {
   for (const [which, isMeant] of Object.entries({ 'all open watches': () => true, 'the open watches of the configuration': (prefix: string) => prefix === 'config/' })) {
     test.serial(`a version is in force at ${count} hosts 3 s after ${which} went silent together, shortly after another version`, async t => {
--- a/test/gateway/answerEnd.test.ts
+++ b/test/gateway/answerEnd.test.ts
@@ -193,6 +193,7 @@
 /** Begins an answer without a length, and never ends it. */
 const UNENDED: EngineScript = (request, socket) => { socket.write(buildUnframedHead(request) + (request.path === '/stream/x' ? encodeBareEvents([1, 2]) : 'half')) }
 
+// Guards against truncated answers that look whole once the peer that relays them was killed (MIXED, ORDER, case 2 of the review).
 test('a stream without a length is not complete because the peer that relays it has ended', async t => {
   let runs = 0
   const script: EngineScript = (request, socket) => runs++ === 0 ? UNENDED(request, socket) : UNFRAMED_STREAM(request, socket)
@@ -202,6 +203,7 @@
   t.deepEqual(idsOf(answer.body), [1, 2, 3, 4])
 })
 
+// The same for a booking.
 test('half an answer without a length is not whole because the peer that relays it has ended', async t => {
   await using relayed = await startBehindPeer([UNENDED], { endsAfterHeads: 1 })
   t.is((await relayed.gateway.send('/unsafe/x')).status, 502)
--- a/test/gateway/answerPacer.test.ts
+++ b/test/gateway/answerPacer.test.ts
@@ -23,6 +23,7 @@
   return answer
 }
 
+// Guards against a turn of the event loop in which one answer has thousands of chunks handled (CONFIG, case 3 of the review).
 test('of the answers with very many chunks one goes on in a turn', t => {
   const loop = createLoop()
   const pacer = createAnswerPacer({ defer: loop.defer, chunksPerTurn: 10 })
--- a/test/gateway/endlessAnswer.test.ts
+++ b/test/gateway/endlessAnswer.test.ts
@@ -62,6 +62,7 @@
   t.is((await gateway.send('/unsafe/x')).status, 502)
 })
 
+// Guards against streams without an event, in short chunks, that stop the event loop (CONFIG, case 3 of the review).
 test('an event in very many pieces is given up', async t => {
   await using engine = await servePlatformEngine((request, socket) => {
     socket.end(buildStreamHead(request) + [...`id: 1\ndata: ${'x'.repeat(5_000)}\n\n`].map(encodeChunk).join('') + STREAM_END)
@@ -70,6 +71,7 @@
   t.is((await gateway.send('/stream/x')).status, 502)
 })
 
+// Guards against errors without end, in short chunks, that fill the heap and end the process (LOST, case 1 of the review).
 test('an error without end in short chunks is given up soon', async t => {
   let sentBytes = (): number => 0
   await using engine = await servePlatformEngine((request, socket) => {
--- a/test/gateway/eventSplitter.test.ts
+++ b/test/gateway/eventSplitter.test.ts
@@ -25,6 +25,7 @@
   t.deepEqual(events.map(({ bytes }) => bytes.toString()), EVENTS)
 })
 
+// Guards against work that grows with the square of the chunks of an event, and stops the event loop (CONFIG, case 3 of the review).
 test('an event without end in short pieces is searched once', t => {
   let searchedBytes = 0
   const split = createEventSplitter({
--- a/test/gateway/inputSlicer.test.ts
+++ b/test/gateway/inputSlicer.test.ts
@@ -35,6 +35,7 @@
 
 const nextTurn = (): Promise<void> => new Promise(resolve => { setImmediate(resolve) })
 
+// Guards against a turn of the event loop that parses all short chunks of one read (CONFIG, case 3 of the review).
 test('connections with much input share a turn, and each gets a slice of it', async t => {
   const loop = createLoop()
   const slicer = createInputSlicer({ ...loop, sliceBytes: 2, turnMs: 3 })
--- a/test/gateway/readAnswerBody.test.ts
+++ b/test/gateway/readAnswerBody.test.ts
@@ -38,10 +38,12 @@
   return source as unknown as IncomingMessage
 }
 
+// Guards against a heap that is filled by a Buffer for each short chunk of a body (LOST, case 1 of the review).
 test('a body in short chunks is kept as one block, not as a list of its chunks', async t => {
   t.true((await readAnswerBody(inPieces(200, 30_000), WHOLE))?.equals(Buffer.alloc(480_000, 'x')))
 })
 
+// Guards against errors, and many answers at once, that take the memory of all calls (LOST, case 1 of the review).
 test('an error keeps far less than a success, and answers without a length no more than all may hold together', async t => {
   t.is((await readAnswerBody(inPieces(500, 16_384), WHOLE))?.length, 2 ** 18)
   t.is(await readAnswerBody(inPieces(500, 16_385), WHOLE), undefined)
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -61,6 +61,7 @@
   t.is((await impatient.watch('servers/', 0, { signal })).kind, 'silent')
 })
 
+// Guards against calls that take one silent connection after the other, while a newer configuration is in force (CONFIG, case 5 of the review).
 test('after a call that was not answered in time, calls use new connections, as the open ones may have gone silent together', async t => {
   await using standin = await servePlatformStore()
   const clock = createManualRuntime()
