Review case 9: a stream that has ended is cut while its engine leaves (LOST)

Cause: an answer that ends with its connection counts as whole only if a connection to its target opens afterwards, also when the target leaves and may have exited.

--- a/review/lib-2/modelEngines.mjs
+++ b/review/lib-2/modelEngines.mjs
@@ -3,9 +3,10 @@
  * ordered to hold, checks `Expect-Instance` and `Hop-Count`, streams events with increasing ids in chunks, and goes on
  * after `Last-Event-Id`. A prompt with the part `deadlyPart` (not as its last) crashes each engine that begins to write an
  * answer on it. A crash closes all connections and the port; the engine is back after some seconds, empty, under a new id.
+ * An engine that leaves says so in all its answers, serves on for `drain_ms`, and exits once nothing is left to do.
  */
 import http from 'node:http'
-import { findFreePort, pickNetwork } from './gateways.mjs'
+import { BOUNDS, findFreePort, pickNetwork } from './gateways.mjs'
 
 const FIRST_EVENT_MS = 80
 const EVENT_MS = 30
@@ -18,7 +19,7 @@
   return `id: ${id}\ndata: piece ${id} of ${requestId}\n\n`
 }
 
-export const wholeStream = (requestId, from = 1) => Array.from({ length: EVENTS - from + 1 }, (_, index) => eventText(requestId, from + index)).join('')
+export const wholeStream = (requestId, events = EVENTS) => Array.from({ length: events }, (_, index) => eventText(requestId, index + 1)).join('')
 
 /** A configuration with one streaming route before a model of which each engine can hold all layers. */
 export const modelConfiguration = service => ({
@@ -59,7 +60,7 @@
   tenants: [{ name: 'tenant-1', api_keys: ['key-of-tenant-1'], priority: 1 }]
 })
 
-export async function startModelEngines ({ store, service, count, zones, kind, record, deadlyPart }) {
+export async function startModelEngines ({ store, service, count, zones, kind, record, deadlyPart, events = EVENTS, isUnframed = false }) {
   const engines = []
   /** Runs by request id: engine, time, and how they ended. */
   const runs = new Map()
@@ -72,6 +73,8 @@
   async function start (engine) {
     engine.id = `i-${service}-${engine.index}-${++incarnations}`
     engine.born = Date.now()
+    engine.running = 0
+    engine.leavingSinceMs = undefined
     Object.assign(engine, { layers: undefined, orders: 0, isBusy: false, isUp: true, sockets: new Set() })
     engine.server = http.createServer((request, response) => { serve(engine, request, response) })
     engine.server.on('connection', socket => { engine.sockets.add(socket); socket.once('close', () => engine.sockets.delete(socket)) })
@@ -113,6 +116,24 @@
     }, DOWN_MS)
   }
 
+  /** The engine reports that it leaves, serves on for `drain_ms`, and exits as soon as it has nothing left to do. */
+  function leave (engine) {
+    engine.leavingSinceMs = Date.now()
+    record(`engine ${engine.id} reports draining`)
+    beat(engine)
+    setTimeout(() => endIfIdle(engine), BOUNDS.drain_ms)
+  }
+
+  function endIfIdle (engine) {
+    const isDue = engine.isUp && engine.leavingSinceMs !== undefined && engine.running === 0 && Date.now() - engine.leavingSinceMs >= BOUNDS.drain_ms
+    if (!isDue) return
+    engine.isUp = false
+    record(`engine ${engine.id} exits`)
+    engine.server.close()
+    for (const socket of engine.sockets) socket.destroySoon()
+    store.remove('servers', engine.id)
+  }
+
   const isHeld = ({ layers, isUp }, from, to) => isUp && layers !== undefined && layers.from <= from && layers.to >= to
 
   /** The address of the first part of a path that is not there. */
@@ -124,6 +145,7 @@
   }
 
   async function serve (engine, request, response) {
+    if (engine.leavingSinceMs !== undefined) response.setHeader('Server-Leaving', '1')
     const chunks = []
     for await (const chunk of request) chunks.push(chunk)
     const body = Buffer.concat(chunks).toString()
@@ -154,11 +176,15 @@
       }, FIRST_EVENT_MS)
       return
     }
+    engine.running++
+    response.once('close', () => { engine.running--; endIfIdle(engine) })
+    // Without a length and without chunks the end of the connection is the end of the answer.
+    if (isUnframed) response.useChunkedEncodingByDefault = false
     response.writeHead(200, { 'Request-Id': id, 'Server-Seal': `${engine.id}.${id}`, 'Weight-Versions': '1', 'Content-Type': 'text/event-stream', Connection: 'close' })
     let next = Number(request.headers['last-event-id'] ?? 0) + 1
     const write = () => {
       if (response.destroyed || !engine.isUp) return
-      if (next > EVENTS) return response.end()
+      if (next > events) return response.end()
       response.write(eventText(id, next++))
       setTimeout(write, EVENT_MS)
     }
@@ -193,6 +219,7 @@
     runs,
     deadlyCrashesMs,
     crash,
+    leave,
     close () {
       isClosed = true
       clearInterval(heartbeat)
